--- /dev/null
+++ b/Makefile
@@ -0,0 +1,33 @@
+PYTHON ?= python3
+VENV ?= .venv
+BIN := $(VENV)/bin
+export PYTHONPATH := $(CURDIR)/src
+
+.PHONY: test demo lint format types unit binary measure clean
+
+$(VENV)/.installed: pyproject.toml
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/python tools/install_dependencies.py
+	touch $@
+
+test: lint types unit
+
+lint: $(VENV)/.installed
+	$(BIN)/ruff format --check src tests tools
+	$(BIN)/ruff check src tests tools
+
+format: $(VENV)/.installed
+	$(BIN)/ruff format src tests tools
+	$(BIN)/ruff check --fix src tests tools
+
+types: $(VENV)/.installed
+	$(BIN)/mypy
+
+unit: $(VENV)/.installed
+	$(BIN)/python tools/run_tests.py $(TESTS)
+
+demo: $(VENV)/.installed
+	$(BIN)/python -m oriolegate demo
+
+clean:
+	rm -rf $(VENV) build dist
--- /dev/null
+++ b/src/oriolegate/__main__.py
@@ -0,0 +1,18 @@
+"""Run the command line as `python -m oriolegate`."""
+
+import sys
+
+from oriolegate.cli import main_parser
+
+
+def main() -> int:
+    """Run the command that the arguments name.
+
+    Returns:
+        The exit status of the process.
+    """
+    return main_parser.run(sys.argv[1:])
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/src/oriolegate/cli/__init__.py
@@ -0,0 +1,1 @@
+"""Parser, shared options and exit statuses of the command line."""
--- /dev/null
+++ b/src/oriolegate/cli/registry.py
@@ -0,0 +1,22 @@
+"""The table of commands; a command's module is imported only when run."""
+
+import attrs
+
+
+@attrs.frozen
+class CommandEntry:
+    """Where a command lives and what it is for.
+
+    Attributes:
+        module: Dotted name; it offers `add_options(parser)` and
+            `run(arguments) -> int`.
+        summary: One line for the help page.
+    """
+
+    module: str
+    summary: str
+
+
+COMMANDS: dict[str, CommandEntry] = {
+    "version": CommandEntry("oriolegate.commands.version", "print the version"),
+}
--- /dev/null
+++ b/src/oriolegate/commands/__init__.py
@@ -0,0 +1,1 @@
+"""One module for each command of the program."""
--- /dev/null
+++ b/src/oriolegate/coordinator/__init__.py
@@ -0,0 +1,1 @@
+"""Decides how one query is sent, retried, hedged, merged and answered."""
--- /dev/null
+++ b/src/oriolegate/network/__init__.py
@@ -0,0 +1,1 @@
+"""Sockets: callers, upstreams, peers, platform and operators."""
--- /dev/null
+++ b/src/oriolegate/runtime/__init__.py
@@ -0,0 +1,1 @@
+"""The composition root and what runs the core: timers, loop, stop."""
--- /dev/null
+++ b/src/oriolegate/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins of the platform and of upstreams."""
--- /dev/null
+++ b/src/oriolegate/timeline/__init__.py
@@ -0,0 +1,1 @@
+"""The time line: events of all processes in one causal order."""
--- /dev/null
+++ b/src/oriolegate/upstreams/__init__.py
@@ -0,0 +1,1 @@
+"""Decides which leafs may get how much work."""
--- /dev/null
+++ b/tests/timeline/test_events.py
@@ -0,0 +1,22 @@
+"""Tests of the event buffer."""
+
+import unittest
+
+from oriolegate.timeline.events import EventBuffer
+from oriolegate.timeline.events import EventKind
+
+
+class EventBufferTest(unittest.TestCase):
+    def test_keeps_only_the_newest_events(self):
+        buffer = EventBuffer("vm-1", 1_000.0, capacity=2)
+        for number in range(3):
+            buffer.record(float(number), EventKind.SUB_ANSWER, "r", number)
+        kept = list(buffer.events())
+        self.assertEqual([event.detail for event in kept], [(1,), (2,)])
+        self.assertEqual(kept[0].wall_ms, 1_001)
+
+    def test_logical_time_passes_an_observed_one(self):
+        buffer = EventBuffer("vm-1", 0.0)
+        buffer.observe(41)
+        buffer.record(0.0, EventKind.STARTED)
+        self.assertEqual(next(buffer.events()).logical_time, 42)
