Coordinate queries: pin, fan out, hedge, retry, wait and cover

Cause: the path from a caller to the leafs had no decisions yet. The coordinator is one state machine over attrs events; leaf states hold grants, cold start and ramp; the upstream client keeps connections with an httptools parser on Twisted transports; callers talk to twisted.web. The stateful property (150 examples of 40 steps, derandomized) failed first: a submit answered from a wrong version was sent again, and a queue was drained for a query whose deadline had come.

--- /dev/null
+++ b/src/oriolegate/coordinator/admission.py
@@ -0,0 +1,61 @@
+"""Refuses a query at arrival when it can't be answered in time."""
+
+from oriolegate.coordinator.query import QueryState
+from oriolegate.coordinator.state import ServiceState
+from oriolegate.models.answer import Refusal
+from oriolegate.models.topology import ServiceTopology
+from oriolegate.result_codes import ResultCode
+from oriolegate.result_codes import RunState
+
+MIN_RETRY_AFTER_MS = 50
+MAX_RETRY_AFTER_MS = 5_000
+
+
+def expected_wait_ms(service: ServiceState) -> float:
+    """Estimate how long a new sub-request waits for a slot."""
+    if service.waiting == 0 or service.completions_per_ms <= 0.0:
+        return 0.0
+    return service.waiting / service.completions_per_ms
+
+
+def check(
+    now_ms: float,
+    query: QueryState,
+    service: ServiceState,
+    topology: ServiceTopology | None,
+) -> Refusal | None:
+    """Return a refusal "not run" if the query must not start.
+
+    Args:
+        now_ms: Time of arrival.
+        query: The query, not yet pinned.
+        service: Load of its service.
+        topology: The service's topology, or None if there is none yet.
+    """
+    if topology is None:
+        return _refusal(
+            query,
+            ResultCode.NOT_READY,
+            f"the topology of {query.arrived.service} is not known yet",
+            MIN_RETRY_AFTER_MS,
+        )
+    policy = query.arrived.policy
+    wait_ms = expected_wait_ms(service)
+    remaining_ms = query.hard_deadline_ms - now_ms
+    if service.waiting >= policy.max_waiting or wait_ms > remaining_ms:
+        retry_ms = min(
+            max(int(wait_ms), MIN_RETRY_AFTER_MS), MAX_RETRY_AFTER_MS
+        )
+        return _refusal(
+            query,
+            ResultCode.OVERLOADED,
+            "the service's queue is too long for the deadline",
+            retry_ms,
+        )
+    return None
+
+
+def _refusal(
+    query: QueryState, code: ResultCode, message: str, retry_ms: int
+) -> Refusal:
+    return Refusal(query.request_id, code, RunState.NOT_RUN, message, retry_ms)
--- /dev/null
+++ b/src/oriolegate/coordinator/latency_tracker.py
@@ -0,0 +1,63 @@
+"""Tracks latency quantiles of recent sub-requests at constant cost.
+
+Latencies fall into buckets whose bounds grow by a fixed factor; counts are
+halved at intervals so that older samples weigh less.
+"""
+
+import math
+
+BUCKETS_PER_OCTAVE = 8
+BUCKETS = 20 * BUCKETS_PER_OCTAVE
+SMALLEST_MS = 0.125
+REFRESH_SAMPLES = 256
+HALVING_SAMPLES = 16_384
+MIN_SAMPLES = 32
+
+
+class LatencyTracker:
+    """A decaying histogram that keeps one quantile at hand.
+
+    Attributes:
+        quantile: Which quantile `threshold_ms` follows, 0 to 1.
+        threshold_ms: The tracked quantile, or None before enough samples.
+    """
+
+    def __init__(self, quantile: float) -> None:
+        self.quantile = quantile
+        self.threshold_ms: float | None = None
+        self.counts = [0] * BUCKETS
+        self.total = 0
+        self.since_refresh = 0
+        self.since_halving = 0
+
+    def record(self, latency_ms: float) -> None:
+        """Add one sample."""
+        octaves = math.log2(latency_ms / SMALLEST_MS) if latency_ms > 0 else 0
+        index = int(octaves * BUCKETS_PER_OCTAVE)
+        self.counts[min(max(index, 0), BUCKETS - 1)] += 1
+        self.total += 1
+        self.since_refresh += 1
+        if self.since_refresh >= REFRESH_SAMPLES or self.total == MIN_SAMPLES:
+            self._refresh()
+
+    def _refresh(self) -> None:
+        self.since_halving += self.since_refresh
+        self.since_refresh = 0
+        if self.since_halving >= HALVING_SAMPLES:
+            self.since_halving = 0
+            self.counts = [count // 2 for count in self.counts]
+            self.total = sum(self.counts)
+        if self.total >= MIN_SAMPLES:
+            self.threshold_ms = self.value_at(self.quantile)
+
+    def value_at(self, quantile: float) -> float:
+        """Return the upper bound of the bucket that holds a quantile."""
+        wanted = quantile * self.total
+        seen = 0
+        for index, count in enumerate(self.counts):
+            seen += count
+            if seen >= wanted and seen > 0:
+                return float(
+                    SMALLEST_MS * 2 ** ((index + 1) / BUCKETS_PER_OCTAVE)
+                )
+        return SMALLEST_MS * 2 ** (BUCKETS / BUCKETS_PER_OCTAVE)
--- /dev/null
+++ b/src/oriolegate/coordinator/messages.py
@@ -0,0 +1,171 @@
+"""Events that the coordinator takes and effects that it asks for."""
+
+from typing import Any
+
+import attrs
+
+from oriolegate.models.answer import Answer
+from oriolegate.models.answer import Refusal
+from oriolegate.models.policy import ServicePolicy
+from oriolegate.models.request import CallerRequest
+from oriolegate.upstreams.leaf_state import ReportedState
+
+
+@attrs.frozen
+class SubRequestId:
+    """Names one attempt for one shard of one query."""
+
+    query: int
+    shard: int
+    attempt: int
+
+
+@attrs.frozen
+class QueryArrived:
+    """A caller's request, with what the rules decided for it.
+
+    Attributes:
+        request: The request.
+        service: The service that serves it.
+        policy: The policy that holds for it.
+        index_version: Pinned by a trial, or None for the current one.
+        preferred_upstream: Preferred by a trial, or None.
+    """
+
+    request: CallerRequest
+    service: str
+    policy: ServicePolicy
+    index_version: int | None = None
+    preferred_upstream: str | None = None
+
+
+@attrs.frozen
+class LeafReport:
+    """What an upstream's answer says of the leaf that wrote it."""
+
+    leaf: str
+    state: ReportedState
+    incarnation: int
+
+
+@attrs.frozen
+class SubAnswered:
+    """A leaf ran a sub-request and answered.
+
+    Attributes:
+        sub: The attempt.
+        report: State of the leaf.
+        index_version: The version that the results are from.
+        results: Decoded results of the shard.
+    """
+
+    sub: SubRequestId
+    report: LeafReport
+    index_version: int
+    results: list[Any]
+
+
+@attrs.frozen
+class SubNotRun:
+    """A leaf says that it did not run a sub-request.
+
+    Attributes:
+        sub: The attempt.
+        report: State of the leaf.
+        reason: The reason on the wire, see docs/interfaces/upstream.md.
+    """
+
+    sub: SubRequestId
+    report: LeafReport
+    reason: str
+
+
+@attrs.frozen
+class SubFailed:
+    """A leaf failed a sub-request that may have run."""
+
+    sub: SubRequestId
+    report: LeafReport
+
+
+@attrs.frozen
+class SubLost:
+    """The connection was lost after the sub-request was sent."""
+
+    sub: SubRequestId
+    leaf: str
+
+
+@attrs.frozen
+class SubUnsent:
+    """No connection to the leaf: the sub-request was never sent."""
+
+    sub: SubRequestId
+    leaf: str
+
+
+@attrs.frozen
+class CallerGone:
+    """The caller closed its connection or cancelled."""
+
+    request_id: str
+
+
+@attrs.frozen
+class TimerFired:
+    """The time last asked for by `SetTimer` has come."""
+
+
+@attrs.frozen
+class CapacityChanged:
+    """Grants, topology, rules or leaf states outside a query changed."""
+
+
+Event = (
+    QueryArrived
+    | SubAnswered
+    | SubNotRun
+    | SubFailed
+    | SubLost
+    | SubUnsent
+    | CallerGone
+    | TimerFired
+    | CapacityChanged
+)
+
+
+@attrs.frozen
+class SendSub:
+    """Send a sub-request to a leaf."""
+
+    sub: SubRequestId
+    leaf: str
+    index_version: int
+    deadline_ms: int
+    body: bytes
+    idempotency_key: str | None
+
+
+@attrs.frozen
+class CancelSub:
+    """Ask a leaf to stop work on a sub-request."""
+
+    sub: SubRequestId
+    leaf: str
+
+
+@attrs.frozen
+class Deliver:
+    """Give the caller its answer or refusal."""
+
+    outcome: Answer | Refusal
+
+
+@attrs.frozen
+class SetTimer:
+    """Fire a `TimerFired` at this monotonic time; replaces the earlier one."""
+
+    at_ms: float
+
+
+Effect = SendSub | CancelSub | Deliver | SetTimer
--- /dev/null
+++ b/src/oriolegate/coordinator/outcome.py
@@ -0,0 +1,103 @@
+"""Works out what the caller of a query gets."""
+
+import heapq
+from typing import Any
+
+from oriolegate.coordinator.query import QueryState
+from oriolegate.models.answer import Answer
+from oriolegate.models.answer import Coverage
+from oriolegate.models.answer import MissingShard
+from oriolegate.models.answer import Refusal
+from oriolegate.result_codes import ResultCode
+from oriolegate.result_codes import RunState
+
+RETRY_AFTER_MS = 500
+
+
+def _score(result: Any) -> float:
+    if isinstance(result, dict):
+        score = result.get("score", 0.0)
+        if isinstance(score, (int, float)):
+            return float(score)
+    return 0.0
+
+
+def merge_results(parts: list[list[Any]], limit: int) -> list[Any]:
+    """Merge the results of shards, best score first.
+
+    Args:
+        parts: The results of each answered shard, in shard order.
+        limit: Results kept.
+    """
+    merged = [result for part in parts for result in part]
+    return heapq.nlargest(limit, merged, key=_score)
+
+
+def coverage_of(query: QueryState) -> Coverage:
+    """State which shards of the pinned version were answered."""
+    missing = tuple(
+        MissingShard(state.shard, state.missing)
+        for state in query.shards.values()
+        if state.results is None
+    )
+    total = len(query.shards)
+    return Coverage(total, total - len(missing), missing)
+
+
+def run_state_of(query: QueryState) -> RunState:
+    """Say whether any upstream may have run the request."""
+    if query.may_have_run:
+        return RunState.MAY_HAVE_RUN
+    for state in query.shards.values():
+        if state.may_have_run or state.in_flight or state.results is not None:
+            return RunState.MAY_HAVE_RUN
+    return RunState.NOT_RUN
+
+
+def refusal(query: QueryState, code: ResultCode, message: str) -> Refusal:
+    """Refuse a query, with an honest run state."""
+    run_state = run_state_of(query)
+    if run_state is RunState.MAY_HAVE_RUN and not _is_idempotent(query):
+        code = ResultCode.MAY_HAVE_RUN
+    return Refusal(query.request_id, code, run_state, message, RETRY_AFTER_MS)
+
+
+def _is_idempotent(query: QueryState) -> bool:
+    return query.arrived.request.idempotent
+
+
+def outcome_of(query: QueryState) -> Answer | Refusal:
+    """Answer with what is there, or refuse if it is too little."""
+    coverage = coverage_of(query)
+    policy = query.arrived.policy
+    if coverage.shards_answered == 0:
+        return _nothing_answered(query, coverage)
+    share = coverage.shards_answered / coverage.shards_total
+    if share < policy.min_coverage:
+        message = (
+            f"{coverage.shards_answered} of {coverage.shards_total} shards "
+            "answered, fewer than the service's least coverage"
+        )
+        return refusal(query, ResultCode.COVERAGE_TOO_LOW, message)
+    parts = [
+        state.results
+        for state in query.shards.values()
+        if state.results is not None
+    ]
+    return Answer(
+        request_id=query.request_id,
+        service=query.arrived.service,
+        index_version=query.index_version,
+        coverage=coverage,
+        results=merge_results(parts, policy.result_limit),
+    )
+
+
+def _nothing_answered(query: QueryState, coverage: Coverage) -> Refusal:
+    reason = ResultCode.NO_REPLICA
+    if coverage.missing:
+        reason = coverage.missing[0].reason
+    if run_state_of(query) is RunState.NOT_RUN:
+        message = f"no shard could be asked in time ({reason.name.lower()})"
+        return refusal(query, ResultCode.NOT_RUN, message)
+    return refusal(query, reason, "no shard answered in time")
--- /dev/null
+++ b/src/oriolegate/network/front.py
@@ -0,0 +1,152 @@
+"""The callers' HTTP server, on twisted.web."""
+
+from collections.abc import Callable
+import math
+from typing import Protocol
+
+from twisted.internet import defer
+from twisted.web import http
+from twisted.web import resource
+from twisted.web import server
+
+from oriolegate.exceptions import CallerInputError
+from oriolegate.models.answer import Answer
+from oriolegate.models.answer import Refusal
+from oriolegate.models.request import CallerRequest
+from oriolegate.network import caller_wire
+from oriolegate.network.caller_wire import WireResponse
+from oriolegate.result_codes import ResultCode
+from oriolegate.result_codes import RunState
+
+IDLE_TIMEOUT_S = 60
+
+
+class RequestHandler(Protocol):
+    """What serves callers' requests."""
+
+    def handle(
+        self, request: CallerRequest
+    ) -> "defer.Deferred[Answer | Refusal]":
+        """Serve one request."""
+        ...
+
+    def caller_gone(self, request_id: str) -> None:
+        """Take that the caller of a request closed its connection."""
+        ...
+
+    def fresh_request_id(self) -> str:
+        """Return a request id that no other request has."""
+        ...
+
+
+def limited_request(max_body_bytes: int) -> Callable[..., server.Request]:
+    """Return a request factory that bounds the bodies of requests."""
+
+    class LimitedRequest(server.Request):
+        """A request whose body is bounded.
+
+        Attributes:
+            too_large: True once the body is known to pass the bound.
+        """
+
+        too_large = False
+        received_bytes = 0
+
+        def gotLength(self, length: int | None) -> None:  # noqa: N802
+            """Check the announced length before the body is stored."""
+            if length is not None and length > max_body_bytes:
+                self.too_large = True
+                length = 0
+            super().gotLength(length)
+
+        def handleContentChunk(self, data: bytes) -> None:  # noqa: N802
+            """Store a part of the body unless it is too much."""
+            self.received_bytes += len(data)
+            if self.received_bytes > max_body_bytes:
+                self.too_large = True
+            if not self.too_large:
+                super().handleContentChunk(data)
+
+    return LimitedRequest
+
+
+class CallerResource(resource.Resource):
+    """Everything below `/v1`."""
+
+    isLeaf = True  # noqa: N815 (Twisted's name)
+
+    def __init__(self, handler: RequestHandler) -> None:
+        super().__init__()
+        self.handler = handler
+
+    def render_POST(self, request: server.Request) -> int:  # noqa: N802
+        """Serve a query or a submit."""
+        try:
+            caller_request = self._read(request)
+        except CallerInputError as error:
+            refusal = Refusal(
+                request.getHeader("X-Request-Id") or "",
+                error.code,
+                RunState.NOT_RUN,
+                error.message,
+            )
+            write(request, caller_wire.refusal_response(refusal))
+            return server.NOT_DONE_YET
+        self._serve(request, caller_request)
+        return server.NOT_DONE_YET
+
+    def _read(self, request: server.Request) -> CallerRequest:
+        if request.too_large:
+            raise CallerInputError(
+                "the body is larger than this service allows",
+                ResultCode.BODY_TOO_LARGE,
+            )
+        path = [part.decode("utf-8", "replace") for part in request.postpath]
+        return caller_wire.read_request(
+            path,
+            request.getHeader,
+            request.content.read(),
+            self.handler.fresh_request_id(),
+        )
+
+    def _serve(
+        self, request: server.Request, caller_request: CallerRequest
+    ) -> None:
+        gone = False
+
+        def closed(_: object) -> None:
+            nonlocal gone
+            gone = True
+            self.handler.caller_gone(caller_request.request_id)
+
+        def finish(outcome: Answer | Refusal) -> None:
+            if not gone:
+                write(request, caller_wire.response(outcome))
+
+        request.notifyFinish().addErrback(closed)
+        self.handler.handle(caller_request).addCallback(finish)
+
+
+def write(request: server.Request, response: WireResponse) -> None:
+    """Send a response and finish the request."""
+    request.setResponseCode(response.status)
+    request.setHeader("Content-Type", "application/json")
+    request.setHeader("X-Oriolegate-Code", str(int(response.code)))
+    if response.retry_after_ms is not None:
+        seconds = math.ceil(response.retry_after_ms / 1000)
+        request.setHeader("Retry-After", str(seconds))
+    request.setHeader("Content-Length", str(len(response.body)))
+    request.write(response.body)
+    request.finish()
+
+
+def caller_site(handler: RequestHandler, max_body_bytes: int) -> server.Site:
+    """Make the site that callers talk to."""
+    root = resource.Resource()
+    root.putChild(b"v1", CallerResource(handler))
+    site = server.Site(root, requestFactory=limited_request(max_body_bytes))
+    site.timeOut = IDLE_TIMEOUT_S
+    site.displayTracebacks = False
+    site.log = lambda request: None
+    http.HTTPChannel.totalHeadersSize = 16_384
+    return site
--- /dev/null
+++ b/src/oriolegate/network/upstream_wire.py
@@ -0,0 +1,182 @@
+"""The bytes of the upstream protocol; docs/interfaces/upstream.md.
+
+A different wire form of upstreams changes this module alone.
+"""
+
+from typing import Any
+
+import attrs
+import httptools
+import orjson
+
+from oriolegate.coordinator.messages import SendSub
+from oriolegate.coordinator.messages import SubRequestId
+from oriolegate.exceptions import UpstreamMessageError
+from oriolegate.upstreams.leaf_state import ReportedState
+
+MAX_BODY_BYTES = 1_000_000
+
+STATES = {state.value.encode(): state for state in ReportedState}
+
+
+@attrs.define(eq=False)
+class WireAnswer:
+    """One answer of a leaf, as read from the wire.
+
+    Attributes:
+        status: HTTP status.
+        sub: The attempt that the answer names, or None.
+        state: The state that the leaf reports, or None.
+        incarnation: The incarnation of the leaf.
+        index_version: The version that answered.
+        not_run: The reason why the sub-request did not run, or an empty text.
+        body: Undecoded.
+    """
+
+    status: int = 0
+    query: bytes = b""
+    shard: int = -1
+    attempt: int = -1
+    state: ReportedState | None = None
+    incarnation: int = 0
+    index_version: int = 0
+    not_run: str = ""
+    body: bytes = b""
+    keep_alive: bool = True
+
+
+class AnswerReader:
+    """Reads answers from the bytes of one connection.
+
+    Attributes:
+        answers: Whole answers not yet taken.
+    """
+
+    def __init__(self) -> None:
+        self.parser = httptools.HttpResponseParser(self)
+        self.answers: list[WireAnswer] = []
+        self.current = WireAnswer()
+        self.parts: list[bytes] = []
+        self.size_bytes = 0
+
+    def feed(self, data: bytes) -> list[WireAnswer]:
+        """Take bytes and return the answers that they complete.
+
+        Raises:
+            UpstreamMessageError: If the bytes are not HTTP or too many.
+        """
+        try:
+            self.parser.feed_data(data)
+        except (httptools.HttpParserError, ValueError) as error:
+            raise UpstreamMessageError(
+                f"the upstream's answer can't be read: {error}"
+            ) from error
+        if not self.answers:
+            return []
+        answers = self.answers
+        self.answers = []
+        return answers
+
+    def on_message_begin(self) -> None:
+        """Start a new answer; called by the parser."""
+        self.current = WireAnswer()
+        self.parts = []
+        self.size_bytes = 0
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Take one header; called by the parser."""
+        name = name.lower()
+        answer = self.current
+        match name:
+            case b"x-query":
+                answer.query = value
+            case b"x-shard":
+                answer.shard = int(value)
+            case b"x-attempt":
+                answer.attempt = int(value)
+            case b"x-index-version":
+                answer.index_version = int(value)
+            case b"x-leaf-state":
+                answer.state = STATES.get(value)
+            case b"x-incarnation":
+                answer.incarnation = int(value)
+            case b"x-not-run":
+                answer.not_run = value.decode("latin-1")
+            case _:
+                pass
+
+    def on_body(self, body: bytes) -> None:
+        """Take a part of the body; called by the parser."""
+        self.size_bytes += len(body)
+        if self.size_bytes > MAX_BODY_BYTES:
+            raise ValueError("the body is larger than allowed")
+        self.parts.append(body)
+
+    def on_message_complete(self) -> None:
+        """Keep the whole answer; called by the parser."""
+        answer = self.current
+        answer.status = self.parser.get_status_code()
+        answer.keep_alive = self.parser.should_keep_alive()
+        parts = self.parts
+        answer.body = parts[0] if len(parts) == 1 else b"".join(parts)
+        self.answers.append(answer)
+
+
+def query_bytes(process: bytes, effect: SendSub) -> bytes:
+    """Write a sub-request.
+
+    Args:
+        process: Makes query numbers unique over all VMs.
+        effect: What to send.
+    """
+    sub = effect.sub
+    key = effect.idempotency_key
+    key_header = (
+        b""
+        if key is None
+        else b"X-Idempotency-Key: %b\r\n" % (key.encode("ascii"))
+    )
+    return (
+        b"POST /query HTTP/1.1\r\nHost: leaf\r\n"
+        b"X-Query: %b.%d\r\nX-Shard: %d\r\nX-Attempt: %d\r\n"
+        b"X-Index-Version: %d\r\nX-Deadline-Ms: %d\r\n%b"
+        b"Content-Length: %d\r\n\r\n%b"
+        % (
+            process,
+            sub.query,
+            sub.shard,
+            sub.attempt,
+            effect.index_version,
+            effect.deadline_ms,
+            key_header,
+            len(effect.body),
+            effect.body,
+        )
+    )
+
+
+def cancel_bytes(process: bytes, sub: SubRequestId) -> bytes:
+    """Write a cancellation."""
+    return (
+        b"POST /cancel HTTP/1.1\r\nHost: leaf\r\n"
+        b"X-Query: %b.%d\r\nX-Shard: %d\r\nX-Attempt: %d\r\n"
+        b"Content-Length: 0\r\n\r\n"
+        % (process, sub.query, sub.shard, sub.attempt)
+    )
+
+
+def decode_results(body: bytes) -> list[Any]:
+    """Decode the results of one shard.
+
+    Raises:
+        UpstreamMessageError: If the body is not what the protocol says.
+    """
+    try:
+        results = orjson.loads(body)["results"]
+    except (orjson.JSONDecodeError, KeyError, TypeError) as error:
+        raise UpstreamMessageError(
+            "the upstream's results can't be read"
+        ) from error
+    if not isinstance(results, list):
+        raise UpstreamMessageError("the upstream's results are not a list")
+    return results
--- /dev/null
+++ b/src/oriolegate/runtime/query_runner.py
@@ -0,0 +1,128 @@
+"""Feeds events to the coordinator and carries out its effects."""
+
+import collections
+from collections.abc import Callable
+from typing import Protocol
+
+from oriolegate.clock import Clock
+from oriolegate.coordinator.machine import Coordinator
+from oriolegate.coordinator.messages import CancelSub
+from oriolegate.coordinator.messages import CapacityChanged
+from oriolegate.coordinator.messages import Deliver
+from oriolegate.coordinator.messages import Effect
+from oriolegate.coordinator.messages import Event
+from oriolegate.coordinator.messages import SendSub
+from oriolegate.coordinator.messages import SetTimer
+from oriolegate.coordinator.messages import TimerFired
+from oriolegate.models.answer import Answer
+from oriolegate.models.answer import Refusal
+
+
+class SubRequestSender(Protocol):
+    """What carries sub-requests to leafs."""
+
+    def send(self, effect: SendSub) -> None:
+        """Send a sub-request."""
+        ...
+
+    def cancel(self, effect: CancelSub) -> None:
+        """Send a cancellation."""
+        ...
+
+
+class DelayedCall(Protocol):
+    """A timer that can be cancelled."""
+
+    def cancel(self) -> None:
+        """Stop the timer."""
+        ...
+
+
+CallLater = Callable[[float, Callable[[], None]], DelayedCall]
+Receiver = Callable[[Answer | Refusal], None]
+
+
+class QueryRunner:
+    """Runs one coordinator on the loop.
+
+    Events that come up while effects are carried out wait for their turn, so
+    the coordinator never sees one event inside another.
+
+    Attributes:
+        coordinator: The state machine.
+        sender: Carries sub-requests; set by the composition root.
+        receivers: Who waits for a request's outcome, by request id.
+    """
+
+    def __init__(
+        self,
+        coordinator: Coordinator,
+        clock: Clock,
+        call_later: CallLater,
+    ) -> None:
+        self.coordinator = coordinator
+        self.clock = clock
+        self.call_later = call_later
+        self.sender: SubRequestSender | None = None
+        self.receivers: dict[str, Receiver] = {}
+        self.events: collections.deque[Event] = collections.deque()
+        self.running = False
+        self.timer: DelayedCall | None = None
+
+    def feed(self, event: Event) -> None:
+        """Take one event, now or after those that came before."""
+        self.events.append(event)
+        if self.running:
+            return
+        self.running = True
+        try:
+            while self.events:
+                now_ms = self.clock.now_ms()
+                effects = self.coordinator.step(now_ms, self.events.popleft())
+                for effect in effects:
+                    self._carry_out(effect)
+        finally:
+            self.running = False
+
+    def _carry_out(self, effect: Effect) -> None:
+        match effect:
+            case SendSub():
+                assert self.sender is not None
+                self.sender.send(effect)
+            case CancelSub():
+                assert self.sender is not None
+                self.sender.cancel(effect)
+            case Deliver(outcome):
+                receiver = self.receivers.pop(outcome.request_id, None)
+                if receiver is not None:
+                    receiver(outcome)
+            case SetTimer(at_ms):
+                self._set_timer(at_ms)
+
+    def _set_timer(self, at_ms: float) -> None:
+        if self.timer is not None:
+            self.timer.cancel()
+        delay_ms = max(0.0, at_ms - self.clock.now_ms())
+        self.timer = self.call_later(delay_ms / 1000.0, self._timer_fired)
+
+    def _timer_fired(self) -> None:
+        self.timer = None
+        self.feed(TimerFired())
+
+    def sub_report(self, event: Event) -> None:
+        """Take what came of a sub-request."""
+        self.feed(event)
+
+    def connection_limit(self, leaf: str) -> int:
+        """Return this process's part of a leaf's connections."""
+        state = self.coordinator.state.leafs.leafs.get(leaf)
+        return 0 if state is None else state.grant.connections
+
+    def connection_opened(self, leaf: str) -> None:
+        """Take that a connection to a leaf was opened."""
+
+    def connection_lost(self, leaf: str) -> None:
+        """Take that a connection was lost: the leaf counts as cold."""
+        state = self.coordinator.state
+        state.leafs.note_loss(self.clock.now_ms(), leaf)
+        self.feed(CapacityChanged())
--- /dev/null
+++ b/tests/coordinator/test_properties.py
@@ -0,0 +1,247 @@
+"""Properties of the coordinator under arbitrary orders and losses."""
+
+import unittest
+
+import hypothesis
+from hypothesis import stateful
+from hypothesis import strategies as st
+
+from oriolegate.coordinator import messages
+from oriolegate.coordinator.messages import LeafReport
+from oriolegate.models.answer import Answer
+from oriolegate.models.answer import Refusal
+from oriolegate.models.policy import CoverageMode
+from oriolegate.models.policy import ServicePolicy
+from oriolegate.models.request import CallerRequest
+from oriolegate.result_codes import RunState
+from oriolegate.upstreams.leaf_state import Grant
+from oriolegate.upstreams.leaf_state import ReportedState
+from tests.coordinator import sites
+
+SHARDS = 3
+NOT_RUN_REASONS = ("shed", "cold", "draining", "no-version", "expired")
+
+
+def document(sub, version):
+    return {"id": f"v{version}-q{sub.query}-s{sub.shard}", "score": 1.0}
+
+
+class CoordinatorMachine(stateful.RuleBasedStateMachine):
+    """A far side that answers in any order, doubled, late or never."""
+
+    def __init__(self):
+        super().__init__()
+        self.versions = [7]
+        self.core = sites.coordinator(
+            sites.topology(SHARDS, slots=2), Grant(2, 4, 1)
+        )
+        self.now_ms = 0.0
+        self.open = {}
+        self.closed = []
+        self.requests = {}
+        self.runs = {}
+        self.answered = set()
+        self.outcomes = {}
+        self.numbers = {}
+
+    def feed(self, event):
+        for effect in self.core.step(self.now_ms, event):
+            match effect:
+                case messages.SendSub():
+                    self.sent(effect)
+                case messages.Deliver(outcome):
+                    self.delivered(outcome)
+                case messages.SetTimer(at_ms):
+                    assert at_ms >= 0
+
+    def sent(self, effect):
+        assert effect.sub not in self.open
+        number = effect.sub.query
+        request = self.requests[self.numbers[number]]
+        if not request.idempotent:
+            # Every earlier attempt must be known not to have run.
+            assert not self.runs.get(request.request_id)
+            assert all(sub.query != number for sub in self.open)
+        self.open[effect.sub] = effect
+
+    def delivered(self, outcome):
+        assert outcome.request_id not in self.outcomes
+        self.outcomes[outcome.request_id] = outcome
+        match outcome:
+            case Answer():
+                self.check_answer(outcome)
+            case Refusal(run_state=RunState.NOT_RUN):
+                assert not self.runs.get(outcome.request_id)
+                assert not self.may_still_run(outcome.request_id)
+
+    def may_still_run(self, request_id):
+        return any(self.numbers[sub.query] == request_id for sub in self.open)
+
+    def check_answer(self, answer):
+        version = answer.index_version
+        number = next(
+            n for n, r in self.numbers.items() if r == answer.request_id
+        )
+        ids = [result["id"] for result in answer.results]
+        assert len(ids) == len(set(ids))
+        sent_back = {
+            f"v{version}-q{number}-s{shard}"
+            for (query, shard, v) in self.answered
+            if query == number and v == version
+        }
+        assert set(ids) == sent_back
+        missing = {row.shard for row in answer.coverage.missing}
+        assert answer.coverage.shards_answered == len(ids)
+        assert answer.coverage.shards_total == len(ids) + len(missing)
+
+    def close(self, sub, ran):
+        effect = self.open.pop(sub)
+        self.closed.append(effect)
+        if ran:
+            request_id = self.numbers[sub.query]
+            self.runs[request_id] = self.runs.get(request_id, 0) + 1
+            if not self.requests[request_id].idempotent:
+                assert self.runs[request_id] == 1
+
+    def live(self, sub):
+        """Whether the coordinator still counts this attempt."""
+        query = self.core.state.queries.get(sub.query)
+        shard = query.shards.get(sub.shard) if query else None
+        return shard is not None and sub.attempt in shard.in_flight
+
+    def report(self, effect, state="warm"):
+        return LeafReport(effect.leaf, ReportedState(state), 1)
+
+    @stateful.rule(
+        idempotent=st.booleans(),
+        tail_first=st.booleans(),
+        deadline_ms=st.floats(5.0, 100.0),
+    )
+    def arrive(self, idempotent, tail_first, deadline_ms):
+        request_id = f"r{len(self.requests)}"
+        request = CallerRequest(
+            request_id=request_id,
+            caller="c",
+            route="studio",
+            body=b"",
+            deadline_ms=deadline_ms,
+            idempotent=idempotent,
+            idempotency_key=None if idempotent else request_id,
+        )
+        self.requests[request_id] = request
+        self.numbers[self.core.state.next_query] = request_id
+        mode = CoverageMode.COVERAGE_FIRST
+        if tail_first:
+            mode = CoverageMode.TAIL_FIRST
+        policy = ServicePolicy(coverage_mode=mode, soft_deadline_ms=20.0)
+        self.feed(messages.QueryArrived(request, sites.SERVICE, policy))
+
+    @stateful.precondition(lambda self: self.open)
+    @stateful.rule(data=st.data(), stale=st.booleans())
+    def answer(self, data, stale):
+        sub = data.draw(st.sampled_from(sorted(self.open, key=repr)))
+        effect = self.open[sub]
+        version = effect.index_version - (1 if stale else 0)
+        if self.live(sub) and not stale:
+            self.answered.add((sub.query, sub.shard, version))
+        self.close(sub, ran=True)
+        self.feed(
+            messages.SubAnswered(
+                sub, self.report(effect), version, [document(sub, version)]
+            )
+        )
+
+    @stateful.precondition(lambda self: self.open)
+    @stateful.rule(data=st.data(), reason=st.sampled_from(NOT_RUN_REASONS))
+    def not_run(self, data, reason):
+        sub = data.draw(st.sampled_from(sorted(self.open, key=repr)))
+        effect = self.open[sub]
+        self.close(sub, ran=False)
+        state = reason if reason in ("cold", "draining") else "warm"
+        self.feed(messages.SubNotRun(sub, self.report(effect, state), reason))
+
+    @stateful.precondition(lambda self: self.open)
+    @stateful.rule(data=st.data(), lost=st.booleans())
+    def fail(self, data, lost):
+        sub = data.draw(st.sampled_from(sorted(self.open, key=repr)))
+        effect = self.open[sub]
+        self.close(sub, ran=True)
+        if lost:
+            self.feed(messages.SubLost(sub, effect.leaf))
+        else:
+            self.feed(messages.SubFailed(sub, self.report(effect)))
+
+    @stateful.precondition(lambda self: self.closed)
+    @stateful.rule(data=st.data())
+    def doubled_answer(self, data):
+        effect = data.draw(st.sampled_from(self.closed))
+        version = effect.index_version
+        self.feed(
+            messages.SubAnswered(
+                effect.sub,
+                self.report(effect),
+                version,
+                [document(effect.sub, version)],
+            )
+        )
+
+    @stateful.rule(interval_ms=st.floats(0.1, 40.0))
+    def time_passes(self, interval_ms):
+        self.now_ms += interval_ms
+        self.feed(messages.TimerFired())
+
+    @stateful.rule(keep_old=st.booleans())
+    def publish(self, keep_old):
+        self.versions.append(self.versions[-1] + 1)
+        kept = self.versions[-2:] if keep_old else self.versions[-1:]
+        site = sites.topology(
+            SHARDS,
+            versions=tuple(kept),
+            generation=len(self.versions),
+            slots=2,
+        )
+        self.core.state.leafs.set_topology(self.now_ms, site)
+        self.feed(messages.CapacityChanged())
+
+    @stateful.precondition(lambda self: self.requests)
+    @stateful.rule(data=st.data())
+    def caller_gone(self, data):
+        request_id = data.draw(st.sampled_from(sorted(self.requests)))
+        self.feed(messages.CallerGone(request_id))
+
+    @stateful.invariant()
+    def slots_are_within_the_grant(self):
+        for state in self.core.state.leafs.leafs.values():
+            assert 0 <= state.in_flight <= 2
+
+    @stateful.invariant()
+    def no_query_outlives_its_deadline_by_a_timer(self):
+        for query in self.core.state.queries.values():
+            wakes = [key for _, _, _, key in self.core.state.wakeups]
+            assert query.number in wakes
+
+    def teardown(self):
+        self.now_ms += 1_000.0
+        self.feed(messages.TimerFired())
+        assert not self.core.state.queries
+        for sub in list(self.open):
+            effect = self.open.pop(sub)
+            self.feed(messages.SubLost(sub, effect.leaf))
+        for state in self.core.state.leafs.leafs.values():
+            assert state.in_flight == 0
+
+
+CoordinatorMachine.TestCase.settings = hypothesis.settings(
+    max_examples=150,
+    stateful_step_count=40,
+    deadline=None,
+    derandomize=True,
+    report_multiple_bugs=False,
+)
+
+
+class CoordinatorPropertiesTest(unittest.TestCase):
+    def test_answers_are_whole_true_and_from_one_snapshot(self):
+        stateful.run_state_machine_as_test(
+            CoordinatorMachine, settings=CoordinatorMachine.TestCase.settings
+        )
