--- a/src/oriolegate/cli/registry.py
+++ b/src/oriolegate/cli/registry.py
@@ -18,5 +18,8 @@
 
 
 COMMANDS: dict[str, CommandEntry] = {
+    "emulate": CommandEntry(
+        "oriolegate.commands.emulate", "run stand-ins of platform and upstreams"
+    ),
     "version": CommandEntry("oriolegate.commands.version", "print the version"),
 }
