--- a/src/oriolegate/network/platform_client.py
+++ b/src/oriolegate/network/platform_client.py
@@ -1,10 +1,11 @@
 """The platform's object API over HTTP.
 
-It carries out one call at a time for its callers and decides nothing but
-errors: it never sends a call again, so a write is sent at most once.
+It decides the code of each failure and never sends a call again: only the
+caller knows whether a write whose fate is unknown may be repeated.
 """
 
 import collections
+from collections.abc import Callable
 from collections.abc import Mapping
 import json
 from typing import Any
@@ -13,6 +14,7 @@
 import attrs
 from twisted.internet import defer
 from twisted.internet import interfaces
+from twisted.python import failure
 from twisted.web import client
 from twisted.web import http_headers
 from twisted.web import iweb
@@ -32,8 +34,9 @@
     404: ResultCode.PLATFORM_NOT_FOUND,
     412: ResultCode.PLATFORM_CONFLICT,
     429: ResultCode.PLATFORM_RATE_LIMITED,
-    503: ResultCode.PLATFORM_DOWN,
 }
+HTTP_OK = 200
+FIRST_SERVER_ERROR = 500
 
 
 @attrs.frozen
@@ -73,6 +76,16 @@
     stopProducing = pauseProducing  # noqa: N815 (twisted's name)
 
 
+@attrs.frozen
+class _Request:
+    """One HTTP request of the object API."""
+
+    method: str
+    path: str
+    condition: dict[str, list[str]] = attrs.field(factory=dict)
+    body: bytes = b""
+
+
 def _read_object(row: Mapping[str, Any]) -> StoredObject:
     return StoredObject(row["name"], row["version"], row["value"])
 
@@ -103,10 +116,10 @@
     return f"/objects/{kind}/{urllib.parse.quote(name, safe='')}"
 
 
-def _condition(expected_version: int) -> dict[str, str]:
+def _condition(expected_version: int) -> dict[str, list[str]]:
     if expected_version == 0:
-        return {"If-None-Match": "*"}
-    return {"If-Match": str(expected_version)}
+        return {"If-None-Match": ["*"]}
+    return {"If-Match": [str(expected_version)]}
 
 
 class PlatformClient:
@@ -137,13 +150,13 @@
 
     def get(self, kind: str, name: str) -> "defer.Deferred[StoredObject]":
         """Read one object."""
-        call = self._call("get", "GET", _object_path(kind, name))
-        return _parsed(call, _read_object)
+        request = _Request("GET", _object_path(kind, name))
+        return self._call("get", request, _read_object)
 
     def list(self, kind: str) -> "defer.Deferred[ObjectList]":
         """Read all objects of a kind."""
-        call = self._call("list", "GET", f"/objects/{kind}")
-        return _parsed(call, _read_list)
+        request = _Request("GET", f"/objects/{kind}")
+        return self._call("list", request, _read_list)
 
     def put(
         self,
@@ -153,61 +166,52 @@
         expected_version: int,
     ) -> "defer.Deferred[int]":
         """Write if the object is at `expected_version`; 0 means absent."""
-        call = self._call(
-            "put",
-            "PUT",
-            _object_path(kind, name),
-            headers=_condition(expected_version),
+        request = _Request(
+            method="PUT",
+            path=_object_path(kind, name),
+            condition=_condition(expected_version),
             body=json.dumps(value, separators=(",", ":")).encode(),
         )
-        return _parsed(call, _read_version)
+        return self._call("put", request, _read_version)
 
     def delete(
         self, kind: str, name: str, expected_version: int
     ) -> "defer.Deferred[None]":
         """Delete if the object is at `expected_version`."""
-        call = self._call(
-            "delete",
-            "DELETE",
-            _object_path(kind, name),
-            headers=_condition(expected_version),
+        request = _Request(
+            method="DELETE",
+            path=_object_path(kind, name),
+            condition=_condition(expected_version),
         )
-        return _parsed(call, lambda _: None)
+        return self._call("delete", request, lambda _: None)
 
     def watch(
         self, kind: str, after_revision: int, timeout_ms: int
     ) -> "defer.Deferred[ObjectList]":
         """Wait until something of the kind changes, or the time is over."""
         path = f"/watch/{kind}?after={after_revision}&timeout_ms={timeout_ms}"
-        self.counts["watch"] += 1
-        call = defer.Deferred.fromCoroutine(self._exchange("GET", path))
-        return _parsed(
-            self._bounded(call, timeout_ms + WATCH_ANSWER_MS), _read_list
-        )
+        waiting = self._send("watch", _Request("GET", path), _read_list)
+        return self._bounded(waiting, timeout_ms + WATCH_ANSWER_MS)
 
     def list_vms(self) -> "defer.Deferred[tuple[VmRecord, ...]]":
         """Read the platform's list of VMs."""
-        return _parsed(self._call("list_vms", "GET", "/vms"), _read_vms)
+        return self._call("list_vms", _Request("GET", "/vms"), _read_vms)
 
     def close(self) -> "defer.Deferred[None]":
         """Close the kept connections."""
         return self.pool.closeCachedConnections()
 
     def _call(
-        self,
-        call: str,
-        method: str,
-        path: str,
-        headers: Mapping[str, str] | None = None,
-        body: bytes | None = None,
+        self, call: str, request: _Request, read: Callable[[Any], Any]
     ) -> "defer.Deferred[Any]":
-        def send() -> "defer.Deferred[Any]":
-            self.counts[call] += 1
-            return defer.Deferred.fromCoroutine(
-                self._exchange(method, path, headers, body)
-            )
+        turn = self.turns.run(self._send, call, request, read)
+        return self._bounded(turn, self.settings.timeout_ms)
 
-        return self._bounded(self.turns.run(send), self.settings.timeout_ms)
+    def _send(
+        self, call: str, request: _Request, read: Callable[[Any], Any]
+    ) -> "defer.Deferred[Any]":
+        self.counts[call] += 1
+        return defer.Deferred.fromCoroutine(self._exchange(request, read))
 
     def _bounded(
         self, call: "defer.Deferred[Any]", timeout_ms: float
@@ -217,47 +221,45 @@
         return call
 
     async def _exchange(
-        self,
-        method: str,
-        path: str,
-        headers: Mapping[str, str] | None = None,
-        body: bytes | None = None,
+        self, request: _Request, read: Callable[[Any], Any]
     ) -> Any:
-        sent = {name: [value] for name, value in (headers or {}).items()}
         response = await self.agent.request(
-            method.encode(),
-            (self.settings.base_url + path).encode(),
-            http_headers.Headers(sent),
-            _JsonBody(body) if body is not None else None,
+            request.method.encode(),
+            (self.settings.base_url + request.path).encode(),
+            http_headers.Headers(request.condition),
+            _JsonBody(request.body) if request.body else None,
         )
         answer = await client.readBody(response)
-        if response.code == 200:
-            return json.loads(answer)
-        raise _refusal(response.code, answer)
-
-
-def _parsed(call: "defer.Deferred[Any]", read: Any) -> "defer.Deferred[Any]":
-    call.addCallback(read)
-    call.addErrback(_as_bad_answer)
-    return call
-
-
-def _refusal(status: int, answer: bytes) -> PlatformError:
-    code = CODE_OF_STATUS.get(status, ResultCode.PLATFORM_BAD_ANSWER)
-    text = answer[:200].decode(errors="replace")
-    return PlatformError(f"the platform answered {status}: {text}", code)
-
-
-def _as_bad_answer(reason: Any) -> Any:
-    reason.trap(KeyError, TypeError, ValueError)
-    raise PlatformError(
-        f"the platform's answer can't be read: {reason.value!r}",
-        ResultCode.PLATFORM_BAD_ANSWER,
-    ) from reason.value
-
-
-def _as_platform_error(reason: Any) -> Any:
-    if reason.check(PlatformError, defer.CancelledError, ValueError):
+        if response.code != HTTP_OK:
+            raise _refusal(request, response.code, answer)
+        try:
+            return read(json.loads(answer))
+        except (KeyError, TypeError, ValueError) as error:
+            raise _bad_answer(request, repr(error)) from error
+
+
+def _refusal(request: _Request, status: int, answer: bytes) -> PlatformError:
+    text = f"{status}: {answer[:200].decode(errors='replace')}"
+    if status >= FIRST_SERVER_ERROR:
+        message = f"the platform is down, try later; it answered {text}"
+        return PlatformError(message, ResultCode.PLATFORM_DOWN)
+    code = CODE_OF_STATUS.get(status)
+    if code is None:
+        return _bad_answer(request, text)
+    return PlatformError(f"the platform refused the call with {text}", code)
+
+
+def _bad_answer(request: _Request, text: str) -> PlatformError:
+    # A write whose answer can't be read may have taken effect.
+    code = ResultCode.PLATFORM_DOWN
+    if request.method == "GET":
+        code = ResultCode.PLATFORM_BAD_ANSWER
+    message = f"check the platform, its answer can't be read: {text}"
+    return PlatformError(message, code)
+
+
+def _as_platform_error(reason: failure.Failure) -> failure.Failure:
+    if reason.check(PlatformError, defer.CancelledError):
         return reason
     raise PlatformError(
         f"the platform can't be reached, try later: {reason.value!r}",
