--- /dev/null
+++ b/src/oriolegate/settings/__init__.py
@@ -0,0 +1,1 @@
+"""Settings of the commands: flags, environment variables and their checks."""
