Log short sentences with a prefix for each part

Cause: operators read one stream of several parts, as text or by machine.

Change: get_logger(part) binds the prefix; setup_logging sends all parts to the standard error as text or JSON. Line ends in messages are escaped, so a caller's text cannot pass for a line of another part; values of variables are never shown with exceptions. RepeatLimiter holds back repeats of one key.

Conclusion: seven tests drive both formats, the levels and the limiter.

--- /dev/null
+++ b/tests/test_logging_setup.py
@@ -0,0 +1,93 @@
+"""Tests of the logs' format and of held-back repeats."""
+
+import io
+import json
+import unittest
+
+from loguru import logger
+
+from oriolegate import logging_setup
+from oriolegate.clock import FakeClock
+from oriolegate.settings.logs import LogFormat
+
+
+class LoggingTest(unittest.TestCase):
+    def setUp(self):
+        self.stream = io.StringIO()
+        self.addCleanup(logger.remove)
+
+    def lines(self):
+        return self.stream.getvalue().splitlines()
+
+    def test_text_lines_start_with_the_part(self):
+        logging_setup.setup_logging(stream=self.stream)
+        logging_setup.get_logger("peers").info("Linked to {}.", "entry-2")
+        self.assertRegex(
+            self.lines()[0],
+            r"^\d{4}-\d\d-\d\dT[\d:]{8}\.\d{3}Z INFO    peers: "
+            r"Linked to entry-2\.$",
+        )
+
+    def test_line_ends_in_a_message_do_not_make_a_line(self):
+        logging_setup.setup_logging(stream=self.stream)
+        logging_setup.get_logger("front").info("Got {}.", "a\nb\r")
+        self.assertEqual(len(self.lines()), 1)
+
+    def test_json_lines_hold_part_and_bound_fields(self):
+        logging_setup.setup_logging(LogFormat.JSON, stream=self.stream)
+        log = logging_setup.get_logger("coord").bind(request_id="r-1")
+        log.warning("Dropped a late answer.")
+        line = json.loads(self.lines()[0])
+        self.assertEqual(line["part"], "coord")
+        self.assertEqual(line["request_id"], "r-1")
+        self.assertEqual(line["level"], "WARNING")
+
+    def test_verbosity_opens_lower_levels(self):
+        for verbose, expected in ((0, 1), (1, 2), (2, 3)):
+            self.stream.seek(0)
+            self.stream.truncate()
+            logging_setup.setup_logging(verbose=verbose, stream=self.stream)
+            log = logging_setup.get_logger("admin")
+            log.info("a")
+            log.debug("b")
+            log.trace("c")
+            self.assertEqual(len(self.lines()), expected)
+
+    def test_exceptions_do_not_show_values_of_variables(self):
+        for log_format in LogFormat:
+            logging_setup.setup_logging(log_format, stream=self.stream)
+            log = logging_setup.get_logger("front")
+            try:
+                secret_key = "q7" * 3
+                raise ValueError("bad" if secret_key else "")
+            except ValueError:
+                log.exception("Failed.")
+        self.assertIn("ValueError", self.stream.getvalue())
+        self.assertNotIn("q7q7q7", self.stream.getvalue())
+
+
+class RepeatLimiterTest(unittest.TestCase):
+    def setUp(self):
+        self.stream = io.StringIO()
+        logging_setup.setup_logging(stream=self.stream)
+        self.addCleanup(logger.remove)
+        self.clock = FakeClock()
+        self.limiter = logging_setup.RepeatLimiter(
+            logging_setup.get_logger("peers"), self.clock, interval_ms=100.0
+        )
+
+    def test_repeats_are_counted_and_told_later(self):
+        for _ in range(5):
+            self.limiter.warning("entry-2", "Lost {entry-2}.")
+        self.clock.advance(100.0)
+        self.limiter.warning("entry-2", "Lost {entry-2}.")
+        lines = self.stream.getvalue().splitlines()
+        self.assertEqual(len(lines), 2)
+        self.assertTrue(lines[1].endswith("(4 more like it before)"))
+
+    def test_keys_are_bounded(self):
+        for number in range(logging_setup.REPEAT_KEYS_MAX + 5):
+            self.limiter.warning(str(number), "Lost.")
+        self.assertEqual(
+            len(self.limiter.last_ms), logging_setup.REPEAT_KEYS_MAX
+        )
