Show help, suggestions and exit statuses as people expect

Cause: the main parser knew one help page and two exit statuses.

Only the module of the command that runs is imported.

Conclusion: functional tests run the real command in a process.

--- a/src/oriolegate/cli/main_parser.py
+++ b/src/oriolegate/cli/main_parser.py
@@ -1,23 +1,75 @@
-"""The main parser: it finds the command and hands the rest to it."""
+"""The main parser: it finds the command and hands the rest to it.
+
+Only the module of the command that runs is imported; the main help page is
+made from the registry alone.
+"""
 
-import argparse
 from collections.abc import Sequence
-import importlib
 import sys
 
 from oriolegate.cli import registry
+from oriolegate.cli import status_codes
 from oriolegate.cli.status_codes import ExitStatus
 from oriolegate.exceptions import OriolegateError
 
+PROGRAM = "oriolegate"
+HELP_FLAGS = ("-h", "--help")
+# The shell's status for a process that SIGINT ended.
+INTERRUPTED_STATUS = 130
+
 
 def _help_page() -> str:
     width = max(len(name) for name in registry.COMMANDS)
-    rows = [
+    commands = [
         f"  {name:<{width}}  {entry.summary}"
         for name, entry in registry.COMMANDS.items()
     ]
-    usage = "usage: oriolegate COMMAND [options]\n\ncommands:\n"
-    return usage + "\n".join(rows) + "\n"
+    statuses = [
+        f"  {int(status)}  {meaning}"
+        for status, meaning in status_codes.MEANINGS.items()
+    ]
+    sections = [
+        f"usage: {PROGRAM} COMMAND [options]",
+        "Fan each request out over many shards.",
+        "\n".join(["commands:", *commands]),
+        f"{PROGRAM} help COMMAND shows a command's options; each option is\n"
+        "also a variable: --peer-port is ORIOLEGATE_PEER_PORT.",
+        "\n".join(["exit statuses:", *statuses]),
+    ]
+    return "\n\n".join(sections) + "\n"
+
+
+def _unknown_command(name: str) -> int:
+    import difflib
+
+    nearest = difflib.get_close_matches(name, registry.COMMANDS, n=1)
+    hint = f"did you mean {nearest[0]!r}?" if nearest else ""
+    advice = hint or f"see {PROGRAM} --help"
+    print(f"{PROGRAM}: there is no command {name!r}; {advice}", file=sys.stderr)
+    return ExitStatus.USAGE
+
+
+def _print_error(error: OriolegateError) -> None:
+    print(f"{PROGRAM}: {int(error.code)} {error}", file=sys.stderr)
+
+
+def _run_command(name: str, options: Sequence[str]) -> int:
+    import argparse
+    import importlib
+
+    entry = registry.COMMANDS[name]
+    module = importlib.import_module(entry.module)
+    parser = argparse.ArgumentParser(
+        prog=f"{PROGRAM} {name}",
+        description=entry.summary,
+        allow_abbrev=False,
+    )
+    module.add_options(parser)
+    try:
+        return int(module.run(parser.parse_args(options)))
+    except OriolegateError as error:
+        _print_error(error)
+        return status_codes.status_of(error.code)
 
 
 def run(arguments: Sequence[str]) -> int:
@@ -29,24 +81,20 @@
     Returns:
         The exit status of the process.
     """
-    if not arguments or arguments[0] in ("-h", "--help", "help"):
-        print(_help_page(), end="")
-        return ExitStatus.SUCCESS if arguments else ExitStatus.USAGE
-    name = "version" if arguments[0] == "--version" else arguments[0]
-    entry = registry.COMMANDS.get(name)
-    if entry is None:
-        print(
-            f"oriolegate: there is no command {name!r}; see oriolegate --help",
-            file=sys.stderr,
-        )
+    if not arguments:
+        print(_help_page(), end="", file=sys.stderr)
         return ExitStatus.USAGE
-    module = importlib.import_module(entry.module)
-    parser = argparse.ArgumentParser(
-        prog=f"oriolegate {name}", description=entry.summary
-    )
-    module.add_options(parser)
+    name, *options = arguments
+    if name in HELP_FLAGS or (name == "help" and not options):
+        print(_help_page(), end="")
+        return ExitStatus.SUCCESS
+    if name == "help":
+        name, options = options[0], ["--help"]
+    if name == "--version":
+        name = "version"
+    if name not in registry.COMMANDS:
+        return _unknown_command(name)
     try:
-        return module.run(parser.parse_args(arguments[1:]))
-    except OriolegateError as error:
-        print(f"oriolegate: {int(error.code)} {error}", file=sys.stderr)
-        return ExitStatus.ERROR
+        return _run_command(name, options)
+    except KeyboardInterrupt:
+        return INTERRUPTED_STATUS
--- a/src/oriolegate/cli/status_codes.py
+++ b/src/oriolegate/cli/status_codes.py
@@ -2,6 +2,8 @@
 
 import enum
 
+from oriolegate.result_codes import ResultCode
+
 
 class ExitStatus(enum.IntEnum):
     """What the process returns to the shell."""
@@ -12,3 +14,30 @@
     CONFLICT = 3
     PENDING = 4
     UNAVAILABLE = 5
+
+
+MEANINGS = {
+    ExitStatus.SUCCESS: "done",
+    ExitStatus.ERROR: "failed; the message names the result code",
+    ExitStatus.USAGE: "wrong options or settings",
+    ExitStatus.CONFLICT: "a conflicting edit was accepted before",
+    ExitStatus.PENDING: "accepted, but some VMs have not confirmed it yet",
+    ExitStatus.UNAVAILABLE: "a VM or the platform could not be reached",
+}
+
+
+def status_of(code: ResultCode) -> ExitStatus:
+    """Return the exit status for a result code that ended a command."""
+    match code:
+        case ResultCode.OK:
+            return ExitStatus.SUCCESS
+        case ResultCode.SETTINGS_INVALID:
+            return ExitStatus.USAGE
+        case ResultCode.RULES_CONFLICT:
+            return ExitStatus.CONFLICT
+        case ResultCode.RULES_PENDING:
+            return ExitStatus.PENDING
+        case ResultCode.PLATFORM_DOWN | ResultCode.NOT_READY:
+            return ExitStatus.UNAVAILABLE
+        case _:
+            return ExitStatus.ERROR
--- /dev/null
+++ b/tests/cli/test_command_line.py
@@ -0,0 +1,79 @@
+"""Functional tests that drive the real command line."""
+
+import pathlib
+import subprocess
+import sys
+import unittest
+
+import oriolegate
+from oriolegate.cli import registry
+from oriolegate.cli import status_codes
+from oriolegate.cli.status_codes import ExitStatus
+from oriolegate.result_codes import ResultCode
+
+SOURCE = pathlib.Path(oriolegate.__file__).parent.parent
+TIMEOUT_S = 60
+
+
+def run_command(*arguments, **environ):
+    return subprocess.run(
+        [sys.executable, "-m", "oriolegate", *arguments],
+        env={"PYTHONPATH": str(SOURCE), **environ},
+        capture_output=True,
+        text=True,
+        timeout=TIMEOUT_S,
+        check=False,
+    )
+
+
+class CommandLineTest(unittest.TestCase):
+    def test_help_lists_every_command_and_status(self):
+        done = run_command("--help")
+        self.assertEqual(done.returncode, ExitStatus.SUCCESS)
+        for name, entry in registry.COMMANDS.items():
+            self.assertRegex(done.stdout, rf"\n  {name} +{entry.summary}\n")
+        for status, meaning in status_codes.MEANINGS.items():
+            self.assertIn(f"\n  {int(status)}  {meaning}\n", done.stdout)
+        self.assertEqual(run_command("help").stdout, done.stdout)
+
+    def test_no_command_is_a_usage_error_with_help_on_stderr(self):
+        done = run_command()
+        self.assertEqual(done.returncode, ExitStatus.USAGE)
+        self.assertEqual(done.stdout, "")
+        self.assertIn("commands:", done.stderr)
+
+    def test_help_of_a_command_has_two_spellings(self):
+        for name in registry.COMMANDS:
+            done = run_command(name, "--help")
+            self.assertEqual(done.returncode, ExitStatus.SUCCESS, name)
+            self.assertIn(f"usage: oriolegate {name}", done.stdout)
+            self.assertEqual(run_command("help", name).stdout, done.stdout)
+
+    def test_unknown_command_suggests_the_nearest(self):
+        for arguments in (("versoin",), ("help", "versoin")):
+            done = run_command(*arguments)
+            self.assertEqual(done.returncode, ExitStatus.USAGE)
+            self.assertIn("did you mean 'version'?", done.stderr)
+        self.assertIn("see oriolegate --help", run_command("zzz").stderr)
+
+    def test_unknown_option_is_a_usage_error(self):
+        done = run_command("version", "--frobnicate")
+        self.assertEqual(done.returncode, ExitStatus.USAGE)
+        self.assertIn("--frobnicate", done.stderr)
+
+    def test_version_has_two_spellings(self):
+        expected = f"oriolegate {oriolegate.__version__}\n"
+        self.assertEqual(run_command("version").stdout, expected)
+        self.assertEqual(run_command("--version").stdout, expected)
+
+
+class StatusCodeTest(unittest.TestCase):
+    def test_every_status_has_a_meaning(self):
+        self.assertEqual(set(status_codes.MEANINGS), set(ExitStatus))
+
+    def test_only_ok_ends_in_success(self):
+        for code in ResultCode:
+            status = status_codes.status_of(code)
+            self.assertEqual(
+                status is ExitStatus.SUCCESS, code is ResultCode.OK
+            )
