--- /dev/null
+++ b/src/oriolegate/timeline/detail_fields.py
@@ -0,0 +1,50 @@
+"""Names for the further facts of each kind of event, in their order."""
+
+from oriolegate.timeline.events import EventKind
+from oriolegate.timeline.events import TimelineEvent
+
+SUB_REQUEST = ("shard", "attempt", "leaf")
+
+DETAIL_FIELDS: dict[EventKind, tuple[str, ...]] = {
+    EventKind.REQUEST_ARRIVED: ("route", "caller"),
+    EventKind.SNAPSHOT_PINNED: ("service", "index_version", "shards"),
+    EventKind.SUB_REQUEST_SENT: SUB_REQUEST,
+    EventKind.SUB_ANSWER: SUB_REQUEST,
+    EventKind.SUB_FAILED: (*SUB_REQUEST, "reason"),
+    EventKind.SUB_NOT_RUN: (*SUB_REQUEST, "reason"),
+    EventKind.HEDGE_SENT: SUB_REQUEST,
+    EventKind.RETRY_SENT: SUB_REQUEST,
+    EventKind.CANCEL_SENT: SUB_REQUEST,
+    EventKind.SUB_WAITING: ("shard",),
+    EventKind.LATE_DROPPED: SUB_REQUEST,
+    EventKind.REPINNED: ("service", "index_version", "shards"),
+    EventKind.ANSWERED: ("code", "shards_answered", "shards_total"),
+    EventKind.REFUSED: ("code", "run_state"),
+    EventKind.FORWARDED: ("to",),
+    EventKind.CALLER_GONE: (),
+    EventKind.LEAF_STATE: ("leaf", "state"),
+    EventKind.CONNECTION_OPENED: ("leaf",),
+    EventKind.CONNECTION_LOST: ("leaf",),
+    EventKind.RULES_ACCEPTED: ("version",),
+    EventKind.TOPOLOGY_CHANGED: ("service", "generation"),
+    EventKind.MEMBER_CHANGED: ("member", "state"),
+    EventKind.SHARES_CHANGED: ("leaf", "slots", "connections"),
+    EventKind.CLAIM: ("key_class", "outcome"),
+    EventKind.QUARANTINE: ("fingerprint", "state"),
+    EventKind.STOPPING: ("phase",),
+    EventKind.STARTED: ("incarnation",),
+}
+
+
+def named_detail(event: TimelineEvent) -> dict[str, object]:
+    """Return an event's further facts by name.
+
+    Facts beyond the named ones are called `extra_1` and so on; facts that
+    the event lacks are left out.
+    """
+    names = DETAIL_FIELDS.get(event.kind, ())
+    extra = [
+        f"extra_{number}"
+        for number in range(1, len(event.detail) - len(names) + 1)
+    ]
+    return dict(zip((*names, *extra), event.detail, strict=False))
--- /dev/null
+++ b/src/oriolegate/timeline/spans.py
@@ -0,0 +1,121 @@
+"""Sub-requests of one request as spans of time, for drawing."""
+
+from collections.abc import Iterable
+import enum
+
+import attrs
+
+from oriolegate.timeline import detail_fields
+from oriolegate.timeline.events import EventKind
+from oriolegate.timeline.merge import MergedTimeline
+
+
+class SpanKind(enum.Enum):
+    """Why a sub-request was sent."""
+
+    FIRST = "first"
+    HEDGE = "hedge"
+    RETRY = "retry"
+
+
+class SpanEnd(enum.Enum):
+    """How a sub-request ended."""
+
+    ANSWERED = "answered"
+    FAILED = "failed"
+    NOT_RUN = "not run"
+    CANCELLED = "cancelled"
+    OPEN = "open"
+
+
+OPENING = {
+    EventKind.SUB_REQUEST_SENT: SpanKind.FIRST,
+    EventKind.HEDGE_SENT: SpanKind.HEDGE,
+    EventKind.RETRY_SENT: SpanKind.RETRY,
+}
+CLOSING = {
+    EventKind.SUB_ANSWER: SpanEnd.ANSWERED,
+    EventKind.SUB_FAILED: SpanEnd.FAILED,
+    EventKind.SUB_NOT_RUN: SpanEnd.NOT_RUN,
+    EventKind.CANCEL_SENT: SpanEnd.CANCELLED,
+}
+
+
+@attrs.frozen
+class Span:
+    """One sub-request from its sending to its end.
+
+    Attributes:
+        vm: Who sent it.
+        leaf: Where to.
+        shard: Shard number, as text.
+        attempt: Attempt number, as text.
+        kind: See `SpanKind`.
+        start_ms: When it was sent.
+        end_ms: When it ended, or the end of the time line.
+        end: See `SpanEnd`.
+    """
+
+    vm: str
+    leaf: str
+    shard: str
+    attempt: str
+    kind: SpanKind
+    start_ms: float
+    end_ms: float
+    end: SpanEnd
+
+
+SpanKey = tuple[str, str, str, str]
+
+
+def find_spans(timeline: MergedTimeline) -> list[Span]:
+    """Pair the sending of each sub-request with its end.
+
+    Args:
+        timeline: Events in order, causes before effects.
+
+    Returns:
+        Spans in the order of their sending; those without an end reach the
+        end of the time line and are OPEN.
+    """
+    if not timeline.events:
+        return []
+    last_ms = timeline.events[-1].time_ms
+    spans: dict[SpanKey, Span] = {}
+    for placed in timeline.events:
+        event = placed.event
+        named = detail_fields.named_detail(event)
+        shard = str(named.get("shard", ""))
+        attempt = str(named.get("attempt", ""))
+        key = (event.vm, event.request_id, shard, attempt)
+        if event.kind in OPENING:
+            spans[key] = Span(
+                vm=event.vm,
+                leaf=str(named.get("leaf", "?")),
+                shard=shard,
+                attempt=attempt,
+                kind=OPENING[event.kind],
+                start_ms=placed.time_ms,
+                end_ms=last_ms,
+                end=SpanEnd.OPEN,
+            )
+            continue
+        end = CLOSING.get(event.kind)
+        opened = spans.get(key)
+        if end and opened and opened.end is SpanEnd.OPEN:
+            spans[key] = attrs.evolve(opened, end_ms=placed.time_ms, end=end)
+    return list(spans.values())
+
+
+def pack_rows(spans: Iterable[Span]) -> list[list[Span]]:
+    """Spread spans over the fewest rows in which none overlaps another."""
+    rows: list[list[Span]] = []
+    for span in sorted(spans, key=lambda item: item.start_ms):
+        for row in rows:
+            if row[-1].end_ms <= span.start_ms:
+                row.append(span)
+                break
+        else:
+            rows.append([span])
+    return rows
