Add the timeline and status commands

Cause: operators need the events and the state of several processes at once.

Their settings follow the table, so each flag has a variable and all faults come at once. Requests never go through a proxy of the environment, which would see the key.

Conclusion: functional tests run the commands against two admin ports; the text and the picture equal the golden files.

--- a/src/oriolegate/cli/options.py
+++ b/src/oriolegate/cli/options.py
@@ -26,6 +26,8 @@
     extra: dict[str, Any] = {"metavar": "VALUE"}
     if setting.repeats:
         extra = {"action": "count"}
+    elif isinstance(setting.kind, kinds.UrlList):
+        extra["action"] = "append"
     parser.add_argument(
         *flags,
         setting.flag,
--- a/src/oriolegate/cli/registry.py
+++ b/src/oriolegate/cli/registry.py
@@ -18,5 +18,12 @@
 
 
 COMMANDS: dict[str, CommandEntry] = {
+    "status": CommandEntry(
+        "oriolegate.commands.status", "show the status of running processes"
+    ),
+    "timeline": CommandEntry(
+        "oriolegate.commands.timeline",
+        "show the events of running processes in order",
+    ),
     "version": CommandEntry("oriolegate.commands.version", "print the version"),
 }
--- /dev/null
+++ b/src/oriolegate/commands/admin_request.py
@@ -0,0 +1,92 @@
+"""Asking a running process on its admin port."""
+
+from collections.abc import Mapping
+import http.client
+import json
+from typing import Any
+import urllib.error
+import urllib.request
+
+from oriolegate.exceptions import OriolegateError
+from oriolegate.result_codes import ResultCode
+
+MAX_ANSWER_BYTES = 256 * 1024 * 1024
+UNAUTHORIZED_STATUSES = (401, 403)
+
+
+def _fault_of_status(url: str, error: urllib.error.HTTPError) -> Exception:
+    if error.code in UNAUTHORIZED_STATUSES:
+        return OriolegateError(
+            f"{url} refused the key; set ORIOLEGATE_ADMIN_KEY or"
+            " --admin-key-file to the key of that site.",
+            ResultCode.UNAUTHORIZED,
+        )
+    try:
+        told = json.loads(error.read(MAX_ANSWER_BYTES))
+        return OriolegateError(str(told["message"]), ResultCode(told["code"]))
+    except (OSError, ValueError, KeyError, TypeError):
+        return OriolegateError(
+            f"{url} answered with status {error.code}; check that it is the"
+            " admin port of an oriolegate process.",
+            ResultCode.NOT_FOUND,
+        )
+
+
+def _request(
+    url: str, key: str | None, body: Mapping[str, Any] | None
+) -> urllib.request.Request:
+    headers = {"Accept": "application/json"}
+    if key is not None:
+        headers["Authorization"] = f"Bearer {key}"
+    data = None
+    if body is not None:
+        data = json.dumps(body).encode()
+        headers["Content-Type"] = "application/json"
+    return urllib.request.Request(url, data=data, headers=headers)
+
+
+def request_json(
+    url: str,
+    path: str,
+    key: str | None = None,
+    body: Mapping[str, Any] | None = None,
+    timeout_s: float = 5.0,
+) -> Any:
+    """Ask a process, by GET or, with a body, by POST.
+
+    Args:
+        url: Base URL of the admin port.
+        path: Starts with a slash; may hold a query.
+        key: Sent as the bearer token.
+        body: Sent as JSON.
+        timeout_s: Longest wait for each step.
+
+    Returns:
+        The decoded answer.
+
+    Raises:
+        OriolegateError: With the code that the process told, or NOT_READY if
+            it can't be reached.
+    """
+    # The environment's proxies are for the outside, and would see the key.
+    opener = urllib.request.build_opener(urllib.request.ProxyHandler({}))
+    request = _request(url + path, key, body)
+    try:
+        with opener.open(request, timeout=timeout_s) as answer:
+            text = answer.read(MAX_ANSWER_BYTES)
+    except urllib.error.HTTPError as error:
+        raise _fault_of_status(url, error) from error
+    except (OSError, http.client.HTTPException) as error:
+        raise OriolegateError(
+            f"{url} can't be reached ({error}); check the URL and that the"
+            " process runs.",
+            ResultCode.NOT_READY,
+        ) from error
+    try:
+        return json.loads(text)
+    except ValueError as error:
+        raise OriolegateError(
+            f"{url}{path} did not answer with JSON; check that it is the"
+            " admin port of an oriolegate process.",
+            ResultCode.NOT_FOUND,
+        ) from error
--- a/src/oriolegate/settings/table.py
+++ b/src/oriolegate/settings/table.py
@@ -121,6 +121,8 @@
     setting: Setting, flags: Mapping[str, Any], environ: Mapping[str, str]
 ) -> tuple[str | None, str]:
     given = flags.get(setting.field)
+    if isinstance(given, list):
+        return ",".join(given), "from the flags"
     if given is not None:
         return str(given), "from the flag"
     if setting.variable in environ:
--- a/src/oriolegate/timeline/text_output.py
+++ b/src/oriolegate/timeline/text_output.py
@@ -18,8 +18,8 @@
     return " ".join(f"{name}={value}" for name, value in named.items())
 
 
-def _printable(text: str) -> str:
-    # Text of callers must not reach the terminal as control sequences.
+def printable(text: str) -> str:
+    """Escape what a terminal would take as control sequences."""
     return "".join(
         char if char.isprintable() else f"\\x{ord(char):02x}" for char in text
     )
@@ -34,7 +34,7 @@
         event.request_id or "-",
         _detail_text(placed),
     )
-    return tuple(_printable(cell) for cell in cells)
+    return tuple(printable(cell) for cell in cells)
 
 
 def align(rows: list[tuple[str, ...]]) -> str:
--- /dev/null
+++ b/tests/commands/test_admin_commands.py
@@ -0,0 +1,167 @@
+"""Functional tests of the commands that ask running processes."""
+
+import functools
+import http.server
+import json
+import pathlib
+import tempfile
+import threading
+import unittest
+import urllib.parse
+
+from oriolegate.cli.status_codes import ExitStatus
+from oriolegate.commands import status
+from oriolegate.result_codes import ResultCode
+from oriolegate.timeline import events_json
+from tests.cli.test_command_line import run_command
+from tests.timeline import session
+
+KEY = "an-admin-key-of-some-length"
+UNREACHABLE = "http://127.0.0.1:1"
+
+
+class AdminHandler(http.server.BaseHTTPRequestHandler):
+    """Answers as the admin port of one process does."""
+
+    def __init__(self, vm, *arguments):
+        self.vm = vm
+        super().__init__(*arguments)
+
+    def log_message(self, *arguments):
+        """Keep the test's output clean."""
+
+    def do_GET(self):  # noqa: N802 (the library's name)
+        if self.headers["Authorization"] != f"Bearer {KEY}":
+            self.answer(401, {})
+            return
+        path, _, query = self.path.partition("?")
+        if path == "/events":
+            self.answer(200, self.events(urllib.parse.parse_qs(query)))
+        elif path == "/status":
+            self.answer(200, {"vm": self.vm, "leafs": {"cold": 1}})
+        else:
+            code = ResultCode.RULES_CONFLICT
+            self.answer(409, {"code": code, "message": "Read again."})
+
+    def events(self, query):
+        return [
+            events_json.to_plain(placed.event)
+            for placed in session.recorded_request().events
+            if placed.event.vm == self.vm
+            and placed.event.request_id
+            in query.get("request", [placed.event.request_id])
+        ]
+
+    def answer(self, status_code, body):
+        data = json.dumps(body).encode()
+        self.send_response(status_code)
+        self.send_header("Content-Length", str(len(data)))
+        self.end_headers()
+        self.wfile.write(data)
+
+
+def start_admin(test, vm):
+    server = http.server.ThreadingHTTPServer(
+        ("127.0.0.1", 0), functools.partial(AdminHandler, vm)
+    )
+    serve = functools.partial(server.serve_forever, poll_interval=0.01)
+    thread = threading.Thread(target=serve, daemon=True)
+    thread.start()
+    test.addCleanup(thread.join)
+    test.addCleanup(server.server_close)
+    test.addCleanup(server.shutdown)
+    return f"http://127.0.0.1:{server.server_address[1]}"
+
+
+class AdminCommandsTest(unittest.TestCase):
+    def setUp(self):
+        self.urls = [start_admin(self, vm) for vm in ("entry-1", "entry-2")]
+
+    def run_with_key(self, command, *arguments, urls=None, **environ):
+        flags = [f"--admin={url}" for url in urls or self.urls]
+        environ = {"ORIOLEGATE_ADMIN_KEY": KEY} | environ
+        return run_command(command, *flags, *arguments, **environ)
+
+    def golden(self, name):
+        path = pathlib.Path(session.__file__).parent / "golden" / name
+        return path.read_text()
+
+    def test_text_time_line_of_one_request(self):
+        done = self.run_with_key("timeline", "--request", session.REQUEST)
+        self.assertEqual(done.stderr, "")
+        self.assertEqual(done.stdout, self.golden("request.txt"))
+        self.assertEqual(done.returncode, ExitStatus.SUCCESS)
+
+    def test_picture_goes_to_a_file(self):
+        with tempfile.TemporaryDirectory() as folder:
+            path = pathlib.Path(folder) / "request.svg"
+            done = self.run_with_key(
+                "timeline",
+                f"--request={session.REQUEST}",
+                "--format=svg",
+                f"--output={path}",
+            )
+            self.assertEqual(done.stdout + done.stderr, "")
+            self.assertEqual(path.read_text(), self.golden("request.svg"))
+
+    def test_another_request_has_no_events(self):
+        done = self.run_with_key("timeline", "--request=other")
+        self.assertEqual(done.stdout, "# no events\n")
+
+    def test_a_process_out_of_reach_is_told_and_the_others_shown(self):
+        urls = [self.urls[0], UNREACHABLE]
+        for command, shown in (("timeline", "forwarded"), ("status", "cold")):
+            done = self.run_with_key(command, urls=urls)
+            self.assertEqual(done.returncode, ExitStatus.UNAVAILABLE)
+            self.assertIn(f"3001 {UNREACHABLE} can't be reached", done.stderr)
+            self.assertIn(shown, done.stdout)
+
+    def test_no_process_in_reach_is_an_error(self):
+        done = self.run_with_key("status", urls=[UNREACHABLE])
+        self.assertEqual(done.returncode, ExitStatus.UNAVAILABLE)
+        self.assertEqual(done.stdout, "")
+
+    def test_a_wrong_key_names_the_variable(self):
+        done = self.run_with_key("status", ORIOLEGATE_ADMIN_KEY="x" * 20)
+        self.assertEqual(done.returncode, ExitStatus.ERROR)
+        self.assertIn("set ORIOLEGATE_ADMIN_KEY", done.stderr)
+
+    def test_the_message_of_the_process_is_passed_on(self):
+        urls = [self.urls[0] + "/elsewhere"]
+        done = self.run_with_key("status", urls=urls)
+        self.assertEqual(done.returncode, ExitStatus.CONFLICT)
+        self.assertIn("5002 Read again.", done.stderr)
+
+    def test_faults_of_settings_are_told_together(self):
+        done = run_command("timeline", "--format=svg", "--last-ms=0")
+        self.assertEqual(done.returncode, ExitStatus.USAGE)
+        for flag in ("--admin", "--request", "--last-ms"):
+            self.assertIn(flag, done.stderr)
+
+    def test_variables_replace_flags(self):
+        done = run_command(
+            "status",
+            ORIOLEGATE_ADMIN=",".join(self.urls),
+            ORIOLEGATE_ADMIN_KEY=KEY,
+            ORIOLEGATE_FORMAT="json",
+        )
+        found = json.loads(done.stdout)
+        self.assertEqual(found[self.urls[1]]["vm"], "entry-2")
+
+
+class StatusTableTest(unittest.TestCase):
+    def test_fields_are_rows_and_processes_columns(self):
+        table = status.status_table(
+            {
+                "http://a": {"vm": "entry-1", "leafs": {"cold": 1}, "x": []},
+                "http://b": {"vm": "entry-2", "ready": True},
+            }
+        )
+        self.assertEqual(
+            table,
+            "url         http://a  http://b\n"
+            "vm          entry-1   entry-2\n"
+            "leafs.cold  1         -\n"
+            "x           -         -\n"
+            "ready       -         true\n",
+        )
