--- a/src/oriolegate/cli/registry.py
+++ b/src/oriolegate/cli/registry.py
@@ -21,5 +21,12 @@
     "emulate": CommandEntry(
         "oriolegate.commands.emulate", "run stand-ins of platform and upstreams"
     ),
+    "status": CommandEntry(
+        "oriolegate.commands.status", "show the status of running processes"
+    ),
+    "timeline": CommandEntry(
+        "oriolegate.commands.timeline",
+        "show the events of running processes in order",
+    ),
     "version": CommandEntry("oriolegate.commands.version", "print the version"),
 }
