--- /dev/null
+++ b/src/oriolegate/rules/compiled.py
@@ -0,0 +1,207 @@
+"""Tables for the request path, compiled from the rules in force."""
+
+from collections.abc import Iterable
+from collections.abc import Mapping
+import math
+
+import attrs
+
+from oriolegate.models.policy import Priority
+from oriolegate.models.policy import ServicePolicy
+from oriolegate.rules.matching import CallerPattern
+from oriolegate.rules.model import IndexTarget
+from oriolegate.rules.model import MirrorRule
+from oriolegate.rules.model import PolicyTarget
+from oriolegate.rules.model import PriorityRule
+from oriolegate.rules.model import RouteRule
+from oriolegate.rules.model import Rule
+from oriolegate.rules.model import ServiceRule
+from oriolegate.rules.model import TakeOutKind
+from oriolegate.rules.model import TakeOutRule
+from oriolegate.rules.model import TrialRule
+from oriolegate.rules.model import UpstreamTarget
+from oriolegate.rules.policy_change import apply_change
+
+
+@attrs.frozen
+class CompiledSample:
+    """A trial or mirror with its pattern and target worked out."""
+
+    rule: TrialRule | MirrorRule
+    pattern: CallerPattern
+    policy: ServicePolicy
+    index_version: int | None
+    preferred_upstream: str | None
+
+
+@attrs.frozen
+class CompiledPriority:
+    """A priority rule with its pattern."""
+
+    rule: PriorityRule
+    pattern: CallerPattern
+
+    @property
+    def priority(self) -> Priority:
+        """The priority that the rule sets."""
+        return self.rule.priority
+
+
+@attrs.frozen
+class CompiledRoute:
+    """All that one route leads to.
+
+    Attributes:
+        rule: The route rule.
+        policy: Policy of the service.
+        service_rules: The rules that make the policy.
+        trials: Trials on the service, by name.
+        mirrors: Mirrors of the service, by name.
+    """
+
+    rule: RouteRule
+    policy: ServicePolicy
+    service_rules: tuple[ServiceRule, ...]
+    trials: tuple[CompiledSample, ...]
+    mirrors: tuple[CompiledSample, ...]
+
+
+@attrs.frozen
+class CompiledRules:
+    """The rules in force from `from_ms` until before `until_ms`.
+
+    Attributes:
+        from_ms: Wall time of the last rule end that has passed.
+        until_ms: Wall time of the next rule end.
+        routes: By the name that callers use.
+        priorities: The most precise pattern first.
+        take_outs: What is out of service.
+        out_data_centres: Data centres among them.
+        out_upstreams: Upstreams among them.
+    """
+
+    from_ms: float
+    until_ms: float
+    routes: Mapping[str, CompiledRoute]
+    priorities: tuple[CompiledPriority, ...]
+    take_outs: tuple[TakeOutRule, ...]
+    out_data_centres: frozenset[str]
+    out_upstreams: frozenset[str]
+
+
+def compile_in_force(rules: Iterable[Rule], wall_ms: int) -> CompiledRules:
+    """Compile the rules that are in force at a time.
+
+    The result does not depend on the order of the rules.
+
+    Args:
+        rules: All rules of a version.
+        wall_ms: Wall time in milliseconds since the epoch.
+    """
+    rules = tuple(rules)
+    ends = [rule.until_ms for rule in rules if rule.until_ms is not None]
+    current = [r for r in rules if r.until_ms is None or wall_ms < r.until_ms]
+    take_outs = tuple(r for r in current if isinstance(r, TakeOutRule))
+    out_upstreams = _names_out(take_outs, TakeOutKind.UPSTREAM)
+    return CompiledRules(
+        from_ms=max((end for end in ends if end <= wall_ms), default=-math.inf),
+        until_ms=min((end for end in ends if wall_ms < end), default=math.inf),
+        routes=_compile_routes(current, out_upstreams),
+        priorities=_compile_priorities(current),
+        take_outs=take_outs,
+        out_data_centres=_names_out(take_outs, TakeOutKind.DATA_CENTRE),
+        out_upstreams=out_upstreams,
+    )
+
+
+def _names_out(
+    take_outs: Iterable[TakeOutRule], kind: TakeOutKind
+) -> frozenset[str]:
+    return frozenset(rule.name for rule in take_outs if rule.kind is kind)
+
+
+def _compile_priorities(rules: Iterable[Rule]) -> tuple[CompiledPriority, ...]:
+    compiled = [
+        CompiledPriority(rule, CallerPattern(rule.pattern))
+        for rule in rules
+        if isinstance(rule, PriorityRule)
+    ]
+    compiled.sort(key=lambda p: (-p.pattern.literal_length, p.pattern.text))
+    return tuple(compiled)
+
+
+@attrs.define
+class _ServiceParts:
+    """Rules about one service."""
+
+    settings: list[ServiceRule] = attrs.field(factory=list)
+    trials: list[TrialRule] = attrs.field(factory=list)
+    mirrors: list[MirrorRule] = attrs.field(factory=list)
+
+
+def _compile_routes(
+    rules: Iterable[Rule], out_upstreams: frozenset[str]
+) -> dict[str, CompiledRoute]:
+    parts: dict[str, _ServiceParts] = {}
+    routes: list[RouteRule] = []
+    for rule in rules:
+        match rule:
+            case RouteRule():
+                routes.append(rule)
+            case ServiceRule(service=service):
+                parts.setdefault(service, _ServiceParts()).settings.append(rule)
+            case TrialRule(service=service):
+                parts.setdefault(service, _ServiceParts()).trials.append(rule)
+            case MirrorRule(service=service):
+                parts.setdefault(service, _ServiceParts()).mirrors.append(rule)
+    return {
+        route.route: _compile_route(
+            route, parts.get(route.service, _ServiceParts()), out_upstreams
+        )
+        for route in routes
+    }
+
+
+def _compile_route(
+    route: RouteRule, parts: _ServiceParts, out_upstreams: frozenset[str]
+) -> CompiledRoute:
+    policy = ServicePolicy()
+    for rule in parts.settings:
+        policy = apply_change(policy, rule.change)
+    return CompiledRoute(
+        rule=route,
+        policy=policy,
+        service_rules=tuple(parts.settings),
+        trials=_compile_samples(parts.trials, policy, out_upstreams),
+        mirrors=_compile_samples(parts.mirrors, policy, out_upstreams),
+    )
+
+
+def _compile_samples(
+    rules: Iterable[TrialRule | MirrorRule],
+    policy: ServicePolicy,
+    out_upstreams: frozenset[str],
+) -> tuple[CompiledSample, ...]:
+    samples = [_compile_sample(rule, policy) for rule in rules]
+    samples.sort(key=lambda sample: sample.rule.name)
+    # A target that is taken out must get no new work, trials included.
+    return tuple(
+        s for s in samples if s.preferred_upstream not in out_upstreams
+    )
+
+
+def _compile_sample(
+    rule: TrialRule | MirrorRule, policy: ServicePolicy
+) -> CompiledSample:
+    index_version = preferred_upstream = None
+    match rule.target:
+        case IndexTarget(version=version):
+            index_version = version
+        case UpstreamTarget(upstream=upstream):
+            preferred_upstream = upstream
+        case PolicyTarget(change=change):
+            policy = apply_change(policy, change)
+    pattern = CallerPattern(rule.pattern)
+    return CompiledSample(
+        rule, pattern, policy, index_version, preferred_upstream
+    )
--- /dev/null
+++ b/src/oriolegate/rules/evaluation.py
@@ -0,0 +1,221 @@
+"""Applies the accepted rules to requests; runs on the request path."""
+
+import attrs
+
+from oriolegate.models.policy import Priority
+from oriolegate.models.request import CallerRequest
+from oriolegate.rules.compiled import compile_in_force
+from oriolegate.rules.compiled import CompiledPriority
+from oriolegate.rules.compiled import CompiledRoute
+from oriolegate.rules.compiled import CompiledRules
+from oriolegate.rules.compiled import CompiledSample
+from oriolegate.rules.decision import MetRule
+from oriolegate.rules.decision import MirrorTarget
+from oriolegate.rules.decision import RoutingDecision
+from oriolegate.rules.matching import sample_position
+from oriolegate.rules.model import RuleSet
+
+MAX_CACHED_CALLERS = 4_096
+
+
+@attrs.frozen
+class _CallerPlan:
+    """What holds for every request of one caller on one route."""
+
+    decision: RoutingDecision
+    mirrors: tuple[CompiledSample, ...]
+
+
+class ActiveRules:
+    """One version of the rules, as it stands at a wall time.
+
+    A rule stops applying when its end has passed, without any edit: each
+    call is given the wall time and compiles again when an end was crossed.
+    The outcome depends only on the version, the request and the time.
+
+    Attributes:
+        rule_set: The version.
+        compiled: Tables of the rules in force at the last given time.
+        plans: Plans of callers seen since then, at most
+            `MAX_CACHED_CALLERS`.
+    """
+
+    def __init__(self, rule_set: RuleSet, wall_ms: int) -> None:
+        self.rule_set = rule_set
+        self.compiled: CompiledRules = compile_in_force(rule_set.rules, wall_ms)
+        self.plans: dict[tuple[str, str, Priority], _CallerPlan] = {}
+
+    @property
+    def version(self) -> int:
+        """The accepted version."""
+        return self.rule_set.version
+
+    @property
+    def out_data_centres(self) -> frozenset[str]:
+        """Data centres out of service at the last given time."""
+        return self.compiled.out_data_centres
+
+    @property
+    def out_upstreams(self) -> frozenset[str]:
+        """Upstreams out of service at the last given time."""
+        return self.compiled.out_upstreams
+
+    def refresh(self, wall_ms: int) -> bool:
+        """Bring the tables to a wall time.
+
+        Args:
+            wall_ms: Milliseconds since the epoch.
+
+        Returns:
+            Whether a rule began or ceased to apply.
+        """
+        if self.compiled.from_ms <= wall_ms < self.compiled.until_ms:
+            return False
+        self.compiled = compile_in_force(self.rule_set.rules, wall_ms)
+        self.plans.clear()
+        return True
+
+    def decide(
+        self, request: CallerRequest, wall_ms: int
+    ) -> RoutingDecision | None:
+        """Decide how to run a request.
+
+        Args:
+            request: The request.
+            wall_ms: Milliseconds since the epoch.
+
+        Returns:
+            The decision, or None if no rule names the route.
+        """
+        self.refresh(wall_ms)
+        key = (request.route, request.caller, request.priority)
+        plan = self.plans.get(key)
+        if plan is None:
+            route = self.compiled.routes.get(request.route)
+            if route is None:
+                return None
+            plan = self._plan(route, request)
+            if len(self.plans) >= MAX_CACHED_CALLERS:
+                self.plans.clear()
+            self.plans[key] = plan
+        if not plan.mirrors:
+            return plan.decision
+        mirror = _choose_mirror(plan.mirrors, request)
+        if mirror is None:
+            return plan.decision
+        return attrs.evolve(plan.decision, mirror=_mirror_target(mirror))
+
+    def explain(
+        self, request: CallerRequest, wall_ms: int
+    ) -> RoutingDecision | None:
+        """Decide as `decide` does, and list the rules that were met."""
+        decision = self.decide(request, wall_ms)
+        if decision is None:
+            return None
+        route = self.compiled.routes[request.route]
+        met = [MetRule(route.rule, f"the request names {request.route}")]
+        met += [
+            MetRule(rule, f"the route leads to {rule.service}")
+            for rule in route.service_rules
+        ]
+        met += self._explain_caller(route, request, decision)
+        met += [
+            MetRule(rule, "holds for every request")
+            for rule in self.compiled.take_outs
+        ]
+        return attrs.evolve(decision, met=tuple(met))
+
+    def _plan(
+        self, route: CompiledRoute, request: CallerRequest
+    ) -> _CallerPlan:
+        caller = request.caller
+        population = [t for t in route.trials if t.pattern.matches(caller)]
+        trial = next((t for t in population if _is_in_trial(t, caller)), None)
+        rule = self._priority_rule(caller)
+        decision = RoutingDecision(
+            service=route.rule.service,
+            policy=trial.policy if trial else route.policy,
+            priority=rule.priority if rule else request.priority,
+            index_version=trial.index_version if trial else None,
+            preferred_upstream=trial.preferred_upstream if trial else None,
+            trial=trial.rule.name if trial else None,
+            trial_control=(
+                population[0].rule.name if population and not trial else None
+            ),
+        )
+        mirrors = (m for m in route.mirrors if m.pattern.matches(caller))
+        return _CallerPlan(decision, tuple(mirrors))
+
+    def _priority_rule(self, caller: str) -> CompiledPriority | None:
+        for compiled in self.compiled.priorities:
+            if compiled.pattern.matches(caller):
+                return compiled
+        return None
+
+    def _explain_caller(
+        self,
+        route: CompiledRoute,
+        request: CallerRequest,
+        decision: RoutingDecision,
+    ) -> list[MetRule]:
+        met: list[MetRule] = []
+        priority = self._priority_rule(request.caller)
+        if priority is not None:
+            reason = f"{request.caller} matches {priority.pattern.text}"
+            met.append(MetRule(priority.rule, reason))
+        for sample in route.trials:
+            name = sample.rule.name
+            if name in (decision.trial, decision.trial_control):
+                met.append(_explain_sample(sample, request.caller))
+        for sample in route.mirrors:
+            if decision.mirror and decision.mirror.mirror == sample.rule.name:
+                met.append(_explain_sample(sample, request.request_id))
+        return met
+
+
+def _is_in_trial(trial: CompiledSample, caller: str) -> bool:
+    return sample_position(trial.rule.name, caller) < trial.rule.share
+
+
+def _choose_mirror(
+    mirrors: tuple[CompiledSample, ...], request: CallerRequest
+) -> CompiledSample | None:
+    # A copy is a second run, which only an idempotent request may have.
+    if not request.idempotent:
+        return None
+    for mirror in mirrors:
+        position = sample_position(mirror.rule.name, request.request_id)
+        if position < mirror.rule.share:
+            return mirror
+    return None
+
+
+def _mirror_target(mirror: CompiledSample) -> MirrorTarget:
+    return MirrorTarget(
+        mirror=mirror.rule.name,
+        policy=mirror.policy,
+        index_version=mirror.index_version,
+        preferred_upstream=mirror.preferred_upstream,
+    )
+
+
+def _explain_sample(sample: CompiledSample, member: str) -> MetRule:
+    position = sample_position(sample.rule.name, member)
+    inside = position < sample.rule.share
+    relation = "below" if inside else "not below"
+    side = "in the sample" if inside else "in the comparison group"
+    return MetRule(
+        sample.rule,
+        f"{member} is {side}: its hash {position:.4f} is {relation} "
+        f"the share {sample.rule.share:g}",
+    )
+
+
+def compile_rules(rule_set: RuleSet, wall_ms: int) -> ActiveRules:
+    """Make the tables for the request path.
+
+    Args:
+        rule_set: An accepted version.
+        wall_ms: Milliseconds since the epoch.
+    """
+    return ActiveRules(rule_set, wall_ms)
--- /dev/null
+++ b/src/oriolegate/rules/formatter.py
@@ -0,0 +1,81 @@
+"""Writes a rules file in its one canonical form; keeps comments and order."""
+
+from oriolegate.rules.model import Document
+from oriolegate.rules.model import Entry
+from oriolegate.rules.model import IndexTarget
+from oriolegate.rules.model import MirrorRule
+from oriolegate.rules.model import PolicyTarget
+from oriolegate.rules.model import PriorityRule
+from oriolegate.rules.model import RouteRule
+from oriolegate.rules.model import Rule
+from oriolegate.rules.model import ServiceRule
+from oriolegate.rules.model import TakeOutRule
+from oriolegate.rules.model import TrialRule
+from oriolegate.rules.model import TrialTarget
+from oriolegate.rules.model import UpstreamTarget
+from oriolegate.rules.settings import write_change
+from oriolegate.rules.values import ValueKind
+from oriolegate.rules.values import write_time
+from oriolegate.rules.values import write_value
+
+
+def _write_target(target: TrialTarget) -> str:
+    match target:
+        case IndexTarget(version=version):
+            return f"to index {version}"
+        case UpstreamTarget(upstream=upstream):
+            return f"to upstream {upstream}"
+        case PolicyTarget(change=change):
+            return f"to policy {write_change(change)}"
+
+
+def _write_sample(rule: TrialRule | MirrorRule) -> str:
+    share = write_value(ValueKind.PERCENT, rule.share)
+    verb = "send " if isinstance(rule, TrialRule) else ""
+    return (
+        f'{rule.name} {verb}{share} of caller "{rule.pattern}" '
+        f"on service {rule.service} {_write_target(rule.target)}"
+    )
+
+
+def _write_statement(rule: Rule) -> str:
+    match rule:
+        case RouteRule():
+            return f"route {rule.route} to {rule.service}"
+        case TakeOutRule():
+            return f"take-out {rule.kind.value} {rule.name}"
+        case ServiceRule():
+            return f"service {rule.service} {write_change(rule.change)}"
+        case PriorityRule():
+            name = rule.priority.name.lower()
+            return f'priority caller "{rule.pattern}" {name}'
+        case TrialRule():
+            return f"trial {_write_sample(rule)}"
+        case MirrorRule():
+            return f"mirror {_write_sample(rule)}"
+
+
+def write_rule(rule: Rule) -> str:
+    """Write one rule without its comment."""
+    statement = _write_statement(rule)
+    if rule.until_ms is None:
+        return statement
+    return f"{statement} until {write_time(rule.until_ms)}"
+
+
+def write_entry(entry: Entry) -> list[str]:
+    """Write the lines of one entry."""
+    lines = list(entry.comments)
+    if entry.rule is not None:
+        lines.append(f"{write_rule(entry.rule)}  {entry.note}")
+    return lines
+
+
+def write_document(document: Document) -> str:
+    """Write a whole file; parsing it gives the same document again."""
+    lines: list[str] = []
+    for entry in document.entries:
+        if entry.blank_before and lines:
+            lines.append("")
+        lines += write_entry(entry)
+    return "".join(f"{line}\n" for line in lines)
--- /dev/null
+++ b/src/oriolegate/rules/matching.py
@@ -0,0 +1,66 @@
+"""Patterns of caller names, and samples that are the same on every VM."""
+
+import hashlib
+
+import attrs
+
+_HASH_BYTES = 8
+_HASH_RANGE = 1 << (8 * _HASH_BYTES)
+
+
+@attrs.frozen
+class CallerPattern:
+    """A pattern of caller names; `*` stands for any run of characters.
+
+    Matching takes time in proportion to the name, whatever the pattern.
+
+    Attributes:
+        text: As in the rule.
+        parts: The literal text between the stars.
+    """
+
+    text: str
+    parts: tuple[str, ...] = attrs.field(
+        init=False,
+        default=attrs.Factory(
+            lambda self: tuple(self.text.split("*")), takes_self=True
+        ),
+    )
+
+    @property
+    def literal_length(self) -> int:
+        """Characters that are not stars: longer patterns are more precise."""
+        return sum(len(part) for part in self.parts)
+
+    def matches(self, caller: str) -> bool:
+        """Tell whether the whole name matches."""
+        first, last = self.parts[0], self.parts[-1]
+        if len(self.parts) == 1:
+            return caller == first
+        if not caller.startswith(first):
+            return False
+        position, end = len(first), len(caller) - len(last)
+        for part in self.parts[1:-1]:
+            found = caller.find(part, position, end)
+            if found < 0:
+                return False
+            position = found + len(part)
+        return position <= end and caller.endswith(last)
+
+
+def sample_position(name: str, member: str) -> float:
+    """Return where a member falls in a named sample, from 0 up to 1.
+
+    The position depends on nothing but the two texts, so every VM and
+    every version of the rules agree; a larger share keeps its members.
+
+    Args:
+        name: Name of the trial or mirror.
+        member: The caller or the request id.
+    """
+    digest = hashlib.blake2b(
+        member.encode("utf-8", "surrogatepass"),
+        digest_size=_HASH_BYTES,
+        key=hashlib.blake2b(name.encode(), digest_size=32).digest(),
+    ).digest()
+    return int.from_bytes(digest, "big") / _HASH_RANGE
--- /dev/null
+++ b/src/oriolegate/rules/values.py
@@ -0,0 +1,128 @@
+"""Reads and writes the values of rules: durations, ratios, counts, times.
+
+Decimals keep numbers exact both ways, so that formatting a file never
+changes what it means.
+"""
+
+import datetime
+import decimal
+import enum
+import re
+
+from oriolegate.models.policy import CoverageMode
+
+_NUMBER = re.compile(r"\d+(\.\d+)?")
+_DURATION = re.compile(r"(\d+(?:\.\d+)?)(ms|s|m)")
+_TIME = re.compile(r"(\d{4}-\d\d-\d\dT\d\d:\d\d(?::\d\d)?)Z")
+_UNIT_MS = {"ms": 1, "s": 1_000, "m": 60_000}
+_MAX_DIGITS = 18
+_MAX_DURATION_MS = 3_600_000
+_EPOCH = datetime.datetime(1970, 1, 1, tzinfo=datetime.UTC)
+
+
+class ValueKind(enum.Enum):
+    """How a value is written; the text says so in errors."""
+
+    DURATION = "a time such as 800ms, 2s or 1m"
+    RATIO = "a number from 0 to 1 such as 0.9, or 90%"
+    PERCENT = "a share such as 5%, or 0.05"
+    COUNT = "a whole number"
+    COVERAGE = "tail-first or coverage-first"
+
+
+def _read_ratio(text: str) -> float:
+    number = text.removesuffix("%")
+    if not _NUMBER.fullmatch(number):
+        raise ValueError(text)
+    value = decimal.Decimal(number)
+    return float(value / 100 if text.endswith("%") else value)
+
+
+def _read_duration(text: str) -> float:
+    found = _DURATION.fullmatch(text)
+    if found is None:
+        raise ValueError(text)
+    return float(decimal.Decimal(found[1]) * _UNIT_MS[found[2]])
+
+
+def read_value(kind: ValueKind, text: str) -> float | int | CoverageMode:
+    """Read one value.
+
+    Args:
+        kind: How it is written.
+        text: The word in the file.
+
+    Returns:
+        The value; durations are in milliseconds.
+
+    Raises:
+        ValueError: If the word is not of that kind.
+    """
+    if len(text) > _MAX_DIGITS:
+        raise ValueError(text)
+    match kind:
+        case ValueKind.DURATION:
+            return _read_duration(text)
+        case ValueKind.RATIO | ValueKind.PERCENT:
+            return _read_ratio(text)
+        case ValueKind.COVERAGE:
+            return CoverageMode(text)
+        case ValueKind.COUNT:
+            if not (text.isascii() and text.isdigit()):
+                raise ValueError(text)
+            return int(text)
+
+
+def in_range(kind: ValueKind, value: float | int | CoverageMode) -> bool:
+    """Tell whether a value lies in the range of its kind."""
+    match kind:
+        case ValueKind.DURATION:
+            return 0 < float(str(value)) <= _MAX_DURATION_MS
+        case ValueKind.RATIO | ValueKind.PERCENT:
+            return 0 <= float(str(value)) <= 1
+        case _:
+            return True
+
+
+def _plain(value: decimal.Decimal) -> str:
+    return format(value.normalize(), "f")
+
+
+def write_value(kind: ValueKind, value: float | int | CoverageMode) -> str:
+    """Write one value in its one canonical form."""
+    if isinstance(value, CoverageMode):
+        return value.value
+    exact = decimal.Decimal(repr(value))
+    match kind:
+        case ValueKind.DURATION if exact % 1_000 == 0:
+            return _plain(exact / 1_000) + "s"
+        case ValueKind.DURATION:
+            return _plain(exact) + "ms"
+        case ValueKind.PERCENT:
+            return _plain(exact * 100) + "%"
+        case _:
+            return _plain(exact)
+
+
+def read_time_ms(text: str) -> int:
+    """Read a UTC time such as 2026-12-24T00:00Z.
+
+    Returns:
+        Milliseconds since the Unix epoch.
+
+    Raises:
+        ValueError: If the text is not such a time.
+    """
+    found = _TIME.fullmatch(text)
+    if found is None:
+        raise ValueError(text)
+    moment = datetime.datetime.fromisoformat(found[1])
+    interval = moment.replace(tzinfo=datetime.UTC) - _EPOCH
+    return interval // datetime.timedelta(milliseconds=1)
+
+
+def write_time(wall_ms: int) -> str:
+    """Write a UTC time, with seconds only where they are not 0."""
+    moment = _EPOCH + datetime.timedelta(milliseconds=wall_ms)
+    pattern = "%H:%MZ" if moment.second == 0 else "%H:%M:%SZ"
+    return f"{moment:%Y-%m-%dT}".zfill(11) + moment.strftime(pattern)
