Serve the whole path: front, flow, composition, admin, store feed

Cause: coordinator, stand-ins and rules stood side by side. One composition root now wires them; serve follows the platform's store, takes requests from callers and sends them to leafs. The test runner stops the resolver threads of the reactor: without that a whole run printed its counts and then never ended.

--- a/src/oriolegate/cli/registry.py
+++ b/src/oriolegate/cli/registry.py
@@ -18,6 +18,16 @@
 
 
 COMMANDS: dict[str, CommandEntry] = {
+    "serve": CommandEntry(
+        "oriolegate.commands.serve", "run one process of the tier"
+    ),
+    "demo": CommandEntry(
+        "oriolegate.commands.demo",
+        "run the main job against embedded stand-ins",
+    ),
+    "measure": CommandEntry(
+        "oriolegate.commands.measure", "measure scenarios and print figures"
+    ),
     "emulate": CommandEntry(
         "oriolegate.commands.emulate", "run stand-ins of platform and upstreams"
     ),
--- /dev/null
+++ b/src/oriolegate/commands/serve.py
@@ -0,0 +1,56 @@
+"""`oriolegate serve`: run one process of the tier."""
+
+import argparse
+import os
+import random
+import signal
+from typing import Any
+
+from twisted.internet import error
+from twisted.internet import reactor as default_reactor
+
+from oriolegate import logging_setup
+from oriolegate.cli import options
+from oriolegate.cli.status_codes import ExitStatus
+from oriolegate.clock import SystemClock
+from oriolegate.exceptions import SettingsError
+from oriolegate.network.platform_client import PlatformClient
+from oriolegate.network.platform_client import PlatformClientSettings
+from oriolegate.runtime.composition import build_process
+from oriolegate.runtime.composition import Surroundings
+from oriolegate.settings.serve import load_serve_settings
+from oriolegate.settings.serve import SERVE_SETTINGS
+
+
+def add_options(parser: argparse.ArgumentParser) -> None:
+    """Add the flags of the settings."""
+    options.add_settings(parser, SERVE_SETTINGS)
+
+
+def run(arguments: argparse.Namespace) -> int:
+    """Serve until the process is told to stop.
+
+    Returns:
+        The exit status.
+    """
+    settings = load_serve_settings(vars(arguments), os.environ)
+    logging_setup.setup_logging(settings.log_format, settings.verbose)
+    reactor: Any = default_reactor
+    platform = PlatformClient(
+        reactor, PlatformClientSettings(settings.platform_urls[0])
+    )
+    process = build_process(
+        settings,
+        Surroundings(reactor, SystemClock(), platform, random.Random()),
+    )
+    try:
+        process.start()
+    except error.CannotListenError as taken:
+        raise SettingsError(f"choose other ports: {taken}") from taken
+    for number in (signal.SIGTERM, signal.SIGINT):
+        signal.signal(
+            number, lambda *_: reactor.callFromThread(process.plan_stop)
+        )
+    # Twisted's own handlers would stop the reactor at once.
+    reactor.run(installSignalHandlers=False)
+    return ExitStatus.SUCCESS
--- /dev/null
+++ b/src/oriolegate/network/admin.py
@@ -0,0 +1,178 @@
+"""The admin HTTP server: health, status, metrics, events and rules."""
+
+from collections.abc import Callable
+from collections.abc import Mapping
+import hmac
+import json
+from typing import Any
+from typing import Protocol
+
+import attrs
+import orjson
+from twisted.internet import defer
+from twisted.web import resource
+from twisted.web import server
+
+from oriolegate.exceptions import CallerInputError
+from oriolegate.exceptions import OriolegateError
+from oriolegate.logging_setup import get_logger
+from oriolegate.network import front
+from oriolegate.network.caller_wire import HTTP_STATUS
+from oriolegate.network.caller_wire import WireResponse
+from oriolegate.result_codes import ResultCode
+
+MAX_BODY_BYTES = 1_100_000
+
+log = get_logger("admin")
+
+
+@attrs.frozen
+class AdminRequest:
+    """One request of an operator.
+
+    Attributes:
+        method: GET or POST.
+        path: Path without a query.
+        arguments: The query's arguments, the first of each name.
+        body: Decoded JSON of a POST.
+    """
+
+    method: str
+    path: str
+    arguments: Mapping[str, str]
+    body: Mapping[str, Any]
+
+
+@attrs.frozen
+class AdminAnswer:
+    """What an operator gets: text, or a value that is sent as JSON."""
+
+    value: Any
+    status: int = 200
+
+
+Route = Callable[[AdminRequest], "AdminAnswer | defer.Deferred[AdminAnswer]"]
+
+
+class AdminHandler(Protocol):
+    """What answers operators."""
+
+    def open_routes(self) -> Mapping[tuple[str, str], Route]:
+        """Return routes that need no key."""
+        ...
+
+    def key_routes(self) -> Mapping[tuple[str, str], Route]:
+        """Return routes that need the admin key."""
+        ...
+
+
+class AdminResource(resource.Resource):
+    """All admin endpoints."""
+
+    isLeaf = True  # noqa: N815 (Twisted's name)
+
+    def __init__(self, handler: AdminHandler, admin_key: str) -> None:
+        super().__init__()
+        self.open_routes = handler.open_routes()
+        self.key_routes = handler.key_routes()
+        self.expected = f"Bearer {admin_key}".encode()
+
+    def render(self, request: server.Request) -> int:
+        """Answer any method."""
+        try:
+            admin_request = _read(request)
+            route = self._route(request, admin_request)
+        except OriolegateError as error:
+            _write_error(request, error)
+            return server.NOT_DONE_YET
+        call = defer.maybeDeferred(route, admin_request)
+        call.addCallbacks(
+            lambda answer: _write(request, answer),
+            lambda reason: _write_failure(request, reason),
+        )
+        return server.NOT_DONE_YET
+
+    def _route(self, request: server.Request, asked: AdminRequest) -> Route:
+        key = (asked.method, asked.path)
+        route = self.open_routes.get(key)
+        if route is not None:
+            return route
+        given = (request.getHeader("Authorization") or "").encode()
+        if not hmac.compare_digest(given, self.expected):
+            raise CallerInputError(
+                "send the admin key as Authorization: Bearer KEY",
+                ResultCode.UNAUTHORIZED,
+            )
+        route = self.key_routes.get(key)
+        if route is None:
+            raise CallerInputError(
+                f"there is no {asked.method} {asked.path}",
+                ResultCode.NOT_FOUND,
+            )
+        return route
+
+
+def _read(request: server.Request) -> AdminRequest:
+    if request.too_large:
+        raise CallerInputError(
+            "the body is larger than allowed", ResultCode.BODY_TOO_LARGE
+        )
+    body: Any = {}
+    if request.method == b"POST":
+        try:
+            body = json.loads(request.content.read() or b"{}")
+        except ValueError:
+            body = None
+        if not isinstance(body, dict):
+            raise CallerInputError("the body is not a JSON object")
+    arguments = {
+        name.decode("utf-8", "replace"): values[0].decode("utf-8", "replace")
+        for name, values in request.args.items()
+    }
+    return AdminRequest(
+        request.method.decode("latin-1"),
+        request.path.decode("utf-8", "replace").rstrip("/") or "/",
+        arguments,
+        body,
+    )
+
+
+def _write(request: server.Request, answer: AdminAnswer) -> None:
+    if request._disconnected:
+        return
+    if isinstance(answer.value, str):
+        request.setResponseCode(answer.status)
+        request.setHeader("Content-Type", "text/plain; charset=utf-8")
+        request.write(answer.value.encode())
+        request.finish()
+        return
+    body = orjson.dumps(answer.value, option=orjson.OPT_NON_STR_KEYS)
+    front.write(request, WireResponse(answer.status, ResultCode.OK, body))
+
+
+def _write_error(request: server.Request, error: OriolegateError) -> None:
+    body = orjson.dumps(
+        {
+            "code": int(error.code),
+            "code_name": error.code.name,
+            "message": error.message,
+        }
+    )
+    status = HTTP_STATUS.get(error.code, 503)
+    front.write(request, WireResponse(status, error.code, body))
+
+
+def _write_failure(request: server.Request, reason: Any) -> None:
+    if request._disconnected:
+        return
+    if isinstance(reason.value, OriolegateError):
+        _write_error(request, reason.value)
+        return
+    log.error("A request failed: {}", reason.getTraceback())
+    body = b'{"code": 1001, "message": "the request failed; see the log"}'
+    front.write(request, WireResponse(500, ResultCode.BAD_REQUEST, body))
+
+
+def admin_site(handler: AdminHandler, admin_key: str) -> server.Site:
+    """Make the site that operators and the balancer talk to."""
+    return front.bounded_site(AdminResource(handler, admin_key), MAX_BODY_BYTES)
--- a/src/oriolegate/network/front.py
+++ b/src/oriolegate/network/front.py
@@ -5,7 +5,6 @@
 from typing import Protocol
 
 from twisted.internet import defer
-from twisted.web import http
 from twisted.web import resource
 from twisted.web import server
 
@@ -140,13 +139,17 @@
     request.finish()
 
 
-def caller_site(handler: RequestHandler, max_body_bytes: int) -> server.Site:
-    """Make the site that callers talk to."""
-    root = resource.Resource()
-    root.putChild(b"v1", CallerResource(handler))
+def bounded_site(root: resource.Resource, max_body_bytes: int) -> server.Site:
+    """Make a site whose requests, headers and idle time are bounded."""
     site = server.Site(root, requestFactory=limited_request(max_body_bytes))
     site.timeOut = IDLE_TIMEOUT_S
     site.displayTracebacks = False
     site.log = lambda request: None
-    http.HTTPChannel.totalHeadersSize = 16_384
     return site
+
+
+def caller_site(handler: RequestHandler, max_body_bytes: int) -> server.Site:
+    """Make the site that callers talk to."""
+    root = resource.Resource()
+    root.putChild(b"v1", CallerResource(handler))
+    return bounded_site(root, max_body_bytes)
--- a/src/oriolegate/network/upstream_client.py
+++ b/src/oriolegate/network/upstream_client.py
@@ -42,6 +42,7 @@
         port: int,
         factory: twisted_protocol.ClientFactory,
         timeout: float = 30.0,
+        bindAddress: tuple[str, int] | None = None,  # noqa: N803
     ) -> object:
         """Open a connection."""
         ...
@@ -171,6 +172,7 @@
             self.leaf.port,
             _Factory(self),
             timeout=CONNECT_TIMEOUT_S,
+            bindAddress=(self.client.source_host, 0),
         )
 
     def _carry(self, connection: LeafConnection, pending: _Pending) -> None:
@@ -266,6 +268,7 @@
         clock: Clock,
         process: str,
         observer: "UpstreamObserver",
+        source_host: str = "127.0.0.1",
     ) -> None:
         """Make a client without connections.
 
@@ -274,11 +277,13 @@
             clock: Stamps reports.
             process: Makes query numbers unique over all VMs.
             observer: Gets reports and gives limits.
+            source_host: IP number that connections are opened from.
         """
         self.reactor = reactor
         self.clock = clock
         self.process = process.encode("ascii")
         self.observer = observer
+        self.source_host = source_host
         self.pools: dict[str, LeafPool] = {}
         self.connection_limit: Callable[[str], int] = observer.connection_limit
         self.report: Callable[[Event], None] = observer.sub_report
--- /dev/null
+++ b/src/oriolegate/runtime/admin_routes.py
@@ -0,0 +1,116 @@
+"""What operators and the balancer may ask of a process."""
+
+from collections.abc import Mapping
+from typing import Any
+
+import attrs
+
+from oriolegate import __version__
+from oriolegate.clock import Clock
+from oriolegate.metrics import MetricsRegistry
+from oriolegate.metrics import render_text
+from oriolegate.network.admin import AdminAnswer
+from oriolegate.network.admin import AdminRequest
+from oriolegate.network.admin import Route
+from oriolegate.runtime.query_tier import QueryTier
+from oriolegate.settings.serve import ServeSettings
+from oriolegate.timeline import events_json
+from oriolegate.timeline.events import EventBuffer
+
+UNAVAILABLE_STATUS = 503
+
+
+class AdminRoutes:
+    """Answers the admin endpoints from the state of the process."""
+
+    def __init__(
+        self,
+        settings: ServeSettings,
+        clock: Clock,
+        tier: QueryTier,
+        metrics: MetricsRegistry,
+        events: EventBuffer,
+    ) -> None:
+        self.settings = settings
+        self.clock = clock
+        self.tier = tier
+        self.metrics = metrics
+        self.events = events
+
+    def open_routes(self) -> Mapping[tuple[str, str], Route]:
+        """Return routes that need no key."""
+        return {
+            ("GET", "/healthz"): self._health,
+            ("GET", "/readyz"): self._ready,
+        }
+
+    def key_routes(self) -> Mapping[tuple[str, str], Route]:
+        """Return routes that need the admin key."""
+        return {
+            ("GET", "/status"): self._status,
+            ("GET", "/metrics"): self._metrics,
+            ("GET", "/events"): self._events,
+            ("GET", "/rules"): self._rules,
+        }
+
+    def _health(self, _: AdminRequest) -> AdminAnswer:
+        return AdminAnswer({"state": "live"})
+
+    def _ready(self, _: AdminRequest) -> AdminAnswer:
+        state = self.tier.flow.state
+        if state.stopping:
+            return AdminAnswer({"state": "stopping"}, UNAVAILABLE_STATUS)
+        if not state.ready:
+            return AdminAnswer({"state": "starting"}, UNAVAILABLE_STATUS)
+        return AdminAnswer({"state": "ready"})
+
+    def _status(self, _: AdminRequest) -> AdminAnswer:
+        tier = self.tier
+        accepted = tier.accepted
+        value: dict[str, Any] = {
+            "vm": self.settings.vm,
+            "version": __version__,
+            "data_centre": self.settings.data_centre,
+            "ready": tier.flow.state.ready,
+            "stopping": tier.flow.state.stopping,
+            "rules_version": None if accepted is None else accepted.version,
+            "requests_active": len(tier.flow.active),
+            "services": {
+                name: self._service(name) for name in tier.table.topologies
+            },
+            "coordinator": attrs.asdict(tier.runner.coordinator.state.counters),
+        }
+        return AdminAnswer(value)
+
+    def _service(self, name: str) -> dict[str, Any]:
+        table = self.tier.table
+        topology = table.topologies[name]
+        phases: dict[str, int] = {}
+        for leaf in topology.leafs:
+            phase = table.leafs[leaf].phase.value
+            phases[phase] = phases.get(phase, 0) + 1
+        grant = table.grants.get(name)
+        return {
+            "generation": topology.generation,
+            "index_version": topology.current,
+            "leafs": phases,
+            "grant": None if grant is None else attrs.asdict(grant),
+        }
+
+    def _metrics(self, _: AdminRequest) -> AdminAnswer:
+        return AdminAnswer(render_text(self.metrics.snapshot()))
+
+    def _events(self, asked: AdminRequest) -> AdminAnswer:
+        wanted = asked.arguments.get("request")
+        rows = [
+            events_json.to_plain(event)
+            for event in self.events.events()
+            if wanted is None or event.request_id == wanted
+        ]
+        return AdminAnswer(rows)
+
+    def _rules(self, _: AdminRequest) -> AdminAnswer:
+        accepted = self.tier.accepted
+        if accepted is None:
+            return AdminAnswer({"version": None, "text": ""})
+        return AdminAnswer(attrs.asdict(accepted))
--- /dev/null
+++ b/src/oriolegate/runtime/query_tier.py
@@ -0,0 +1,113 @@
+"""The query path of one process: what the core knows and who feeds it.
+
+Takes topologies, rules and grants from the parts that follow them, and puts
+them in force in one place, so that a request meets one consistent state.
+"""
+
+from collections.abc import Callable
+
+from oriolegate.clock import Clock
+from oriolegate.coordinator.messages import CapacityChanged
+from oriolegate.logging_setup import get_logger
+from oriolegate.models.topology import ServiceTopology
+from oriolegate.network.upstream_client import UpstreamClient
+from oriolegate.rules.evaluation import ActiveRules
+from oriolegate.rules.evaluation import compile_rules
+from oriolegate.rules.model import AcceptedRules
+from oriolegate.rules.parser import parse_rule_set
+from oriolegate.runtime.query_runner import QueryRunner
+from oriolegate.runtime.request_flow import RequestFlow
+from oriolegate.timeline.events import EventKind
+from oriolegate.upstreams.leaf_state import Grant
+from oriolegate.upstreams.leaf_table import LeafTable
+
+log = get_logger("tier")
+
+
+class QueryTier:
+    """Puts topologies, rules and grants in force in one process.
+
+    Attributes:
+        accepted: The accepted rules in force, or None.
+        on_rules: Called after a newer version of the rules is in force.
+    """
+
+    def __init__(
+        self,
+        clock: Clock,
+        table: LeafTable,
+        runner: QueryRunner,
+        client: UpstreamClient,
+        flow: RequestFlow,
+    ) -> None:
+        self.clock = clock
+        self.table = table
+        self.runner = runner
+        self.client = client
+        self.flow = flow
+        self.accepted: AcceptedRules | None = None
+        self.on_rules: Callable[[AcceptedRules], None] = lambda _: None
+
+    @property
+    def rules(self) -> ActiveRules | None:
+        """The rules in force."""
+        return self.flow.state.rules
+
+    def take_topology(self, topology: ServiceTopology) -> bool:
+        """Put a topology in force unless a newer one is.
+
+        Returns:
+            True if it is now in force.
+        """
+        held = self.table.topologies.get(topology.service)
+        if not self.table.set_topology(self.clock.now_ms(), topology):
+            return False
+        for leaf in topology.leafs.values():
+            self.client.set_leaf(leaf)
+        if held is not None:
+            for name in set(held.leafs) - set(topology.leafs):
+                self.client.remove_leaf(name)
+        self.runner.feed(CapacityChanged())
+        return True
+
+    def take_rules(self, accepted: AcceptedRules) -> bool:
+        """Put a version of the rules in force unless a newer one is.
+
+        Returns:
+            True if it is now in force.
+        """
+        if self.accepted and self.accepted.version >= accepted.version:
+            return False
+        parsed = parse_rule_set(accepted.version, accepted.text)
+        if parsed.is_error():
+            # An accepted version was checked before it was written; text
+            # that can't be read here comes from a newer program.
+            log.error("Rules {} can't be read here.", accepted.version)
+            return False
+        wall_ms = self.clock.wall_ms()
+        self.accepted = accepted
+        self.flow.state.rules = compile_rules(parsed.ok, wall_ms)
+        self._apply_take_outs()
+        self.runner.coordinator.state.events.record(
+            self.clock.now_ms(), EventKind.RULES_ACCEPTED, "", accepted.version
+        )
+        log.info("Rules {} are in force.", accepted.version)
+        self.on_rules(accepted)
+        return True
+
+    def tick(self) -> None:
+        """Put rules out of force whose end has passed."""
+        rules = self.rules
+        if rules is not None and rules.refresh(self.clock.wall_ms()):
+            self._apply_take_outs()
+
+    def _apply_take_outs(self) -> None:
+        rules = self.rules
+        assert rules is not None
+        self.table.set_taken_out(rules.out_data_centres, rules.out_upstreams)
+        self.runner.feed(CapacityChanged())
+
+    def take_grant(self, service: str, grant: Grant) -> None:
+        """Put this process's part of a service's limits in force."""
+        self.table.set_grant(self.clock.now_ms(), service, grant)
+        self.runner.feed(CapacityChanged())
--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -49,6 +49,13 @@
             self.failed += 1
 
 
+def _stop_reactor_threads() -> None:
+    """Stop the resolver threads of a reactor, which keep a process alive."""
+    reactor = sys.modules.get("twisted.internet.reactor")
+    if reactor is not None:
+        reactor.getThreadPool().stop()
+
+
 def main() -> int:
     """Run the named tests, or all of them."""
     sys.path.insert(0, str(ROOT))
@@ -61,6 +68,7 @@
         exit=False,
         extraHooks=[("testOutcome", counter)],
     )
+    _stop_reactor_threads()
     ran = counter.passed + counter.failed
     print(
         f"{counter.passed} passed, {counter.failed} failed, "
