--- a/src/oriolegate/standins/leaf_model.py
+++ b/src/oriolegate/standins/leaf_model.py
@@ -29,6 +29,7 @@
 from oriolegate.standins.run_ledger import RunLedger
 
 AFTER_DRAIN_KEPT = 1_000
+NEVER_MS = float("-inf")
 DEFAULT_CRASH_MARKER = "crash-upstream"
 
 
@@ -128,7 +129,7 @@
         self.cold_since_ms = 0.0
         self.completed_cold = 0
         # Queries sent up to this time did not know that the leaf is cold.
-        self.unwarned_until_ms = 0.0
+        self.unwarned_until_ms = NEVER_MS
         self.down_until_ms = 0.0
 
     def state(self) -> LeafState:
@@ -246,7 +247,7 @@
         self.weightless.clear()
         self.incarnation += 1
         self._become_cold(now_ms)
-        self.unwarned_until_ms = 0.0
+        self.unwarned_until_ms = NEVER_MS
         self.down_until_ms = now_ms + self.settings.restart_ms
         return [CloseConnections(lost)]
 
