--- a/src/oriolegate/standins/layout.py
+++ b/src/oriolegate/standins/layout.py
@@ -77,6 +77,15 @@
     hosts: Mapping[str, str] = attrs.field(factory=dict)
     services: tuple[ServiceLayout, ...]
 
+    def __attrs_post_init__(self) -> None:
+        """Check that replicas of a shard find data centres enough."""
+        for service in self.services:
+            most = min(service.instances, len(self.regions))
+            if not 1 <= service.replicas <= most:
+                raise SettingsError(
+                    f"give {service.name} from 1 to {most} replicas"
+                )
+
     def latency_ms(self, here: str, there: str) -> float:
         """Return the one-way latency between two data centres."""
         if here == there:
--- a/src/oriolegate/standins/site.py
+++ b/src/oriolegate/standins/site.py
@@ -111,16 +111,20 @@
         self._write_topology(service)
 
     def withdraw(self, service: str, version: int) -> None:
-        """Take an index version out of the topology; leafs still serve it."""
+        """Take an index version out of the topology; leafs still serve it.
+
+        Raises:
+            ValueError: The version is the current one.
+        """
         state = self.services[service]
-        del state.shard_maps[version]
-        state.current = max(state.shard_maps)
-        self._write_topology(service)
+        if version == state.current:
+            raise ValueError(f"publish another version than {version} first")
+        if state.shard_maps.pop(version, None) is not None:
+            self._write_topology(service)
 
     def retire(self, service: str, version: int) -> None:
-        """Serve an index version no more."""
-        if version in self.services[service].shard_maps:
-            self.withdraw(service, version)
+        """Withdraw an index version and serve it no more."""
+        self.withdraw(service, version)
         for leaf in self.leafs_of(service=service):
             leaf.model.retire(version)
 
--- a/src/oriolegate/standins/site_control.py
+++ b/src/oriolegate/standins/site_control.py
@@ -38,9 +38,16 @@
 
         Returns:
             How many leafs it was carried out on.
+
+        Raises:
+            ValueError: A field is unknown, or no leaf is named.
         """
         named = {key: order[key] for key in SELECTORS if key in order}
+        known = FAULT_NAMES if order["action"] == "fault" else frozenset()
+        unknown = order.keys() - named.keys() - known - {"action"}
         leafs = self.site.leafs_of(**named)
+        if unknown or not leafs:
+            raise ValueError(f"correct {sorted(unknown) or named}")
         for leaf in leafs:
             self._act(now_ms, leaf, order)
         return len(leafs)
--- a/tests/reactor_case.py
+++ b/tests/reactor_case.py
@@ -1,7 +1,9 @@
 """Runs tests that need real sockets on Twisted's reactor.
 
-nose2 can't load the test cases of `twisted.trial`: it reads every attribute
-of a test class, and zope.interface raises on one of them.
+Once `twisted.trial` is imported, nose2 can load no test case at all: trial
+declares an interface on `unittest.TestCase`, nose2 reads every attribute of a
+test class, and zope.interface raises on one of them. So no test imports
+`twisted.trial` or `twisted.internet.testing`, which imports it.
 """
 
 from collections.abc import Callable
