--- a/src/oriolegate/commands/emulate.py
+++ b/src/oriolegate/commands/emulate.py
@@ -46,9 +46,17 @@
     )
     _add_option(parser, "--host", "127.0.0.1", "IP number to listen on")
     _add_option(
-        parser, "--platform-port", "7400", "port of platform and control"
+        parser,
+        "--platform-port",
+        "7400",
+        "port of platform and control, 0 for a free one",
+    )
+    _add_option(
+        parser,
+        "--first-leaf-port",
+        "7500",
+        "port of the first leaf, 0 for free ones",
     )
-    _add_option(parser, "--first-leaf-port", "7500", "port of the first leaf")
     _add_option(parser, "--seed", "1", "seed of the leafs' service times")
 
 
@@ -85,27 +93,43 @@
     return site, routes
 
 
-def run(arguments: argparse.Namespace) -> int:
-    """Run until the process is told to stop.
+def listen(
+    arguments: argparse.Namespace,
+    site: Site,
+    routes: EmulatorRoutes,
+    reactor: Any,
+) -> list[Any]:
+    """Listen for the platform and all leafs; port 0 takes free ports.
 
     Returns:
-        The exit status.
+        The listening ports, the platform's first.
+
+    Raises:
+        SettingsError: A port is taken.
     """
-    reactor: Any = default_reactor
-    site, routes = build(arguments, reactor)
-    platform_port = _number(arguments, "platform_port")
     try:
-        reactor.listenTCP(
-            platform_port,
+        port = reactor.listenTCP(
+            _number(arguments, "platform_port"),
             api_resource.build_site(routes.route),
             interface=arguments.host,
         )
-        site.listen(reactor)
+        return [port, *site.listen(reactor)]
     except error.CannotListenError as taken:
         raise SettingsError(f"choose other ports: {taken}") from taken
+
+
+def run(arguments: argparse.Namespace) -> int:
+    """Run until the process is told to stop.
+
+    Returns:
+        The exit status.
+    """
+    reactor: Any = default_reactor
+    site, routes = build(arguments, reactor)
+    port = listen(arguments, site, routes, reactor)[0].getHost().port
     print(
         f"emulate: ready, {site.layout.name}, {len(site.leafs)} leafs, "
-        f"platform http://{arguments.host}:{platform_port}",
+        f"platform http://{arguments.host}:{port}",
         flush=True,
     )
     reactor.run()
--- a/src/oriolegate/standins/site.py
+++ b/src/oriolegate/standins/site.py
@@ -26,9 +26,9 @@
 LOOPBACK_NOTICE_MS = 5.0
 
 
-@attrs.frozen
+@attrs.define
 class SiteLeaf:
-    """One leaf and where it is."""
+    """One leaf and where it is; its port is 0 until one is chosen."""
 
     service: str
     upstream: str
@@ -77,24 +77,30 @@
             service.name: ServiceState(service) for service in layout.services
         }
         rng = random.Random(seed)
-        ports = itertools.count(first_port)
+        ports = itertools.count(first_port, step=1 if first_port else 0)
         for service in layout.services:
             self._add_leafs(service, ports, rng)
             self.publish(service.name, FIRST_VERSION, service.shards)
 
     def listen(self, reactor: Any) -> list[Any]:
-        """Listen for all leafs; returns the ports."""
-        ports = []
+        """Listen for all leafs, on free ports where the first port is 0.
+
+        Returns:
+            The listening ports.
+        """
+        listening = []
         for name, leaf in self.leafs.items():
             latency_ms = functools.partial(
                 self.layout.latency_from_host_ms, data_centre=leaf.data_centre
             )
             server = LeafServer(leaf.model, reactor, latency_ms)
             self.servers[name] = server
-            ports.append(
-                reactor.listenTCP(leaf.port, server, interface=self.host)
-            )
-        return ports
+            port = reactor.listenTCP(leaf.port, server, interface=self.host)
+            listening.append(port)
+            leaf.port = port.getHost().port
+        for service in self.services:
+            self._write_topology(service)
+        return listening
 
     def publish(self, service: str, version: int, shards: int) -> None:
         """Serve a new index version and make it the current one.
