--- a/src/oriolegate/standins/site.py
+++ b/src/oriolegate/standins/site.py
@@ -26,9 +26,9 @@
 LOOPBACK_NOTICE_MS = 5.0
 
 
-@attrs.frozen
+@attrs.define
 class SiteLeaf:
-    """One leaf and where it is."""
+    """One leaf and where it is; its port is 0 until one is chosen."""
 
     service: str
     upstream: str
@@ -77,24 +77,30 @@
             service.name: ServiceState(service) for service in layout.services
         }
         rng = random.Random(seed)
-        ports = itertools.count(first_port)
+        ports = itertools.count(first_port, step=1 if first_port else 0)
         for service in layout.services:
             self._add_leafs(service, ports, rng)
             self.publish(service.name, FIRST_VERSION, service.shards)
 
     def listen(self, reactor: Any) -> list[Any]:
-        """Listen for all leafs; returns the ports."""
-        ports = []
+        """Listen for all leafs, on free ports where the first port is 0.
+
+        Returns:
+            The listening ports.
+        """
+        listening = []
         for name, leaf in self.leafs.items():
             latency_ms = functools.partial(
                 self.layout.latency_from_host_ms, data_centre=leaf.data_centre
             )
             server = LeafServer(leaf.model, reactor, latency_ms)
             self.servers[name] = server
-            ports.append(
-                reactor.listenTCP(leaf.port, server, interface=self.host)
-            )
-        return ports
+            port = reactor.listenTCP(leaf.port, server, interface=self.host)
+            listening.append(port)
+            leaf.port = port.getHost().port
+        for service in self.services:
+            self._write_topology(service)
+        return listening
 
     def publish(self, service: str, version: int, shards: int) -> None:
         """Serve a new index version and make it the current one.
@@ -111,16 +117,20 @@
         self._write_topology(service)
 
     def withdraw(self, service: str, version: int) -> None:
-        """Take an index version out of the topology; leafs still serve it."""
+        """Take an index version out of the topology; leafs still serve it.
+
+        Raises:
+            ValueError: The version is the current one.
+        """
         state = self.services[service]
-        del state.shard_maps[version]
-        state.current = max(state.shard_maps)
-        self._write_topology(service)
+        if version == state.current:
+            raise ValueError(f"publish another version than {version} first")
+        if state.shard_maps.pop(version, None) is not None:
+            self._write_topology(service)
 
     def retire(self, service: str, version: int) -> None:
-        """Serve an index version no more."""
-        if version in self.services[service].shard_maps:
-            self.withdraw(service, version)
+        """Withdraw an index version and serve it no more."""
+        self.withdraw(service, version)
         for leaf in self.leafs_of(service=service):
             leaf.model.retire(version)
 
