--- a/Makefile
+++ b/Makefile
@@ -29,5 +29,9 @@
 demo: $(VENV)/.installed
 	$(BIN)/python -m oriolegate demo
 
+binary: $(VENV)/.installed
+	$(BIN)/python tools/build_binary.py
+	$(BIN)/python tools/check_binary.py
+
 clean:
 	rm -rf $(VENV) build dist
