--- a/src/oriolegate/cli/registry.py
+++ b/src/oriolegate/cli/registry.py
@@ -18,6 +18,9 @@
 
 
 COMMANDS: dict[str, CommandEntry] = {
+    "emulate": CommandEntry(
+        "oriolegate.commands.emulate", "run stand-ins of platform and upstreams"
+    ),
     "status": CommandEntry(
         "oriolegate.commands.status", "show the status of running processes"
     ),
