--- /dev/null
+++ b/src/oriolegate/rules/acceptance_outcomes.py
@@ -0,0 +1,64 @@
+"""Ends of accepting an edit: what is reported, and to whom."""
+
+from oriolegate.rules import acceptance_messages as messages
+from oriolegate.rules.acceptance_phases import AcceptanceLimits
+from oriolegate.rules.proposal import Proposal
+from oriolegate.rules.stored_rules import history_name
+from oriolegate.rules.stored_rules import StoredRules
+
+NO_ANSWER = (
+    "the platform's store gave no answer; the edit was not accepted, "
+    "apply it again later"
+)
+UNKNOWN = (
+    "the platform's store has not said whether the edit was accepted; see "
+    "'oriolegate show', or apply it again: an edit that is in force already "
+    "changes nothing"
+)
+OVERTAKEN = "other edits came first and this one was not accepted; apply again"
+UNREADABLE = "the store holds rules that this release can't read; update it"
+NOT_KEPT = "the version that would tell is not kept any more"
+
+# History objects are created once, so their own version stays 1.
+_HISTORY_OBJECT_VERSION = 1
+
+
+def base_not_kept(base: int, present: StoredRules) -> messages.Refused:
+    """Refuse an edit whose base version is not kept any more."""
+    return messages.Refused(
+        present.version,
+        f"base version {base} is not kept any more; make the edit on "
+        f"version {present.version}",
+    )
+
+
+def base_too_new(base: int, present: StoredRules) -> messages.Refused:
+    """Refuse an edit of a version that does not exist yet."""
+    return messages.Refused(
+        present.version,
+        f"base version {base} is newer than the accepted one; make the "
+        f"edit on version {present.version}",
+    )
+
+
+def success(
+    proposal: Proposal, limits: AcceptanceLimits
+) -> list[messages.AcceptanceEffect]:
+    """Return what follows when a proposal is the accepted version."""
+    stored = proposal.stored
+    effects: list[messages.AcceptanceEffect] = [
+        messages.SpreadRules(stored.accepted())
+    ]
+    outdated = stored.version - 1 - limits.kept_versions
+    if outdated > 0:
+        name = history_name(outdated)
+        effects.append(messages.DeleteObject(name, _HISTORY_OBJECT_VERSION))
+    effects.append(messages.Report(_success_result(proposal)))
+    return effects
+
+
+def _success_result(proposal: Proposal) -> messages.AcceptanceResult:
+    version = proposal.stored.version
+    if proposal.others:
+        return messages.Merged(version, proposal.changes, proposal.others)
+    return messages.Accepted(version, proposal.changes)
--- /dev/null
+++ b/tests/rules/fake_store.py
@@ -0,0 +1,94 @@
+"""A store for tests: calls are delivered, lost or delayed one by one."""
+
+import attrs
+
+from oriolegate.rules import acceptance_messages as messages
+from oriolegate.rules.acceptance import RulesAcceptor
+
+
+@attrs.define
+class FakeStore:
+    """Objects with versions, and every version that `accepted` ever had."""
+
+    objects: dict = attrs.field(factory=dict)
+    accepted: list = attrs.field(factory=list)
+
+    def answer(self, call):
+        """Carry out one call and return the event that answers it."""
+        version, value = self.objects.get(call.name, (0, None))
+        match call:
+            case messages.ReadObject() if version:
+                return messages.ObjectFound(call.call_id, version, value)
+            case messages.ReadObject():
+                return messages.ObjectAbsent(call.call_id)
+            case messages.WriteObject(expected_version=expected):
+                if expected != version:
+                    return messages.WriteRejected(call.call_id)
+                self.objects[call.name] = (version + 1, call.value)
+                if call.name == "accepted":
+                    self.accepted.append(call.value)
+                return messages.WriteDone(call.call_id, version + 1)
+
+
+@attrs.define(eq=False)
+class Operator:
+    """Runs one acceptor: its calls wait in `calls` until a test acts."""
+
+    edit: messages.RulesEdit
+    store: FakeStore
+    now_ms: float = 0.0
+    calls: list = attrs.field(factory=list)
+    reports: list = attrs.field(factory=list)
+    wake_at_ms: list = attrs.field(factory=list)
+    spread: list = attrs.field(factory=list)
+    acceptor: RulesAcceptor = attrs.field(init=False)
+
+    def __attrs_post_init__(self):
+        self.acceptor = RulesAcceptor(self.edit)
+        self.take(messages.EditStarted())
+
+    def take(self, event):
+        for effect in self.acceptor.step(self.now_ms, event):
+            match effect:
+                case messages.ReadObject() | messages.WriteObject():
+                    self.calls.append(effect)
+                case messages.Report(result=result):
+                    self.reports.append(result)
+                case messages.WakeAt(at_ms=at_ms):
+                    self.wake_at_ms.append(at_ms)
+                case messages.SpreadRules(rules=rules):
+                    self.spread.append(rules)
+
+    def deliver(self):
+        self.take(self.store.answer(self.calls.pop(0)))
+
+    def lose_request(self):
+        self.take(messages.CallFailed(self.calls.pop(0).call_id))
+
+    def lose_answer(self):
+        call = self.calls.pop(0)
+        self.store.answer(call)
+        self.take(messages.CallFailed(call.call_id))
+
+    def delay_request(self):
+        """Fail the call now and return it; it may still arrive."""
+        call = self.calls.pop(0)
+        self.take(messages.CallFailed(call.call_id))
+        return call
+
+    def advance(self, interval_ms):
+        self.now_ms += interval_ms
+        due = [at for at in self.wake_at_ms if at <= self.now_ms]
+        self.wake_at_ms = [at for at in self.wake_at_ms if at > self.now_ms]
+        for _ in due:
+            self.take(messages.Woken())
+
+    def run(self, rounds=40):
+        """Deliver everything, moving time when nothing waits."""
+        for _ in range(rounds):
+            if self.acceptor.finished:
+                return
+            if self.calls:
+                self.deliver()
+            else:
+                self.advance(1_000.0)
