Claim idempotency keys in the platform's store

Cause: a caller may send a request that is not idempotent to two VMs at once, and a write's answer may be lost after it took effect.

Change: a claims core without I/O, with group commit per object, read back after lost answers, release of claims given up, and a ring of objects per hash class so that no object is ever deleted; an adapter to the platform.

--- /dev/null
+++ b/src/oriolegate/claims/class_writer.py
@@ -0,0 +1,302 @@
+"""Reads and writes one object of claims, one call at a time.
+
+The version of the object is the fence: a claim is granted only when a write
+that holds it succeeded against the version that was read, or when it is read
+back. Claims that arrive while a call is in flight share the next write.
+Nothing here takes out a claim that was granted.
+"""
+
+from collections.abc import Callable
+from collections.abc import Mapping
+from typing import Any
+
+import attrs
+
+from oriolegate.claims import pending as ends
+from oriolegate.claims.class_content import ClassContent
+from oriolegate.claims.composition import compose
+from oriolegate.claims.composition import decide
+from oriolegate.claims.composition import may_hold
+from oriolegate.claims.composition import Outcome
+from oriolegate.claims.composition import Release
+from oriolegate.claims.effects import ReadClass
+from oriolegate.claims.effects import WriteClass
+from oriolegate.claims.pending import PendingClaim
+from oriolegate.claims.pending import Settled
+from oriolegate.claims.settings import ClaimsSettings
+
+WriterEffect = Settled | ReadClass | WriteClass
+
+FAILURES_BEFORE_REFUSAL = 2
+NEVER_MS = float("inf")
+
+
+@attrs.define(eq=False)
+class ClassWriter:
+    """The state of one object of claims as one VM sees it.
+
+    Attributes:
+        name: The object's name.
+        settings: Limits and intervals.
+        next_operation: Returns a number for each platform call.
+        content: What the object held at `version`.
+        version: The newest version known; -1 if it has to be read.
+        as_of_ms: When the call began that showed `content` to be current.
+        waiting: Claims for the next write, by key.
+        batch: Claims in the write in flight, by key.
+        written: Content of the write in flight, or None.
+        operation: The call in flight, or 0.
+        operation_at_ms: When it began.
+        releases: Claims to take out, by key.
+        outcomes: Outcomes to record with the next write, by key.
+        failures: Calls that failed since the last success.
+        resume_at_ms: No call begins earlier.
+        give_up_at_ms: No claim is given up earlier.
+    """
+
+    name: str
+    settings: ClaimsSettings
+    next_operation: Callable[[], int]
+    content: ClassContent = attrs.field(factory=lambda: ClassContent(-1, {}))
+    version: int = -1
+    as_of_ms: float = -NEVER_MS
+    waiting: dict[str, PendingClaim] = attrs.field(factory=dict)
+    batch: dict[str, PendingClaim] = attrs.field(factory=dict)
+    written: ClassContent | None = None
+    operation: int = 0
+    operation_at_ms: float = 0.0
+    releases: dict[str, Release] = attrs.field(factory=dict)
+    outcomes: dict[str, Outcome] = attrs.field(factory=dict)
+    failures: int = 0
+    resume_at_ms: float = -NEVER_MS
+    give_up_at_ms: float = NEVER_MS
+
+    def add(self, now_ms: float, pending: PendingClaim) -> list[WriterEffect]:
+        """Queue a claim for the next write."""
+        queued = self.queued(pending)
+        if queued is not None and queued.claim_id == pending.claim_id:
+            return []
+        if queued is not None:
+            return [ends.already_claimed(pending, None)]
+        if self.refusing(now_ms):
+            return [self._give_up(now_ms, pending)]
+        self.waiting[pending.key.text] = pending
+        self.give_up_at_ms = min(self.give_up_at_ms, pending.give_up_at_ms)
+        return self.advance(now_ms)
+
+    def queued(self, pending: PendingClaim) -> PendingClaim | None:
+        """Return the claim of the same key that waits here, if any."""
+        key = pending.key.text
+        return self.waiting.get(key) or self.batch.get(key)
+
+    def refusing(self, now_ms: float) -> bool:
+        """Return whether the store is down, and not to be tried yet."""
+        return (
+            self.failures >= FAILURES_BEFORE_REFUSAL
+            and now_ms < self.resume_at_ms
+        )
+
+    def release(
+        self, now_ms: float, key: str, claim_id: str, fence_version: int = -1
+    ) -> None:
+        """Take a claim out later; its request never runs.
+
+        Args:
+            now_ms: Monotonic time.
+            key: The idempotency key.
+            claim_id: The claim; another send's claim of the key stays.
+            fence_version: Expected version of the newest write from here
+                that holds the claim and may take effect yet, or -1.
+        """
+        if key not in self.content.records:
+            self.version = -1  # it may have been written since
+        drop_at_ms = now_ms + self.settings.release_patience_ms
+        self.releases[key] = Release(claim_id, fence_version, drop_at_ms)
+
+    def expire(self, now_ms: float) -> list[WriterEffect]:
+        """Refuse claims whose time is over and end a call that hangs."""
+        effects: list[WriterEffect] = []
+        if now_ms >= self.give_up_at_ms:
+            effects += self._expire_claims(now_ms)
+        for key, release in list(self.releases.items()):
+            if now_ms >= release.drop_at_ms:
+                del self.releases[key]
+        if self.operation and now_ms >= self._operation_due_ms():
+            effects += self.failed(now_ms)
+        return effects
+
+    def _expire_claims(self, now_ms: float) -> list[WriterEffect]:
+        effects: list[WriterEffect] = []
+        self.give_up_at_ms = NEVER_MS
+        for claims in (self.waiting, self.batch):
+            for pending in list(claims.values()):
+                if now_ms >= pending.give_up_at_ms:
+                    del claims[pending.key.text]
+                    effects.append(self._give_up(now_ms, pending))
+                else:
+                    self.give_up_at_ms = min(
+                        self.give_up_at_ms, pending.give_up_at_ms
+                    )
+        return effects
+
+    def _give_up(self, now_ms: float, pending: PendingClaim) -> Settled:
+        # The request is never dispatched after this, so that its claim may
+        # be taken out, whether or not a write that holds it takes effect.
+        # Another VM's claim stays: that VM may have read it and granted it.
+        written = pending.fence_version >= 0 or pending.forwarded
+        if written and not pending.origin:
+            key = pending.key.text
+            self.release(now_ms, key, pending.claim_id, pending.fence_version)
+        if now_ms >= pending.deadline_at_ms:
+            return ends.deadline_passed(pending)
+        return ends.store_down(pending)
+
+    def _operation_due_ms(self) -> float:
+        return self.operation_at_ms + self.settings.operation_timeout_ms
+
+    def wake_at_ms(self) -> float:
+        """Return when `expire` and `advance` have something to do."""
+        if self.operation:
+            return min(self.give_up_at_ms, self._operation_due_ms())
+        if self.waiting or self.releases:
+            return min(self.give_up_at_ms, self.resume_at_ms)
+        return NEVER_MS
+
+    def idle(self) -> bool:
+        """Return whether nothing waits and no call is in flight."""
+        return not (
+            self.waiting or self.batch or self.operation or self.releases
+        )
+
+    def read_done(
+        self, now_ms: float, version: int, value: Mapping[str, Any] | None
+    ) -> list[WriterEffect]:
+        """Take over what the platform answered to a read."""
+        try:
+            content = ClassContent.decode(value)
+        except (KeyError, TypeError, ValueError):
+            return self.failed(now_ms)
+        self._succeeded(content, version)
+        return self.advance(now_ms)
+
+    def write_done(self, now_ms: float, version: int) -> list[WriterEffect]:
+        """Grant the claims of the write that took effect."""
+        if self.written is not None:
+            self._succeeded(self.written, version)
+        batch, self.batch = self.batch, {}
+        self.outcomes = {
+            key: outcome
+            for key, outcome in self.outcomes.items()
+            if self._lacks_outcome(key)
+        }
+        effects: list[WriterEffect] = [
+            ends.granted(pending) for pending in batch.values()
+        ]
+        return effects + self.advance(now_ms)
+
+    def _lacks_outcome(self, key: str) -> bool:
+        record = self.content.records.get(key)
+        return record is not None and record.outcome is None
+
+    def _succeeded(self, content: ClassContent, version: int) -> None:
+        self.operation = 0
+        self.written = None
+        self.failures = 0
+        self.content = content
+        self.version = version
+        self.as_of_ms = self.operation_at_ms
+
+    def conflicted(self, now_ms: float) -> list[WriterEffect]:
+        """Read again after another VM wrote first."""
+        self.failures = 0
+        self._requeue()
+        return self.advance(now_ms)
+
+    def failed(self, now_ms: float) -> list[WriterEffect]:
+        """Back off after a call that failed; a write may have taken effect.
+
+        The claims of the write wait until a read shows whether they hold.
+        """
+        self._requeue()
+        self.failures += 1
+        wait_ms = self.settings.backoff_ms * 2.0 ** min(self.failures - 1, 10)
+        wait_ms = min(wait_ms, self.settings.max_backoff_ms)
+        self.resume_at_ms = now_ms + wait_ms
+        if self.failures < FAILURES_BEFORE_REFUSAL:
+            return []
+        waiting, self.waiting = self.waiting, {}
+        return [self._give_up(now_ms, p) for p in waiting.values()]
+
+    def _requeue(self) -> None:
+        self.operation = 0
+        self.written = None
+        self.version = -1
+        self.waiting = {**self.batch, **self.waiting}
+        self.batch = {}
+
+    def advance(self, now_ms: float) -> list[WriterEffect]:
+        """Begin the next call if there is one to make."""
+        if self.operation or not (self.waiting or self.releases):
+            return []
+        if now_ms < self.resume_at_ms:
+            return []
+        if self.version < 0:
+            return [self._begin_read(now_ms)]
+        effects = self._settle_from_content()
+        self.releases = {
+            key: release
+            for key, release in self.releases.items()
+            if may_hold(self.content, self.version, key, release)
+        }
+        effects += self._begin_write(now_ms)
+        if self.waiting and not self.operation:
+            # Their keys are taken, by claims that may be released by now.
+            effects.append(self._begin_read(now_ms))
+        return effects
+
+    def _settle_from_content(self) -> list[WriterEffect]:
+        """End the claims that the content decides."""
+        effects: list[WriterEffect] = []
+        for key, pending in list(self.waiting.items()):
+            settled = decide(self.content, pending, self.releases)
+            if settled is None:
+                continue
+            if settled.refusal and self.as_of_ms < pending.arrived_at_ms:
+                continue
+            del self.waiting[key]
+            effects.append(settled)
+        return effects
+
+    def _begin_read(self, now_ms: float) -> ReadClass:
+        self._begin(now_ms)
+        return ReadClass(self.operation, self.name)
+
+    def _begin(self, now_ms: float) -> None:
+        self.operation = self.next_operation()
+        self.operation_at_ms = now_ms
+
+    def _begin_write(self, now_ms: float) -> list[WriterEffect]:
+        composed = compose(
+            self.content,
+            self.waiting,
+            self.releases,
+            self.outcomes,
+            self.settings,
+        )
+        effects: list[WriterEffect] = [*composed.refused]
+        for settled in composed.refused:
+            del self.waiting[settled.pending.key.text]
+        if not (composed.batch or self.releases):
+            return effects
+        self._begin(now_ms)
+        self.resume_at_ms = now_ms + self.settings.min_write_interval_ms
+        self.written = composed.content
+        self.batch = composed.batch
+        for key, pending in composed.batch.items():
+            pending.fence_version = self.version
+            del self.waiting[key]
+        value = composed.content.encode()
+        effects.append(
+            WriteClass(self.operation, self.name, value, self.version)
+        )
+        return effects
--- /dev/null
+++ b/src/oriolegate/claims/forwarding.py
@@ -0,0 +1,77 @@
+"""Claims that wait for the VM that owns their class.
+
+Ownership is a hint: one VM that writes a class meets no conflicts and puts
+the claims of all VMs into one write. If the owner is slow, gone or another
+one than this VM believes, the claim is written by the VM that asked, with
+the same claim id; the object's version decides between the two writes.
+"""
+
+import attrs
+
+from oriolegate.claims import classes
+from oriolegate.claims.pending import PendingClaim
+from oriolegate.claims.settings import ClaimsSettings
+
+NEVER_MS = float("inf")
+
+
+@attrs.define(eq=False)
+class Forwarding:
+    """Owners of the classes, and claims that they were asked to write.
+
+    Attributes:
+        vm: This process's VM.
+        settings: Limits and intervals.
+        owners: Preferred writer by hash class.
+        claims: Claims that wait for an answer, by key.
+        due_ms: No claim is due earlier.
+    """
+
+    vm: str
+    settings: ClaimsSettings
+    owners: tuple[str | None, ...] = ()
+    claims: dict[str, PendingClaim] = attrs.field(factory=dict)
+    due_ms: float = NEVER_MS
+
+    def set_vms(self, vms: tuple[str, ...]) -> None:
+        """Divide the classes between these VMs."""
+        self.owners = tuple(
+            classes.owner_of(hash_class, vms)
+            for hash_class in range(self.settings.class_count)
+        )
+
+    def owner(self, pending: PendingClaim) -> str | None:
+        """Return the VM to ask, or None if this one writes the claim."""
+        if not self.settings.forward or not self.owners:
+            return None
+        owner = self.owners[classes.class_of(pending.key, self.settings)]
+        return None if owner == self.vm else owner
+
+    def add(self, pending: PendingClaim) -> None:
+        """Remember a claim that the owner is asked for."""
+        pending.forwarded = True
+        self.claims[pending.key.text] = pending
+        self.due_ms = min(self.due_ms, self._due_ms(pending))
+
+    def take(self, key: str, claim_id: str) -> PendingClaim | None:
+        """Remove and return the claim that an answer belongs to."""
+        pending = self.claims.get(key)
+        if pending is None or pending.claim_id != claim_id:
+            return None
+        return self.claims.pop(key)
+
+    def take_due(self, now_ms: float) -> list[PendingClaim]:
+        """Remove and return the claims that waited long enough."""
+        if now_ms < self.due_ms:
+            return []
+        due = [p for p in self.claims.values() if now_ms >= self._due_ms(p)]
+        for pending in due:
+            del self.claims[pending.key.text]
+        self.due_ms = min(
+            map(self._due_ms, self.claims.values()), default=NEVER_MS
+        )
+        return due
+
+    def _due_ms(self, pending: PendingClaim) -> float:
+        patience_ms = self.settings.forward_patience_ms
+        return min(pending.arrived_at_ms + patience_ms, pending.give_up_at_ms)
--- /dev/null
+++ b/src/oriolegate/claims/keys.py
@@ -0,0 +1,91 @@
+"""Idempotency keys: `<milliseconds since the epoch>-<random>`.
+
+A key carries the time at which its caller made it, so that a key older than
+the retention is recognized and refused instead of being taken for a new one.
+"""
+
+import re
+
+import attrs
+from expression import Error
+from expression import Ok
+from expression import Result
+
+from oriolegate.claims.settings import ClaimsSettings
+from oriolegate.result_codes import ResultCode
+from oriolegate.result_codes import RunState
+
+KEY_PATTERN = re.compile(r"([0-9]{13})-([A-Za-z0-9_]{16,40})")
+
+
+@attrs.frozen
+class IdempotencyKey:
+    """A well-formed key.
+
+    Attributes:
+        text: The whole key as the caller sent it.
+        time_ms: When the caller made it, milliseconds since the epoch.
+    """
+
+    text: str
+    time_ms: int
+
+
+@attrs.frozen
+class KeyRejection:
+    """Why a key is not accepted; `run_state` speaks of all sends of it."""
+
+    code: ResultCode
+    run_state: RunState
+    message: str
+
+
+def _invalid(message: str) -> KeyRejection:
+    return KeyRejection(
+        ResultCode.IDEMPOTENCY_KEY_INVALID, RunState.NOT_RUN, message
+    )
+
+
+def too_old() -> KeyRejection:
+    """Return the rejection of a key whose claim may have been dropped.
+
+    An earlier send of the key may have run, and nobody knows any more.
+    """
+    return KeyRejection(
+        ResultCode.KEY_TOO_OLD,
+        RunState.MAY_HAVE_RUN,
+        "The idempotency key is too old to tell whether it was used before.",
+    )
+
+
+def read_key(text: str) -> IdempotencyKey | None:
+    """Return the key if it is well-formed."""
+    found = KEY_PATTERN.fullmatch(text)
+    return IdempotencyKey(text, int(found.group(1))) if found else None
+
+
+def parse_key(
+    text: str, wall_ms: int, settings: ClaimsSettings
+) -> Result[IdempotencyKey, KeyRejection]:
+    """Check a key against the format and the wall clock.
+
+    Args:
+        text: The key as the caller sent it.
+        wall_ms: This VM's wall clock.
+        settings: Retention and allowed clock skew.
+    """
+    key = read_key(text)
+    if key is None:
+        return Error(
+            _invalid(
+                "Form the idempotency key as 13 digits of milliseconds since"
+                " the epoch, a hyphen, and 16 to 40 letters, digits or _."
+            )
+        )
+    if key.time_ms > wall_ms + settings.clock_skew_ms:
+        return Error(
+            _invalid("The idempotency key's time is ahead; set the clock.")
+        )
+    if key.time_ms < wall_ms - settings.retention_ms:
+        return Error(too_old())
+    return Ok(key)
--- /dev/null
+++ b/src/oriolegate/claims/memory.py
@@ -0,0 +1,46 @@
+"""What a process remembers of its own claims."""
+
+import attrs
+
+from oriolegate.claims.pending import PendingClaim
+from oriolegate.result_codes import ResultCode
+
+
+@attrs.define(eq=False)
+class GrantedClaim:
+    """A claim granted in this process, and its outcome if it is known."""
+
+    pending: PendingClaim
+    outcome: ResultCode | None = None
+
+
+@attrs.define
+class ClaimCounts:
+    """Totals since the process started."""
+
+    granted: int = 0
+    refused: int = 0
+    forwarded: int = 0
+    reads: int = 0
+    writes: int = 0
+    conflicts: int = 0
+    failures: int = 0
+
+
+@attrs.define(eq=False)
+class GrantedClaims:
+    """The newest claims granted here; the store holds the others.
+
+    Attributes:
+        capacity: Claims remembered.
+        by_key: Claims by idempotency key, oldest first.
+    """
+
+    capacity: int
+    by_key: dict[str, GrantedClaim] = attrs.field(factory=dict)
+
+    def add(self, pending: PendingClaim) -> None:
+        """Remember a claim, and forget the oldest if there are too many."""
+        self.by_key[pending.key.text] = GrantedClaim(pending)
+        if len(self.by_key) > self.capacity:
+            del self.by_key[next(iter(self.by_key))]
--- /dev/null
+++ b/src/oriolegate/claims/settings.py
@@ -0,0 +1,57 @@
+"""Settings of the claims core."""
+
+import attrs
+
+
+@attrs.frozen
+class ClaimsSettings:
+    """Limits and intervals of claims.
+
+    All VMs must run with the same `class_count`, `slot_width_ms`,
+    `retention_ms` and `clock_skew_ms`: they decide which object holds a key.
+
+    Attributes:
+        class_count: Hash classes; keys of one class share a write.
+        slot_width_ms: Keys whose times fall into one slot share an object.
+        retention_ms: Keys older than this are refused.
+        clock_skew_ms: How far a key's time may be ahead of a VM's clock.
+        max_claims_per_object: Further claims are refused as overloaded.
+        min_write_interval_ms: Time between writes of one object by one VM.
+        patience_ms: A claim that takes longer is refused, not run.
+        operation_timeout_ms: A platform call that takes longer has failed.
+        backoff_ms: Wait after a failed platform call.
+        max_backoff_ms: The wait doubles up to this.
+        release_patience_ms: How long the release of a claim is attempted.
+        forward_patience_ms: A claim that the owner of its class has not
+            answered by then is written by the VM that asked.
+        forward: Whether claims go to the owner of their class first.
+        group_commit: Whether claims that wait share one write.
+        memory_entries: Keys granted here that are remembered.
+    """
+
+    class_count: int = 16
+    slot_width_ms: int = 15_000
+    retention_ms: int = 300_000
+    clock_skew_ms: int = 30_000
+    max_claims_per_object: int = 6_000
+    min_write_interval_ms: float = 20.0
+    patience_ms: float = 1_000.0
+    operation_timeout_ms: float = 400.0
+    backoff_ms: float = 50.0
+    max_backoff_ms: float = 1_000.0
+    release_patience_ms: float = 30_000.0
+    forward_patience_ms: float = 300.0
+    forward: bool = True
+    group_commit: bool = True
+    memory_entries: int = 20_000
+
+    @property
+    def ring_size(self) -> int:
+        """Return the objects of one class.
+
+        An object is reused once its slot is `ring_size` slots behind the
+        slot of an accepted key. The last key of that slot is then older
+        than the retention, even if the accepted key's time is ahead.
+        """
+        kept_ms = self.retention_ms + self.clock_skew_ms
+        return -(-kept_ms // self.slot_width_ms) + 1
--- /dev/null
+++ b/src/oriolegate/claims/writer_table.py
@@ -0,0 +1,76 @@
+"""The writers of one process, by object and by call in flight."""
+
+import attrs
+
+from oriolegate.claims import classes
+from oriolegate.claims.class_writer import ClassWriter
+from oriolegate.claims.pending import PendingClaim
+from oriolegate.claims.settings import ClaimsSettings
+
+NEVER_MS = float("inf")
+
+
+@attrs.define(eq=False)
+class WriterTable:
+    """Makes writers when they are needed and forgets idle ones.
+
+    Attributes:
+        settings: Limits and intervals.
+        by_name: Writers by object name.
+        by_operation: Writers by the number of their call in flight.
+        operation_count: Calls numbered so far.
+    """
+
+    settings: ClaimsSettings
+    by_name: dict[str, ClassWriter] = attrs.field(factory=dict)
+    by_operation: dict[int, ClassWriter] = attrs.field(factory=dict)
+    operation_count: int = 0
+
+    def writer(self, now_ms: float, pending: PendingClaim) -> ClassWriter:
+        """Return the writer of the object that holds a claim."""
+        name = classes.object_name(
+            classes.class_of(pending.key, self.settings),
+            pending.slot,
+            self.settings,
+        )
+        writer = self.by_name.get(name)
+        if writer is None:
+            self._drop_idle(now_ms)
+            writer = ClassWriter(name, self.settings, self._next_operation)
+            self.by_name[name] = writer
+        return writer
+
+    def _drop_idle(self, now_ms: float) -> None:
+        unused_since_ms = now_ms - 2 * self.settings.slot_width_ms
+        self.by_name = {
+            name: writer
+            for name, writer in self.by_name.items()
+            if not writer.idle() or writer.as_of_ms > unused_since_ms
+        }
+
+    def _next_operation(self) -> int:
+        self.operation_count += 1
+        return self.operation_count
+
+    def take_operation(self, operation: int) -> ClassWriter | None:
+        """Return the writer that still waits for the end of a call."""
+        writer = self.by_operation.pop(operation, None)
+        if writer is None or writer.operation != operation:
+            return None
+        return writer
+
+    def busy(self) -> list[ClassWriter]:
+        """Return the writers that have something to do or wait for."""
+        return [w for w in self.by_name.values() if not w.idle()]
+
+    def forget_versions(self) -> None:
+        """Make every writer read before it writes."""
+        for writer in self.by_name.values():
+            writer.version = -1
+
+    def wake_at_ms(self) -> float:
+        """Return when the first writer has something to do."""
+        return min(
+            (writer.wake_at_ms() for writer in self.by_name.values()),
+            default=NEVER_MS,
+        )
--- /dev/null
+++ b/src/oriolegate/network/claim_store.py
@@ -0,0 +1,208 @@
+"""Carries the claims core's effects out on the platform's object API."""
+
+import collections
+from collections.abc import Callable
+from typing import Protocol
+
+import attrs
+from loguru import logger
+from twisted.internet import defer
+
+from oriolegate.claims import events
+from oriolegate.claims.core import ClaimsCore
+from oriolegate.claims.effects import ClaimGranted
+from oriolegate.claims.effects import ClaimRefused
+from oriolegate.claims.effects import ClaimsEffect
+from oriolegate.claims.effects import ReadClass
+from oriolegate.claims.effects import SendToPeer
+from oriolegate.claims.effects import SetTimer
+from oriolegate.claims.effects import WriteClass
+from oriolegate.clock import Clock
+from oriolegate.exceptions import PlatformError
+from oriolegate.network.platform_api import Platform
+from oriolegate.network.platform_api import StoredObject
+from oriolegate.result_codes import ResultCode
+from oriolegate.result_codes import RunState
+
+KIND = "claims"
+ABSENT_VERSION = 0
+MS_PER_S = 1000.0
+
+ClaimDecision = ClaimGranted | ClaimRefused
+
+
+class DelayedCall(Protocol):
+    """A call that a reactor makes later."""
+
+    def cancel(self) -> None:
+        """Do not make the call."""
+        ...
+
+
+class Timers(Protocol):
+    """The part of a reactor that makes calls later."""
+
+    def callLater(  # noqa: N802 (twisted's name)
+        self, delay_s: float, function: Callable[[], None]
+    ) -> DelayedCall:
+        """Call a function after a delay in seconds."""
+        ...
+
+
+def _ignore(vm: str, message: object) -> None:
+    """Drop a message: without links, each VM writes its own claims."""
+
+
+@attrs.define(eq=False)
+class ClaimStore:
+    """Asks the claims core and does what it says.
+
+    Attributes:
+        platform: The object API.
+        clock: Time.
+        timers: The reactor.
+        core: The decisions.
+        send_to_peer: Sends one message to a VM; it may get lost.
+        decisions: Who waits for a decision, by request id.
+        timer: The call that will send `TimerFired`, or None.
+        queue: The event that is being handled, and those after it.
+    """
+
+    platform: Platform
+    clock: Clock
+    timers: Timers
+    core: ClaimsCore
+    send_to_peer: Callable[[str, object], None] = _ignore
+    decisions: "dict[str, defer.Deferred[ClaimDecision]]" = attrs.field(
+        factory=dict
+    )
+    timer: DelayedCall | None = None
+    queue: collections.deque[events.ClaimsEvent] = attrs.field(
+        factory=collections.deque
+    )
+
+    def claim(
+        self, key: str, request_id: str, deadline_at_ms: float
+    ) -> "defer.Deferred[ClaimDecision]":
+        """Claim an idempotency key before the request is dispatched.
+
+        Args:
+            key: The key as the caller sent it.
+            request_id: Names this send; unique within the process.
+            deadline_at_ms: Monotonic time after which it must not run.
+
+        Returns:
+            Fires with `ClaimGranted` or `ClaimRefused`; never fails.
+        """
+        decision: defer.Deferred[ClaimDecision] = defer.Deferred()
+        self.decisions[request_id] = decision
+        wall_ms = self.clock.wall_ms()
+        self._step(
+            events.ClaimRequested(key, request_id, deadline_at_ms, wall_ms)
+        )
+        return decision
+
+    def outcome_known(
+        self,
+        key: str,
+        request_id: str,
+        run_state: RunState,
+        code: ResultCode,
+    ) -> None:
+        """Tell what came of a granted request.
+
+        NOT_RUN is a promise that the request is not dispatched any more.
+        """
+        self._step(events.OutcomeKnown(key, request_id, run_state, code))
+
+    def peer_message(self, vm: str, message: object) -> None:
+        """Take a message of `claims.messages` from another VM."""
+        self._step(events.PeerMessageReceived(vm, message))
+
+    def owners_changed(self, vms: tuple[str, ...]) -> None:
+        """Divide the classes between these VMs."""
+        self._step(events.OwnersChanged(vms))
+
+    def paused(self) -> None:
+        """Tell that the process did not run for a while."""
+        self._step(events.Paused())
+
+    def stop(self) -> None:
+        """Cancel the timer."""
+        if self.timer is not None:
+            self.timer.cancel()
+            self.timer = None
+
+    def _step(self, event: events.ClaimsEvent) -> None:
+        # An effect may cause the next event at once; it waits here so that
+        # the effects of one step are carried out before the next step.
+        self.queue.append(event)
+        if len(self.queue) > 1:
+            return
+        while self.queue:
+            for effect in self.core.step(self.clock.now_ms(), self.queue[0]):
+                self._carry_out(effect)
+            self.queue.popleft()
+
+    def _carry_out(self, effect: ClaimsEffect) -> None:
+        match effect:
+            case ClaimGranted() | ClaimRefused():
+                self.decisions.pop(effect.request_id).callback(effect)
+            case ReadClass():
+                self._read(effect)
+            case WriteClass():
+                self._write(effect)
+            case SetTimer(at_ms):
+                self._set_timer(at_ms)
+            case SendToPeer(vm, message):
+                self.send_to_peer(vm, message)
+
+    def _read(self, effect: ReadClass) -> None:
+        operation = effect.operation
+
+        def done(stored: StoredObject) -> events.ClaimsEvent:
+            return events.ReadDone(operation, stored.version, stored.value)
+
+        def failed(failure: object) -> events.ClaimsEvent:
+            if _code(failure) is ResultCode.PLATFORM_NOT_FOUND:
+                return events.ReadDone(operation, ABSENT_VERSION, None)
+            logger.warning("claims: reading {} failed.", effect.name)
+            return events.ReadFailed(operation)
+
+        call = self.platform.get(KIND, effect.name)
+        call.addCallbacks(done, failed)
+        call.addCallback(self._step)
+
+    def _write(self, effect: WriteClass) -> None:
+        operation = effect.operation
+
+        def done(version: int) -> events.ClaimsEvent:
+            return events.WriteDone(operation, version)
+
+        def failed(failure: object) -> events.ClaimsEvent:
+            if _code(failure) is ResultCode.PLATFORM_CONFLICT:
+                return events.WriteConflict(operation)
+            logger.warning("claims: writing {} failed.", effect.name)
+            return events.WriteFailed(operation)
+
+        call = self.platform.put(
+            KIND, effect.name, effect.value, effect.expected_version
+        )
+        call.addCallbacks(done, failed)
+        call.addCallback(self._step)
+
+    def _set_timer(self, at_ms: float) -> None:
+        self.stop()
+        delay_ms = max(0.0, at_ms - self.clock.now_ms())
+        self.timer = self.timers.callLater(
+            delay_ms / MS_PER_S, self._timer_fired
+        )
+
+    def _timer_fired(self) -> None:
+        self.timer = None
+        self._step(events.TimerFired())
+
+
+def _code(failure: object) -> ResultCode | None:
+    error = getattr(failure, "value", None)
+    return error.code if isinstance(error, PlatformError) else None
