--- a/src/oriolegate/commands/demo.py
+++ b/src/oriolegate/commands/demo.py
@@ -109,7 +109,7 @@
 
     async def _submit_once(self) -> None:
         print("\n3. A request that is not idempotent, sent twice")
-        key = f"{self.embedded.wall_ms()}-ticket-1"
+        key = f"{self.embedded.wall_ms()}-archive0ticket0001"
         headers = {"Idempotency-Key": key, "X-Caller": "archive-desk"}
         path = "/v1/submit/forecast"
         first = await self.caller.ask(path, b"ticket", headers)
@@ -182,11 +182,11 @@
 def _print_events(
     embedded: EmbeddedSite, answer: CallerAnswer, kind: EventKind
 ) -> None:
+    wanted = answer.value["request_id"]
     events = embedded.process.tier.runner.coordinator.state.events
     for event in events.events():
-        if event.request_id == answer.value["request_id"]:
-            if event.kind is kind:
-                print(f"   {event.kind.name} {event.detail}")
+        if event.kind is kind and event.request_id == wanted:
+            print(f"   {event.kind.name} {event.detail}")
 
 
 def add_options(parser: argparse.ArgumentParser) -> None:
@@ -224,9 +224,11 @@
         )
 
     reactor.callWhenRunning(
-        lambda: main()
-        .addErrback(lambda reason: failures.append(reason.getTraceback()))
-        .addBoth(lambda _: reactor.stop())
+        lambda: (
+            main()
+            .addErrback(lambda reason: failures.append(reason.getTraceback()))
+            .addBoth(lambda _: reactor.stop())
+        )
     )
     reactor.run()
     for failure in failures:
--- a/src/oriolegate/coordinator/dispatch.py
+++ b/src/oriolegate/coordinator/dispatch.py
@@ -2,8 +2,9 @@
 
 A sub-request goes out only when its leaf accepts one more within this
 process's grant. Otherwise it waits at every replica of its shard, and the
-first to accept gets it. Hedges never wait and never go to a leaf that is not
-fully warm.
+first to accept gets it. Hedges never wait; they go to a fully warm leaf if
+one accepts, else to another within its cold or ramp limit, which also shows
+whether that leaf is warm by the time it is needed.
 """
 
 from oriolegate.coordinator.messages import CancelSub
@@ -241,10 +242,14 @@
     attempt: Attempt,
 ) -> LeafState | None:
     avoid = shard.tried | {attempt.leaf.leaf.name}
-    leaf = state.leafs.choose(now_ms, shard.replicas, avoid)
-    if leaf is None or leaf.phase is not LeafPhase.WARM:
-        return None
-    return leaf
+    leafs = state.leafs
+    unsure = {
+        name
+        for name in shard.replicas
+        if name in leafs.leafs and leafs.leafs[name].phase != LeafPhase.WARM
+    }
+    leaf = leafs.choose(now_ms, shard.replicas, avoid | unsure)
+    return leaf or leafs.choose(now_ms, shard.replicas, avoid)
 
 
 def hedge_delay_ms(state: CoordinatorState, query: QueryState) -> float | None:
--- a/src/oriolegate/coordinator/outcome.py
+++ b/src/oriolegate/coordinator/outcome.py
@@ -1,6 +1,7 @@
 """Works out what the caller of a query gets."""
 
-import heapq
+import itertools
+import operator
 from typing import Any
 
 from oriolegate.coordinator.query import QueryState
@@ -14,7 +15,10 @@
 RETRY_AFTER_MS = 500
 
 
-def _score(result: Any) -> float:
+_score_of = operator.itemgetter("score")
+
+
+def _lenient_score(result: Any) -> float:
     if isinstance(result, dict):
         score = result.get("score", 0.0)
         if isinstance(score, (int, float)):
@@ -25,12 +29,18 @@
 def merge_results(parts: list[list[Any]], limit: int) -> list[Any]:
     """Merge the results of shards, best score first.
 
+    Results without a score come last; among equals, shard order holds.
+
     Args:
         parts: The results of each answered shard, in shard order.
         limit: Results kept.
     """
-    merged = [result for part in parts for result in part]
-    return heapq.nlargest(limit, merged, key=_score)
+    merged = list(itertools.chain.from_iterable(parts))
+    try:
+        merged.sort(key=_score_of, reverse=True)
+    except (KeyError, TypeError, IndexError):
+        merged.sort(key=_lenient_score, reverse=True)
+    return merged[:limit]
 
 
 def coverage_of(query: QueryState) -> Coverage:
--- /dev/null
+++ b/src/oriolegate/measurement/report.py
@@ -0,0 +1,55 @@
+"""What a measurement hands over: figures of policy and baseline."""
+
+from collections.abc import Mapping
+from typing import Any
+
+import attrs
+
+
+@attrs.frozen
+class ScenarioResult:
+    """One scenario measured with the policy and with the policy off.
+
+    Attributes:
+        name: The scenario.
+        policy: Figures of the policy.
+        baseline: Figures of the baseline in the same run.
+    """
+
+    name: str
+    policy: Mapping[str, Any]
+    baseline: Mapping[str, Any]
+
+
+def to_plain(seed: int, results: list[ScenarioResult]) -> dict[str, Any]:
+    """Return results as data that JSON can hold."""
+    return {
+        "seed": seed,
+        "scenarios": [attrs.asdict(result) for result in results],
+    }
+
+
+def _cell(value: Any) -> str:
+    if isinstance(value, float):
+        return f"{value:.2f}"
+    if isinstance(value, Mapping):
+        wrong = {name: count for name, count in value.items() if count}
+        return ", ".join(f"{n} {c}" for n, c in wrong.items()) or "none"
+    return "-" if value is None else str(value)
+
+
+def table(results: list[ScenarioResult]) -> str:
+    """Render results as text: one block for each scenario."""
+    lines = []
+    for result in results:
+        lines.append(f"{result.name}")
+        width = max(len(name) for name in result.policy)
+        lines.append(f"  {'':<{width}}  {'policy':>14}  {'baseline':>14}")
+        for name, value in result.policy.items():
+            other = result.baseline.get(name)
+            if isinstance(value, list):
+                continue
+            lines.append(
+                f"  {name:<{width}}  {_cell(value):>14}  {_cell(other):>14}"
+            )
+    return "\n".join(lines) + "\n"
--- a/src/oriolegate/network/upstream_client.py
+++ b/src/oriolegate/network/upstream_client.py
@@ -82,9 +82,19 @@
         self.pool.connected(self)
 
     def carry(self, pending: _Pending) -> None:
-        """Send one request."""
+        """Send one request.
+
+        A connection carries one request, so its buffer is empty and the
+        bytes can go to the socket at once; by way of the reactor's write
+        event each request would cost two more epoll calls.
+        """
         self.pending = pending
-        self.transport.write(pending.data)
+        sent = self.transport.writeSomeData(pending.data)
+        if isinstance(sent, Exception):
+            # The reactor meets the same error and reports the loss.
+            sent = 0
+        if sent < len(pending.data):
+            self.transport.write(pending.data[sent:])
 
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
         """Read answers and hand them to the pool."""
--- a/src/oriolegate/network/upstream_wire.py
+++ b/src/oriolegate/network/upstream_wire.py
@@ -3,6 +3,7 @@
 A different wire form of upstreams changes this module alone.
 """
 
+from collections.abc import Callable
 from typing import Any
 
 import attrs
@@ -45,6 +46,36 @@
     keep_alive: bool = True
 
 
+def _set_state(answer: WireAnswer, value: bytes) -> None:
+    answer.state = STATES.get(value)
+
+
+def _set_number(field: str) -> Callable[[WireAnswer, bytes], None]:
+    def set_field(answer: WireAnswer, value: bytes) -> None:
+        setattr(answer, field, int(value))
+
+    return set_field
+
+
+def _set_query(answer: WireAnswer, value: bytes) -> None:
+    answer.query = value
+
+
+def _set_not_run(answer: WireAnswer, value: bytes) -> None:
+    answer.not_run = value.decode("latin-1")
+
+
+HEADER_SETTERS: dict[bytes, Callable[[WireAnswer, bytes], None]] = {
+    b"x-query": _set_query,
+    b"x-shard": _set_number("shard"),
+    b"x-attempt": _set_number("attempt"),
+    b"x-index-version": _set_number("index_version"),
+    b"x-leaf-state": _set_state,
+    b"x-incarnation": _set_number("incarnation"),
+    b"x-not-run": _set_not_run,
+}
+
+
 class AnswerReader:
     """Reads answers from the bytes of one connection.
 
@@ -85,25 +116,9 @@
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Take one header; called by the parser."""
-        name = name.lower()
-        answer = self.current
-        match name:
-            case b"x-query":
-                answer.query = value
-            case b"x-shard":
-                answer.shard = int(value)
-            case b"x-attempt":
-                answer.attempt = int(value)
-            case b"x-index-version":
-                answer.index_version = int(value)
-            case b"x-leaf-state":
-                answer.state = STATES.get(value)
-            case b"x-incarnation":
-                answer.incarnation = int(value)
-            case b"x-not-run":
-                answer.not_run = value.decode("latin-1")
-            case _:
-                pass
+        setter = HEADER_SETTERS.get(name.lower())
+        if setter is not None:
+            setter(self.current, value)
 
     def on_body(self, body: bytes) -> None:
         """Take a part of the body; called by the parser."""
--- a/src/oriolegate/runtime/composition.py
+++ b/src/oriolegate/runtime/composition.py
@@ -5,15 +5,18 @@
 
 import attrs
 
+from oriolegate.claims.core import ClaimsCore
+from oriolegate.claims.settings import ClaimsSettings
 from oriolegate.clock import Clock
 from oriolegate.coordinator.machine import Coordinator
 from oriolegate.metrics import MetricsRegistry
 from oriolegate.network import admin
 from oriolegate.network import front
+from oriolegate.network.claim_store import ClaimStore
 from oriolegate.network.platform_api import Platform
 from oriolegate.network.upstream_client import UpstreamClient
 from oriolegate.runtime.admin_routes import AdminRoutes
-from oriolegate.runtime.claim_gate import UnclaimedGate
+from oriolegate.runtime.claim_gate import StoreClaimGate
 from oriolegate.runtime.process import Process
 from oriolegate.runtime.query_runner import QueryRunner
 from oriolegate.runtime.query_tier import QueryTier
@@ -64,11 +67,17 @@
         settings.advertise_host,
     )
     runner.sender = client
+    claim_store = ClaimStore(
+        surroundings.platform,
+        clock,
+        surroundings.reactor,
+        ClaimsCore(settings.vm, str(incarnation), ClaimsSettings()),
+    )
     flow = RequestFlow(
         process=process_name,
         clock=clock,
         runner=runner,
-        claims=UnclaimedGate(),
+        claims=StoreClaimGate(claim_store, clock),
         events=events,
         metrics=metrics,
         max_concurrent=settings.max_concurrent_queries,
@@ -79,6 +88,7 @@
         settings=settings,
         surroundings=surroundings,
         tier=tier,
+        claim_store=claim_store,
         caller_site=front.caller_site(flow, settings.max_body_bytes),
         admin_site=admin.admin_site(routes, settings.admin_key),
     )
--- a/src/oriolegate/runtime/process.py
+++ b/src/oriolegate/runtime/process.py
@@ -8,6 +8,7 @@
 
 from oriolegate.logging_setup import get_logger
 from oriolegate.network import topology_wire
+from oriolegate.network.claim_store import ClaimStore
 from oriolegate.network.platform_api import StoredObject
 from oriolegate.rules.model import AcceptedRules
 from oriolegate.runtime.query_tier import QueryTier
@@ -40,12 +41,14 @@
         settings: ServeSettings,
         surroundings: "Surroundings",
         tier: QueryTier,
+        claim_store: ClaimStore,
         caller_site: server.Site,
         admin_site: server.Site,
     ) -> None:
         self.settings = settings
         self.surroundings = surroundings
         self.tier = tier
+        self.claim_store = claim_store
         self.caller_site = caller_site
         self.admin_site = admin_site
         self.ports: list[Any] = []
@@ -86,6 +89,7 @@
         """Stop following the store and close the ports."""
         for feed in self.feeds:
             feed.stop()
+        self.claim_store.stop()
         if self.ticker.running:
             self.ticker.stop()
         for port in self.ports:
--- a/src/oriolegate/runtime/request_flow.py
+++ b/src/oriolegate/runtime/request_flow.py
@@ -7,7 +7,6 @@
 
 from collections.abc import Callable
 import itertools
-from typing import Protocol
 
 import attrs
 from twisted.internet import defer
@@ -23,6 +22,7 @@
 from oriolegate.result_codes import RunState
 from oriolegate.rules.decision import RoutingDecision
 from oriolegate.rules.evaluation import ActiveRules
+from oriolegate.runtime.claim_gate import ClaimGate
 from oriolegate.runtime.query_runner import QueryRunner
 from oriolegate.timeline.events import EventBuffer
 from oriolegate.timeline.events import EventKind
@@ -32,16 +32,6 @@
 Outcome = Answer | Refusal
 
 
-class ClaimGate(Protocol):
-    """Claims the key of a request that is not idempotent."""
-
-    def claim(
-        self, request: CallerRequest, deadline_ms: float
-    ) -> "defer.Deferred[Refusal | None]":
-        """Return None once the key is claimed, or why it can't be."""
-        ...
-
-
 @attrs.define
 class FlowState:
     """What decides whether requests are accepted.
@@ -165,17 +155,20 @@
             if refusal is not None:
                 return defer.succeed(refusal)
             left_ms = limit_ms - (self.clock.now_ms() - started_ms)
-            if left_ms <= 0:
-                return defer.succeed(
-                    _refuse(
-                        request,
-                        ResultCode.NOT_RUN,
-                        "the deadline passed while the key was claimed",
-                    )
+            if left_ms > 0:
+                outcome = self._run(
+                    attrs.evolve(request, deadline_ms=left_ms), decision
                 )
-            return self._run(
-                attrs.evolve(request, deadline_ms=left_ms), decision
-            )
+            else:
+                message = "the deadline passed while the key was claimed"
+                outcome = defer.succeed(
+                    _refuse(request, ResultCode.NOT_RUN, message)
+                )
+            return outcome.addCallback(tell_end)
+
+        def tell_end(outcome: Outcome) -> Outcome:
+            self.claims.ended(request, outcome)
+            return outcome
 
         return self.claims.claim(request, limit_ms).addCallback(claimed)
 
