--- a/src/oriolegate/measurement/cost.py
+++ b/src/oriolegate/measurement/cost.py
@@ -8,6 +8,7 @@
 
 from collections.abc import Awaitable
 from collections.abc import Callable
+import functools
 import random
 import time
 from typing import Any
@@ -193,7 +194,7 @@
         leafs.start()
         tier = build_tier(reactor, leafs.ports)
         runs = {
-            "policy": lambda tier=tier: _policy_query(tier),
+            "policy": functools.partial(_policy_query, tier),
             "baseline": _agent_query(reactor, leafs.ports),
         }
         names = list(runs)
