--- a/src/oriolegate/standins/in_memory_platform.py
+++ b/src/oriolegate/standins/in_memory_platform.py
@@ -18,6 +18,7 @@
 from oriolegate.network.platform_api import VmRecord
 from oriolegate.result_codes import ResultCode
 from oriolegate.standins.platform_store import PlatformStore
+from oriolegate.standins.platform_store import WRITE_CALLS
 
 
 class AnswerLostError(PlatformError):
@@ -103,7 +104,12 @@
         slow: defer.Deferred[Any] = task.deferLater(
             self.reactor, slow_ms / 1_000.0, self._admitted, call, operation
         )
-        return slow
+        if call not in WRITE_CALLS:
+            return slow
+        # A slow write takes effect even if its caller has given up.
+        answer: defer.Deferred[Any] = defer.Deferred()
+        slow.chainDeferred(answer)
+        return answer
 
     def _admitted(self, call: str, operation: Callable[[], Any]) -> Any:
         self.store.admit(self.now_ms(), call)
@@ -124,6 +130,9 @@
 
         def finish() -> None:
             leave()
+            if self.store.faults.outage:
+                answer.errback(PlatformError("the platform is down; try later"))
+                return
             answer.callback(self.store.changes_after(kind, after_revision))
 
         def leave(_: object = None) -> None:
--- a/src/oriolegate/standins/leaf_messages.py
+++ b/src/oriolegate/standins/leaf_messages.py
@@ -4,6 +4,8 @@
 
 import attrs
 
+DEFAULT_CRASH_MARKER = "crash-upstream"
+
 
 class LeafState(enum.Enum):
     """The state that a leaf states on each answer."""
@@ -77,6 +79,32 @@
     service_time: ServiceTime = attrs.field(factory=ServiceTime)
 
 
+@attrs.define
+class LeafFaults:
+    """Faults in force at one leaf.
+
+    Attributes:
+        shed: Every query is refused.
+        slow_factor: Multiplies the time of each run.
+        refuse_cold: A cold leaf refuses what it can't bear instead of
+            falling over.
+        straggler_ratio: Takes the place of the setting.
+        crash_marker: A body that holds it crashes the leaf that runs it.
+        lie: The state that the health report claims.
+        down: Connections are turned away.
+        silent: What comes is lost, and so are answers; runs go on.
+    """
+
+    shed: bool = False
+    slow_factor: float = 1.0
+    refuse_cold: bool = False
+    straggler_ratio: float | None = None
+    crash_marker: str = DEFAULT_CRASH_MARKER
+    lie: str | None = None
+    down: bool = False
+    silent: bool = False
+
+
 @attrs.frozen(eq=False)
 class Query:
     """One sub-request as it arrived; identity tells two apart.
--- a/src/oriolegate/standins/leaf_server.py
+++ b/src/oriolegate/standins/leaf_server.py
@@ -117,6 +117,7 @@
         model = self.model
         lag_ms = model.settings.health_lag_ms
         if now_ms - self.report.taken_ms >= lag_ms:
+            model.warm_by_time(now_ms)
             state = model.faults.lie or model.state().value
             self.report = Report(
                 taken_ms=now_ms,
@@ -195,6 +196,8 @@
     def on_message_complete(self) -> None:
         """Act on a whole message after the one-way latency."""
         server = self.server
+        if server.model.faults.silent:
+            return
         try:
             match self.url:
                 case b"/query":
@@ -281,6 +284,8 @@
         )
 
     def _send(self, status: int, head: bytes, body: bytes) -> None:
+        if self.server.model.faults.silent:
+            return
         if self.number in self.server.protocols:
             self.transport.write(
                 b"HTTP/1.1 %d %b\r\n%bContent-Length: %d\r\n\r\n%b"
--- a/src/oriolegate/standins/site_control.py
+++ b/src/oriolegate/standins/site_control.py
@@ -9,8 +9,8 @@
 
 import attrs
 
-from oriolegate.standins.leaf_model import LeafCounts
-from oriolegate.standins.leaf_model import LeafFaults
+from oriolegate.standins.leaf_counts import LeafCounts
+from oriolegate.standins.leaf_messages import LeafFaults
 from oriolegate.standins.leaf_model import LeafModel
 from oriolegate.standins.site import Site
 from oriolegate.standins.site import SiteLeaf
--- a/tests/standins/test_leaf_model.py
+++ b/tests/standins/test_leaf_model.py
@@ -230,6 +230,14 @@
         self.assertIs(leaf.state(), LeafState.WARM)
         self.assertEqual(leaf.counts.cold_over_limit, 0)
 
+    def test_time_warms_a_leaf_that_gets_no_query(self):
+        leaf = make_leaf(warm_ms=1_000.0)
+        leaf.restart(0.0)
+        leaf.warm_by_time(999.0)
+        self.assertIs(leaf.state(), LeafState.COLD)
+        leaf.warm_by_time(1_000.0)
+        self.assertIs(leaf.state(), LeafState.WARM)
+
     def test_turning_cold_in_place_gives_no_sign(self):
         leaf = make_leaf()
         leaf.turn_cold(0.0)
--- a/tests/standins/test_leaf_server.py
+++ b/tests/standins/test_leaf_server.py
@@ -222,6 +222,20 @@
         self.assertEqual(first.transport.written, b"")
         self.assertEqual(self.model.connections, set())
 
+    def test_silent_leaf_loses_what_comes_and_what_it_answers(self):
+        link = self.connect()
+        link.dataReceived(request())
+        self.model.faults.silent = True
+        link.dataReceived(request(X_Query="q2"))
+        self.advance_ms(100.0)
+        self.assertEqual(link.transport.written, b"")
+        self.assertFalse(link.transport.disconnected)
+        self.assertEqual(self.model.ledger.runs, 1)
+        self.model.faults.silent = False
+        link.dataReceived(request(X_Query="q3"))
+        self.advance_ms(100.0)
+        self.assertEqual(self.read(link)[1]["X-Query"], "q3")
+
     def test_answer_for_a_lost_connection_is_dropped(self):
         link = self.connect()
         link.dataReceived(request())
