--- a/src/oriolegate/cli/registry.py
+++ b/src/oriolegate/cli/registry.py
@@ -18,5 +18,20 @@
 
 
 COMMANDS: dict[str, CommandEntry] = {
+    "check": CommandEntry(
+        "oriolegate.commands.check", "report every error of a rules file"
+    ),
+    "format": CommandEntry(
+        "oriolegate.commands.format", "write a rules file in canonical form"
+    ),
+    "apply": CommandEntry(
+        "oriolegate.commands.apply", "ask for a new version of the rules"
+    ),
+    "show": CommandEntry(
+        "oriolegate.commands.show", "print the rules, or what they decide"
+    ),
+    "history": CommandEntry(
+        "oriolegate.commands.history", "list the accepted versions"
+    ),
     "version": CommandEntry("oriolegate.commands.version", "print the version"),
 }
--- a/src/oriolegate/cli/status_codes.py
+++ b/src/oriolegate/cli/status_codes.py
@@ -12,3 +12,4 @@
     CONFLICT = 3
     PENDING = 4
     UNAVAILABLE = 5
+    UNKNOWN = 6
--- /dev/null
+++ b/src/oriolegate/commands/history.py
@@ -0,0 +1,50 @@
+"""`oriolegate history`: list the accepted versions, the newest first."""
+
+import argparse
+import sys
+from typing import Any
+
+from oriolegate.cli.status_codes import ExitStatus
+from oriolegate.commands import admin_request
+
+
+def add_options(parser: argparse.ArgumentParser) -> None:
+    """Add the options of the command."""
+    admin_request.add_switch(parser, "--difference", "show what each changed")
+    admin_request.add_admin_options(parser)
+
+
+def _write_version(row: dict[str, Any], *, difference: bool) -> list[str]:
+    asked_by = row.get("asked_by") or "-"
+    line = (
+        f"{row.get('version'):>7}  {row.get('base'):>7}  "
+        f"{asked_by}  {row.get('edit_id')}"
+    )
+    if not difference:
+        return [line]
+    changes = str(row.get("difference", "")).splitlines()
+    return [line, *(f"           {change}" for change in changes)]
+
+
+def run(arguments: argparse.Namespace) -> int:
+    """List the versions.
+
+    Returns:
+        The exit status.
+    """
+    endpoint = admin_request.admin_endpoint(arguments)
+    answered = admin_request.call_admin(endpoint, "/rules/history")
+    rows = answered.ok.get("versions") if answered.is_ok() else None
+    if not isinstance(rows, list):
+        reason = (
+            answered.error.message
+            if answered.is_error()
+            else answered.ok.get("message", "the answer holds no versions")
+        )
+        print(f"oriolegate: {reason}", file=sys.stderr)
+        return ExitStatus.UNAVAILABLE
+    print("version     base  asked by  edit")
+    for row in rows:
+        lines = _write_version(row, difference=arguments.difference)
+        print("\n".join(lines))
+    return ExitStatus.SUCCESS
--- /dev/null
+++ b/src/oriolegate/rules/admin_view.py
@@ -0,0 +1,174 @@
+"""JSON bodies of the admin endpoint for rules; pure functions.
+
+POST /rules          {"base", "text", "dry_run"} -> `result_view`
+GET /rules           -> `rules_view`
+GET /rules/history   -> `history_view`
+"""
+
+from collections.abc import Iterable
+from collections.abc import Sequence
+import http
+import json
+from typing import Any
+
+from expression import Error
+from expression import Ok
+from expression import Result
+
+from oriolegate.rules import acceptance_messages as messages
+from oriolegate.rules.diff import changes_between
+from oriolegate.rules.diff import write_changes
+from oriolegate.rules.merge import write_conflicts
+from oriolegate.rules.parser import parse
+from oriolegate.rules.stored_rules import StoredRules
+
+
+def read_edit(body: bytes, edit_id: str) -> Result[messages.RulesEdit, str]:
+    """Read the body of `POST /rules`.
+
+    Args:
+        body: As received.
+        edit_id: A new unique id for this edit.
+
+    Returns:
+        The edit, or what is wrong with the body.
+    """
+    try:
+        fields = json.loads(body)
+    except ValueError:
+        return Error("the body is not JSON")
+    if not isinstance(fields, dict):
+        return Error("the body is not a JSON object")
+    base, text = fields.get("base"), fields.get("text")
+    dry_run = fields.get("dry_run", False)
+    if type(base) is not int or base < 0:
+        return Error("base must be the number of a version, or 0")
+    if not isinstance(text, str) or not isinstance(dry_run, bool):
+        return Error("text must be a string, and dry_run true or false")
+    return Ok(messages.RulesEdit(edit_id, base, text, dry_run))
+
+
+def http_status(result: messages.AcceptanceResult) -> http.HTTPStatus:
+    """Return the HTTP status under which a result is sent."""
+    match result:
+        case messages.Accepted() | messages.Merged() | messages.DryRun():
+            return http.HTTPStatus.OK
+        case messages.Refused():
+            return http.HTTPStatus.CONFLICT
+        case messages.Invalid():
+            return http.HTTPStatus.BAD_REQUEST
+        case messages.Unavailable():
+            return http.HTTPStatus.SERVICE_UNAVAILABLE
+        case messages.Unknown():
+            return http.HTTPStatus.ACCEPTED
+
+
+def _result_fields(result: messages.AcceptanceResult) -> dict[str, Any]:
+    match result:
+        case messages.Accepted(version=version, changes=changes):
+            return {
+                "state": "accepted",
+                "version": version,
+                "difference": write_changes(changes),
+            }
+        case messages.Merged() | messages.DryRun():
+            merged = isinstance(result, messages.Merged)
+            return {
+                "state": "merged" if merged else "dry-run",
+                "version": result.version,
+                "difference": write_changes(result.changes),
+                "merged_with": write_changes(result.others),
+            }
+        case messages.Refused():
+            return {
+                "state": "refused",
+                "version": result.version,
+                "message": result.message,
+                "difference": write_conflicts(result.conflicts),
+            }
+        case messages.Invalid(errors=errors):
+            names = ("line", "column", "code", "message")
+            return {
+                "state": "invalid",
+                "errors": [
+                    {name: getattr(error, name) for name in names}
+                    for error in errors
+                ],
+            }
+        case messages.Unavailable(message=message):
+            return {"state": "unavailable", "message": message}
+        case messages.Unknown(message=message):
+            return {"state": "unknown", "message": message}
+
+
+def result_view(
+    result: messages.AcceptanceResult,
+    in_force_on: Sequence[str] = (),
+    pending_on: Sequence[str] = (),
+) -> dict[str, Any]:
+    """Return the answer to `POST /rules`.
+
+    Args:
+        result: What came of the edit.
+        in_force_on: VMs that have confirmed the version.
+        pending_on: VMs that have not.
+    """
+    return {
+        "version": None,
+        "message": "",
+        "errors": [],
+        "difference": "",
+        "merged_with": "",
+        **_result_fields(result),
+        "in_force_on": list(in_force_on),
+        "pending_on": list(pending_on),
+    }
+
+
+def rules_view(
+    stored: StoredRules,
+    in_force_on: Sequence[str] = (),
+    pending_on: Sequence[str] = (),
+) -> dict[str, Any]:
+    """Return the answer to `GET /rules`."""
+    return {
+        **stored.to_value(),
+        "in_force_on": list(in_force_on),
+        "pending_on": list(pending_on),
+    }
+
+
+def _difference(before: StoredRules | None, after: StoredRules) -> str:
+    if before is None and after.version > 1:
+        return ""  # the version before is not kept any more
+    old, new = parse(before.text if before else ""), parse(after.text)
+    if old.is_error() or new.is_error():
+        return ""
+    return write_changes(changes_between(old.ok, new.ok))
+
+
+def history_view(
+    stored: Iterable[StoredRules], limit: int = 50
+) -> dict[str, Any]:
+    """Return the answer to `GET /rules/history`.
+
+    Args:
+        stored: The accepted version and those kept, in any order.
+        limit: Versions shown; the newest are.
+    """
+    by_version = {one.version: one for one in stored}
+    newest = sorted(by_version, reverse=True)[:limit]
+    return {
+        "versions": [
+            {
+                "version": version,
+                "base": by_version[version].base,
+                "asked_by": by_version[version].asked_by,
+                "edit_id": by_version[version].edit_id,
+                "difference": _difference(
+                    by_version.get(version - 1), by_version[version]
+                ),
+            }
+            for version in newest
+        ]
+    }
--- /dev/null
+++ b/tests/commands/test_apply.py
@@ -0,0 +1,103 @@
+"""Tests of `oriolegate apply`."""
+
+import json
+
+from oriolegate.cli.status_codes import ExitStatus
+from oriolegate.rules import acceptance_messages as messages
+from oriolegate.rules import admin_view
+from oriolegate.rules.merge import RuleConflict
+from oriolegate.rules.model import RuleKey
+from tests.commands.admin_fixture import CommandTestCase
+
+TEXT = "route a to b  # asked-by: M\n"
+
+
+class ApplyTest(CommandTestCase):
+    def apply(self, *arguments, **variables):
+        path = self.write("r", TEXT)
+        return self.run_command(
+            "apply", path, "--admin", self.admin, *arguments, **variables
+        )
+
+    def answer(self, result, **spread):
+        view = admin_view.result_view(result, **spread)
+        self.server.answer = (admin_view.http_status(result), view)
+
+    def test_sends_base_text_and_key(self):
+        self.answer(messages.Accepted(8, ()), in_force_on=["vm-1"])
+        key_file = self.write("key", "secret\n")
+        status, out, _ = self.apply("--base", "7", "--admin-key-file", key_file)
+        self.assertEqual(status, ExitStatus.SUCCESS)
+        self.assertIn("accepted, version 8", out)
+        ((method, path, key, body),) = self.server.received
+        self.assertEqual(
+            (method, path, key), ("POST", "/rules", "Bearer secret")
+        )
+        self.assertEqual(
+            json.loads(body), {"base": 7, "text": TEXT, "dry_run": False}
+        )
+
+    def test_settings_come_from_the_environment_too(self):
+        self.answer(messages.DryRun(7, (), ()))
+        path = self.write("r", TEXT)
+        status, out, _ = self.run_command(
+            "apply",
+            path,
+            ORIOLEGATE_ADMIN=self.admin,
+            ORIOLEGATE_BASE="7",
+            ORIOLEGATE_DRY_RUN="1",
+        )
+        self.assertEqual(status, ExitStatus.SUCCESS)
+        sent = json.loads(self.server.received[0][3])
+        self.assertEqual((sent["base"], sent["dry_run"]), (7, True))
+        self.assertIn("dry-run, version 7", out)
+
+    def test_a_conflict_shows_all_sides(self):
+        conflict = RuleConflict(
+            RuleKey("route", "a"), None, ("route a to c",), ("route a to b",)
+        )
+        self.answer(messages.Refused(9, "take version 9", (conflict,)))
+        status, _, err = self.apply("--base", "7")
+        self.assertEqual(status, ExitStatus.CONFLICT)
+        self.assertIn("take version 9", err)
+        self.assertIn("accepted: route a to c", err)
+
+    def test_names_the_vms_that_have_not_confirmed(self):
+        self.answer(
+            messages.Merged(8, (), ()), in_force_on=["a"], pending_on=["b"]
+        )
+        status, _, err = self.apply("--base", "7")
+        self.assertEqual(status, ExitStatus.PENDING)
+        self.assertIn("not confirmed by: b", err)
+
+    def test_other_outcomes_have_their_own_status(self):
+        for result, expected in (
+            (messages.Unavailable("down"), ExitStatus.UNAVAILABLE),
+            (messages.Unknown("not said"), ExitStatus.UNKNOWN),
+        ):
+            self.answer(result)
+            self.assertEqual(self.apply("--base", "7")[0], expected)
+
+    def test_an_answer_that_is_no_json_leaves_the_outcome_unknown(self):
+        self.server.answer = (200, b"<html>")
+        self.assertEqual(self.apply("--base", "7")[0], ExitStatus.UNKNOWN)
+
+    def test_a_refused_connection_or_key_sent_nothing(self):
+        self.server.answer = (401, {})
+        status, _, err = self.apply("--base", "7")
+        self.assertEqual(status, ExitStatus.UNAVAILABLE)
+        self.assertIn("--admin-key-file", err)
+
+    def test_errors_in_the_file_reach_no_vm(self):
+        path = self.write("bad", "rout")
+        status, _, err = self.run_command(
+            "apply", path, "--base", "1", "--admin", self.admin
+        )
+        self.assertEqual(status, ExitStatus.ERROR)
+        self.assertIn("5101", err)
+        self.assertEqual(self.server.received, [])
+
+    def test_the_base_must_be_named(self):
+        status, _, err = self.apply()
+        self.assertEqual(status, ExitStatus.ERROR)
+        self.assertIn("--base", err)
--- /dev/null
+++ b/tests/commands/test_check.py
@@ -0,0 +1,26 @@
+"""Tests of `oriolegate check`."""
+
+from oriolegate.cli.status_codes import ExitStatus
+from tests.commands.admin_fixture import CommandTestCase
+
+
+class CheckTest(CommandTestCase):
+    def test_counts_the_rules_of_a_valid_file(self):
+        path = self.write("r", "route a to b # asked-by: M\n")
+        status, out, _ = self.run_command("check", path)
+        self.assertEqual(status, ExitStatus.SUCCESS)
+        self.assertIn("1 rules, no errors", out)
+
+    def test_prints_each_error_and_fails(self):
+        path = self.write("r", "rout a to b # asked-by: M\nroute a to b\n")
+        status, _, err = self.run_command("check", path)
+        self.assertEqual(status, ExitStatus.ERROR)
+        self.assertEqual(
+            [line.split(" ")[:2] for line in err.splitlines()],
+            [[f"{path}:1:1:", "5101"], [f"{path}:2:13:", "5105"]],
+        )
+
+    def test_a_missing_file_is_an_error(self):
+        status, _, err = self.run_command("check", str(self.folder / "no"))
+        self.assertEqual(status, ExitStatus.ERROR)
+        self.assertIn("can't be read", err)
--- /dev/null
+++ b/tests/rules/test_admin_view.py
@@ -0,0 +1,57 @@
+"""Tests of the JSON bodies of the admin endpoint."""
+
+import unittest
+
+from oriolegate.rules import acceptance_messages as messages
+from oriolegate.rules import admin_view
+from oriolegate.rules.parser import parse
+from oriolegate.rules.stored_rules import read_stored
+from oriolegate.rules.stored_rules import StoredRules
+
+
+class AdminViewTest(unittest.TestCase):
+    def test_reads_an_edit(self):
+        body = b'{"base": 3, "text": "", "dry_run": true}'
+        edit = admin_view.read_edit(body, "e").ok
+        self.assertEqual(edit, messages.RulesEdit("e", 3, "", True))
+
+    def test_refuses_bodies_that_are_no_edit(self):
+        for body in (
+            b"",
+            b"[]",
+            b'{"text": ""}',
+            b'{"base": true, "text": ""}',
+            b'{"base": -1, "text": ""}',
+            b'{"base": 1, "text": 2}',
+            b'{"base": 1, "text": "", "dry_run": 1}',
+            b'{"base": 1, "text": "\xff"}',
+        ):
+            read = admin_view.read_edit(body, "e")
+            self.assertTrue(read.is_error(), body)
+
+    def test_errors_carry_line_column_code_and_message(self):
+        result = messages.Invalid(parse("rout").error)
+        view = admin_view.result_view(result)
+        self.assertEqual(view["state"], "invalid")
+        (error,) = [e for e in view["errors"] if e["code"] == 5101]
+        self.assertEqual((error["line"], error["column"]), (1, 1))
+        self.assertEqual(admin_view.http_status(result), 400)
+
+    def test_history_leaves_out_what_it_can_t_compare(self):
+        versions = [
+            StoredRules(number, "", "", f"e{number}", number - 1)
+            for number in (4, 5, 6)
+        ]
+        rows = admin_view.history_view(versions, limit=2)["versions"]
+        self.assertEqual([row["version"] for row in rows], [6, 5])
+
+
+class StoredRulesTest(unittest.TestCase):
+    def test_values_read_back(self):
+        stored = StoredRules(2, "t", "M", "e", 1)
+        self.assertEqual(read_stored(stored.to_value()), stored)
+
+    def test_other_values_are_not_versions(self):
+        value = StoredRules(2, "t", "M", "e", 1).to_value()
+        for wrong in ({}, {**value, "text": 1}, {**value, "version": True}):
+            self.assertIsNone(read_stored(wrong))
