Compare rules as data when merging, not as written lines

Cause: a merge of 5,000 rules wrote each rule several times to compare it, and took 450 ms in one step of the loop.

Change: entries are compared field by field and keyed once a document.

Conclusion: a merge still stalls the VM that makes it, by the writing of the merged file; only edits that race pay it.

--- a/src/oriolegate/rules/merge.py
+++ b/src/oriolegate/rules/merge.py
@@ -14,7 +14,6 @@
 from expression import Result
 
 from oriolegate.rules.diff import content
-from oriolegate.rules.diff import keyed_entries
 from oriolegate.rules.model import Document
 from oriolegate.rules.model import Entry
 from oriolegate.rules.model import RuleKey
@@ -37,6 +36,10 @@
     edit: tuple[str, ...] | None
 
 
+def _same(one: Entry | None, other: Entry | None) -> bool:
+    return other is None if one is None else one.says_the_same(other)
+
+
 def merge(
     base: Document, present: Document, edit: Document
 ) -> Result[Document, tuple[RuleConflict, ...]]:
@@ -50,20 +53,23 @@
     Returns:
         The merged file, or every conflict.
     """
-    bases, presents = keyed_entries(base), keyed_entries(present)
-    edits = keyed_entries(edit)
+    bases, presents = base.keyed_entries, present.keyed_entries
+    edits = edit.keyed_entries
     conflicts: list[RuleConflict] = []
     taken: dict[RuleKey, Entry | None] = {}
     for key in {**bases, **presents, **edits}:
-        before = content(bases.get(key))
-        theirs = content(presents.get(key))
-        ours = content(edits.get(key))
-        if ours in (before, theirs):
+        before, theirs = bases.get(key), presents.get(key)
+        ours = edits.get(key)
+        if _same(ours, before) or _same(ours, theirs):
             continue
-        if theirs == before:
-            taken[key] = edits.get(key)
+        if _same(theirs, before):
+            taken[key] = ours
         else:
-            conflicts.append(RuleConflict(key, before, theirs, ours))
+            conflicts.append(
+                RuleConflict(
+                    key, content(before), content(theirs), content(ours)
+                )
+            )
     if conflicts:
         return Error(tuple(conflicts))
     return Ok(_apply(presents, edits, taken))
--- a/src/oriolegate/rules/model.py
+++ b/src/oriolegate/rules/model.py
@@ -1,6 +1,7 @@
 """Rules of an operators' file, and the versions in which they are accepted."""
 
 import enum
+import functools
 from typing import TypeAlias
 
 import attrs
@@ -217,6 +218,24 @@
     blank_before: bool = False
     line: int = attrs.field(default=0, eq=False)
 
+    def says_the_same(self, other: "Entry | None") -> bool:
+        """Tell whether both hold one rule with the same comments."""
+        return other is not None and (
+            (self.rule, self.note, self.comments)
+            == (other.rule, other.note, other.comments)
+        )
+
+
+_COMMENT_KIND = "#"
+
+
+def _loose_comments_key(entry: Entry, taken: dict[RuleKey, Entry]) -> RuleKey:
+    """Return a key of comments by their text, and if equal their number."""
+    text, number = "\n".join(entry.comments), 1
+    while RuleKey(_COMMENT_KIND, text, str(number)) in taken:
+        number += 1
+    return RuleKey(_COMMENT_KIND, text, str(number))
+
 
 @attrs.frozen
 class Document:
@@ -224,6 +243,18 @@
 
     entries: tuple[Entry, ...] = ()
 
+    @functools.cached_property
+    def keyed_entries(self) -> dict[RuleKey, Entry]:
+        """The entries by identity, in the file's order."""
+        entries: dict[RuleKey, Entry] = {}
+        for entry in self.entries:
+            if entry.rule is None:
+                key = _loose_comments_key(entry, entries)
+            else:
+                key = rule_key(entry.rule)
+            entries[key] = entry
+        return entries
+
     @property
     def rules(self) -> tuple[Rule, ...]:
         """The rules, in the file's order."""
--- a/tests/rules/test_merge.py
+++ b/tests/rules/test_merge.py
@@ -17,7 +17,7 @@
 
 
 def contents(document):
-    keyed = diff.keyed_entries(document)
+    keyed = document.keyed_entries
     return {key: diff.content(entry) for key, entry in keyed.items()}
 
 
