Keep the history of rules in a kind of its own

Cause: in the kind rules, the first watch or list of a starting VM would deliver every kept version: 1,000 versions of 5,000 rules (186 KB) are 186 MB, against 29 KB a second for control.

Change: history objects go to the kind rules-history; effects carry kind and name; the newest are read one by one. Deleting past the limit has a test.

The 186 MB are worked out from the 185,912 bytes of the measured file, not run.

Conclusion: watchers of rules see the object accepted only.

--- a/src/oriolegate/rules/acceptance.py
+++ b/src/oriolegate/rules/acceptance.py
@@ -28,9 +28,10 @@
 from oriolegate.rules.proposal import check_text
 from oriolegate.rules.proposal import Proposal
 from oriolegate.rules.proposal import propose
-from oriolegate.rules.stored_rules import ACCEPTED_NAME
-from oriolegate.rules.stored_rules import history_name
+from oriolegate.rules.stored_rules import ACCEPTED
+from oriolegate.rules.stored_rules import history_path
 from oriolegate.rules.stored_rules import NO_RULES
+from oriolegate.rules.stored_rules import ObjectPath
 from oriolegate.rules.stored_rules import read_stored
 from oriolegate.rules.stored_rules import StoredRules
 
@@ -132,29 +133,29 @@
         self.retry_at_ms = None
         match self.phase:
             case ReadingAccepted():
-                return [messages.ReadObject(self.call_id, ACCEPTED_NAME)]
+                return [messages.ReadObject(self.call_id, ACCEPTED)]
             case ReadingBase():
                 return [self._read_history(self.edit.base)]
             case ReadingOutcome(proposal=proposal):
                 return [self._read_history(proposal.stored.version)]
             case KeepingHistory(present=present):
-                name = history_name(present.version)
-                return [self._write(name, present, 0)]
+                path = history_path(present.version)
+                return [self._write(path, present, 0)]
             case WritingAccepted(proposal=proposal):
                 self.unsettled = proposal
                 stored = proposal.stored
-                return [self._write(ACCEPTED_NAME, stored, stored.version - 1)]
+                return [self._write(ACCEPTED, stored, stored.version - 1)]
             case Finished():
                 return []
 
     def _read_history(self, version: int) -> messages.ReadObject:
-        return messages.ReadObject(self.call_id, history_name(version))
+        return messages.ReadObject(self.call_id, history_path(version))
 
     def _write(
-        self, name: str, stored: StoredRules, expected_version: int
+        self, path: ObjectPath, stored: StoredRules, expected_version: int
     ) -> messages.WriteObject:
         return messages.WriteObject(
-            self.call_id, name, stored.to_value(), expected_version
+            self.call_id, path, stored.to_value(), expected_version
         )
 
     def _retry_later(self) -> list[messages.AcceptanceEffect]:
--- a/src/oriolegate/rules/acceptance_messages.py
+++ b/src/oriolegate/rules/acceptance_messages.py
@@ -10,6 +10,7 @@
 from oriolegate.rules.errors import RuleError
 from oriolegate.rules.merge import RuleConflict
 from oriolegate.rules.model import AcceptedRules
+from oriolegate.rules.stored_rules import ObjectPath
 
 
 @attrs.frozen
@@ -166,27 +167,27 @@
 
 @attrs.frozen
 class ReadObject:
-    """Read an object of the kind `rules`."""
+    """Read an object."""
 
     call_id: int
-    name: str
+    path: ObjectPath
 
 
 @attrs.frozen
 class WriteObject:
-    """Write an object of the kind `rules`; version 0 means create it."""
+    """Write an object if it is at a version; 0 means create it."""
 
     call_id: int
-    name: str
+    path: ObjectPath
     value: Mapping[str, Any]
     expected_version: int
 
 
 @attrs.frozen
 class DeleteObject:
-    """Delete an object of the kind `rules`; nobody waits for the answer."""
+    """Delete an object; nobody waits for the answer."""
 
-    name: str
+    path: ObjectPath
     expected_version: int
 
 
--- a/src/oriolegate/rules/acceptance_outcomes.py
+++ b/src/oriolegate/rules/acceptance_outcomes.py
@@ -3,7 +3,7 @@
 from oriolegate.rules import acceptance_messages as messages
 from oriolegate.rules.acceptance_phases import AcceptanceLimits
 from oriolegate.rules.proposal import Proposal
-from oriolegate.rules.stored_rules import history_name
+from oriolegate.rules.stored_rules import history_path
 from oriolegate.rules.stored_rules import StoredRules
 
 NO_ANSWER = (
@@ -51,8 +51,8 @@
     ]
     outdated = stored.version - 1 - limits.kept_versions
     if outdated > 0:
-        name = history_name(outdated)
-        effects.append(messages.DeleteObject(name, _HISTORY_OBJECT_VERSION))
+        path = history_path(outdated)
+        effects.append(messages.DeleteObject(path, _HISTORY_OBJECT_VERSION))
     effects.append(messages.Report(_success_result(proposal)))
     return effects
 
--- a/src/oriolegate/rules/stored_rules.py
+++ b/src/oriolegate/rules/stored_rules.py
@@ -7,13 +7,38 @@
 
 from oriolegate.rules.model import AcceptedRules
 
-RULES_KIND = "rules"
-ACCEPTED_NAME = "accepted"
+
+@attrs.frozen
+class ObjectPath:
+    """Kind and name of an object of the platform."""
+
+    kind: str
+    name: str
+
+
+ACCEPTED = ObjectPath("rules", "accepted")
+
+# A kind of its own: a watch of `rules` from its beginning, as a starting VM
+# makes it, would otherwise deliver every version that is kept.
+_HISTORY_KIND = "rules-history"
 
 
-def history_name(version: int) -> str:
-    """Return the name of the object that keeps a replaced version."""
-    return f"history-{version}"
+def history_path(version: int) -> ObjectPath:
+    """Return where a replaced version is kept."""
+    return ObjectPath(_HISTORY_KIND, f"history-{version}")
+
+
+def history_paths(present_version: int, limit: int) -> tuple[ObjectPath, ...]:
+    """Return where the newest replaced versions are kept, newest first.
+
+    Read them one by one: a list of the kind may be very large.
+
+    Args:
+        present_version: The accepted version.
+        limit: How many at most.
+    """
+    newest = range(present_version - 1, 0, -1)[:limit]
+    return tuple(history_path(version) for version in newest)
 
 
 @attrs.frozen
--- a/tests/rules/fake_store.py
+++ b/tests/rules/fake_store.py
@@ -4,6 +4,8 @@
 
 from oriolegate.rules import acceptance_messages as messages
 from oriolegate.rules.acceptance import RulesAcceptor
+from oriolegate.rules.acceptance_phases import AcceptanceLimits
+from oriolegate.rules.stored_rules import ACCEPTED
 
 
 @attrs.define
@@ -15,7 +17,7 @@
 
     def answer(self, call):
         """Carry out one call and return the event that answers it."""
-        version, value = self.objects.get(call.name, (0, None))
+        version, value = self.objects.get(call.path, (0, None))
         match call:
             case messages.ReadObject() if version:
                 return messages.ObjectFound(call.call_id, version, value)
@@ -24,8 +26,8 @@
             case messages.WriteObject(expected_version=expected):
                 if expected != version:
                     return messages.WriteRejected(call.call_id)
-                self.objects[call.name] = (version + 1, call.value)
-                if call.name == "accepted":
+                self.objects[call.path] = (version + 1, call.value)
+                if call.path == ACCEPTED:
                     self.accepted.append(call.value)
                 return messages.WriteDone(call.call_id, version + 1)
 
@@ -41,10 +43,11 @@
     reports: list = attrs.field(factory=list)
     wake_at_ms: list = attrs.field(factory=list)
     spread: list = attrs.field(factory=list)
+    limits: AcceptanceLimits = attrs.field(factory=AcceptanceLimits)
     acceptor: RulesAcceptor = attrs.field(init=False)
 
     def __attrs_post_init__(self):
-        self.acceptor = RulesAcceptor(self.edit)
+        self.acceptor = RulesAcceptor(self.edit, self.limits)
         self.take(messages.EditStarted())
 
     def take(self, event):
@@ -52,6 +55,8 @@
             match effect:
                 case messages.ReadObject() | messages.WriteObject():
                     self.calls.append(effect)
+                case messages.DeleteObject(path=path):
+                    self.store.objects.pop(path)
                 case messages.Report(result=result):
                     self.reports.append(result)
                 case messages.WakeAt(at_ms=at_ms):
--- a/tests/rules/test_acceptance.py
+++ b/tests/rules/test_acceptance.py
@@ -7,6 +7,10 @@
 from hypothesis import strategies as st
 
 from oriolegate.rules import acceptance_messages as messages
+from oriolegate.rules.acceptance_phases import AcceptanceLimits
+from oriolegate.rules.stored_rules import ACCEPTED
+from oriolegate.rules.stored_rules import history_path
+from oriolegate.rules.stored_rules import history_paths
 from tests.rules.fake_store import FakeStore
 from tests.rules.fake_store import Operator
 
@@ -45,7 +49,7 @@
         return operator
 
     def present(self):
-        return routes_of(self.store.objects["accepted"][1]["text"])
+        return routes_of(self.store.objects[ACCEPTED][1]["text"])
 
     def test_edits_of_different_rules_merge(self):
         self.accept("other", 1, {"a": "y", "b": "x"})
@@ -142,10 +146,23 @@
 
     def test_a_base_that_is_not_kept_is_refused(self):
         self.accept("other", 1, {"a": "y"})
-        del self.store.objects["history-1"]
+        del self.store.objects[history_path(1)]
         result = self.accept("mine", 1, {"b": "y"})
         self.assertIn("not kept", result.message)
 
+    def test_history_past_the_limit_is_deleted(self):
+        limits = AcceptanceLimits(kept_versions=2)
+        for base in range(1, 5):
+            change = edit(f"e{base}", base, {"a": f"v{base}"})
+            Operator(change, self.store, limits=limits).run()
+        self.assertEqual(
+            set(self.store.objects),
+            {ACCEPTED, history_path(3), history_path(4)},
+        )
+        self.assertEqual(
+            history_paths(5, 2), (history_path(4), history_path(3))
+        )
+
     def test_a_base_of_the_future_is_refused(self):
         result = self.accept("mine", 9, {"b": "y"})
         self.assertIn("newer", result.message)
@@ -220,8 +237,8 @@
         for number, value in enumerate(self.store.accepted, start=1):
             self.assert_that(value["version"] == number)
             last = number == len(self.store.accepted)
-            name = "accepted" if last else f"history-{number}"
-            self.assert_that(self.store.objects[name][1] == value)
+            path = ACCEPTED if last else history_path(number)
+            self.assert_that(self.store.objects[path][1] == value)
 
     @stateful.invariant()
     def each_version_is_the_last_one_with_one_edit(self):
