Refuse an edit that leaves no route, and name ended rules in check

Cause: a file that was cut off, or two edits merged, could remove the last route, after which every request is refused; ended rules pile up unseen.

Change: such an edit is refused with what to do; check names ended rules. The line cache gets a property test that it changes no outcome.

Conclusion: both by test.

--- a/src/oriolegate/commands/check.py
+++ b/src/oriolegate/commands/check.py
@@ -4,7 +4,9 @@
 import sys
 
 from oriolegate.cli.status_codes import ExitStatus
+from oriolegate.clock import SystemClock
 from oriolegate.commands import admin_request
+from oriolegate.rules.model import Document
 from oriolegate.rules.proposal import check_text
 
 
@@ -13,6 +15,15 @@
     parser.add_argument("file", metavar="FILE", help="a rules file")
 
 
+def _print_ended(document: Document, file_name: str) -> None:
+    wall_ms = SystemClock().wall_ms()
+    for entry in document.entries:
+        rule = entry.rule
+        if rule and rule.until_ms is not None and rule.until_ms <= wall_ms:
+            message = "the rule has ended and may be removed"
+            print(f"{file_name}:{entry.line}:1: {message}")
+
+
 def run(arguments: argparse.Namespace) -> int:
     """Check the file.
 
@@ -22,6 +33,7 @@
     result = check_text(admin_request.read_text_file(arguments.file))
     if result.is_ok():
         print(f"{arguments.file}: {len(result.ok.rules)} rules, no errors")
+        _print_ended(result.ok, arguments.file)
         return ExitStatus.SUCCESS
     for error in result.error:
         print(error.render(arguments.file), file=sys.stderr)
--- a/src/oriolegate/rules/proposal.py
+++ b/src/oriolegate/rules/proposal.py
@@ -15,6 +15,7 @@
 from oriolegate.rules.formatter import write_document
 from oriolegate.rules.merge import merge
 from oriolegate.rules.model import Document
+from oriolegate.rules.model import RouteRule
 from oriolegate.rules.parser import LineCache
 from oriolegate.rules.parser import parse
 from oriolegate.rules.stored_rules import StoredRules
@@ -61,6 +62,23 @@
     return Error(Refused(present, message))
 
 
+def _has_route(document: Document) -> bool:
+    return any(isinstance(rule, RouteRule) for rule in document.rules)
+
+
+def _check_routes(
+    now: Document, new: Document, present: StoredRules
+) -> Result[None, Refused]:
+    """Refuse to remove the last route, as a cut-off file would."""
+    if _has_route(new) or not _has_route(now):
+        return Ok(None)
+    message = (
+        "the edit would leave no route, and every request would be refused; "
+        "keep one"
+    )
+    return Error(Refused(present.version, message))
+
+
 def propose(
     edit: RulesEdit,
     document: Document,
@@ -88,7 +106,9 @@
         return _unreadable(present.version, present.version)
     old, now = parsed_base.ok, parsed_present.ok
     if base.version == present.version:
-        return Ok(_proposal(edit, present, now, document, edit.text))
+        return _check_routes(now, document, present).map(
+            lambda _: _proposal(edit, present, now, document, edit.text)
+        )
     merged = merge(old, now, document)
     if merged.is_error():
         message = (
@@ -97,11 +117,22 @@
             f"with --base {present.version}"
         )
         return Error(Refused(present.version, message, merged.error))
-    text = write_document(merged.ok)
-    if not changes_between(now, merged.ok):
-        text = present.text
-    proposal = _proposal(edit, present, now, merged.ok, text)
-    return Ok(attrs.evolve(proposal, others=changes_between(old, now)))
+    return _check_routes(now, merged.ok, present).map(
+        lambda _: _merged_proposal(edit, present, old, now, merged.ok)
+    )
+
+
+def _merged_proposal(
+    edit: RulesEdit,
+    present: StoredRules,
+    old: Document,
+    now: Document,
+    merged: Document,
+) -> Proposal:
+    unchanged = not changes_between(now, merged)
+    text = present.text if unchanged else write_document(merged)
+    proposal = _proposal(edit, present, now, merged, text)
+    return attrs.evolve(proposal, others=changes_between(old, now))
 
 
 def _proposal(
--- a/tests/commands/test_check.py
+++ b/tests/commands/test_check.py
@@ -20,6 +20,17 @@
             [[f"{path}:1:1:", "5101"], [f"{path}:2:13:", "5105"]],
         )
 
+    def test_names_rules_that_have_ended(self):
+        path = self.write(
+            "r",
+            "route a to b until 2001-01-01T00:00Z # asked-by: M\n"
+            "route c to b until 9999-01-01T00:00Z # asked-by: M\n",
+        )
+        status, out, _ = self.run_command("check", path)
+        self.assertEqual(status, ExitStatus.SUCCESS)
+        self.assertIn(f"{path}:1:1: the rule has ended", out)
+        self.assertEqual(out.count("has ended"), 1)
+
     def test_a_missing_file_is_an_error(self):
         status, _, err = self.run_command("check", str(self.folder / "no"))
         self.assertEqual(status, ExitStatus.ERROR)
--- a/tests/rules/test_acceptance.py
+++ b/tests/rules/test_acceptance.py
@@ -163,6 +163,15 @@
             history_paths(5, 2), (history_path(4), history_path(3))
         )
 
+    def test_the_last_route_is_not_removed_not_even_by_two_edits(self):
+        self.accept("other", 1, {"a": "x"})
+        for edit_id, base in (("merged", 1), ("whole", 2)):
+            routes = {"b": "x"} if base == 1 else {}
+            result = self.accept(edit_id, base, routes)
+            self.assertIsInstance(result, messages.Refused)
+            self.assertIn("no route", result.message)
+        self.assertEqual(self.present(), {"a": "x"})
+
     def test_a_base_of_the_future_is_refused(self):
         result = self.accept("mine", 9, {"b": "y"})
         self.assertIn("newer", result.message)
--- a/tests/rules/test_parser.py
+++ b/tests/rules/test_parser.py
@@ -9,6 +9,7 @@
 from hypothesis import strategies as st
 
 from oriolegate.rules.formatter import write_document
+from oriolegate.rules.parser import LineCache
 from oriolegate.rules.parser import parse
 from tests.rules import strategies
 
@@ -80,6 +81,24 @@
                 self.assertLessEqual(error.column, width + 1)
 
 
+class LineCacheTest(unittest.TestCase):
+    @settings(derandomize=True, max_examples=50, deadline=None)
+    @given(strategies.DOCUMENTS, strategies.DOCUMENTS)
+    def test_a_cache_changes_no_outcome(self, one, other):
+        cache = LineCache()
+        texts = [write_document(one), write_document(other)]
+        for text in [*texts, "".join(texts), BROKEN, *texts, BROKEN]:
+            self.assertEqual(parse(text, cache), parse(text))
+
+    def test_a_cache_is_bounded(self):
+        cache = LineCache()
+        line = "route r{} to s  # asked-by: M\n"
+        for start in range(0, 24_000, 8_000):
+            numbers = range(start, start + 8_000)
+            parse("".join(map(line.format, numbers)), cache)
+        self.assertEqual(len(cache.lines), 4_000)
+
+
 class FormatterTest(unittest.TestCase):
     @settings(derandomize=True, max_examples=100, deadline=None)
     @given(strategies.DOCUMENTS)
