--- a/src/oriolegate/timeline/spans.py
+++ b/src/oriolegate/timeline/spans.py
@@ -1,6 +1,7 @@
 """Sub-requests of one request as spans of time, for drawing."""
 
 from collections.abc import Iterable
+from collections.abc import Mapping
 import enum
 
 import attrs
@@ -66,14 +67,31 @@
     end: SpanEnd
 
 
-SpanKey = tuple[str, str, str, str]
+def _open_span(
+    spans: list[Span], vm: str, named: Mapping[str, object]
+) -> int | None:
+    for place in range(len(spans) - 1, -1, -1):
+        span = spans[place]
+        if span.end is not SpanEnd.OPEN or span.vm != vm:
+            continue
+        # A failed connection is known by its leaf, not by the attempt.
+        if all(
+            str(named.get(name, value)) == value
+            for name, value in (
+                ("shard", span.shard),
+                ("attempt", span.attempt),
+                ("leaf", span.leaf),
+            )
+        ):
+            return place
+    return None
 
 
 def find_spans(timeline: MergedTimeline) -> list[Span]:
     """Pair the sending of each sub-request with its end.
 
     Args:
-        timeline: Events in order, causes before effects.
+        timeline: Events of one request in order, causes before effects.
 
     Returns:
         Spans in the order of their sending; those without an end reach the
@@ -82,30 +100,32 @@
     if not timeline.events:
         return []
     last_ms = timeline.events[-1].time_ms
-    spans: dict[SpanKey, Span] = {}
+    spans: list[Span] = []
     for placed in timeline.events:
         event = placed.event
         named = detail_fields.named_detail(event)
-        shard = str(named.get("shard", ""))
-        attempt = str(named.get("attempt", ""))
-        key = (event.vm, event.request_id, shard, attempt)
         if event.kind in OPENING:
-            spans[key] = Span(
-                vm=event.vm,
-                leaf=str(named.get("leaf", "?")),
-                shard=shard,
-                attempt=attempt,
-                kind=OPENING[event.kind],
-                start_ms=placed.time_ms,
-                end_ms=last_ms,
-                end=SpanEnd.OPEN,
+            spans.append(
+                Span(
+                    vm=event.vm,
+                    leaf=str(named.get("leaf", "?")),
+                    shard=str(named.get("shard", "")),
+                    attempt=str(named.get("attempt", "")),
+                    kind=OPENING[event.kind],
+                    start_ms=placed.time_ms,
+                    end_ms=last_ms,
+                    end=SpanEnd.OPEN,
+                )
             )
-            continue
-        end = CLOSING.get(event.kind)
-        opened = spans.get(key)
-        if end and opened and opened.end is SpanEnd.OPEN:
-            spans[key] = attrs.evolve(opened, end_ms=placed.time_ms, end=end)
-    return list(spans.values())
+        elif event.kind in CLOSING:
+            place = _open_span(spans, event.vm, named)
+            if place is not None:
+                spans[place] = attrs.evolve(
+                    spans[place],
+                    end_ms=placed.time_ms,
+                    end=CLOSING[event.kind],
+                )
+    return spans
 
 
 def pack_rows(spans: Iterable[Span]) -> list[list[Span]]:
--- a/tests/timeline/session.py
+++ b/tests/timeline/session.py
@@ -9,7 +9,7 @@
 
 def _record_home(home: EventBuffer) -> None:
     steps = [
-        (101.0, EventKind.REQUEST_ARRIVED, "maps", "desk-3"),
+        (101.0, EventKind.REQUEST_ARRIVED, "desk-3", "maps"),
         (101.5, EventKind.SNAPSHOT_PINNED, "studio-desk", 7, 4),
         (102.0, EventKind.SUB_REQUEST_SENT, 0, 0, "leaf-a"),
         (102.0, EventKind.SUB_REQUEST_SENT, 1, 0, "leaf-b"),
@@ -22,9 +22,9 @@
         (125.0, EventKind.HEDGE_SENT, 1, 1, "leaf-c"),
         (131.0, EventKind.SUB_ANSWER, 1, 1, "leaf-c"),
         (131.0, EventKind.CANCEL_SENT, 1, 0, "leaf-b"),
-        (140.0, EventKind.SUB_FAILED, 3, 0, "leaf-d", "REPLICA_LOST"),
-        (141.0, EventKind.LATE_DROPPED, 1, 0, "leaf-b"),
-        (142.0, EventKind.ANSWERED, 1, 3, 4),
+        (140.0, EventKind.SUB_FAILED, 3, "leaf-d", 2002),
+        (141.0, EventKind.LATE_DROPPED, 5, 1, 0),
+        (142.0, EventKind.ANSWERED, 7, 3, 4),
     ]
     for now_ms, kind, *detail in steps:
         home.record(now_ms, kind, REQUEST, *detail)
@@ -34,10 +34,10 @@
     """Return the request's time line; the second clock is 4 s behind."""
     front = EventBuffer("entry-1", 1_700_000_000_000)
     home = EventBuffer("entry-2", 1_700_000_000_000 - 4_000)
-    front.record(100.0, EventKind.REQUEST_ARRIVED, REQUEST, "maps", "desk-3")
+    front.record(100.0, EventKind.REQUEST_ARRIVED, REQUEST, "desk-3", "maps")
     front.record(100.0, EventKind.FORWARDED, REQUEST, "entry-2")
     home.observe(front.logical_time)
     _record_home(home)
     front.observe(home.logical_time)
-    front.record(143.0, EventKind.ANSWERED, REQUEST, 1, 3, 4)
+    front.record(143.0, EventKind.ANSWERED, REQUEST, 7, 3, 4)
     return merge.merge([*home.events(), *front.events()])
