--- a/src/oriolegate/cli/status_codes.py
+++ b/src/oriolegate/cli/status_codes.py
@@ -14,6 +14,7 @@
     CONFLICT = 3
     PENDING = 4
     UNAVAILABLE = 5
+    UNKNOWN = 6
 
 
 MEANINGS = {
@@ -23,6 +24,7 @@
     ExitStatus.CONFLICT: "a conflicting edit was accepted before",
     ExitStatus.PENDING: "accepted, but some VMs have not confirmed it yet",
     ExitStatus.UNAVAILABLE: "a VM or the platform could not be reached",
+    ExitStatus.UNKNOWN: "whether the edit was accepted is not known",
 }
 
 
--- a/src/oriolegate/commands/ask_all.py
+++ b/src/oriolegate/commands/ask_all.py
@@ -5,7 +5,7 @@
 
 import attrs
 
-from oriolegate.commands import admin_request
+from oriolegate.commands import admin_client
 from oriolegate.exceptions import OriolegateError
 from oriolegate.settings.client import ClientSettings
 
@@ -37,7 +37,7 @@
     answers = Answers({}, {})
     for url in settings.admin:
         try:
-            answers.found[url] = admin_request.request_json(
+            answers.found[url] = admin_client.request_json(
                 url, path, settings.admin_key, timeout_s=settings.timeout_s
             )
         except OriolegateError as error:
