--- a/src/oriolegate/cli/status_codes.py
+++ b/src/oriolegate/cli/status_codes.py
@@ -24,7 +24,7 @@
     ExitStatus.CONFLICT: "a conflicting edit was accepted before",
     ExitStatus.PENDING: "accepted, but some VMs have not confirmed it yet",
     ExitStatus.UNAVAILABLE: "a VM or the platform could not be reached",
-    ExitStatus.UNKNOWN: "the outcome is not known yet; ask again later",
+    ExitStatus.UNKNOWN: "whether the edit was accepted is not known",
 }
 
 
