Add membership with bounded heartbeats and refutable suspicion

Cause: at 2,200 VMs no VM can watch all others, and the platform's list lags. Change: a successor, two rendezvous neighbours and one VM in each of two other data centres; table hashes in heartbeats, bucketed comparison on a mismatch; suspicion, refutation by a counter of its own (the incarnation names the process, so that a refutation never looks like a restart), pause detection, and the end of an incarnation only from proof.

--- /dev/null
+++ b/src/oriolegate/membership/rendezvous.py
@@ -0,0 +1,42 @@
+"""Rendezvous hashing: agree on a choice of VMs without any message."""
+
+from collections.abc import Iterable
+import hashlib
+
+SCORE_BYTES = 8
+
+
+def stable_hash(*parts: str) -> int:
+    """Return a 64-bit hash that is the same in every process."""
+    digest = hashlib.blake2b(digest_size=SCORE_BYTES)
+    for part in parts:
+        encoded = part.encode()
+        digest.update(len(encoded).to_bytes(4, "big") + encoded)
+    return int.from_bytes(digest.digest(), "big")
+
+
+def ranked(key: str, names: Iterable[str]) -> list[str]:
+    """Return the names in the order of preference for a key.
+
+    A name that joins or leaves moves no other name relative to the rest.
+    """
+    return sorted(names, key=lambda name: (-stable_hash(key, name), name))
+
+
+def spread(key: str, groups: dict[str, list[str]], count: int) -> list[str]:
+    """Return up to `count` names, taken from the groups in turn.
+
+    Args:
+        key: What the names are chosen for.
+        groups: Names by group, for example VMs by data centre.
+        count: How many names are wanted.
+    """
+    queues = [
+        ranked(key, groups[group]) for group in ranked(key, groups.keys())
+    ]
+    chosen: list[str] = []
+    for depth in range(max((len(queue) for queue in queues), default=0)):
+        for queue in queues:
+            if depth < len(queue) and len(chosen) < count:
+                chosen.append(queue[depth])
+    return chosen
--- /dev/null
+++ b/tests/membership/fleet.py
@@ -0,0 +1,133 @@
+"""Several membership cores whose messages the test delivers or loses."""
+
+import collections
+import random
+
+from oriolegate.membership import core
+from oriolegate.membership import effects
+from oriolegate.membership import messages
+from oriolegate.network.peer_codec import PeerCodec
+
+CODEC = PeerCodec(messages.PEER_MESSAGES)
+
+
+class Fleet:
+    """Carries effects between cores; a cut pair exchanges nothing."""
+
+    def __init__(self):
+        self.now_ms = 0.0
+        self.nodes = {}
+        self.running = set()
+        self.links = set()
+        self.wanted = set()
+        self.cut = lambda one, other: False
+        self.log = collections.defaultdict(list)
+        self.sent_bytes = collections.Counter()
+        self.queue = collections.deque()
+        self.paused = frozenset()
+        self.held = []
+
+    def add(self, vm, data_centre="scl-a", incarnation=1, host=None):
+        member = messages.Member(
+            vm, host or f"10.0.0.{vm}", 7000, data_centre, incarnation
+        )
+        self.remove(vm)
+        seed = f"{vm}/{incarnation}"
+        self.nodes[vm] = core.Membership(member, random.Random(seed))
+        self.running.add(vm)
+        return self.nodes[vm]
+
+    def remove(self, vm):
+        """Kill a process: its peers see their links go."""
+        self.running.discard(vm)
+        self.wanted = {pair for pair in self.wanted if pair[0] != vm}
+        self.drop_links()
+
+    def list_all(self, gone=()):
+        rows = [
+            effects.ListedVm(
+                vm,
+                node.own.host,
+                node.own.peer_port,
+                node.own.data_centre,
+                vm in gone,
+            )
+            for vm, node in self.nodes.items()
+        ]
+        for vm in sorted(self.running):
+            self.step(vm, effects.VmsListed(tuple(rows)))
+
+    def reachable(self, one, other):
+        return {one, other} <= self.running and not self.cut(one, other)
+
+    def drop_links(self):
+        for link in list(self.links):
+            if not self.reachable(*link):
+                self.links.discard(link)
+                for vm, peer in (link, link[::-1]):
+                    if vm in self.running:
+                        self.step(vm, effects.LinkDown(peer))
+
+    def open_links(self):
+        for vm, peer in sorted(self.wanted):
+            link = (min(vm, peer), max(vm, peer))
+            if link not in self.links and self.reachable(vm, peer):
+                self.links.add(link)
+                self.step(vm, effects.LinkUp(peer))
+                self.step(peer, effects.LinkUp(vm))
+
+    def step(self, vm, event):
+        if vm in self.paused:
+            self.held.append((vm, event))
+            return
+        for effect in self.nodes[vm].step(self.now_ms, event):
+            self.log[vm].append(effect)
+            match effect:
+                case effects.Send(vm=peer, message=message):
+                    size = len(CODEC.encode(message, 0))
+                    self.sent_bytes[vm] += size
+                    self.queue.append((vm, peer, message))
+                case effects.ConnectTo(vm=peer):
+                    self.wanted.add((vm, peer))
+                case effects.DropLink(vm=peer):
+                    self.wanted.discard((vm, peer))
+
+    def deliver(self):
+        while self.queue:
+            sender, receiver, message = self.queue.popleft()
+            link = (min(sender, receiver), max(sender, receiver))
+            if link in self.links:
+                self.step(receiver, effects.Received(sender, message))
+
+    def run(self, interval_ms, without=()):
+        """Run every process; those in `without` find their input later."""
+        end_ms = self.now_ms + interval_ms
+        self.paused = frozenset(without)
+        held, self.held = self.held, []
+        for vm, event in held:
+            self.step(vm, event)
+        while self.now_ms < end_ms:
+            self.now_ms += core.TICK_MS
+            self.drop_links()
+            self.open_links()
+            for vm in sorted(self.running - self.paused):
+                self.step(vm, effects.Tick())
+            self.deliver()
+
+    def states(self, viewer):
+        members = self.nodes[viewer].table.members
+        return {vm: member.state.name for vm, member in members.items()}
+
+    def effects_of(self, vm, kind):
+        return [effect for effect in self.log[vm] if isinstance(effect, kind)]
+
+
+def make_fleet(per_data_centre, data_centres=("anf-a", "ccp-a", "scl-a")):
+    """Return a fleet that has been listed and has met."""
+    fleet = Fleet()
+    for data_centre in data_centres:
+        for number in range(per_data_centre):
+            fleet.add(f"{data_centre}-{number}", data_centre)
+    fleet.list_all()
+    fleet.run(30_000)
+    return fleet
--- /dev/null
+++ b/tests/membership/test_core.py
@@ -0,0 +1,160 @@
+"""Tests of the membership core: joins, losses, splits, pauses, leaving."""
+
+import unittest
+
+from oriolegate.membership import core
+from oriolegate.membership import effects
+from oriolegate.membership import messages
+from tests.membership.fleet import Fleet
+from tests.membership.fleet import make_fleet
+
+
+class MembershipTest(unittest.TestCase):
+    def assert_all_live(self, fleet):
+        for viewer in fleet.running:
+            live = {
+                vm
+                for vm, state in fleet.states(viewer).items()
+                if state == "LIVE"
+            }
+            self.assertEqual(live, fleet.running, viewer)
+
+    def test_listed_vms_find_each_other(self):
+        fleet = make_fleet(4)
+        self.assert_all_live(fleet)
+        hashes = {node.table.table_hash() for node in fleet.nodes.values()}
+        self.assertEqual(len(hashes), 1)
+
+    def test_a_vm_that_the_list_lacks_joins_by_its_peers(self):
+        fleet = make_fleet(2)
+        fleet.add("new", "scl-a")
+        rows = fleet.nodes["anf-a-0"].listed.values()
+        fleet.step("new", effects.VmsListed(tuple(rows)))
+        fleet.run(15_000)
+        self.assert_all_live(fleet)
+
+    def test_a_lost_vm_is_suspected_and_then_dead(self):
+        fleet = make_fleet(3)
+        fleet.remove("scl-a-1")
+        fleet.run(5_000)
+        self.assertEqual(fleet.states("anf-a-0")["scl-a-1"], "SUSPECT")
+        fleet.run(7_000)
+        for viewer in fleet.running:
+            self.assertEqual(fleet.states(viewer)["scl-a-1"], "DEAD")
+
+    def test_a_lost_data_centre_is_found_dead_whole(self):
+        fleet = make_fleet(4)
+        for number in range(4):
+            fleet.remove(f"scl-a-{number}")
+        fleet.run(90_000)
+        states = fleet.states("anf-a-0")
+        dead = [vm for vm, state in states.items() if state == "DEAD"]
+        self.assertEqual(len(dead), 4, states)
+
+    def test_a_paused_vm_says_so_and_refutes_its_death(self):
+        fleet = make_fleet(2)
+        fleet.run(20_000, without={"scl-a-0"})
+        self.assertEqual(fleet.states("anf-a-0")["scl-a-0"], "DEAD")
+        fleet.log.clear()
+        fleet.run(15_000)
+        paused = fleet.effects_of("scl-a-0", effects.Paused)
+        self.assertEqual(len(paused), 1)
+        self.assertGreaterEqual(paused[0].gap_ms, 20_000)
+        self.assert_all_live(fleet)
+        self.assertEqual(fleet.nodes["scl-a-0"].own.incarnation, 1)
+
+    def test_a_wall_clock_jump_alone_counts_as_a_pause(self):
+        node = Fleet().add("vm-1")
+        node.step(0.0, effects.Tick(wall_ms=1_000))
+        quiet = node.step(250.0, effects.Tick(wall_ms=1_250))
+        jumped = node.step(500.0, effects.Tick(wall_ms=99_000))
+        self.assertNotIn(effects.Paused, [type(item) for item in quiet])
+        self.assertEqual(jumped[0], effects.Paused(97_750))
+
+    def test_a_leaving_vm_is_known_everywhere_at_once(self):
+        fleet = make_fleet(4)
+        fleet.step("scl-a-0", effects.Leave())
+        fleet.run(1_500)
+        for viewer in fleet.running:
+            self.assertEqual(fleet.states(viewer)["scl-a-0"], "LEAVING")
+            placeable = fleet.nodes[viewer].table.placeable()
+            self.assertNotIn("scl-a-0", [member.vm for member in placeable])
+
+    def test_a_one_sided_cut_does_not_kill_a_vm_that_others_reach(self):
+        fleet = make_fleet(3)
+        fleet.cut = lambda one, other: {one, other} == {"scl-a-0", "scl-a-1"}
+        fleet.run(60_000)
+        self.assert_all_live(fleet)
+        fleet.log.clear()
+        fleet.run(60_000)
+        changes = fleet.effects_of("anf-a-0", effects.MemberChanged)
+        self.assertEqual(changes, [])
+
+    def test_regions_apart_for_long_meet_again(self):
+        fleet = make_fleet(3)
+        fleet.cut = lambda one, other: one[:3] != other[:3]
+        fleet.run(60_000)
+        self.assertEqual(fleet.states("scl-a-0")["anf-a-0"], "DEAD")
+        fleet.run(600_000)
+        fleet.cut = lambda one, other: False
+        fleet.run(60_000)
+        self.assert_all_live(fleet)
+
+    def test_a_restart_in_place_ends_the_former_incarnation(self):
+        fleet = make_fleet(2)
+        fleet.add("scl-a-0", "scl-a", incarnation=2)
+        fleet.list_all()
+        fleet.run(15_000)
+        ended = fleet.effects_of("anf-a-0", effects.IncarnationEnded)
+        self.assertEqual(ended, [effects.IncarnationEnded("scl-a-0", 1)])
+
+    def test_a_new_host_under_an_old_name_ends_nothing(self):
+        fleet = make_fleet(2)
+        fleet.add("scl-a-0", "scl-a", incarnation=2, host="10.9.9.9")
+        fleet.list_all()
+        fleet.run(15_000)
+        self.assertEqual(
+            fleet.effects_of("anf-a-0", effects.IncarnationEnded), []
+        )
+
+    def test_gone_counts_only_for_a_vm_that_peers_hold_dead(self):
+        fleet = make_fleet(2)
+        fleet.list_all(gone={"scl-a-0"})
+        self.assertEqual(
+            fleet.effects_of("anf-a-0", effects.IncarnationEnded), []
+        )
+        fleet.remove("scl-a-0")
+        fleet.run(15_000)
+        fleet.list_all(gone={"scl-a-0"})
+        self.assertEqual(
+            fleet.effects_of("anf-a-0", effects.IncarnationEnded),
+            [effects.IncarnationEnded("scl-a-0", 1)],
+        )
+
+    def test_an_older_incarnation_is_told_to_stop(self):
+        fleet = make_fleet(2)
+        newer = messages.Member("scl-a-0", "h", 1, "scl-a", 9)
+        fleet.step(
+            "scl-a-0",
+            effects.Received("anf-a-0", messages.MemberDelta((newer,))),
+        )
+        self.assertEqual(
+            fleet.effects_of("scl-a-0", effects.Superseded),
+            [effects.Superseded(9)],
+        )
+
+    def test_links_and_traffic_stay_bounded_in_a_larger_fleet(self):
+        fleet = make_fleet(20)
+        for node in fleet.nodes.values():
+            self.assertLessEqual(len(node.neighbours), 5)
+        fleet.sent_bytes.clear()
+        fleet.run(10_000)
+        self.assertLess(max(fleet.sent_bytes.values()) / 10, 2_000)
+
+    def test_dead_members_are_forgotten_in_the_end(self):
+        fleet = make_fleet(2)
+        fleet.remove("scl-a-0")
+        fleet.run(15_000)
+        fleet.list_all(gone={"scl-a-0"})
+        fleet.run(core.SEEK_MS + 620_000)
+        self.assertNotIn("scl-a-0", fleet.states("anf-a-0"))
