Spread accepted documents by watches, links and digests

Cause: an accepted edit must be in force everywhere within seconds, and a watch for each of 2,200 VMs is more than the store bears. Change: two watchers a data centre; announcement, pull and push over peer links; digests find what was lost; a start gate on the store's word or two confirmed peers; confirmations by incarnation answer 'in force' with the VMs that are pending or unreachable. Tombstones of VMs that may still run stay in the census.

--- /dev/null
+++ b/src/oriolegate/configuration/confirmation_table.py
@@ -0,0 +1,79 @@
+"""Which VMs have confirmed which version of the rules."""
+
+from collections.abc import Iterable
+
+from oriolegate.configuration.effects import CensusEntry
+from oriolegate.configuration.effects import InForce
+from oriolegate.configuration.messages import Confirmation
+from oriolegate.membership.rendezvous import stable_hash
+
+MAX_CONFIRMATIONS = 16_384
+
+
+def _hash(item: Confirmation) -> int:
+    return stable_hash(item.vm, str(item.incarnation), str(item.version))
+
+
+class ConfirmationTable:
+    """One confirmation for each VM: the newest of its newest process.
+
+    Attributes:
+        items: By VM.
+        census: VMs that may be serving, by name.
+        digest: Hash of all items.
+    """
+
+    def __init__(self) -> None:
+        self.items: dict[str, Confirmation] = {}
+        self.census: dict[str, CensusEntry] = {}
+        self.digest = 0
+
+    def merge(self, item: Confirmation) -> bool:
+        """Take over a confirmation; return whether it was news."""
+        known = self.items.get(item.vm)
+        if known is None:
+            if len(self.items) >= MAX_CONFIRMATIONS:
+                return False
+        elif (known.incarnation, known.version) >= (
+            item.incarnation,
+            item.version,
+        ):
+            return False
+        else:
+            self.digest ^= _hash(known)
+        self.digest ^= _hash(item)
+        self.items[item.vm] = item
+        return True
+
+    def take_census(self, entries: Iterable[CensusEntry]) -> None:
+        """Replace the census; forget VMs that can't be serving."""
+        self.census = {entry.vm: entry for entry in entries}
+        for vm in list(self.items):
+            if vm not in self.census:
+                self.digest ^= _hash(self.items.pop(vm))
+
+    def _has(self, entry: CensusEntry, version: int) -> bool:
+        item = self.items.get(entry.vm)
+        return (
+            item is not None
+            and item.incarnation >= entry.incarnation
+            and item.version >= version
+        )
+
+    def in_force(self, version: int) -> InForce:
+        """Return who has a version in force, as far as is known here."""
+        lacking = [
+            entry
+            for entry in self.census.values()
+            if not self._has(entry, version)
+        ]
+        return InForce(
+            version=version,
+            confirmed=len(self.census) - len(lacking),
+            pending=tuple(
+                sorted(entry.vm for entry in lacking if entry.reachable)
+            ),
+            unreachable=tuple(
+                sorted(entry.vm for entry in lacking if not entry.reachable)
+            ),
+        )
--- /dev/null
+++ b/src/oriolegate/configuration/spreader.py
@@ -0,0 +1,343 @@
+"""Spread accepted documents by store watches, peer links and digests.
+
+Few VMs of each data centre watch the store. What one learns it announces to
+its peers, who pull what they lack; digests in heartbeats find what was lost.
+A document's version never falls in a process.
+"""
+
+from collections.abc import Iterable
+
+import attrs
+
+from oriolegate.configuration import effects
+from oriolegate.configuration import messages
+from oriolegate.configuration.confirmation_table import ConfirmationTable
+from oriolegate.configuration.document_table import DocumentTable
+from oriolegate.configuration.effects import SpreaderEffect
+from oriolegate.configuration.messages import DocumentKey
+from oriolegate.configuration.messages import DocumentVersion
+from oriolegate.configuration.messages import VersionedDocument
+from oriolegate.configuration.start_gate import StartGate
+from oriolegate.membership.effects import Send
+from oriolegate.membership.rendezvous import ranked
+
+WATCHERS_PER_DATA_CENTRE = 2
+PULL_RETRY_MS = 1_000.0
+EXCHANGE_MS = 2_000.0
+FLUSH_MS = 250.0
+START_READ_MS = 2_000.0
+ISOLATION_MS = 10_000.0
+PROBE_MS = 4_000.0
+CONFIRMATION_CHUNK = 64
+DOCUMENTS_DIGEST = "documents"
+CONFIRMED_DIGEST = "confirmed"
+
+
+@attrs.define
+class PeerProgress:
+    """What is under way with one linked peer.
+
+    Attributes:
+        differs: Heartbeats in a row with another documents digest.
+        exchanged_ms: When versions were last sent to it.
+        position: Where the next chunk of confirmations starts.
+        chunk_ms: When the last chunk was sent.
+    """
+
+    differs: int = 0
+    exchanged_ms: float = -EXCHANGE_MS
+    position: int = 0
+    chunk_ms: float = -EXCHANGE_MS
+
+
+@attrs.define
+class PendingPull:
+    """A document that was announced and has not come yet.
+
+    Attributes:
+        version: The newest announced.
+        peers: Who announced it, the next to ask first.
+        asked_ms: When a peer was last asked.
+    """
+
+    version: int
+    peers: list[str]
+    asked_ms: float
+
+
+class DocumentSpreader:
+    """Keeps the documents of one process up to date and tells its peers.
+
+    Attributes:
+        table: Documents in force in this process.
+        confirmations: Who has which version of the rules.
+        gate: Whether the process may take work.
+        watching: Whether this VM watches the store.
+        isolated: Whether neither store nor peers were heard for a while.
+    """
+
+    def __init__(
+        self,
+        vm: str,
+        incarnation: int,
+        data_centre: str,
+        kinds: tuple[str, ...] = (
+            messages.RULES_KIND,
+            messages.TOPOLOGY_KIND,
+        ),
+    ) -> None:
+        """Make a spreader without documents.
+
+        Args:
+            vm: Name of this VM.
+            incarnation: Of this process.
+            data_centre: Where it runs.
+            kinds: Kinds of documents to keep.
+        """
+        self.vm = vm
+        self.incarnation = incarnation
+        self.data_centre = data_centre
+        self.kinds = kinds
+        self.table = DocumentTable()
+        self.confirmations = ConfirmationTable()
+        self.gate = StartGate(kinds)
+        self.peers: dict[str, PeerProgress] = {}
+        self.pulls: dict[DocumentKey, PendingPull] = {}
+        self.news: dict[str, tuple[messages.Confirmation, str]] = {}
+        self.watching = False
+        self.isolated = False
+        self.heard_ms = 0.0
+        self.probed_ms = 0.0
+        self.next_flush_ms = 0.0
+        self.next_start_read_ms = 0.0
+        self.sent_digests: tuple[tuple[str, int], ...] = ()
+        self.out: list[SpreaderEffect] = []
+
+    def step(
+        self, now_ms: float, event: effects.SpreaderEvent
+    ) -> list[SpreaderEffect]:
+        """Take one event and return what follows from it."""
+        self.out = []
+        match event:
+            case effects.Tick():
+                self._tick(now_ms)
+            case effects.StoreRead():
+                self._take_store(now_ms, event)
+            case effects.DocumentWritten():
+                self._accept((event.document,), "")
+            case effects.PeerLinked():
+                self.peers[event.vm] = PeerProgress()
+                self._send_versions(now_ms, event.vm)
+            case effects.PeerLost():
+                self.peers.pop(event.vm, None)
+            case effects.PeerDigest():
+                self._compare(now_ms, event.vm, dict(event.digests))
+            case effects.Received():
+                self.heard_ms = now_ms
+                self._receive(now_ms, event.vm, event.message)
+            case effects.CensusTaken():
+                self._take_census(event.entries)
+            case effects.Resumed():
+                for vm in self.peers:
+                    self._send_versions(now_ms, vm)
+        self._try_open(now_ms)
+        self._publish_digests()
+        return self.out
+
+    def _try_open(self, now_ms: float) -> None:
+        reachable = sum(
+            entry.reachable and entry.vm != self.vm
+            for entry in self.confirmations.census.values()
+        )
+        if self.gate.try_open(now_ms, self.table, reachable):
+            self.out.append(effects.VersionsConfirmed())
+
+    def _publish_digests(self) -> None:
+        digests = (
+            (DOCUMENTS_DIGEST, self.table.digest),
+            (CONFIRMED_DIGEST, self.confirmations.digest),
+        )
+        if digests != self.sent_digests:
+            self.sent_digests = digests
+            self.out.append(effects.DigestsChanged(digests))
+
+    def _tick(self, now_ms: float) -> None:
+        if not self.gate.opened and now_ms >= self.next_start_read_ms:
+            self.next_start_read_ms = now_ms + START_READ_MS
+            for kind in sorted(self.gate.missing_kinds):
+                self.out.append(effects.ReadStore(kind))
+        self._retry_pulls(now_ms)
+        if now_ms >= self.next_flush_ms:
+            self.next_flush_ms = now_ms + FLUSH_MS
+            self._flush_confirmations()
+        self._check_isolation(now_ms)
+
+    def _check_isolation(self, now_ms: float) -> None:
+        silence_ms = now_ms - self.heard_ms
+        if silence_ms > PROBE_MS and now_ms - self.probed_ms > PROBE_MS:
+            self.probed_ms = now_ms
+            self.out.append(effects.ReadStore(messages.RULES_KIND))
+        isolated = silence_ms > ISOLATION_MS
+        if isolated != self.isolated:
+            self.isolated = isolated
+            self.out.append(effects.IsolationChanged(isolated))
+
+    def _take_store(self, now_ms: float, event: effects.StoreRead) -> None:
+        self.heard_ms = now_ms
+        self._accept(event.documents, "")
+        if event.complete:
+            self.gate.store_listed(event.kind)
+
+    def _accept(
+        self, documents: Iterable[VersionedDocument], source: str
+    ) -> None:
+        accepted = [
+            item
+            for item in documents
+            if item.key.kind in self.kinds and self.table.accept(item)
+        ]
+        for document in accepted:
+            self._forget_pull(document)
+            self.out.append(effects.DocumentAccepted(document))
+            if document.key.kind == messages.RULES_KIND:
+                self._confirm(document.version)
+        if accepted:
+            versions = tuple(
+                DocumentVersion(item.key, item.version) for item in accepted
+            )
+            announcement = messages.Announcement(versions)
+            for vm in self.peers:
+                if vm != source:
+                    self.out.append(Send(vm, announcement))
+
+    def _forget_pull(self, document: VersionedDocument) -> None:
+        pull = self.pulls.get(document.key)
+        if pull is not None and pull.version <= document.version:
+            del self.pulls[document.key]
+
+    def _confirm(self, version: int) -> None:
+        own = messages.Confirmation(self.vm, self.incarnation, version)
+        self._merge_confirmation(own, "")
+
+    def _merge_confirmation(
+        self, item: messages.Confirmation, source: str
+    ) -> None:
+        if self.confirmations.merge(item):
+            self.news[item.vm] = (item, source)
+
+    def _flush_confirmations(self) -> None:
+        for vm in self.peers if self.news else ():
+            items = tuple(
+                item for item, source in self.news.values() if source != vm
+            )
+            if items:
+                message = messages.Confirmations(items)
+                self.out.append(Send(vm, message))
+        self.news.clear()
+
+    def _send_versions(self, now_ms: float, vm: str) -> None:
+        self.peers[vm].exchanged_ms = now_ms
+        versions = messages.VersionList(self.table.versions(), self.gate.opened)
+        self.out.append(Send(vm, versions))
+
+    def _compare(self, now_ms: float, vm: str, digests: dict[str, int]) -> None:
+        self.heard_ms = now_ms
+        peer = self.peers.get(vm)
+        if peer is None:
+            return
+        if digests.get(DOCUMENTS_DIGEST) == self.table.digest:
+            peer.differs = 0
+        else:
+            peer.differs += 1
+        due = now_ms - peer.exchanged_ms >= EXCHANGE_MS
+        # One difference may be an announcement under way.
+        if due and (peer.differs > 1 or not self.gate.opened):
+            self._send_versions(now_ms, vm)
+        chunk_due = now_ms - peer.chunk_ms >= EXCHANGE_MS
+        if chunk_due and (
+            digests.get(CONFIRMED_DIGEST) != self.confirmations.digest
+        ):
+            peer.chunk_ms = now_ms
+            self._send_chunk(vm, peer)
+
+    def _send_chunk(self, vm: str, peer: PeerProgress) -> None:
+        """Send the next part of all confirmations, so that losses heal."""
+        items = tuple(self.confirmations.items.values())
+        if not items:
+            return
+        start = peer.position % len(items)
+        chunk = items[start : start + CONFIRMATION_CHUNK]
+        peer.position = start + len(chunk)
+        self.out.append(Send(vm, messages.Confirmations(chunk)))
+
+    def _receive(self, now_ms: float, vm: str, message: object) -> None:
+        match message:
+            case messages.Announcement():
+                self._pull(now_ms, vm, message.versions)
+            case messages.Pull():
+                documents = [
+                    self.table.documents[key]
+                    for key in message.keys
+                    if key in self.table.documents
+                ]
+                self._push(vm, documents)
+            case messages.Push():
+                self._accept(message.documents, vm)
+            case messages.VersionList():
+                if message.confirmed:
+                    self.gate.peer_named(now_ms, vm, message.versions)
+                self._push(vm, self.table.newer_than(message.versions))
+                self._pull(now_ms, vm, message.versions)
+            case messages.Confirmations():
+                for item in message.items:
+                    self._merge_confirmation(item, vm)
+
+    def _push(self, vm: str, documents: list[VersionedDocument]) -> None:
+        for batch in self.table.batches(documents):
+            self.out.append(Send(vm, messages.Push(batch)))
+
+    def _pull(
+        self, now_ms: float, vm: str, versions: Iterable[DocumentVersion]
+    ) -> None:
+        keys = []
+        for item in self.table.older_than(versions):
+            if item.key.kind not in self.kinds:
+                continue
+            pull = self.pulls.get(item.key)
+            if pull is None or item.version > pull.version:
+                self.pulls[item.key] = PendingPull(item.version, [vm], now_ms)
+                keys.append(item.key)
+            elif vm not in pull.peers:
+                pull.peers.append(vm)
+        if keys:
+            self.out.append(Send(vm, messages.Pull(tuple(keys))))
+
+    def _retry_pulls(self, now_ms: float) -> None:
+        for key, pull in list(self.pulls.items()):
+            if now_ms - pull.asked_ms < PULL_RETRY_MS:
+                continue
+            pull.asked_ms = now_ms
+            pull.peers = [vm for vm in pull.peers if vm in self.peers]
+            if not pull.peers:
+                # A later digest or announcement names another source.
+                del self.pulls[key]
+                continue
+            vm = pull.peers.pop(0)
+            pull.peers.append(vm)
+            self.out.append(Send(vm, messages.Pull((key,))))
+
+    def _take_census(self, entries: tuple[effects.CensusEntry, ...]) -> None:
+        self.confirmations.take_census(entries)
+        local = [
+            entry.vm
+            for entry in entries
+            if entry.reachable and entry.data_centre == self.data_centre
+        ]
+        names = ranked("store-watch", {*local, self.vm})
+        watching = self.vm in names[:WATCHERS_PER_DATA_CENTRE]
+        if watching == self.watching:
+            return
+        self.watching = watching
+        for kind in self.kinds:
+            effect = effects.WatchStore if watching else effects.UnwatchStore
+            self.out.append(effect(kind))
--- a/src/oriolegate/membership/core.py
+++ b/src/oriolegate/membership/core.py
@@ -131,7 +131,7 @@
         self._bury_suspects(now_ms)
         if now_ms >= self.next_seek_ms:
             self.next_seek_ms = now_ms + SEEK_MS
-            self.table.forget_dead(now_ms)
+            self.table.forget_dead(now_ms, self._possibly_running())
             self._expire_avoided(now_ms)
             self._seek()
         if now_ms >= self.next_heartbeat_ms:
@@ -140,6 +140,34 @@
         self._flush_news()
         self.out.append(effects.SetTimer(now_ms + TICK_MS))
 
+    def _possibly_running(self) -> set[str]:
+        return {vm for vm, listed in self.listed.items() if not listed.gone}
+
+    def census(self) -> list[Member]:
+        """Return every VM that may be serving, unreachable ones included.
+
+        A listed VM that nobody here has met has incarnation 0 and counts as
+        dead, that is, as one that can't be asked.
+        """
+        entries = [
+            member
+            for vm, member in self.table.members.items()
+            if self.ended.get(vm, -1) < member.incarnation
+        ]
+        for vm in sorted(self._possibly_running() - set(self.table.members)):
+            row = self.listed[vm]
+            entries.append(
+                Member(
+                    vm,
+                    row.host,
+                    row.peer_port,
+                    row.data_centre,
+                    incarnation=0,
+                    state=MemberState.DEAD,
+                )
+            )
+        return entries
+
     def _linked(self) -> list[str]:
         return [vm for vm, view in self.peers.items() if view.linked]
 
--- a/src/oriolegate/membership/member_table.py
+++ b/src/oriolegate/membership/member_table.py
@@ -58,11 +58,18 @@
         if member is not None and member.state is not MemberState.DEAD:
             self.hashes[bucket_of(member.vm)] ^= _member_hash(member)
 
-    def forget_dead(self, now_ms: float) -> None:
-        """Drop tombstones that have outlived their use."""
+    def forget_dead(self, now_ms: float, kept: set[str]) -> None:
+        """Drop tombstones that have outlived their use.
+
+        Args:
+            now_ms: Time now.
+            kept: VMs that may still run: nobody here reaches them, but
+                nothing shows their end.
+        """
         for vm, member in list(self.members.items()):
             if (
                 member.state is MemberState.DEAD
+                and vm not in kept
                 and now_ms - self.changed_ms[vm] > TOMBSTONE_MS
             ):
                 del self.members[vm]
--- /dev/null
+++ b/tests/configuration/test_spreader.py
@@ -0,0 +1,181 @@
+"""Tests of the document spreader: starting, watching, isolation, bounds."""
+
+import unittest
+
+from oriolegate.configuration import effects
+from oriolegate.configuration import messages
+from oriolegate.configuration import spreader
+from oriolegate.membership.effects import Send
+
+RULES = messages.DocumentKey("rules", "accepted")
+
+
+def rules(version):
+    accepted = messages.AcceptedRules(version, f"text {version}", "e-1")
+    return messages.rules_document(accepted)
+
+
+def census(*names, unreachable=()):
+    return effects.CensusTaken(
+        tuple(
+            effects.CensusEntry(name, "scl-a", 1, name not in unreachable)
+            for name in names
+        )
+    )
+
+
+def version_list(version, confirmed=True):
+    named = messages.DocumentVersion(RULES, version)
+    return messages.VersionList((named,), confirmed)
+
+
+class SpreaderTest(unittest.TestCase):
+    def setUp(self):
+        self.core = spreader.DocumentSpreader("vm-1", 1, "scl-a")
+
+    def kinds_of(self, now_ms, event):
+        return [type(item) for item in self.core.step(now_ms, event)]
+
+    def open_by_store(self, *documents):
+        for kind in ("rules", "topology"):
+            chosen = tuple(item for item in documents if item.key.kind == kind)
+            self.core.step(0.0, effects.StoreRead(kind, chosen, True))
+
+    def test_rules_survive_their_encoding(self):
+        accepted = messages.AcceptedRules(3, "take out scl-a # Marta", "e-9")
+        document = messages.rules_document(accepted)
+        self.assertEqual(messages.accepted_rules(document), accepted)
+
+    def test_the_store_opens_the_gate_once_all_kinds_are_listed(self):
+        read = effects.StoreRead("rules", (rules(4),), True)
+        self.assertNotIn(effects.VersionsConfirmed, self.kinds_of(0.0, read))
+        read = effects.StoreRead("topology", (), True)
+        self.assertIn(effects.VersionsConfirmed, self.kinds_of(0.0, read))
+        self.assertNotIn(effects.VersionsConfirmed, self.kinds_of(0.0, read))
+
+    def test_two_confirmed_peers_open_the_gate_once_it_has_their_versions(
+        self,
+    ):
+        self.core.step(0.0, census("vm-1", "vm-2", "vm-3", "vm-4"))
+        for vm in ("vm-2", "vm-3", "vm-4"):
+            self.core.step(0.0, effects.PeerLinked(vm))
+        self.core.step(
+            0.0, effects.Received("vm-2", version_list(9, confirmed=False))
+        )
+        self.core.step(0.0, effects.Received("vm-3", version_list(4)))
+        self.core.step(0.0, effects.Received("vm-4", version_list(5)))
+        pushed = effects.Received("vm-3", messages.Push((rules(4),)))
+        self.core.step(1.0, pushed)
+        self.assertFalse(self.core.gate.opened)
+        pushed = effects.Received("vm-4", messages.Push((rules(5),)))
+        self.core.step(2.0, pushed)
+        self.assertTrue(self.core.gate.opened)
+
+    def test_a_lone_peer_is_enough_only_after_a_wait(self):
+        self.core.step(0.0, census("vm-1", "vm-2"))
+        self.core.step(0.0, effects.PeerLinked("vm-2"))
+        self.core.step(0.0, effects.Received("vm-2", version_list(4)))
+        pushed = effects.Received("vm-2", messages.Push((rules(4),)))
+        self.core.step(0.0, pushed)
+        self.assertFalse(self.core.gate.opened)
+        self.core.step(5_000.0, effects.Tick())
+        self.assertTrue(self.core.gate.opened)
+
+    def test_a_process_without_store_and_peers_never_opens(self):
+        for now_ms in range(0, 60_000, 250):
+            self.core.step(float(now_ms), effects.Tick())
+        self.assertFalse(self.core.gate.opened)
+
+    def test_a_writer_announces_with_the_store_down(self):
+        self.core.step(0.0, effects.PeerLinked("vm-2"))
+        out = self.core.step(0.0, effects.DocumentWritten(rules(7)))
+        named = (messages.DocumentVersion(RULES, 7),)
+        self.assertIn(Send("vm-2", messages.Announcement(named)), out)
+
+    def test_a_lost_pull_is_asked_of_the_next_peer(self):
+        named = messages.Announcement((messages.DocumentVersion(RULES, 7),))
+        for vm in ("vm-2", "vm-3"):
+            self.core.step(0.0, effects.PeerLinked(vm))
+            self.core.step(0.0, effects.Received(vm, named))
+        asked = []
+        for now_ms in (1_000.0, 2_000.0):
+            asked += [
+                item.vm
+                for item in self.core.step(now_ms, effects.Tick())
+                if isinstance(item, Send)
+                and isinstance(item.message, messages.Pull)
+            ]
+        self.assertEqual(asked, ["vm-2", "vm-3"])
+
+    def test_few_vms_of_a_data_centre_watch_the_store(self):
+        names = [f"vm-{number}" for number in range(20)]
+        watching = 0
+        for name in names:
+            core = spreader.DocumentSpreader(name, 1, "scl-a")
+            out = core.step(0.0, census(*names))
+            watching += effects.WatchStore("rules") in out
+        self.assertEqual(watching, spreader.WATCHERS_PER_DATA_CENTRE)
+
+    def test_a_vm_whose_peers_are_lost_watches_the_store_itself(self):
+        names = [f"vm-{number}" for number in range(20)]
+        core = spreader.DocumentSpreader("vm-0", 1, "scl-a")
+        core.step(0.0, census(*names))
+        out = core.step(0.0, census(*names, unreachable=names[1:]))
+        self.assertTrue(core.watching)
+        self.assertIn(effects.WatchStore("topology"), out)
+        out = core.step(0.0, census(*names))
+        self.assertIn(effects.UnwatchStore("topology"), out)
+
+    def test_unreachable_vms_are_named_and_not_called_confirmed(self):
+        self.core.step(0.0, effects.DocumentWritten(rules(3)))
+        self.core.step(
+            0.0, census("vm-1", "vm-2", "vm-3", unreachable=("vm-3",))
+        )
+        answer = self.core.confirmations.in_force(3)
+        self.assertEqual(answer.pending, ("vm-2",))
+        self.assertEqual(answer.unreachable, ("vm-3",))
+        self.assertFalse(answer.everywhere)
+
+    def test_a_former_incarnation_confirms_nothing_for_the_next(self):
+        self.core.step(0.0, effects.DocumentWritten(rules(3)))
+        entries = tuple(
+            effects.CensusEntry(vm, "scl-a", number, True)
+            for vm, number in (("vm-1", 1), ("vm-2", 2))
+        )
+        self.core.step(0.0, effects.CensusTaken(entries))
+        old = messages.Confirmations((messages.Confirmation("vm-2", 1, 3),))
+        self.core.step(0.0, effects.Received("vm-3", old))
+        self.assertEqual(self.core.confirmations.in_force(3).pending, ("vm-2",))
+
+    def test_isolation_is_probed_for_and_then_reported(self):
+        self.core.step(0.0, effects.StoreRead("rules", (), True))
+        probe = self.core.step(4_500.0, effects.Tick())
+        self.assertIn(effects.ReadStore("rules"), probe)
+        out = self.core.step(10_500.0, effects.Tick())
+        self.assertIn(effects.IsolationChanged(True), out)
+        self.core.step(11_000.0, effects.PeerDigest("vm-2", ()))
+        out = self.core.step(11_250.0, effects.Tick())
+        self.assertIn(effects.IsolationChanged(False), out)
+
+    def test_a_large_answer_is_split(self):
+        documents = [
+            messages.VersionedDocument(
+                messages.DocumentKey("topology", f"s-{number}"),
+                1,
+                b"x" * 100_000,
+            )
+            for number in range(5)
+        ]
+        for document in documents:
+            self.core.step(0.0, effects.DocumentWritten(document))
+        empty = messages.VersionList((), False)
+        out = self.core.step(0.0, effects.Received("vm-2", empty))
+        pushes = [item.message for item in out if isinstance(item, Send)]
+        self.assertEqual([len(push.documents) for push in pushes], [2, 2, 1])
+
+    def test_documents_of_unknown_kinds_are_not_kept(self):
+        key = messages.DocumentKey("claims", "1")
+        document = messages.VersionedDocument(key, 1, b"{}")
+        pushed = effects.Received("vm-2", messages.Push((document,)))
+        self.core.step(0.0, pushed)
+        self.assertEqual(self.core.table.documents, {})
--- a/tests/membership/test_core.py
+++ b/tests/membership/test_core.py
@@ -158,3 +158,18 @@
         fleet.list_all(gone={"scl-a-0"})
         fleet.run(core.SEEK_MS + 620_000)
         self.assertNotIn("scl-a-0", fleet.states("anf-a-0"))
+
+    def test_the_census_keeps_what_may_still_run(self):
+        fleet = make_fleet(2)
+        fleet.remove("scl-a-0")
+        fleet.add("silent", "scl-a")
+        fleet.list_all()
+        fleet.running.discard("silent")
+        fleet.run(core.SEEK_MS + 620_000)
+        node = fleet.nodes["anf-a-0"]
+        census = {item.vm: item.state.name for item in node.census()}
+        self.assertEqual(census["scl-a-0"], "DEAD")
+        self.assertEqual(census["silent"], "DEAD")
+        fleet.list_all(gone={"scl-a-0", "silent"})
+        names = {item.vm for item in node.census()}
+        self.assertEqual(names, fleet.running)
