Name confirmed versions to peers that are still starting

Change: a process whose gate is open answers an unconfirmed peer's list with its own; the test answers start reads once the store is healed.

--- a/src/oriolegate/configuration/spreader.py
+++ b/src/oriolegate/configuration/spreader.py
@@ -286,6 +286,8 @@
             case messages.VersionList():
                 if message.confirmed:
                     self.gate.peer_named(now_ms, vm, message.versions)
+                elif self.gate.opened and vm in self.peers:
+                    self._send_versions(now_ms, vm)
                 self._push(vm, self.table.newer_than(message.versions))
                 self._pull(now_ms, vm, message.versions)
             case messages.Confirmations():
--- a/tests/configuration/test_spreader.py
+++ b/tests/configuration/test_spreader.py
@@ -71,6 +71,24 @@
         self.core.step(2.0, pushed)
         self.assertTrue(self.core.gate.opened)
 
+    def test_peers_that_are_starting_themselves_open_nothing(self):
+        self.core.step(0.0, census("vm-1", "vm-2", "vm-3", "vm-4"))
+        self.core.step(0.0, effects.DocumentWritten(rules(4)))
+        unconfirmed = version_list(4, confirmed=False)
+        for vm in ("vm-2", "vm-3"):
+            self.core.step(0.0, effects.Received(vm, unconfirmed))
+        self.assertFalse(self.core.gate.opened)
+        for vm in ("vm-2", "vm-3"):
+            self.core.step(0.0, effects.Received(vm, version_list(4)))
+        self.assertTrue(self.core.gate.opened)
+
+    def test_a_confirmed_peer_names_its_versions_to_a_starting_one(self):
+        self.core.step(0.0, effects.PeerLinked("vm-2"))
+        self.open_by_store(rules(4))
+        asked = effects.Received("vm-2", messages.VersionList((), False))
+        out = self.core.step(10.0, asked)
+        self.assertIn(Send("vm-2", version_list(4)), out)
+
     def test_a_lone_peer_is_enough_only_after_a_wait(self):
         self.core.step(0.0, census("vm-1", "vm-2"))
         self.core.step(0.0, effects.PeerLinked("vm-2"))
--- a/tests/configuration/test_spreading_properties.py
+++ b/tests/configuration/test_spreading_properties.py
@@ -43,6 +43,7 @@
         self.digests = {}
         self.seen = {}
         self.everywhere = 0
+        self.asked = []
         self.cut = set()
         self.nodes = {vm: self.make_node(vm) for vm in VMS}
         self.take_census()
@@ -70,6 +71,8 @@
                     self.messages.append((vm, peer, message))
                 case effects.DigestsChanged(digests=digests):
                     self.digests[vm] = digests
+                case effects.ReadStore(kind=kind):
+                    self.asked.append((vm, kind))
                 case effects.DocumentAccepted(document=document):
                     self.check_accepted(vm, document)
 
@@ -209,6 +212,7 @@
         for vm, peer in map(sorted, healed):
             self.step(vm, effects.PeerLinked(peer))
             self.step(peer, effects.PeerLinked(vm))
+        self.asked.clear()
         for _ in range(HEAL_TICKS):
             self.now_ms += TICK_MS
             for vm, node in self.nodes.items():
@@ -222,8 +226,16 @@
                         self.step(
                             peer, effects.PeerDigest(vm, self.digests[vm])
                         )
+            self.answer_reads()
             self.deliver_all()
 
+    def answer_reads(self):
+        asked, self.asked = self.asked, []
+        for vm, kind in asked:
+            for event in self.snapshot():
+                if event.kind == kind:
+                    self.step(vm, event)
+
     def teardown(self):
         self.heal()
         for key, (version, _) in self.store.items():
