--- /dev/null
+++ b/src/oriolegate/shares/share_object.py
@@ -0,0 +1,130 @@
+"""The share object of a service as the platform's store holds it."""
+
+from collections.abc import Iterable
+from collections.abc import Mapping
+from typing import Any
+
+import attrs
+
+
+@attrs.frozen
+class Amounts:
+    """Slots, connections and cold slots, for each leaf of a service."""
+
+    slots: int = 0
+    connections: int = 0
+    cold: int = 0
+
+    def values(self) -> tuple[int, int, int]:
+        """Return the three amounts in order."""
+        return self.slots, self.connections, self.cold
+
+    def minimum(self, other: "Amounts") -> "Amounts":
+        """Return the lower of both in each amount."""
+        return Amounts(*map(min, self.values(), other.values()))
+
+    def maximum(self, other: "Amounts") -> "Amounts":
+        """Return the higher of both in each amount."""
+        return Amounts(*map(max, self.values(), other.values()))
+
+    def fits_in(self, other: "Amounts") -> bool:
+        """Return whether no amount exceeds the other's."""
+        return self.minimum(other) == self
+
+
+NOTHING = Amounts()
+
+
+def total(amounts: Iterable[Amounts]) -> Amounts:
+    """Return the sums of each amount."""
+    rows = [item.values() for item in amounts]
+    return Amounts(*map(sum, zip(*rows, strict=True))) if rows else NOTHING
+
+
+def remaining(limits: Amounts, used: Amounts) -> Amounts:
+    """Return what the limits leave beside what is used, never below 0."""
+    pairs = zip(limits.values(), used.values(), strict=True)
+    return Amounts(*(max(0, limit - use) for limit, use in pairs))
+
+
+@attrs.frozen
+class Grant:
+    """What one process may use.
+
+    Attributes:
+        incarnation: The process; another of this VM has no right to it.
+        address: HOST:PORT that the process has bound exclusively.
+        amounts: Its share.
+    """
+
+    incarnation: int
+    address: str
+    amounts: Amounts
+
+
+@attrs.frozen
+class ShareObject:
+    """One version of a service's share object.
+
+    Attributes:
+        version: The store's; 0 if the object does not exist yet.
+        generation: The topology's generation that set the limits.
+        limits: Of each leaf, over all VMs together.
+        grants: By VM.
+    """
+
+    version: int
+    generation: int
+    limits: Amounts
+    grants: Mapping[str, Grant]
+
+
+def _to_dict(amounts: Amounts) -> dict[str, int]:
+    slots, connections, cold = amounts.values()
+    return {"slots": slots, "connections": connections, "cold": cold}
+
+
+def to_value(share_object: ShareObject) -> dict[str, Any]:
+    """Return the object's value for the store."""
+    return {
+        "generation": share_object.generation,
+        "limits": _to_dict(share_object.limits),
+        "grants": {
+            vm: {
+                "incarnation": grant.incarnation,
+                "address": grant.address,
+                **_to_dict(grant.amounts),
+            }
+            for vm, grant in share_object.grants.items()
+        },
+    }
+
+
+def _amounts(value: Mapping[str, Any]) -> Amounts:
+    names = ("slots", "connections", "cold")
+    numbers = [value[name] for name in names]
+    if any(type(number) is not int or number < 0 for number in numbers):
+        raise ValueError("share amounts are not counts")
+    return Amounts(*numbers)
+
+
+def _grant(value: Mapping[str, Any]) -> Grant:
+    incarnation, address = value["incarnation"], value["address"]
+    if type(incarnation) is not int or not isinstance(address, str):
+        raise ValueError("a grant names no process")
+    return Grant(incarnation, address, _amounts(value))
+
+
+def from_value(version: int, value: Mapping[str, Any]) -> ShareObject:
+    """Read a value of the store.
+
+    Raises:
+        ValueError: If it is not a share object.
+    """
+    try:
+        grants = {vm: _grant(item) for vm, item in value["grants"].items()}
+        return ShareObject(
+            version, int(value["generation"]), _amounts(value["limits"]), grants
+        )
+    except (KeyError, TypeError, AttributeError) as error:
+        raise ValueError("the share object can't be read") from error
