--- a/tests/shares/test_core.py
+++ b/tests/shares/test_core.py
@@ -105,31 +105,68 @@
         out = self.core.step(0.0, applied)
         self.assertEqual([type(item) for item in out], [effects.WriteShares])
 
+    def drive(self, *events):
+        """Run events without a store; return the last one's effects."""
+        out = []
+        for event in events:
+            self.now_ms += 10_000
+            out = self.core.step(self.now_ms, event)
+        return out
+
+    def assert_no_grant(self, out):
+        kinds = [type(effect) for effect in out]
+        self.assertNotIn(effects.GrantChanged, kinds)
+
     def test_a_write_of_open_fate_keeps_its_lower_share_in_force(self):
-        self.step(WANTED)
-        both = {**self.stored.grants, "vm-2": grant("vm-2", NOTHING)}
-        self.store(2, both)
-        self.store_up = False
-        self.core.step(0.0, effects.Received("vm-2", self.moved(2)))
-        share = self.core.services["s"]
-        read = effects.SharesRead("s", share.reading, self.stored)
-        self.step(read)
-        self.assertEqual(self.grants[-1].slots, 2)
-        # The newcomer is gone, so that all is due to this process again,
-        # but the lost write may still land and let others raise theirs.
-        self.step(effects.ProcessEnded("vm-2", 1))
+        held = {"vm-1": grant("vm-1", LIMITS)}
+        both = {**held, "vm-2": grant("vm-2", NOTHING)}
+        asked = ShareObject(2, 1, LIMITS, both)
+        first = self.drive(WANTED, effects.SharesRead("s", 1, asked))
+        self.assertEqual(first[0].slots, 2)
+        self.assertEqual(first[1].ticket, 2)
+        # The newcomer ends, so that all is due to this process again; but
+        # the lost write may still land and let others raise their shares.
+        ended = effects.ProcessEnded("vm-2", 1)
+        self.assert_no_grant(self.drive(effects.WriteUnknown("s", 2), ended))
+        write = self.drive(effects.Tick(), effects.SharesRead("s", 3, asked))
+        self.assert_no_grant(write)
+        self.assertEqual(write[-1].expected_version, 2)
+        raised = self.drive(effects.SharesWritten("s", write[-1].ticket, 3))
+        self.assertEqual(raised[-1].amounts, LIMITS)
+
+    def test_an_equal_write_is_the_fence_against_one_of_open_fate(self):
+        held = {"vm-1": grant("vm-1", LIMITS)}
+        stored = ShareObject(2, 1, LIMITS, held)
+        unwanted = effects.ServiceWanted("s", False, LIMITS, 1)
+        self.drive(WANTED, effects.SharesRead("s", 1, stored), unwanted)
+        removal = self.drive(effects.GrantApplied("s", NOTHING))[-1]
+        self.assertEqual(removal.share_object.grants, {})
+        self.drive(effects.WriteUnknown("s", removal.ticket), WANTED)
+        again = self.drive(effects.Tick(), effects.SharesRead("s", 3, stored))
+        self.assert_no_grant(again)
+        self.assertEqual(again[-1].share_object, stored)
+        done = self.drive(effects.SharesWritten("s", again[-1].ticket, 3))
+        self.assertEqual(done[-1].amounts, LIMITS)
+
+    def test_a_late_answer_of_an_older_version_raises_nothing(self):
+        self.core.step(0.0, WANTED)
+        held = {"vm-1": grant("vm-1", LIMITS)}
+        older = effects.SharesRead("s", 1, ShareObject(4, 1, LIMITS, held))
+        self.core.step(0.0, effects.ReadFailed("s", 1))
         self.core.step(200_000.0, effects.Tick())
-        read = effects.SharesRead("s", share.reading, self.stored)
-        for event in (read, effects.Tick()):
-            out = self.core.step(400_000.0, event)
-            kinds = [type(item) for item in out]
-            self.assertNotIn(effects.GrantChanged, kinds)
-        self.store_up = True
-        self.now_ms = 500_000.0
-        self.step(effects.WriteUnknown("s", share.ticket))
-        self.later()
-        self.assertEqual(self.grants[-1], LIMITS)
-        self.assertEqual(self.stored.version, 3)
+        held = {
+            "vm-1": grant("vm-1", Amounts(2, 17, 1)),
+            "vm-2": grant("vm-2", Amounts(2, 18, 0)),
+        }
+        newer = effects.SharesRead("s", 2, ShareObject(5, 1, LIMITS, held))
+        self.core.step(200_000.0, newer)
+        share = self.core.services["s"]
+        before = share.held
+        self.assertEqual(before.slots, 2)
+        out = self.core.step(200_000.0, older)
+        kinds = [type(item) for item in out]
+        self.assertNotIn(effects.GrantChanged, kinds)
+        self.assertEqual(share.known.version, 5)
 
     def moved(self, version):
         return messages.SharesMoved("s", version)
