Split the platform's list from membership; record member changes

Cause: an end told by the list for a VM never met had no bound, so a later VM of that name would have counted as ended; slots of unwanted peers stayed. Change: such an end reaches to the present wall clock only; unwanted slots without a link go; suspects are kept in a set in place of scanning members.

--- a/src/oriolegate/membership/core.py
+++ b/src/oriolegate/membership/core.py
@@ -16,6 +16,9 @@
 from oriolegate.membership.messages import MemberState
 from oriolegate.membership.neighbours import choose_neighbours
 from oriolegate.membership.pause_detector import PauseDetector
+from oriolegate.membership.vm_listing import VmListing
+from oriolegate.timeline.events import EventBuffer
+from oriolegate.timeline.events import EventKind
 
 TICK_MS = 250.0
 HEARTBEAT_MS = 1_000.0
@@ -26,7 +29,6 @@
 SEEK_MS = 10_000.0
 SEEK_COUNT = 2
 BUCKETS_PER_EXCHANGE = 16
-UNKNOWN_INCARNATION = 2**62  # above every incarnation in use
 
 
 @attrs.define
@@ -64,24 +66,30 @@
         peers: Own observations of linked and chosen peers.
     """
 
-    def __init__(self, own: Member, generator: random.Random) -> None:
+    def __init__(
+        self,
+        own: Member,
+        generator: random.Random,
+        buffer: EventBuffer | None = None,
+    ) -> None:
         """Make a table that holds this VM alone.
 
         Args:
             own: This VM, with the incarnation of this process.
             generator: Chooses peers to seek.
+            buffer: Records changes of members for the time line.
         """
         self.own = own
         self.generator = generator
+        self.buffer = buffer
         self.table = MemberTable()
         self.table.merge(0.0, own)
         self.pauses = PauseDetector()
         self.neighbours: set[str] = set()
         self.seeking: set[str] = set()
         self.peers: dict[str, PeerView] = {}
-        self.listed: dict[str, effects.ListedVm] = {}
+        self.listing = VmListing(own.vm)
         self.avoided_until: dict[str, float] = {}
-        self.ended: dict[str, int] = {}
         self.digests: tuple[tuple[str, int], ...] = ()
         self.news: dict[str, News] = {own.vm: News(own, "")}
         self.stale_neighbours = True
@@ -131,7 +139,7 @@
         self._bury_suspects(now_ms)
         if now_ms >= self.next_seek_ms:
             self.next_seek_ms = now_ms + SEEK_MS
-            self.table.forget_dead(now_ms, self._possibly_running())
+            self.table.forget_dead(now_ms, self.listing.possibly_running())
             self._expire_avoided(now_ms)
             self._seek()
         if now_ms >= self.next_heartbeat_ms:
@@ -140,33 +148,9 @@
         self._flush_news()
         self.out.append(effects.SetTimer(now_ms + TICK_MS))
 
-    def _possibly_running(self) -> set[str]:
-        return {vm for vm, listed in self.listed.items() if not listed.gone}
-
     def census(self) -> list[Member]:
-        """Return every VM that may be serving, unreachable ones included.
-
-        A listed VM that nobody here has met has incarnation 0 and counts as
-        dead, that is, as one that can't be asked.
-        """
-        entries = [
-            member
-            for vm, member in self.table.members.items()
-            if self.ended.get(vm, -1) < member.incarnation
-        ]
-        for vm in sorted(self._possibly_running() - set(self.table.members)):
-            row = self.listed[vm]
-            entries.append(
-                Member(
-                    vm,
-                    row.host,
-                    row.peer_port,
-                    row.data_centre,
-                    incarnation=0,
-                    state=MemberState.DEAD,
-                )
-            )
-        return entries
+        """Return every VM that may be serving, unreachable ones included."""
+        return self.listing.census(self.table)
 
     def _linked(self) -> list[str]:
         return [vm for vm, view in self.peers.items() if view.linked]
@@ -219,22 +203,12 @@
         """Try listed VMs that the table lacks: at start, and after a split."""
         for vm in sorted(self.seeking - self.neighbours):
             self._drop(vm)
-        missing = [
-            vm
-            for vm, listed in sorted(self.listed.items())
-            if not listed.gone and self._is_missing(vm)
-        ]
+        missing = self.listing.missing_from(self.table)
         count = min(SEEK_COUNT, len(missing))
         self.seeking = set(self.generator.sample(missing, count))
         for vm in sorted(self.seeking):
-            listed = self.listed[vm]
-            self._connect(vm, listed.host, listed.peer_port)
-
-    def _is_missing(self, vm: str) -> bool:
-        known = self.table.members.get(vm)
-        return vm != self.own.vm and (
-            known is None or known.state is MemberState.DEAD
-        )
+            row = self.listing.rows[vm]
+            self._connect(vm, row.host, row.peer_port)
 
     def _suspect_silent(self, now_ms: float) -> None:
         for vm in sorted(self.neighbours):
@@ -247,29 +221,21 @@
                 self._merge(now_ms, self.table.marked(vm, MemberState.SUSPECT))
 
     def _bury_suspects(self, now_ms: float) -> None:
-        for vm, member in list(self.table.members.items()):
-            age_ms = now_ms - self.table.changed_ms[vm]
-            if member.state is MemberState.SUSPECT and age_ms > DEAD_AFTER_MS:
+        for vm in sorted(self.table.suspects):
+            if now_ms - self.table.changed_ms[vm] > DEAD_AFTER_MS:
                 self._merge(now_ms, self.table.marked(vm, MemberState.DEAD))
 
     def _take_list(self, vms: tuple[effects.ListedVm, ...]) -> None:
-        self.listed = {listed.vm: listed for listed in vms}
+        self.listing.take(vms)
         if len(self.table.members) == 1:
             self.next_seek_ms = 0.0
-        for listed in vms:
-            if listed.gone and self._is_missing(listed.vm):
-                known = self.table.members.get(listed.vm)
-                self._end(
-                    listed.vm,
-                    known.incarnation if known else UNKNOWN_INCARNATION,
-                )
-        for vm in list(self.ended):
-            if vm not in self.listed and vm not in self.table.members:
-                del self.ended[vm]
+        for vm, incarnation in self.listing.ended_by_list(
+            self.table, self.pauses.last_wall_ms
+        ):
+            self._end(vm, incarnation)
 
     def _end(self, vm: str, incarnation: int) -> None:
-        if self.ended.get(vm, -1) < incarnation:
-            self.ended[vm] = incarnation
+        if self.listing.note_end(vm, incarnation):
             self.out.append(effects.IncarnationEnded(vm, incarnation))
 
     def _link_up(self, now_ms: float, vm: str) -> None:
@@ -347,7 +313,7 @@
         self._note_restart(known, member)
         self.news[member.vm] = News(member, source)
         self.stale_neighbours = True
-        self.out.append(effects.MemberChanged(member))
+        self._announce(now_ms, member)
 
     def _hear_of_self(self, now_ms: float, member: Member) -> None:
         if member.incarnation > self.own.incarnation:
@@ -367,7 +333,19 @@
         )
         self.table.merge(now_ms, self.own)
         self.news[self.own.vm] = News(self.own, "")
-        self.out.append(effects.MemberChanged(self.own))
+        self._announce(now_ms, self.own)
+
+    def _announce(self, now_ms: float, member: Member) -> None:
+        self.out.append(effects.MemberChanged(member))
+        if self.buffer is not None:
+            self.buffer.record(
+                now_ms,
+                EventKind.MEMBER_CHANGED,
+                "",
+                member.vm,
+                member.incarnation,
+                member.state.name,
+            )
 
     def _note_refutation(
         self, now_ms: float, known: Member | None, member: Member
--- a/src/oriolegate/membership/member_table.py
+++ b/src/oriolegate/membership/member_table.py
@@ -31,12 +31,14 @@
     Attributes:
         members: By name, dead ones included.
         changed_ms: When each member's state changed here.
+        suspects: Names of suspected members.
         hashes: One hash for each bucket of names.
     """
 
     def __init__(self) -> None:
         self.members: dict[str, Member] = {}
         self.changed_ms: dict[str, float] = {}
+        self.suspects: set[str] = set()
         self.hashes = [0] * BUCKETS
 
     def merge(self, now_ms: float, member: Member) -> bool:
@@ -52,6 +54,9 @@
         self._toggle(member)
         self.members[member.vm] = member
         self.changed_ms[member.vm] = now_ms
+        self.suspects.discard(member.vm)
+        if member.state is MemberState.SUSPECT:
+            self.suspects.add(member.vm)
         return True
 
     def _toggle(self, member: Member | None) -> None:
--- a/src/oriolegate/network/peer_mesh.py
+++ b/src/oriolegate/network/peer_mesh.py
@@ -107,9 +107,12 @@
     def drop_link(self, vm: str) -> None:
         """Stop dialing a peer; its link closes once it is idle."""
         slot = self.slots.get(vm)
-        if slot is not None:
-            slot.wanted = False
-            slot.used_ms = self.clock.now_ms()
+        if slot is None:
+            return
+        slot.wanted = False
+        slot.used_ms = self.clock.now_ms()
+        if slot.link is None and not slot.dialing:
+            del self.slots[vm]
 
     def linked_vms(self) -> list[str]:
         """Return the peers whose links are ready."""
--- a/tests/membership/test_core.py
+++ b/tests/membership/test_core.py
@@ -1,10 +1,12 @@
 """Tests of the membership core: joins, losses, splits, pauses, leaving."""
 
+import random
 import unittest
 
 from oriolegate.membership import core
 from oriolegate.membership import effects
 from oriolegate.membership import messages
+from oriolegate.timeline.events import EventBuffer
 from tests.membership.fleet import Fleet
 from tests.membership.fleet import make_fleet
 
@@ -28,7 +30,7 @@
     def test_a_vm_that_the_list_lacks_joins_by_its_peers(self):
         fleet = make_fleet(2)
         fleet.add("new", "scl-a")
-        rows = fleet.nodes["anf-a-0"].listed.values()
+        rows = fleet.nodes["anf-a-0"].listing.rows.values()
         fleet.step("new", effects.VmsListed(tuple(rows)))
         fleet.run(15_000)
         self.assert_all_live(fleet)
@@ -131,6 +133,26 @@
             [effects.IncarnationEnded("scl-a-0", 1)],
         )
 
+    def test_gone_ends_a_vm_never_met_only_up_to_the_present(self):
+        node = Fleet().add("vm-1")
+        row = effects.ListedVm("old", "h", 1, "scl-a", gone=True)
+        listed = effects.VmsListed((row,))
+        node.step(0.0, effects.Tick(wall_ms=5_000))
+        out = node.step(1.0, listed)
+        self.assertIn(effects.IncarnationEnded("old", 5_000), out)
+        node.step(250.0, effects.Tick(wall_ms=5_250))
+        self.assertEqual(node.step(251.0, listed), [])
+
+    def test_changes_are_recorded_for_the_time_line(self):
+        buffer = EventBuffer("vm-1", 0.0)
+        own = messages.Member("vm-1", "h", 1, "scl-a", 1)
+        node = core.Membership(own, random.Random(1), buffer)
+        other = messages.Member("vm-2", "h", 2, "scl-a", 7)
+        delta = messages.MemberDelta((other,))
+        node.step(0.0, effects.Received("vm-2", delta))
+        details = [event.detail for event in buffer.events()]
+        self.assertEqual(details, [("vm-2", 7, "LIVE")])
+
     def test_an_older_incarnation_is_told_to_stop(self):
         fleet = make_fleet(2)
         newer = messages.Member("scl-a-0", "h", 1, "scl-a", 9)
--- a/tests/network/test_peer_mesh.py
+++ b/tests/network/test_peer_mesh.py
@@ -245,6 +245,12 @@
         self.network.deliver()
         self.assertEqual(self.one.linked_vms(), ["vm2"])
 
+    def test_a_peer_that_is_no_longer_wanted_is_forgotten(self):
+        del self.network.listeners[2]
+        self.one.connect_to("vm2", "127.0.0.1", 2)
+        self.one.drop_link("vm2")
+        self.assertEqual(self.one.slots, {})
+
     def test_a_message_opens_a_link_that_closes_when_idle(self):
         self.one.learn_address("vm2", "127.0.0.1", 2)
         self.assertTrue(self.one.send("vm2", HEARTBEAT))
