Measure claims per write, and test the adapter and the faults

Tests of each fault by name.

Conclusion: an owner that gave up must not release the claim of another VM: the stateful test missed this mutant, a named test now finds it.

--- a/src/oriolegate/claims/settings.py
+++ b/src/oriolegate/claims/settings.py
@@ -29,12 +29,12 @@
         memory_entries: Keys granted here that are remembered.
     """
 
-    class_count: int = 16
-    slot_width_ms: int = 15_000
+    class_count: int = 4
+    slot_width_ms: int = 2_000
     retention_ms: int = 300_000
     clock_skew_ms: int = 30_000
     max_claims_per_object: int = 6_000
-    min_write_interval_ms: float = 20.0
+    min_write_interval_ms: float = 50.0
     patience_ms: float = 1_000.0
     operation_timeout_ms: float = 400.0
     backoff_ms: float = 50.0
--- a/tests/claims/test_racing_cores.py
+++ b/tests/claims/test_racing_cores.py
@@ -177,3 +177,89 @@
         end = self.race.ended[send]
         self.assertIs(end.code, ResultCode.KEY_TOO_OLD)
         self.assertIs(end.run_state, RunState.MAY_HAVE_RUN)
+
+    def test_owner_does_not_release_a_claim_that_its_asker_may_hold(self):
+        key = key_at(0, 1)
+        for vm in VMS:
+            self.race.step(vm, events.OwnersChanged(("vm-a",)))
+        first = self.race.request("vm-b", key, 5_000.0)
+        self.race.deliver()
+        self.race.answer()
+        self.race.lose_answer()  # the owner does not know that it wrote
+        self.race.advance(350.0, paused=("vm-a",))
+        self.race.answer()  # vm-b reads its own claim back
+        self.assertEqual(self.race.runs[key], [first])
+        self.race.advance(1_000.0)  # the owner gives up
+        self.race.messages.clear()
+        for _ in range(20):
+            while self.race.calls:
+                self.race.answer()
+            self.race.advance(50.0)
+        second = self.race.request("vm-c", key, 1_000.0)
+        self.race.settle()
+        self.assertEqual(self.race.runs[key], [first])
+        self.assertIs(self.race.ended[second].code, ResultCode.ALREADY_CLAIMED)
+
+    def test_claims_that_wait_share_one_write(self):
+        keys = [key_at(0, number) for number in range(20)]
+        for key in keys:
+            self.race.request("vm-a", key, 1_000.0)
+        self.race.settle()
+        self.assertEqual(sum(map(len, self.race.runs.values())), 20)
+        self.assertEqual(self.race.cores["vm-a"].counts.writes, 1)
+
+    def test_outcome_is_told_to_a_later_send(self):
+        key = key_at(0, 1)
+        self.race.request("vm-a", key, 1_000.0)
+        self.race.settle()
+        self.race.end_run(key, RunState.RAN)
+        self.race.advance(60.0)
+        self.race.request("vm-a", key_at(0, 2), 1_000.0)  # takes it along
+        self.race.settle()
+        later = self.race.request("vm-b", key, 1_000.0)
+        self.race.settle()
+        self.assertIs(self.race.ended[later].run_state, RunState.RAN)
+        self.assertIs(self.race.ended[later].outcome, ResultCode.OK)
+
+    def test_claims_beyond_the_size_of_an_object_are_refused_not_run(self):
+        settings = ClaimsSettings(class_count=1, max_claims_per_object=3)
+        self.race = RacingCores(VMS, settings)
+        sends = [
+            self.race.request("vm-a", key_at(0, number), 1_000.0)
+            for number in range(4)
+        ]
+        self.race.settle()
+        end = self.race.ended[sends[3]]
+        self.assertIs(end.code, ResultCode.OVERLOADED)
+        self.assertIs(end.run_state, RunState.NOT_RUN)
+        self.assertIsNone(self.race.store.holder(key_at(0, 3)))
+
+    def test_store_that_is_down_refuses_at_once_after_two_failures(self):
+        first = self.race.request("vm-a", key_at(0, 1), 5_000.0)
+        self.race.fail()
+        self.race.advance(60.0)
+        self.race.fail()
+        self.assertIs(self.race.ended[first].code, ResultCode.CLAIM_STORE_DOWN)
+        second = self.race.request("vm-a", key_at(0, 2), 5_000.0)
+        end = self.race.ended[second]
+        self.assertIs(end.code, ResultCode.CLAIM_STORE_DOWN)
+        self.assertIs(end.run_state, RunState.NOT_RUN)
+
+    def test_call_that_never_ends_does_not_hold_a_request(self):
+        send = self.race.request("vm-a", key_at(0, 1), 5_000.0)
+        self.race.calls.clear()
+        self.race.advance(450.0)
+        self.race.calls.clear()
+        self.race.advance(100.0)
+        self.race.calls.clear()
+        self.race.advance(450.0)
+        self.assertIs(self.race.ended[send].code, ResultCode.CLAIM_STORE_DOWN)
+
+    def test_pause_before_the_grant_refuses_after_the_deadline(self):
+        send = self.race.request("vm-a", key_at(0, 1), 100.0)
+        self.race.answer()
+        self.race.now_ms += 60_000.0
+        self.race.step("vm-a", events.Paused())
+        self.assertIs(self.race.ended[send].code, ResultCode.DEADLINE_PASSED)
+        self.race.answer()  # the write takes effect after the refusal
+        self.assertNotIn(key_at(0, 1), self.race.runs)
