Keep the stated time of a quarantine, and rank upstreams cheaply

Ranking 130 upstreams for a request not seen before took 123 us, which at 227 queries a second is 2.8% of a core.

Change: a verdict sets the time that it states; upstreams' names are hashed once and mixed with the fingerprint by one multiplication.

--- a/src/oriolegate/quarantine/core.py
+++ b/src/oriolegate/quarantine/core.py
@@ -270,9 +270,11 @@
         )
 
     def _set_quarantined(self, suspect: Suspect, until_ms: float) -> None:
+        if suspect.quarantined:
+            until_ms = max(until_ms, suspect.until_ms)
         suspect.quarantined = True
         suspect.tester = ""
-        suspect.until_ms = max(suspect.until_ms, until_ms)
+        suspect.until_ms = until_ms
 
     def _report(self, fingerprint: int) -> Effects:
         suspect = self.evidence.suspects[fingerprint]
--- a/src/oriolegate/quarantine/fingerprint.py
+++ b/src/oriolegate/quarantine/fingerprint.py
@@ -1,9 +1,12 @@
 """What makes two sends the same request, as far as crashes go."""
 
+import functools
 import hashlib
 
 FINGERPRINT_BYTES = 8
-RANK_BYTES = 8
+MULTIPLIER = 0x9E3779B97F4A7C15  # odd, with bits spread over the word
+MASK = 0xFFFF_FFFF_FFFF_FFFF
+MAX_CACHED_NAMES = 8_192
 
 
 def fingerprint(service: str, body: bytes, shard_key: str | None) -> int:
@@ -21,13 +24,17 @@
     return int.from_bytes(digest.digest(), "big")
 
 
-def _rank(fingerprint_value: int, name: str) -> bytes:
-    text = f"{fingerprint_value}/{name}".encode()
-    return hashlib.blake2b(text, digest_size=RANK_BYTES).digest()
+@functools.lru_cache(maxsize=MAX_CACHED_NAMES)
+def _name_hash(name: str) -> int:
+    digest = hashlib.blake2b(name.encode(), digest_size=FINGERPRINT_BYTES)
+    return int.from_bytes(digest.digest(), "big")
 
 
 def by_rank(fingerprint_value: int, names: tuple[str, ...]) -> list[str]:
     """Order names by rendezvous hash; the same on each VM."""
     return sorted(
-        names, key=lambda name: _rank(fingerprint_value, name), reverse=True
+        names,
+        key=lambda name: (
+            (fingerprint_value ^ _name_hash(name)) * MULTIPLIER & MASK
+        ),
     )
--- a/tests/claims/test_racing_cores.py
+++ b/tests/claims/test_racing_cores.py
@@ -200,6 +200,19 @@
         self.assertEqual(self.race.runs[key], [first])
         self.assertIs(self.race.ended[second].code, ResultCode.ALREADY_CLAIMED)
 
+    def test_late_answer_of_an_old_write_grants_nothing(self):
+        first = self.race.request("vm-a", key_at(0, 1), 5_000.0)
+        self.race.answer()
+        self.race.fail_early()  # the first write is still under way
+        self.race.advance(60.0)
+        second = self.race.request("vm-a", key_at(0, 2), 5_000.0)
+        self.race.answer(1)  # reads back; the second write holds both
+        self.race.answer(0)  # the first write takes effect
+        self.assertNotIn(second, self.race.ended)
+        self.race.settle()
+        self.assertEqual(self.race.runs[key_at(0, 1)], [first])
+        self.assertEqual(self.race.runs[key_at(0, 2)], [second])
+
     def test_claims_that_wait_share_one_write(self):
         keys = [key_at(0, number) for number in range(20)]
         for key in keys:
--- a/tools/measure_claims.py
+++ b/tools/measure_claims.py
@@ -67,6 +67,7 @@
         self.rates: collections.Counter[tuple[str, int]] = collections.Counter()
         self.down_until_ms = 0.0
         self.paused_until_ms = dict.fromkeys(self.vms, 0.0)
+        self.timers = dict.fromkeys(self.vms, -1.0)
         self.written_bytes = 0
         self.refused_calls = 0
         self.on_end: Callable[[str, str, Any], None] = lambda *_: None
@@ -97,8 +98,9 @@
                 case ClaimGranted(request_id) | ClaimRefused(request_id):
                     self.on_end(vm, request_id, effect)
                 case SetTimer(at_ms):
+                    self.timers[vm] = at_ms
                     delay_ms = max(0.0, at_ms - self.now_ms)
-                    self.at(delay_ms, self.step, vm, events.TimerFired())
+                    self.at(delay_ms, self.fire_timer, vm, at_ms)
                 case SendToPeer(receiver, message):
                     delay_ms = self.random.uniform(0.5, 2.0)
                     received = events.PeerMessageReceived(vm, message)
@@ -106,6 +108,12 @@
                 case ReadClass() | WriteClass():
                     self.call(vm, effect)
 
+    def fire_timer(self, vm: str, at_ms: float) -> None:
+        """Tell a core of its timer, unless it set another one since."""
+        if self.timers[vm] == at_ms:
+            self.timers[vm] = -1.0
+            self.step(vm, events.TimerFired())
+
     def call(self, vm: str, call: ReadClass | WriteClass) -> None:
         """Start a platform call."""
         delay_ms = self.random.uniform(2.0, 6.0)
