Give probation its own module, and test that a loss outweighs a success

While it was split, the check that an asker's losses outweigh a success known here got lost, and no test noticed.

Change: probation.py holds who may send a suspect; the check is back, with a test that fails without it.

--- a/src/oriolegate/quarantine/core.py
+++ b/src/oriolegate/quarantine/core.py
@@ -14,22 +14,19 @@
 from oriolegate.quarantine.admission import CanaryFirst
 from oriolegate.quarantine.admission import Cleared
 from oriolegate.quarantine.admission import Free
-from oriolegate.quarantine.admission import Quarantined
 from oriolegate.quarantine.admission import QuarantineEffect
 from oriolegate.quarantine.admission import Recheck
 from oriolegate.quarantine.admission import Refused
-from oriolegate.quarantine.admission import Send
 from oriolegate.quarantine.admission import Wait
 from oriolegate.quarantine.evidence import Evidence
 from oriolegate.quarantine.evidence import Suspect
 from oriolegate.quarantine.fingerprint import by_rank
+from oriolegate.quarantine.probation import Probation
 from oriolegate.quarantine.settings import CanaryMode
 from oriolegate.quarantine.settings import QuarantineSettings
 from oriolegate.result_codes import ResultCode
 
-LOSSES_BEFORE_QUARANTINE = 2
 NO_EFFECTS: tuple[QuarantineEffect, ...] = ()
-UNKNOWN_UPSTREAM = "?"
 
 Effects = tuple[QuarantineEffect, ...]
 
@@ -40,26 +37,24 @@
     Attributes:
         vm: This process's VM.
         settings: Limits and intervals.
-        vms: The VMs between which suspects are divided.
         evidence: What is known of requests and upstreams.
+        probation: Leave to send suspects.
         in_flight: Sub-requests in flight by leaf, counted by fingerprint.
         canaries: Until when a canary of a request is awaited.
-        quarantined_count: Requests put in quarantine by this process.
     """
 
     def __init__(self, vm: str, settings: QuarantineSettings) -> None:
         """Make a quarantine that knows of nothing."""
         self.vm = vm
         self.settings = settings
-        self.vms: tuple[str, ...] = (vm,)
         self.evidence = Evidence(settings)
+        self.probation = Probation(vm, settings, self.evidence)
         self.in_flight: dict[str, dict[int, int]] = {}
         self.canaries: dict[int, float] = {}
-        self.quarantined_count = 0
 
     def members_changed(self, vms: tuple[str, ...]) -> None:
         """Divide suspects between these VMs; this one is always among them."""
-        self.vms = tuple(sorted({*vms, self.vm}))
+        self.probation.vms = tuple(sorted({*vms, self.vm}))
 
     def admit(
         self, now_ms: float, fingerprint: int, upstreams: tuple[str, ...]
@@ -94,7 +89,12 @@
             # Another VM's send of it may be what crashed the first choice.
             suspect = self.evidence.make_suspect(now_ms, fingerprint)
             suspect.upstreams.add(ranked[0])
-        return self._probation(now_ms, fingerprint, suspect, target)
+        granted, effects = self.probation.take_leave(
+            now_ms, fingerprint, suspect
+        )
+        if granted:
+            return self._send_canary(now_ms, fingerprint, target), effects
+        return Wait(self.settings.recheck_ms), effects
 
     def _canary_wanted(self, now_ms: float) -> bool:
         match self.settings.canary:
@@ -123,53 +123,6 @@
             del self.canaries[next(iter(self.canaries))]
         return CanaryFirst(upstream)
 
-    def _probation(
-        self, now_ms: float, fingerprint: int, suspect: Suspect, target: str
-    ) -> tuple[Admission, Effects]:
-        waiting = Wait(self.settings.recheck_ms)
-        if self._reports_due(now_ms):
-            return waiting, NO_EFFECTS
-        if now_ms < suspect.granted_until_ms:
-            suspect.granted_until_ms = 0.0
-            return self._send_canary(now_ms, fingerprint, target), NO_EFFECTS
-        owner = by_rank(fingerprint, self.vms)[0]
-        if owner == self.vm:
-            return self._own_probation(now_ms, fingerprint, suspect, target)
-        if now_ms < suspect.asked_at_ms + self.settings.recheck_ms:
-            return waiting, NO_EFFECTS
-        suspect.asked_at_ms = now_ms
-        known = tuple(sorted(suspect.upstreams))
-        return waiting, (
-            Send(owner, messages.ProbationAsk(fingerprint, known)),
-        )
-
-    def _reports_due(self, now_ms: float) -> bool:
-        return now_ms < self.evidence.last_loss_ms + self.settings.report_ms
-
-    def _own_probation(
-        self, now_ms: float, fingerprint: int, suspect: Suspect, target: str
-    ) -> tuple[Admission, Effects]:
-        effects = self._expire_tester(now_ms, fingerprint, suspect)
-        if suspect.quarantined or suspect.tester:
-            return Wait(self.settings.recheck_ms), effects
-        self._set_tester(now_ms, suspect, self.vm)
-        return self._send_canary(now_ms, fingerprint, target), effects
-
-    def _set_tester(self, now_ms: float, suspect: Suspect, vm: str) -> None:
-        # The tester's own time ends earlier, so that its loss report is
-        # here before its silence is taken for a loss.
-        suspect.tester = vm
-        suspect.tester_until_ms = now_ms + 2 * self.settings.probation_ms
-
-    def _expire_tester(
-        self, now_ms: float, fingerprint: int, suspect: Suspect
-    ) -> Effects:
-        if not suspect.tester or now_ms < suspect.tester_until_ms:
-            return NO_EFFECTS
-        # Nobody told how the send ended; it may have crashed the upstream.
-        suspect.tester = ""
-        return self._blame(now_ms, fingerprint, {UNKNOWN_UPSTREAM})
-
     def started(
         self, now_ms: float, fingerprint: int, upstream: str, leaf: str
     ) -> None:
@@ -222,7 +175,7 @@
             return (Recheck(fingerprint),)
         del self.evidence.suspects[fingerprint]
         return (
-            *self._broadcast(messages.Verdict(fingerprint, 0.0)),
+            *self.probation.broadcast(messages.Verdict(fingerprint, 0.0)),
             Cleared(fingerprint),
             Recheck(fingerprint),
         )
@@ -242,48 +195,14 @@
         effects: Effects = NO_EFFECTS
         for fingerprint in unproven:
             self.canaries.pop(fingerprint, None)
-            effects += self._blame(now_ms, fingerprint, {upstream})
-            effects += self._report(fingerprint)
+            effects += self.probation.blame(now_ms, fingerprint, {upstream})
+            known = tuple(sorted(self.evidence.suspects[fingerprint].upstreams))
+            report = messages.LossReport(fingerprint, known)
+            effects += self.probation.broadcast(report)
         if not unproven:
             self.evidence.doubt(counts, upstream)
         return effects
 
-    def _blame(
-        self, now_ms: float, fingerprint: int, upstreams: set[str]
-    ) -> Effects:
-        suspect = self.evidence.make_suspect(now_ms, fingerprint)
-        fresh = upstreams - suspect.upstreams
-        if suspect.quarantined or not fresh:
-            return NO_EFFECTS
-        suspect.upstreams |= fresh
-        suspect.tester = ""
-        suspect.until_ms = now_ms + self.settings.suspicion_ms
-        if len(suspect.upstreams) < LOSSES_BEFORE_QUARANTINE:
-            return (Recheck(fingerprint),)
-        self._set_quarantined(suspect, now_ms + self.settings.quarantine_ms)
-        self.quarantined_count += 1
-        verdict = messages.Verdict(fingerprint, self.settings.quarantine_ms)
-        return (
-            *self._broadcast(verdict),
-            Quarantined(fingerprint, tuple(sorted(suspect.upstreams))),
-            Recheck(fingerprint),
-        )
-
-    def _set_quarantined(self, suspect: Suspect, until_ms: float) -> None:
-        if suspect.quarantined:
-            until_ms = max(until_ms, suspect.until_ms)
-        suspect.quarantined = True
-        suspect.tester = ""
-        suspect.until_ms = until_ms
-
-    def _report(self, fingerprint: int) -> Effects:
-        suspect = self.evidence.suspects[fingerprint]
-        upstreams = tuple(sorted(suspect.upstreams))
-        return self._broadcast(messages.LossReport(fingerprint, upstreams))
-
-    def _broadcast(self, message: object) -> Effects:
-        return tuple(Send(vm, message) for vm in self.vms if vm != self.vm)
-
     def may_retry(self, now_ms: float, fingerprint: int) -> bool:
         """Return whether a lost sub-request may be sent to another leaf.
 
@@ -299,7 +218,7 @@
         """Clear a request everywhere because an operator says so."""
         effects = self._clear(now_ms, fingerprint)
         verdict = messages.Verdict(fingerprint, 0.0)
-        return (*self._broadcast(verdict), *effects)
+        return (*self.probation.broadcast(verdict), *effects)
 
     def _clear(self, now_ms: float, fingerprint: int) -> Effects:
         self.evidence.suspects.pop(fingerprint, None)
@@ -313,9 +232,11 @@
                 self.evidence.proven.pop(fingerprint, None)
                 for upstream in upstreams:
                     self.evidence.lost(now_ms, upstream)
-                return self._blame(now_ms, fingerprint, set(upstreams))
+                return self.probation.blame(now_ms, fingerprint, set(upstreams))
             case messages.ProbationAsk(fingerprint, upstreams):
-                return self._asked(now_ms, vm, fingerprint, set(upstreams))
+                return self.probation.asked(
+                    now_ms, vm, fingerprint, set(upstreams)
+                )
             case messages.ProbationGrant(fingerprint, remaining_ms):
                 suspect = self.evidence.make_suspect(now_ms, fingerprint)
                 suspect.granted_until_ms = now_ms + remaining_ms
@@ -325,26 +246,7 @@
                     return self._clear(now_ms, fingerprint)
                 self.evidence.proven.pop(fingerprint, None)
                 suspect = self.evidence.make_suspect(now_ms, fingerprint)
-                self._set_quarantined(suspect, now_ms + quarantined_ms)
+                suspect.quarantine(now_ms + quarantined_ms)
                 return (Recheck(fingerprint),)
             case _:
                 return NO_EFFECTS
-
-    def _asked(
-        self, now_ms: float, vm: str, fingerprint: int, upstreams: set[str]
-    ) -> Effects:
-        if not upstreams and self.evidence.is_proven(now_ms, fingerprint):
-            return (Send(vm, messages.Verdict(fingerprint, 0.0)),)
-        self.evidence.proven.pop(fingerprint, None)
-        suspect = self.evidence.make_suspect(now_ms, fingerprint)
-        effects = self._expire_tester(now_ms, fingerprint, suspect)
-        effects += self._blame(now_ms, fingerprint, upstreams)
-        if suspect.quarantined:
-            remaining_ms = suspect.until_ms - now_ms
-            verdict = messages.Verdict(fingerprint, remaining_ms)
-            return (*effects, Send(vm, verdict))
-        if suspect.tester not in ("", vm) or self._reports_due(now_ms):
-            return effects
-        self._set_tester(now_ms, suspect, vm)
-        grant = messages.ProbationGrant(fingerprint, self.settings.probation_ms)
-        return (*effects, Send(vm, grant))
--- a/src/oriolegate/quarantine/evidence.py
+++ b/src/oriolegate/quarantine/evidence.py
@@ -29,6 +29,14 @@
     granted_until_ms: float = 0.0
     asked_at_ms: float = -1e18
 
+    def quarantine(self, until_ms: float) -> None:
+        """Refuse the request until then; a longer quarantine stays."""
+        if self.quarantined:
+            until_ms = max(until_ms, self.until_ms)
+        self.quarantined = True
+        self.tester = ""
+        self.until_ms = until_ms
+
 
 @attrs.define(eq=False)
 class Evidence:
--- a/tests/quarantine/test_core.py
+++ b/tests/quarantine/test_core.py
@@ -166,6 +166,15 @@
         ]
         self.assertEqual(len(grants), 1)
 
+    def test_a_loss_counts_more_than_an_earlier_success_elsewhere(self):
+        self.quarantine = self.owner_of(BODY)
+        self.start("up-0")
+        self.finish("up-0")
+        ask = messages.ProbationAsk(BODY, ("up-1",))
+        effects = self.quarantine.peer_message(self.now_ms, "vm-b", ask)
+        self.assertIsInstance(effects[-1].message, messages.ProbationGrant)
+        self.assertFalse(self.quarantine.may_retry(self.now_ms, BODY))
+
     def owner_of(self, value):
         owner = self.make(by_rank(value, VMS)[0])
         owner.members_changed(VMS)
