--- a/src/oriolegate/network/claim_store.py
+++ b/src/oriolegate/network/claim_store.py
@@ -65,7 +65,8 @@
         send_to_peer: Sends one message to a VM; it may get lost.
         decisions: Who waits for a decision, by request id.
         timer: The call that will send `TimerFired`, or None.
-        queue: The event that is being handled, and those after it.
+        queue: Events that wait for the end of the present step.
+        stepping: Whether a step's effects are being carried out.
     """
 
     platform: Platform
@@ -80,6 +81,7 @@
     queue: collections.deque[events.ClaimsEvent] = attrs.field(
         factory=collections.deque
     )
+    stepping: bool = False
 
     def claim(
         self, key: str, request_id: str, deadline_at_ms: float
@@ -137,12 +139,16 @@
         # An effect may cause the next event at once; it waits here so that
         # the effects of one step are carried out before the next step.
         self.queue.append(event)
-        if len(self.queue) > 1:
+        if self.stepping:
             return
-        while self.queue:
-            for effect in self.core.step(self.clock.now_ms(), self.queue[0]):
-                self._carry_out(effect)
-            self.queue.popleft()
+        self.stepping = True
+        try:
+            while self.queue:
+                now_ms = self.clock.now_ms()
+                for effect in self.core.step(now_ms, self.queue.popleft()):
+                    self._carry_out(effect)
+        finally:
+            self.stepping = False
 
     def _carry_out(self, effect: ClaimsEffect) -> None:
         match effect:
@@ -169,7 +175,7 @@
             logger.warning("claims: reading {} failed.", effect.name)
             return events.ReadFailed(operation)
 
-        call = self.platform.get(KIND, effect.name)
+        call = defer.maybeDeferred(self.platform.get, KIND, effect.name)
         call.addCallbacks(done, failed)
         call.addCallback(self._step)
 
@@ -185,8 +191,12 @@
             logger.warning("claims: writing {} failed.", effect.name)
             return events.WriteFailed(operation)
 
-        call = self.platform.put(
-            KIND, effect.name, effect.value, effect.expected_version
+        call = defer.maybeDeferred(
+            self.platform.put,
+            KIND,
+            effect.name,
+            effect.value,
+            effect.expected_version,
         )
         call.addCallbacks(done, failed)
         call.addCallback(self._step)
--- a/tests/claims/test_racing_cores.py
+++ b/tests/claims/test_racing_cores.py
@@ -1,5 +1,6 @@
 """Property tests of several cores that race over a faulty store."""
 
+import json
 import unittest
 
 import hypothesis
@@ -7,11 +8,14 @@
 from hypothesis import strategies as st
 
 from oriolegate.claims import events
+from oriolegate.claims.class_content import ClaimRecord
+from oriolegate.claims.class_content import ClassContent
 from oriolegate.claims.settings import ClaimsSettings
 from oriolegate.result_codes import ResultCode
 from oriolegate.result_codes import RunState
 from tests.claims.racing_cores import key_at
 from tests.claims.racing_cores import RacingCores
+from tests.claims.racing_cores import WALL_OFFSET_MS
 
 VMS = ("vm-a", "vm-b", "vm-c")
 KEYS = tuple(key_at(0, number) for number in range(2))
@@ -203,7 +207,7 @@
     def test_late_answer_of_an_old_write_grants_nothing(self):
         first = self.race.request("vm-a", key_at(0, 1), 5_000.0)
         self.race.answer()
-        self.race.fail_early()  # the first write is still under way
+        self.race.advance(450.0)  # gives the first write up
         self.race.advance(60.0)
         second = self.race.request("vm-a", key_at(0, 2), 5_000.0)
         self.race.answer(1)  # reads back; the second write holds both
@@ -247,6 +251,16 @@
         self.assertIs(end.run_state, RunState.NOT_RUN)
         self.assertIsNone(self.race.store.holder(key_at(0, 3)))
 
+    def test_full_object_stays_below_the_size_limit_of_the_platform(self):
+        settings = ClaimsSettings()
+        record = ClaimRecord("v" * 64, ResultCode.MAY_HAVE_RUN)
+        records = {
+            f"{WALL_OFFSET_MS}-{number:040d}": record
+            for number in range(settings.max_claims_per_object)
+        }
+        value = ClassContent(10**9, records).encode()
+        self.assertLess(len(json.dumps(value)), 1_000_000)
+
     def test_store_that_is_down_refuses_at_once_after_two_failures(self):
         first = self.race.request("vm-a", key_at(0, 1), 5_000.0)
         self.race.fail()
--- a/tests/network/test_claim_store.py
+++ b/tests/network/test_claim_store.py
@@ -137,6 +137,12 @@
         again = self.claim("r2", self.make_store("vm-b"))
         self.assertEqual(again, [ClaimGranted("r2")])
 
+    def test_call_that_raises_is_a_failed_call(self):
+        self.platform.get = None
+        decisions = self.claim()
+        self.advance(100.0)
+        self.assertIs(decisions[0].code, ResultCode.CLAIM_STORE_DOWN)
+
     def test_stop_leaves_no_timer(self):
         self.platform.hold = True
         self.claim()
