Let a canary be hedged on the second upstream by rank

Cause: a canary at a straggler held up the whole of a new request: with one of ten upstreams slow, every tenth.

Change: the admission names where a hedge may go, the same from each VM, so that two upstreams stay the bound.

--- a/src/oriolegate/quarantine/admission.py
+++ b/src/oriolegate/quarantine/admission.py
@@ -15,9 +15,15 @@
     """Send one sub-request, to this upstream, and ask again when it ends.
 
     Nothing else of the request may be sent before.
+
+    Attributes:
+        upstream: Where to send it.
+        hedge_upstream: Where a hedge of it may be sent, or None. A canary
+            at a straggler would else hold up the whole request.
     """
 
     upstream: str
+    hedge_upstream: str | None = None
 
 
 @attrs.frozen
--- a/src/oriolegate/quarantine/core.py
+++ b/src/oriolegate/quarantine/core.py
@@ -84,7 +84,9 @@
         ranked = by_rank(fingerprint, upstreams)
         target = self._target(now_ms, suspect, ranked)
         if suspect is None and target == ranked[0]:
-            return self._send_canary(now_ms, fingerprint, target), NO_EFFECTS
+            hedge = self._hedge_target(now_ms, ranked)
+            canary = self._send_canary(now_ms, fingerprint, target, hedge)
+            return canary, NO_EFFECTS
         if suspect is None:
             # Another VM's send of it may be what crashed the first choice.
             suspect = self.evidence.make_suspect(now_ms, fingerprint)
@@ -115,13 +117,22 @@
                 return upstream
         return ranked[0]
 
+    def _hedge_target(self, now_ms: float, ranked: list[str]) -> str | None:
+        if len(ranked) == 1 or self.evidence.lately_lost(now_ms, ranked[1]):
+            return None
+        return ranked[1]
+
     def _send_canary(
-        self, now_ms: float, fingerprint: int, upstream: str
+        self,
+        now_ms: float,
+        fingerprint: int,
+        upstream: str,
+        hedge_upstream: str | None = None,
     ) -> CanaryFirst:
         self.canaries[fingerprint] = now_ms + self.settings.probation_ms
         if len(self.canaries) > self.settings.suspect_entries:
             del self.canaries[next(iter(self.canaries))]
-        return CanaryFirst(upstream)
+        return CanaryFirst(upstream, hedge_upstream)
 
     def started(
         self, now_ms: float, fingerprint: int, upstream: str, leaf: str
--- a/tests/quarantine/test_core.py
+++ b/tests/quarantine/test_core.py
@@ -48,6 +48,9 @@
         )
         return admitted
 
+    def canary(self):
+        return admission.CanaryFirst(self.first, self.second)
+
     def start(self, upstream, value=BODY):
         self.quarantine.started(self.now_ms, value, upstream, upstream)
 
@@ -68,7 +71,7 @@
         return admitted.upstream, effects
 
     def test_unknown_request_goes_to_its_canary_and_then_everywhere(self):
-        self.assertEqual(self.admit(), admission.CanaryFirst(self.first))
+        self.assertEqual(self.admit(), self.canary())
         self.start(self.first)
         self.assertIsInstance(self.admit(), admission.Wait)
         self.assertIn(admission.Recheck(BODY), self.finish(self.first))
@@ -80,13 +83,13 @@
         self.start(self.first)
         self.finish(self.first)
         self.now_ms += QuarantineSettings().proven_ms
-        self.assertEqual(self.admit(), admission.CanaryFirst(self.first))
+        self.assertEqual(self.admit(), self.canary())
 
     def test_canary_that_did_not_run_proves_nothing(self):
         self.admit()
         self.start(self.first)
         self.finish(self.first, ran=False)
-        self.assertEqual(self.admit(), admission.CanaryFirst(self.first))
+        self.assertEqual(self.admit(), self.canary())
 
     def test_second_loss_puts_the_request_in_quarantine(self):
         crashed = [self.crash_canary()[0]]
@@ -107,6 +110,22 @@
         self.crash_canary()
         self.assertIsInstance(self.admit(), admission.Refused)
 
+    def test_hedge_of_a_canary_that_is_lost_too_is_the_last_send(self):
+        self.admit()
+        self.start(self.first)
+        self.start(self.second)
+        self.lose(self.first)
+        self.lose(self.second)
+        self.assertIsInstance(self.admit(), admission.Refused)
+
+    def test_no_hedge_where_an_upstream_was_lost_lately(self):
+        self.lose(self.second)
+        self.assertEqual(self.admit(), admission.CanaryFirst(self.first))
+
+    def test_suspect_is_sent_without_a_hedge(self):
+        self.crash_canary()
+        self.assertEqual(self.admit(), admission.CanaryFirst(self.second))
+
     def test_suspect_that_succeeds_is_cleared_everywhere(self):
         self.quarantine.members_changed(VMS)
         self.crash_canary()
