Add golden sessions, and tell an OK outcome of a claim as known

Cause: the first golden session showed that a resend through another VM got "may have run" for a request whose outcome was OK: 0 stood for "unknown" in the message, and outcomes not yet recorded were not looked at.

Change: a number of its own for an unknown outcome; an object's writer looks at the outcomes that wait for the next write; decisions on claims go to the time line.

Conclusion: the resend is told that the request ran, by a named test and in the golden file.

--- a/src/oriolegate/claims/class_writer.py
+++ b/src/oriolegate/claims/class_writer.py
@@ -127,16 +127,15 @@
 
     def _expire_claims(self, now_ms: float) -> list[WriterEffect]:
         effects: list[WriterEffect] = []
-        self.give_up_at_ms = NEVER_MS
         for claims in (self.waiting, self.batch):
             for pending in list(claims.values()):
                 if now_ms >= pending.give_up_at_ms:
                     del claims[pending.key.text]
                     effects.append(self._give_up(now_ms, pending))
-                else:
-                    self.give_up_at_ms = min(
-                        self.give_up_at_ms, pending.give_up_at_ms
-                    )
+        left = [*self.waiting.values(), *self.batch.values()]
+        self.give_up_at_ms = min(
+            (pending.give_up_at_ms for pending in left), default=NEVER_MS
+        )
         return effects
 
     def _give_up(self, now_ms: float, pending: PendingClaim) -> Settled:
@@ -189,10 +188,7 @@
             for key, outcome in self.outcomes.items()
             if self._lacks_outcome(key)
         }
-        effects: list[WriterEffect] = [
-            ends.granted(pending) for pending in batch.values()
-        ]
-        return effects + self.advance(now_ms)
+        return [*map(ends.granted, batch.values()), *self.advance(now_ms)]
 
     def _lacks_outcome(self, key: str) -> bool:
         record = self.content.records.get(key)
@@ -258,7 +254,9 @@
         """End the claims that the content decides."""
         effects: list[WriterEffect] = []
         for key, pending in list(self.waiting.items()):
-            settled = decide(self.content, pending, self.releases)
+            settled = decide(
+                self.content, pending, self.releases, self.outcomes
+            )
             if settled is None:
                 continue
             if settled.refusal and self.as_of_ms < pending.arrived_at_ms:
--- a/src/oriolegate/claims/composition.py
+++ b/src/oriolegate/claims/composition.py
@@ -56,6 +56,7 @@
     content: ClassContent,
     pending: PendingClaim,
     releases: Mapping[str, Release],
+    outcomes: Mapping[str, Outcome],
 ) -> Settled | None:
     """Return how a claim ends by what the object holds, if it ends."""
     if content.slot > pending.slot:
@@ -71,6 +72,9 @@
     release = releases.get(key)
     if release is not None and release.claim_id == record.claim_id:
         return None
+    outcome = outcomes.get(key)
+    if outcome is not None and outcome.claim_id == record.claim_id:
+        return ends.already_claimed(pending, outcome.code)
     return ends.already_claimed(pending, record.outcome)
 
 
--- a/src/oriolegate/claims/messages.py
+++ b/src/oriolegate/claims/messages.py
@@ -2,6 +2,8 @@
 
 import attrs
 
+UNKNOWN_OUTCOME = -1
+
 
 @attrs.frozen
 class ForwardedClaim:
@@ -26,7 +28,8 @@
         key: The idempotency key.
         claim_id: As in the `ForwardedClaim`.
         code: OK if the claim is in the store, else why it is refused.
-        outcome: Result code of the send that holds the key, 0 if unknown.
+        outcome: Result code of the send that holds the key, or
+            UNKNOWN_OUTCOME.
     """
 
     key: str
--- a/src/oriolegate/claims/pending.py
+++ b/src/oriolegate/claims/pending.py
@@ -6,6 +6,7 @@
 from oriolegate.claims.keys import KeyRejection
 from oriolegate.claims.keys import too_old
 from oriolegate.claims.messages import ForwardedClaimResult
+from oriolegate.claims.messages import UNKNOWN_OUTCOME
 from oriolegate.result_codes import ResultCode
 from oriolegate.result_codes import RunState
 
@@ -116,7 +117,9 @@
         key=settled.pending.key.text,
         claim_id=settled.pending.claim_id,
         code=int(refusal.code if refusal else ResultCode.OK),
-        outcome=int(settled.outcome or ResultCode.OK),
+        outcome=(
+            UNKNOWN_OUTCOME if settled.outcome is None else settled.outcome
+        ),
     )
 
 
@@ -138,4 +141,4 @@
 
 
 def _outcome(code: int) -> ResultCode | None:
-    return ResultCode(code) if code else None
+    return None if code == UNKNOWN_OUTCOME else ResultCode(code)
--- a/src/oriolegate/network/claim_store.py
+++ b/src/oriolegate/network/claim_store.py
@@ -23,6 +23,8 @@
 from oriolegate.network.platform_api import StoredObject
 from oriolegate.result_codes import ResultCode
 from oriolegate.result_codes import RunState
+from oriolegate.timeline.events import EventBuffer
+from oriolegate.timeline.events import EventKind
 
 KIND = "claims"
 ABSENT_VERSION = 0
@@ -63,6 +65,7 @@
         timers: The reactor.
         core: The decisions.
         send_to_peer: Sends one message to a VM; it may get lost.
+        timeline: Where decisions are recorded, or None.
         decisions: Who waits for a decision, by request id.
         timer: The call that will send `TimerFired`, or None.
         queue: Events that wait for the end of the present step.
@@ -74,6 +77,7 @@
     timers: Timers
     core: ClaimsCore
     send_to_peer: Callable[[str, object], None] = _ignore
+    timeline: EventBuffer | None = None
     decisions: "dict[str, defer.Deferred[ClaimDecision]]" = attrs.field(
         factory=dict
     )
@@ -152,8 +156,10 @@
 
     def _carry_out(self, effect: ClaimsEffect) -> None:
         match effect:
-            case ClaimGranted() | ClaimRefused():
-                self.decisions.pop(effect.request_id).callback(effect)
+            case ClaimGranted(request_id):
+                self._decided(request_id, effect, ResultCode.OK)
+            case ClaimRefused(request_id, code):
+                self._decided(request_id, effect, code)
             case ReadClass():
                 self._read(effect)
             case WriteClass():
@@ -163,6 +169,14 @@
             case SendToPeer(vm, message):
                 self.send_to_peer(vm, message)
 
+    def _decided(
+        self, request_id: str, decision: ClaimDecision, code: ResultCode
+    ) -> None:
+        if self.timeline is not None:
+            now_ms = self.clock.now_ms()
+            self.timeline.record(now_ms, EventKind.CLAIM, request_id, code.name)
+        self.decisions.pop(request_id).callback(decision)
+
     def _read(self, effect: ReadClass) -> None:
         operation = effect.operation
 
--- /dev/null
+++ b/tests/claims/test_golden_session.py
@@ -0,0 +1,59 @@
+"""A whole session of two VMs that claim, as a golden file."""
+
+import pathlib
+import unittest
+
+from oriolegate.claims import events
+from oriolegate.claims.settings import ClaimsSettings
+from oriolegate.result_codes import RunState
+from tests.claims.racing_cores import key_at
+from tests.claims.racing_cores import RacingCores
+from tests.golden_session import GoldenSession
+
+GOLDEN = pathlib.Path(__file__).parent / "golden" / "two_vms.txt"
+
+
+class RecordedCores(RacingCores):
+    """Racing cores whose steps go into a golden session."""
+
+    def __init__(self, vms, settings, session):
+        super().__init__(vms, settings)
+        self.session = session
+        for core in self.cores.values():
+            core.step = self.recorded(core, core.step)
+
+    def recorded(self, core, step):
+        def step_and_record(now_ms, event):
+            effects = step(now_ms, event)
+            if effects or not isinstance(event, events.TimerFired):
+                self.session.heard(now_ms, core.vm, event)
+            for effect in effects:
+                self.session.said(now_ms, core.vm, effect)
+            return effects
+
+        return step_and_record
+
+
+class GoldenSessionTest(unittest.TestCase):
+    def test_two_vms_claim_through_faults(self):
+        session = GoldenSession(GOLDEN)
+        settings = ClaimsSettings(class_count=1)
+        race = RecordedCores(("vm-a", "vm-b"), settings, session)
+        for vm in race.cores:
+            race.step(vm, events.OwnersChanged(("vm-a",)))
+        first, second = key_at(0, 1), key_at(0, 2)
+        race.request("vm-a", first, 1_000.0)
+        race.request("vm-b", second, 1_000.0)
+        race.deliver()  # vm-a reads for both
+        race.answer()
+        race.lose_answer()  # its write takes effect
+        race.advance(60.0)
+        race.answer()  # reads back
+        race.deliver()
+        race.end_run(first, RunState.RAN)
+        race.end_run(second, RunState.NOT_RUN)
+        race.settle()
+        race.request("vm-b", first, 1_000.0)
+        race.request("vm-a", second, 1_000.0)
+        race.settle()
+        session.compare(self)
--- a/tests/claims/test_racing_cores.py
+++ b/tests/claims/test_racing_cores.py
@@ -238,6 +238,18 @@
         self.assertIs(self.race.ended[later].run_state, RunState.RAN)
         self.assertIs(self.race.ended[later].outcome, ResultCode.OK)
 
+    def test_owner_tells_an_outcome_that_is_not_yet_recorded(self):
+        key = key_at(0, 1)
+        for vm in VMS:
+            self.race.step(vm, events.OwnersChanged(("vm-a",)))
+        self.race.request("vm-a", key, 1_000.0)
+        self.race.settle()
+        self.race.end_run(key, RunState.RAN)
+        later = self.race.request("vm-b", key, 1_000.0)
+        self.race.settle()
+        self.assertIs(self.race.ended[later].run_state, RunState.RAN)
+        self.assertIs(self.race.ended[later].outcome, ResultCode.OK)
+
     def test_claims_beyond_the_size_of_an_object_are_refused_not_run(self):
         settings = ClaimsSettings(class_count=1, max_claims_per_object=3)
         self.race = RacingCores(VMS, settings)
--- a/tests/network/test_claim_store.py
+++ b/tests/network/test_claim_store.py
@@ -14,6 +14,8 @@
 from oriolegate.network.platform_api import StoredObject
 from oriolegate.result_codes import ResultCode
 from oriolegate.result_codes import RunState
+from oriolegate.timeline.events import EventBuffer
+from oriolegate.timeline.events import EventKind
 
 
 class FakePlatform:
@@ -143,6 +145,22 @@
         self.advance(100.0)
         self.assertIs(decisions[0].code, ResultCode.CLAIM_STORE_DOWN)
 
+    def test_decisions_are_on_the_time_line(self):
+        self.store.timeline = EventBuffer("vm-a", 0.0)
+        self.claim()
+        self.claim("r2")
+        recorded = [
+            (event.kind, event.request_id, event.detail)
+            for event in self.store.timeline.events()
+        ]
+        self.assertEqual(
+            recorded,
+            [
+                (EventKind.CLAIM, "r1", ("OK",)),
+                (EventKind.CLAIM, "r2", ("ALREADY_CLAIMED",)),
+            ],
+        )
+
     def test_stop_leaves_no_timer(self):
         self.platform.hold = True
         self.claim()
