Broadcast in one effect, and find owners when they are needed

Cause: at 2,200 VMs a broadcast was 2,200 effects, and each change of membership hashed every VM for every class of claims.

Change: one Broadcast effect, spread by the links' own rules; the owner of a class is found at its first claim after a change.

--- a/src/oriolegate/claims/forwarding.py
+++ b/src/oriolegate/claims/forwarding.py
@@ -22,29 +22,32 @@
     Attributes:
         vm: This process's VM.
         settings: Limits and intervals.
-        owners: Preferred writer by hash class.
+        vms: The VMs between which the classes are divided.
+        owners: Preferred writer by hash class, found when it is needed.
         claims: Claims that wait for an answer, by key.
         due_ms: No claim is due earlier.
     """
 
     vm: str
     settings: ClaimsSettings
-    owners: tuple[str | None, ...] = ()
+    vms: tuple[str, ...] = ()
+    owners: dict[int, str | None] = attrs.field(factory=dict)
     claims: dict[str, PendingClaim] = attrs.field(factory=dict)
     due_ms: float = NEVER_MS
 
     def set_vms(self, vms: tuple[str, ...]) -> None:
         """Divide the classes between these VMs."""
-        self.owners = tuple(
-            classes.owner_of(hash_class, vms)
-            for hash_class in range(self.settings.class_count)
-        )
+        self.vms = vms
+        self.owners.clear()
 
     def owner(self, pending: PendingClaim) -> str | None:
         """Return the VM to ask, or None if this one writes the claim."""
-        if not self.settings.forward or not self.owners:
+        if not self.settings.forward:
             return None
-        owner = self.owners[classes.class_of(pending.key, self.settings)]
+        hash_class = classes.class_of(pending.key, self.settings)
+        if hash_class not in self.owners:
+            self.owners[hash_class] = classes.owner_of(hash_class, self.vms)
+        owner = self.owners[hash_class]
         return None if owner == self.vm else owner
 
     def add(self, pending: PendingClaim) -> None:
--- a/src/oriolegate/quarantine/admission.py
+++ b/src/oriolegate/quarantine/admission.py
@@ -52,6 +52,13 @@
     message: object
 
 
+@attrs.frozen
+class Broadcast:
+    """Send one of `quarantine.messages` to all VMs, by whatever links."""
+
+    message: object
+
+
 @attrs.frozen
 class Recheck:
     """Ask again for requests of this fingerprint that wait."""
@@ -74,4 +81,4 @@
     fingerprint: int
 
 
-QuarantineEffect = Send | Recheck | Quarantined | Cleared
+QuarantineEffect = Send | Broadcast | Recheck | Quarantined | Cleared
--- a/src/oriolegate/quarantine/core.py
+++ b/src/oriolegate/quarantine/core.py
@@ -11,6 +11,7 @@
 
 from oriolegate.quarantine import messages
 from oriolegate.quarantine.admission import Admission
+from oriolegate.quarantine.admission import Broadcast
 from oriolegate.quarantine.admission import CanaryFirst
 from oriolegate.quarantine.admission import Cleared
 from oriolegate.quarantine.admission import Free
@@ -186,7 +187,7 @@
             return (Recheck(fingerprint),)
         del self.evidence.suspects[fingerprint]
         return (
-            *self.probation.broadcast(messages.Verdict(fingerprint, 0.0)),
+            Broadcast(messages.Verdict(fingerprint, 0.0)),
             Cleared(fingerprint),
             Recheck(fingerprint),
         )
@@ -209,7 +210,7 @@
             effects += self.probation.blame(now_ms, fingerprint, {upstream})
             known = tuple(sorted(self.evidence.suspects[fingerprint].upstreams))
             report = messages.LossReport(fingerprint, known)
-            effects += self.probation.broadcast(report)
+            effects += (Broadcast(report),)
         if not unproven:
             self.evidence.doubt(counts, upstream)
         return effects
@@ -229,7 +230,7 @@
         """Clear a request everywhere because an operator says so."""
         effects = self._clear(now_ms, fingerprint)
         verdict = messages.Verdict(fingerprint, 0.0)
-        return (*self.probation.broadcast(verdict), *effects)
+        return (Broadcast(verdict), *effects)
 
     def _clear(self, now_ms: float, fingerprint: int) -> Effects:
         self.evidence.suspects.pop(fingerprint, None)
--- a/src/oriolegate/quarantine/fingerprint.py
+++ b/src/oriolegate/quarantine/fingerprint.py
@@ -30,11 +30,15 @@
     return int.from_bytes(digest.digest(), "big")
 
 
+def _rank(fingerprint_value: int, name: str) -> int:
+    return (fingerprint_value ^ _name_hash(name)) * MULTIPLIER & MASK
+
+
 def by_rank(fingerprint_value: int, names: tuple[str, ...]) -> list[str]:
     """Order names by rendezvous hash; the same on each VM."""
-    return sorted(
-        names,
-        key=lambda name: (
-            (fingerprint_value ^ _name_hash(name)) * MULTIPLIER & MASK
-        ),
-    )
+    return sorted(names, key=lambda name: _rank(fingerprint_value, name))
+
+
+def first_by_rank(fingerprint_value: int, names: tuple[str, ...]) -> str:
+    """Return the first of `by_rank`."""
+    return min(names, key=lambda name: _rank(fingerprint_value, name))
--- a/src/oriolegate/quarantine/probation.py
+++ b/src/oriolegate/quarantine/probation.py
@@ -7,13 +7,14 @@
 """
 
 from oriolegate.quarantine import messages
+from oriolegate.quarantine.admission import Broadcast
 from oriolegate.quarantine.admission import Quarantined
 from oriolegate.quarantine.admission import QuarantineEffect
 from oriolegate.quarantine.admission import Recheck
 from oriolegate.quarantine.admission import Send
 from oriolegate.quarantine.evidence import Evidence
 from oriolegate.quarantine.evidence import Suspect
-from oriolegate.quarantine.fingerprint import by_rank
+from oriolegate.quarantine.fingerprint import first_by_rank
 from oriolegate.quarantine.settings import QuarantineSettings
 
 LOSSES_BEFORE_QUARANTINE = 2
@@ -43,10 +44,6 @@
         self.vms: tuple[str, ...] = (vm,)
         self.quarantined_count = 0
 
-    def broadcast(self, message: object) -> Effects:
-        """Return the effects that send a message to every other VM."""
-        return tuple(Send(vm, message) for vm in self.vms if vm != self.vm)
-
     def take_leave(
         self, now_ms: float, fingerprint: int, suspect: Suspect
     ) -> tuple[bool, Effects]:
@@ -56,7 +53,7 @@
         if now_ms < suspect.granted_until_ms:
             suspect.granted_until_ms = 0.0
             return True, ()
-        owner = by_rank(fingerprint, self.vms)[0]
+        owner = first_by_rank(fingerprint, self.vms)
         if owner == self.vm:
             effects = self._expire_tester(now_ms, fingerprint, suspect)
             if suspect.quarantined or suspect.tester:
@@ -132,7 +129,7 @@
         self.quarantined_count += 1
         verdict = messages.Verdict(fingerprint, self.settings.quarantine_ms)
         return (
-            *self.broadcast(verdict),
+            Broadcast(verdict),
             Quarantined(fingerprint, tuple(sorted(suspect.upstreams))),
             Recheck(fingerprint),
         )
--- a/tests/quarantine/crashing_tier.py
+++ b/tests/quarantine/crashing_tier.py
@@ -188,14 +188,21 @@
         for effect in effects:
             match effect:
                 case admission.Send(receiver, message):
-                    if self.random.random() >= self.lost_link_ratio:
-                        delay_ms = self.random.uniform(*self.link_ms)
-                        self.at(delay_ms, self.deliver, vm, receiver, message)
+                    self.post(vm, receiver, message)
+                case admission.Broadcast(message):
+                    for receiver in self.vms:
+                        if receiver != vm:
+                            self.post(vm, receiver, message)
                 case admission.Recheck(value):
                     for request in list(self.waiting[vm]):
                         if request.fingerprint == value:
                             self.admit(request)
 
+    def post(self, sender, receiver, message):
+        if self.random.random() >= self.lost_link_ratio:
+            delay_ms = self.random.uniform(*self.link_ms)
+            self.at(delay_ms, self.deliver, sender, receiver, message)
+
     def deliver(self, sender, receiver, message):
         effects = self.cores[receiver].peer_message(
             self.now_ms, sender, message
--- a/tests/quarantine/test_core.py
+++ b/tests/quarantine/test_core.py
@@ -1,5 +1,6 @@
 """Tests of the quarantine of one process."""
 
+import collections
 import unittest
 
 from oriolegate.quarantine import admission
@@ -7,6 +8,7 @@
 from oriolegate.quarantine.core import Quarantine
 from oriolegate.quarantine.fingerprint import by_rank
 from oriolegate.quarantine.fingerprint import fingerprint
+from oriolegate.quarantine.fingerprint import first_by_rank
 from oriolegate.quarantine.settings import CanaryMode
 from oriolegate.quarantine.settings import QuarantineSettings
 from oriolegate.result_codes import ResultCode
@@ -32,6 +34,14 @@
         rest = tuple(name for name in UPSTREAMS if name != first)
         self.assertEqual(by_rank(BODY, rest)[0], second)
 
+    def test_choices_spread_over_all_names(self):
+        counts = collections.Counter(
+            first_by_rank(fingerprint("desk", b"%d" % n, None), UPSTREAMS)
+            for n in range(1_000)
+        )
+        self.assertEqual(set(counts), set(UPSTREAMS))
+        self.assertLess(max(counts.values()), 320)
+
 
 class QuarantineTest(unittest.TestCase):
     def setUp(self):
@@ -134,8 +144,7 @@
         self.start(self.admit().upstream)
         effects = self.finish(self.second)
         verdict = messages.Verdict(BODY, 0.0)
-        for vm in ("vm-b", "vm-c"):
-            self.assertIn(admission.Send(vm, verdict), effects)
+        self.assertIn(admission.Broadcast(verdict), effects)
         self.assertEqual(self.admit(), admission.Free())
 
     def test_proven_request_beside_a_suspect_stays_proven(self):
@@ -207,9 +216,8 @@
             self.admit(), admission.Refused(ResultCode.QUARANTINED, 60_000.0)
         )
         effects = self.quarantine.release(self.now_ms, BODY)
-        self.assertIn(
-            admission.Send("vm-b", messages.Verdict(BODY, 0.0)), effects
-        )
+        cleared = messages.Verdict(BODY, 0.0)
+        self.assertIn(admission.Broadcast(cleared), effects)
         self.assertEqual(self.admit(), admission.Free())
 
     def test_canary_modes(self):
