Test the wait for reports, and the reports

Cause: mutants without the wait of 100 ms after a loss, and without the report of a loss, passed the tests.

Conclusion: both mutants fail now.

--- a/tests/quarantine/test_core.py
+++ b/tests/quarantine/test_core.py
@@ -128,6 +128,27 @@
         self.lose(self.second)
         self.assertIsInstance(self.admit(), admission.Refused)
 
+    def test_suspect_waits_until_reports_can_be_in(self):
+        self.admit()
+        self.start(self.first)
+        self.lose(self.first)
+        self.now_ms += 99.0
+        self.assertIsInstance(self.admit(), admission.Wait)
+        self.now_ms += 1.0
+        self.assertEqual(self.admit(), admission.CanaryFirst(self.second))
+
+    def test_loss_is_reported_and_a_report_makes_a_suspect(self):
+        upstream, effects = self.crash_canary()
+        report = messages.LossReport(BODY, (upstream,))
+        self.assertIn(admission.Broadcast(report), effects)
+        other = self.make("vm-b")
+        other.peer_message(self.now_ms, "vm-a", report)
+        self.assertFalse(other.may_retry(self.now_ms, BODY))
+        second = messages.LossReport(BODY, (self.second,))
+        other.peer_message(self.now_ms, "vm-c", second)
+        admitted, _ = other.admit(self.now_ms, BODY, UPSTREAMS)
+        self.assertIsInstance(admitted, admission.Refused)
+
     def test_no_hedge_where_an_upstream_was_lost_lately(self):
         self.lose(self.second)
         self.assertEqual(self.admit(), admission.CanaryFirst(self.first))
--- a/tests/quarantine/test_crashing_tier.py
+++ b/tests/quarantine/test_crashing_tier.py
@@ -122,6 +122,13 @@
         interval_ms=st.sampled_from((0.0, 1.0, 3.0, 30.0, 250.0)),
         crash_after_ms=st.sampled_from((2.0, 14.0, 16.0, 40.0, 200.0)),
     )
+    @hypothesis.example(
+        seed=212,
+        vm_count=7,
+        upstream_count=8,
+        interval_ms=17.0,
+        crash_after_ms=16.0,
+    )
     def test_never_more_than_two_upstreams(
         self, seed, vm_count, upstream_count, interval_ms, crash_after_ms
     ):
