Forget platform calls that never end

Cause: a call whose answer never came stayed in the table of calls for good: 25 entries after 25 such calls in the new test.

Change: entries of calls that were given up go when unused objects go.

Conclusion: the test fails without the change and passes with it.

--- a/src/oriolegate/claims/writer_table.py
+++ b/src/oriolegate/claims/writer_table.py
@@ -41,12 +41,18 @@
         return writer
 
     def _drop_idle(self, now_ms: float) -> None:
+        """Forget unused writers, and calls that were given up."""
         unused_since_ms = now_ms - 2 * self.settings.slot_width_ms
         self.by_name = {
             name: writer
             for name, writer in self.by_name.items()
             if not writer.idle() or writer.as_of_ms > unused_since_ms
         }
+        self.by_operation = {
+            operation: writer
+            for operation, writer in self.by_operation.items()
+            if writer.operation == operation
+        }
 
     def _next_operation(self) -> int:
         self.operation_count += 1
--- a/tests/claims/test_racing_cores.py
+++ b/tests/claims/test_racing_cores.py
@@ -294,6 +294,17 @@
         self.race.advance(450.0)
         self.assertIs(self.race.ended[send].code, ResultCode.CLAIM_STORE_DOWN)
 
+    def test_calls_that_never_end_and_unused_objects_are_forgotten(self):
+        core = self.race.cores["vm-a"]
+        for second in range(0, 200, 4):
+            self.race.now_ms = second * 1_000.0
+            self.race.request("vm-a", key_at(self.race.now_ms, 1), 100.0)
+            if second % 8:
+                self.race.calls.clear()
+            self.race.settle()
+        self.assertLess(len(core.writers.by_name), 6)
+        self.assertLess(len(core.writers.by_operation), 6)
+
     def test_pause_before_the_grant_refuses_after_the_deadline(self):
         send = self.race.request("vm-a", key_at(0, 1), 100.0)
         self.race.answer()
