Count a passing subtest once, with its test

Cause: the counter took each passing subtest for a failure: 4 subtests gave '35 passed, 4 failed' beside unittest's OK. A failing subtest still counts.

--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -38,6 +38,9 @@
 
     def testOutcome(self, event: Any) -> None:  # noqa: N802 (nose2's name)
         """Count one outcome."""
+        if event.outcome == "subtest" and event.exc_info is None:
+            # The test that holds it is counted when it ends.
+            return
         if event.outcome == "passed" and event.expected:
             self.passed += 1
         elif event.outcome == "skipped":
