--- a/src/oriolegate/standins/platform_routes.py
+++ b/src/oriolegate/standins/platform_routes.py
@@ -16,8 +16,12 @@
 from oriolegate.result_codes import ResultCode
 from oriolegate.standins.in_memory_platform import InMemoryPlatform
 from oriolegate.standins.platform_store import RateLimit
+from oriolegate.standins.platform_store import StoreFaults
 
-FAULT_FIELDS = frozenset({"outage", "slow_ms", "lose_answers", "vm_lag_ms"})
+CONTROL_FIELDS = frozenset(
+    {"vms", "writes_per_s", "reads_per_s"}
+    | {field.name for field in attrs.fields(StoreFaults)}
+)
 
 
 def _object_row(stored: StoredObject) -> dict[str, Any]:
@@ -88,6 +92,9 @@
         raise PlatformError("no such call", ResultCode.PLATFORM_NOT_FOUND)
 
     def _control(self, settings: dict[str, Any]) -> dict[str, Any]:
+        unknown = settings.keys() - CONTROL_FIELDS
+        if unknown:
+            raise ValueError(f"there is no control {sorted(unknown)}")
         store = self.platform.store
         for field, value in settings.items():
             match field:
@@ -97,10 +104,8 @@
                     store.writes = RateLimit(value)
                 case "reads_per_s":
                     store.reads = RateLimit(value)
-                case _ if field in FAULT_FIELDS:
-                    setattr(store.faults, field, value)
                 case _:
-                    raise ValueError(f"there is no control {field!r}")
+                    setattr(store.faults, field, value)
         return attrs.asdict(store.faults)
 
     def _counts(self) -> dict[str, Any]:
--- a/src/oriolegate/standins/site.py
+++ b/src/oriolegate/standins/site.py
@@ -53,6 +53,7 @@
         layout: What it was built from.
         store: The platform's store, to which topology is written.
         host: IP number of all leafs.
+        first_port: Port of the first leaf, or 0 for free ports.
         ledger: Record of the runs of all leafs.
         leafs: Leafs by name.
         services: What is published, by service.
@@ -70,6 +71,7 @@
         self.layout = layout
         self.store = store
         self.host = host
+        self.first_port = first_port
         self.ledger = RunLedger()
         self.leafs: dict[str, SiteLeaf] = {}
         self.servers: dict[str, LeafServer] = {}
@@ -98,8 +100,9 @@
             port = reactor.listenTCP(leaf.port, server, interface=self.host)
             listening.append(port)
             leaf.port = port.getHost().port
-        for service in self.services:
-            self._write_topology(service)
+        if not self.first_port:
+            for service in self.services:
+                self._write_topology(service)
         return listening
 
     def publish(self, service: str, version: int, shards: int) -> None:
--- a/tests/commands/test_emulate.py
+++ b/tests/commands/test_emulate.py
@@ -8,6 +8,8 @@
 from unittest import mock
 
 from twisted.internet import defer
+from twisted.internet import endpoints
+from twisted.internet import protocol
 from twisted.internet import reactor
 from twisted.web import client
 from twisted.web import http_headers
@@ -20,6 +22,11 @@
 from tests.reactor_case import on_reactor
 from tests.reactor_case import wait_for
 
+QUERY = (
+    b"POST /query HTTP/1.1\r\nX-Query: q\r\nX-Shard: 0\r\n"
+    b"X-Attempt: 0\r\nX-Index-Version: 1\r\nContent-Length: 0\r\n\r\n"
+)
+
 
 def parse(*flags, **variables):
     environment = {
@@ -31,6 +38,23 @@
         return parser.parse_args(flags)
 
 
+class Watcher(protocol.Protocol):
+    """Tells when a connection is answered and when it is lost."""
+
+    def __init__(self):
+        self.received = b""
+        self.answered = defer.Deferred()
+        self.lost = defer.Deferred()
+
+    def dataReceived(self, data):  # noqa: N802 (twisted's name)
+        self.received += data
+        if not self.answered.called:
+            self.answered.callback(None)
+
+    def connectionLost(self, reason):  # noqa: N802 (twisted's name)
+        self.lost.callback(None)
+
+
 def stop_listening(port):
     wait_for(defer.maybeDeferred(port.stopListening))
 
@@ -140,16 +164,37 @@
     @on_reactor
     async def test_orders_that_can_not_be_read_are_refused(self):
         for path, order in (
-            ("/control", {"outrage": True}),
+            ("/control", {"outage": True, "slow": 1.0}),
             ("/control/leafs", {"action": "drain", "leaf": "none"}),
             ("/control/leafs", {"leaf": "auditoria-00-0"}),
             ("/control/services", {"action": "publish", "service": "none"}),
         ):
             status, _ = await self.call("POST", path, order)
             self.assertEqual(status, 400, path)
+        self.assertFalse(self.site.store.faults.outage)
         status, _ = await self.call("POST", "/control/other", {})
         self.assertEqual(status, 404)
 
+    @on_reactor
+    async def test_stopped_leaf_closes_connections_and_turns_new_ones_away(
+        self,
+    ):
+        name = "auditoria-00-0"
+        leaf = self.site.leafs[name]
+        endpoint = endpoints.TCP4ClientEndpoint(reactor, "127.0.0.1", leaf.port)
+        kept = await endpoints.connectProtocol(endpoint, Watcher())
+        kept.transport.write(QUERY)
+        await kept.answered
+        order = {"action": "stop", "leaf": name}
+        await self.call("POST", "/control/leafs", order)
+        await kept.lost
+        self.assertEqual(leaf.model.connections, set())
+        refused = await endpoints.connectProtocol(endpoint, Watcher())
+        refused.transport.write(QUERY)
+        await refused.lost
+        self.assertEqual(refused.received, b"")
+        self.assertEqual(leaf.model.counts.queries, 1)
+
     def test_taken_port_is_a_settings_error(self):
         self.arguments.platform_port = str(self.port)
         site, routes = emulate.build(self.arguments, reactor)
