Shorten the drawing and pairing functions

Change: the end of a span, the whole request, the opened span and the HTTP exchange are functions of their own.

Conclusion: the golden picture is byte for byte the same.

--- a/src/oriolegate/commands/admin_client.py
+++ b/src/oriolegate/commands/admin_client.py
@@ -45,6 +45,24 @@
     return urllib.request.Request(url, data=data, headers=headers)
 
 
+def _exchange(
+    url: str, request: urllib.request.Request, timeout_s: float
+) -> bytes:
+    # The environment's proxies are for the outside, and would see the key.
+    opener = urllib.request.build_opener(urllib.request.ProxyHandler({}))
+    try:
+        with opener.open(request, timeout=timeout_s) as answer:
+            return bytes(answer.read(MAX_ANSWER_BYTES))
+    except urllib.error.HTTPError as error:
+        raise _fault_of_status(url, error) from error
+    except (OSError, http.client.HTTPException) as error:
+        raise OriolegateError(
+            f"{url} can't be reached ({error}); check the URL and that the"
+            " process runs.",
+            ResultCode.NOT_READY,
+        ) from error
+
+
 def request_json(
     url: str,
     path: str,
@@ -68,20 +86,7 @@
         OriolegateError: With the code that the process told, or NOT_READY if
             it can't be reached.
     """
-    # The environment's proxies are for the outside, and would see the key.
-    opener = urllib.request.build_opener(urllib.request.ProxyHandler({}))
-    request = _request(url + path, key, body)
-    try:
-        with opener.open(request, timeout=timeout_s) as answer:
-            text = answer.read(MAX_ANSWER_BYTES)
-    except urllib.error.HTTPError as error:
-        raise _fault_of_status(url, error) from error
-    except (OSError, http.client.HTTPException) as error:
-        raise OriolegateError(
-            f"{url} can't be reached ({error}); check the URL and that the"
-            " process runs.",
-            ResultCode.NOT_READY,
-        ) from error
+    text = _exchange(url, _request(url + path, key, body), timeout_s)
     try:
         return json.loads(text)
     except ValueError as error:
--- a/src/oriolegate/timeline/spans.py
+++ b/src/oriolegate/timeline/spans.py
@@ -9,6 +9,7 @@
 from oriolegate.timeline import detail_fields
 from oriolegate.timeline.events import EventKind
 from oriolegate.timeline.merge import MergedTimeline
+from oriolegate.timeline.merge import PlacedEvent
 
 
 class SpanKind(enum.Enum):
@@ -87,6 +88,21 @@
     return None
 
 
+def _opened(
+    placed: PlacedEvent, named: Mapping[str, object], last_ms: float
+) -> Span:
+    return Span(
+        vm=placed.event.vm,
+        leaf=str(named.get("leaf", "?")),
+        shard=str(named.get("shard", "")),
+        attempt=str(named.get("attempt", "")),
+        kind=OPENING[placed.event.kind],
+        start_ms=placed.time_ms,
+        end_ms=last_ms,
+        end=SpanEnd.OPEN,
+    )
+
+
 def find_spans(timeline: MergedTimeline) -> list[Span]:
     """Pair the sending of each sub-request with its end.
 
@@ -97,33 +113,19 @@
         Spans in the order of their sending; those without an end reach the
         end of the time line and are OPEN.
     """
-    if not timeline.events:
-        return []
-    last_ms = timeline.events[-1].time_ms
     spans: list[Span] = []
     for placed in timeline.events:
         event = placed.event
         named = detail_fields.named_detail(event)
         if event.kind in OPENING:
-            spans.append(
-                Span(
-                    vm=event.vm,
-                    leaf=str(named.get("leaf", "?")),
-                    shard=str(named.get("shard", "")),
-                    attempt=str(named.get("attempt", "")),
-                    kind=OPENING[event.kind],
-                    start_ms=placed.time_ms,
-                    end_ms=last_ms,
-                    end=SpanEnd.OPEN,
-                )
-            )
+            last_ms = timeline.events[-1].time_ms
+            spans.append(_opened(placed, named, last_ms))
         elif event.kind in CLOSING:
             place = _open_span(spans, event.vm, named)
             if place is not None:
+                end = CLOSING[event.kind]
                 spans[place] = attrs.evolve(
-                    spans[place],
-                    end_ms=placed.time_ms,
-                    end=CLOSING[event.kind],
+                    spans[place], end_ms=placed.time_ms, end=end
                 )
     return spans
 
--- a/src/oriolegate/timeline/svg.py
+++ b/src/oriolegate/timeline/svg.py
@@ -97,6 +97,27 @@
     _add_text(root, x, TITLE_HEIGHT - 5.0, "ms", text_anchor="end")
 
 
+def _draw_span_end(
+    root: ElementTree.Element,
+    span: Span,
+    end: float,
+    top: float,
+) -> None:
+    if span.end in END_COLOURS:
+        _add(
+            root,
+            "rect",
+            x=end - 3.0,
+            y=top - 2.0,
+            width=3,
+            height=BAR_HEIGHT + 4,
+            fill=END_COLOURS[span.end],
+        )
+    if span.end is SpanEnd.CANCELLED:
+        cross = f"M{end - 4:.1f} {top:.1f}l8 10m0 -10l-8 10"
+        _add(root, "path", d=cross, stroke=INK, fill="none")
+
+
 def _draw_span(
     root: ElementTree.Element, scale: _Scale, span: Span, top: float
 ) -> None:
@@ -120,19 +141,7 @@
         f" {span.leaf}: {span.end.value}"
         f" after {span.end_ms - span.start_ms:.1f} ms",
     )
-    if span.end in END_COLOURS:
-        _add(
-            root,
-            "rect",
-            x=start + width - 3.0,
-            y=top - 2.0,
-            width=3,
-            height=BAR_HEIGHT + 4,
-            fill=END_COLOURS[span.end],
-        )
-    if span.end is SpanEnd.CANCELLED:
-        cross = f"M{end - 4:.1f} {top:.1f}l8 10m0 -10l-8 10"
-        _add(root, "path", d=cross, stroke=INK, fill="none")
+    _draw_span_end(root, span, start + width, top)
 
 
 def _draw_mark(
@@ -243,6 +252,21 @@
     return top
 
 
+def _draw_request(
+    root: ElementTree.Element, timeline: MergedTimeline
+) -> tuple[str, float]:
+    first, last = timeline.events[0], timeline.events[-1]
+    # A request whose events share one millisecond still gets an axis.
+    span_ms = max(1.0, last.time_ms - first.time_ms)
+    scale = _Scale(first.time_ms, span_ms)
+    axis = _add(root, "g")
+    bottom = _draw_lanes(root, scale, _lanes(timeline))
+    _draw_axis(axis, scale, bottom)
+    _draw_legend(root)
+    title = f"request {first.event.request_id or '-'}, {span_ms:.1f} ms"
+    return title, bottom
+
+
 def render_svg(timeline: MergedTimeline) -> str:
     """Draw the events of one request.
 
@@ -253,25 +277,16 @@
         An SVG document: a lane for each VM with the request's own events,
         and under it rows for each leaf with the sub-requests to it.
     """
-    width = 2 * MARGIN + LABEL_WIDTH + PLOT_WIDTH
     root = ElementTree.Element(
         "svg",
         {"xmlns": NAMESPACE, "font-family": "sans-serif", "font-size": "11"},
     )
     _add(root, "rect", width="100%", height="100%", fill="white")
+    title, bottom = "no events", float(TITLE_HEIGHT)
     if timeline.events:
-        first, last = timeline.events[0], timeline.events[-1]
-        # A request whose events share one millisecond still gets an axis.
-        span_ms = max(1.0, last.time_ms - first.time_ms)
-        scale = _Scale(first.time_ms, span_ms)
-        title = f"request {first.event.request_id or '-'}, {span_ms:.1f} ms"
-        axis = _add(root, "g")
-        bottom = _draw_lanes(root, scale, _lanes(timeline))
-        _draw_axis(axis, scale, bottom)
-        _draw_legend(root)
-    else:
-        title, bottom = "no events", float(TITLE_HEIGHT)
+        title, bottom = _draw_request(root, timeline)
     _add_text(root, MARGIN, 24.0, title, font_size=14, font_weight="bold")
+    width = 2 * MARGIN + LABEL_WIDTH + PLOT_WIDTH
     height = math.ceil(bottom) + MARGIN
     root.set("width", str(width))
     root.set("height", str(height))
