Log what Twisted reports, and end quietly when a reader leaves

Cause: an error in a Deferred that nobody handles was printed by Twisted in a form of its own; oriolegate timeline into head ended with a traceback.

Change: forward_twisted_logs sends Twisted's log through ours, failures as errors with their traceback and routine lines at debug. The main parser treats a closed standard output as the end.

Conclusion: the test of the closed output fails without the change; serve has to call forward_twisted_logs.

--- a/src/oriolegate/cli/main_parser.py
+++ b/src/oriolegate/cli/main_parser.py
@@ -5,6 +5,7 @@
 """
 
 from collections.abc import Sequence
+import os
 import sys
 
 from oriolegate.cli import registry
@@ -95,6 +96,12 @@
     if name not in registry.COMMANDS:
         return _unknown_command(name)
     try:
-        return _run_command(name, options)
+        status = _run_command(name, options)
+        sys.stdout.flush()
     except KeyboardInterrupt:
         return INTERRUPTED_STATUS
+    except BrokenPipeError:
+        # The reader has seen enough; the interpreter would flush once more.
+        sys.stdout = open(os.devnull, "w")  # noqa: SIM115 (until the exit)
+        return ExitStatus.SUCCESS
+    return status
--- a/src/oriolegate/logging_setup.py
+++ b/src/oriolegate/logging_setup.py
@@ -102,6 +102,34 @@
     )
 
 
+def log_twisted_event(event: dict[str, Any]) -> None:
+    """Log what Twisted reports, such as an error that nobody handled."""
+    from twisted import logger as twisted_logger
+
+    failure = event.get("log_failure")
+    level = event.get("log_level")
+    is_serious = level is not None and level >= twisted_logger.LogLevel.error
+    log = get_logger("twisted")
+    text = twisted_logger.formatEvent(event) or event.get("log_format") or ""
+    if failure is not None:
+        trace = failure.getTracebackObject()
+        raised = (failure.type, failure.value, trace)
+        log.opt(exception=raised).error("{}", text)
+    elif is_serious:
+        log.error("{}", text)
+    else:
+        log.debug("{}", text)
+
+
+def forward_twisted_logs() -> None:
+    """Send Twisted's own log to ours; call it once, in a serving process."""
+    from twisted import logger as twisted_logger
+
+    twisted_logger.globalLogBeginner.beginLoggingTo(
+        [log_twisted_event], redirectStandardIO=False
+    )
+
+
 class RepeatLimiter:
     """Passes one message for each key and interval, and counts the others.
 
--- a/tests/cli/test_command_line.py
+++ b/tests/cli/test_command_line.py
@@ -1,5 +1,6 @@
 """Functional tests that drive the real command line."""
 
+import os
 import pathlib
 import subprocess
 import sys
@@ -66,6 +67,21 @@
         self.assertEqual(run_command("version").stdout, expected)
         self.assertEqual(run_command("--version").stdout, expected)
 
+    def test_a_reader_that_leaves_early_is_no_fault(self):
+        reader, writer = os.pipe()
+        os.close(reader)
+        with open(writer, "wb") as output:
+            done = subprocess.run(
+                [sys.executable, "-m", "oriolegate", "version"],
+                env={"PYTHONPATH": str(SOURCE)},
+                stdout=output,
+                stderr=subprocess.PIPE,
+                timeout=TIMEOUT_S,
+                check=False,
+            )
+        self.assertEqual(done.stderr, b"")
+        self.assertEqual(done.returncode, ExitStatus.SUCCESS)
+
 
 class StatusCodeTest(unittest.TestCase):
     def test_every_status_has_a_meaning(self):
--- a/tests/test_logging_setup.py
+++ b/tests/test_logging_setup.py
@@ -5,6 +5,7 @@
 import unittest
 
 from loguru import logger
+from twisted import logger as twisted_logger
 
 from oriolegate import logging_setup
 from oriolegate.clock import FakeClock
@@ -66,6 +67,31 @@
         self.assertNotIn("q7q7q7", self.stream.getvalue())
 
 
+class TwistedLogTest(unittest.TestCase):
+    def setUp(self):
+        self.stream = io.StringIO()
+        logging_setup.setup_logging(stream=self.stream)
+        self.addCleanup(logger.remove)
+        publisher = twisted_logger.LogPublisher(logging_setup.log_twisted_event)
+        self.log = twisted_logger.Logger("test", observer=publisher)
+
+    def test_an_unhandled_failure_is_an_error_with_its_traceback(self):
+        try:
+            raise ValueError("lost {in} the loop")
+        except ValueError:
+            self.log.failure("Unhandled {what}", what="error in Deferred")
+        text = self.stream.getvalue()
+        self.assertIn("ERROR   twisted: Unhandled error in Deferred", text)
+        self.assertIn("ValueError: lost {in} the loop", text)
+
+    def test_routine_messages_need_more_verbosity(self):
+        self.log.info("Starting factory {name}", name="{}")
+        self.assertEqual(self.stream.getvalue(), "")
+        logging_setup.setup_logging(verbose=1, stream=self.stream)
+        self.log.info("Starting factory {name}", name="{}")
+        self.assertIn("twisted: Starting factory {}", self.stream.getvalue())
+
+
 class RepeatLimiterTest(unittest.TestCase):
     def setUp(self):
         self.stream = io.StringIO()
