--- a/src/oriolegate/cli/registry.py
+++ b/src/oriolegate/cli/registry.py
@@ -38,5 +38,20 @@
         "oriolegate.commands.timeline",
         "show the events of running processes in order",
     ),
+    "check": CommandEntry(
+        "oriolegate.commands.check", "report every error of a rules file"
+    ),
+    "format": CommandEntry(
+        "oriolegate.commands.format", "write a rules file in canonical form"
+    ),
+    "apply": CommandEntry(
+        "oriolegate.commands.apply", "ask for a new version of the rules"
+    ),
+    "show": CommandEntry(
+        "oriolegate.commands.show", "print the rules, or what they decide"
+    ),
+    "history": CommandEntry(
+        "oriolegate.commands.history", "list the accepted versions"
+    ),
     "version": CommandEntry("oriolegate.commands.version", "print the version"),
 }
--- a/src/oriolegate/rules/acceptance.py
+++ b/src/oriolegate/rules/acceptance.py
@@ -24,12 +24,14 @@
 from oriolegate.rules.acceptance_phases import ReadingOutcome
 from oriolegate.rules.acceptance_phases import WritingAccepted
 from oriolegate.rules.model import Document
+from oriolegate.rules.parser import LineCache
 from oriolegate.rules.proposal import check_text
 from oriolegate.rules.proposal import Proposal
 from oriolegate.rules.proposal import propose
-from oriolegate.rules.stored_rules import ACCEPTED_NAME
-from oriolegate.rules.stored_rules import history_name
+from oriolegate.rules.stored_rules import ACCEPTED
+from oriolegate.rules.stored_rules import history_path
 from oriolegate.rules.stored_rules import NO_RULES
+from oriolegate.rules.stored_rules import ObjectPath
 from oriolegate.rules.stored_rules import read_stored
 from oriolegate.rules.stored_rules import StoredRules
 
@@ -47,8 +49,10 @@
         self,
         edit: messages.RulesEdit,
         limits: AcceptanceLimits | None = None,
+        cache: LineCache | None = None,
     ) -> None:
         self.edit = edit
+        self.cache = LineCache() if cache is None else cache
         self.limits = limits or AcceptanceLimits()
         self.phase: Phase = ReadingAccepted()
         self.unsettled: Proposal | None = None
@@ -101,7 +105,7 @@
                 return self._rejected()
 
     def _start(self) -> list[messages.AcceptanceEffect]:
-        parsed = check_text(self.edit.text)
+        parsed = check_text(self.edit.text, self.cache)
         if parsed.is_error():
             return self._finish(messages.Invalid(parsed.error))
         self.document = parsed.ok
@@ -129,29 +133,29 @@
         self.retry_at_ms = None
         match self.phase:
             case ReadingAccepted():
-                return [messages.ReadObject(self.call_id, ACCEPTED_NAME)]
+                return [messages.ReadObject(self.call_id, ACCEPTED)]
             case ReadingBase():
                 return [self._read_history(self.edit.base)]
             case ReadingOutcome(proposal=proposal):
                 return [self._read_history(proposal.stored.version)]
             case KeepingHistory(present=present):
-                name = history_name(present.version)
-                return [self._write(name, present, 0)]
+                path = history_path(present.version)
+                return [self._write(path, present, 0)]
             case WritingAccepted(proposal=proposal):
                 self.unsettled = proposal
                 stored = proposal.stored
-                return [self._write(ACCEPTED_NAME, stored, stored.version - 1)]
+                return [self._write(ACCEPTED, stored, stored.version - 1)]
             case Finished():
                 return []
 
     def _read_history(self, version: int) -> messages.ReadObject:
-        return messages.ReadObject(self.call_id, history_name(version))
+        return messages.ReadObject(self.call_id, history_path(version))
 
     def _write(
-        self, name: str, stored: StoredRules, expected_version: int
+        self, path: ObjectPath, stored: StoredRules, expected_version: int
     ) -> messages.WriteObject:
         return messages.WriteObject(
-            self.call_id, name, stored.to_value(), expected_version
+            self.call_id, path, stored.to_value(), expected_version
         )
 
     def _retry_later(self) -> list[messages.AcceptanceEffect]:
@@ -252,7 +256,7 @@
         self.proposals += 1
         if self._tries_spent():
             return self._finish(messages.Unavailable(outcomes.OVERTAKEN))
-        proposed = propose(self.edit, self.document, present, base)
+        proposed = propose(self.edit, self.document, present, base, self.cache)
         if proposed.is_error():
             return self._finish(proposed.error)
         proposal = proposed.ok
--- a/src/oriolegate/rules/proposal.py
+++ b/src/oriolegate/rules/proposal.py
@@ -15,6 +15,8 @@
 from oriolegate.rules.formatter import write_document
 from oriolegate.rules.merge import merge
 from oriolegate.rules.model import Document
+from oriolegate.rules.model import RouteRule
+from oriolegate.rules.parser import LineCache
 from oriolegate.rules.parser import parse
 from oriolegate.rules.stored_rules import StoredRules
 
@@ -37,7 +39,9 @@
     others: tuple[RuleChange, ...]
 
 
-def check_text(text: str) -> Result[Document, tuple[RuleError, ...]]:
+def check_text(
+    text: str, cache: LineCache | None = None
+) -> Result[Document, tuple[RuleError, ...]]:
     """Parse a new text, and refuse one that the store can't hold."""
     size_bytes = len(text.encode("utf-8", "surrogatepass"))
     if size_bytes > MAX_TEXT_BYTES:
@@ -47,7 +51,7 @@
         )
         error = RuleError(1, 1, RuleErrorCode.OUT_OF_RANGE, message)
         return Error((error,))
-    return parse(text)
+    return parse(text, cache)
 
 
 def _unreadable(version: int, present: int) -> Result[Proposal, Refused]:
@@ -58,8 +62,29 @@
     return Error(Refused(present, message))
 
 
+def _has_route(document: Document) -> bool:
+    return any(isinstance(rule, RouteRule) for rule in document.rules)
+
+
+def _check_routes(
+    now: Document, new: Document, present: StoredRules
+) -> Result[None, Refused]:
+    """Refuse to remove the last route, as a cut-off file would."""
+    if _has_route(new) or not _has_route(now):
+        return Ok(None)
+    message = (
+        "the edit would leave no route, and every request would be refused; "
+        "keep one"
+    )
+    return Error(Refused(present.version, message))
+
+
 def propose(
-    edit: RulesEdit, document: Document, present: StoredRules, base: StoredRules
+    edit: RulesEdit,
+    document: Document,
+    present: StoredRules,
+    base: StoredRules,
+    cache: LineCache | None = None,
 ) -> Result[Proposal, Refused]:
     """Merge an edit with the accepted version.
 
@@ -68,18 +93,22 @@
         document: Its text, parsed.
         present: The accepted version.
         base: The version that the edit is based on.
+        cache: Lines parsed before.
 
     Returns:
         The proposal, or why the edit is refused.
     """
-    parsed_base, parsed_present = parse(base.text), parse(present.text)
+    parsed_base = parse(base.text, cache)
+    parsed_present = parse(present.text, cache)
     if parsed_base.is_error():
         return _unreadable(base.version, present.version)
     if parsed_present.is_error():
         return _unreadable(present.version, present.version)
     old, now = parsed_base.ok, parsed_present.ok
     if base.version == present.version:
-        return Ok(_proposal(edit, present, now, document, edit.text))
+        return _check_routes(now, document, present).map(
+            lambda _: _proposal(edit, present, now, document, edit.text)
+        )
     merged = merge(old, now, document)
     if merged.is_error():
         message = (
@@ -88,11 +117,22 @@
             f"with --base {present.version}"
         )
         return Error(Refused(present.version, message, merged.error))
-    text = write_document(merged.ok)
-    if not changes_between(now, merged.ok):
-        text = present.text
-    proposal = _proposal(edit, present, now, merged.ok, text)
-    return Ok(attrs.evolve(proposal, others=changes_between(old, now)))
+    return _check_routes(now, merged.ok, present).map(
+        lambda _: _merged_proposal(edit, present, old, now, merged.ok)
+    )
+
+
+def _merged_proposal(
+    edit: RulesEdit,
+    present: StoredRules,
+    old: Document,
+    now: Document,
+    merged: Document,
+) -> Proposal:
+    unchanged = not changes_between(now, merged)
+    text = present.text if unchanged else write_document(merged)
+    proposal = _proposal(edit, present, now, merged, text)
+    return attrs.evolve(proposal, others=changes_between(old, now))
 
 
 def _proposal(
