Give confirmations a module of their own; record documents and shares

Change: confirmation_spreader.py; an optional EventBuffer for the spreader and the shares; a rule that loses everything, tests of digests and of parts.

--- a/src/oriolegate/configuration/spreader.py
+++ b/src/oriolegate/configuration/spreader.py
@@ -11,6 +11,7 @@
 
 from oriolegate.configuration import effects
 from oriolegate.configuration import messages
+from oriolegate.configuration.confirmation_spreader import ConfirmationSpreader
 from oriolegate.configuration.confirmation_table import ConfirmationTable
 from oriolegate.configuration.document_table import DocumentTable
 from oriolegate.configuration.effects import SpreaderEffect
@@ -20,6 +21,8 @@
 from oriolegate.configuration.start_gate import StartGate
 from oriolegate.membership.effects import Send
 from oriolegate.membership.rendezvous import ranked
+from oriolegate.timeline.events import EventBuffer
+from oriolegate.timeline.events import EventKind
 
 WATCHERS_PER_DATA_CENTRE = 2
 PULL_RETRY_MS = 1_000.0
@@ -28,7 +31,10 @@
 START_READ_MS = 2_000.0
 ISOLATION_MS = 10_000.0
 PROBE_MS = 4_000.0
-CONFIRMATION_CHUNK = 64
+RECORDED_KINDS = {
+    messages.RULES_KIND: EventKind.RULES_ACCEPTED,
+    messages.TOPOLOGY_KIND: EventKind.TOPOLOGY_CHANGED,
+}
 DOCUMENTS_DIGEST = "documents"
 CONFIRMED_DIGEST = "confirmed"
 
@@ -40,14 +46,10 @@
     Attributes:
         differs: Heartbeats in a row with another documents digest.
         exchanged_ms: When versions were last sent to it.
-        position: Where the next chunk of confirmations starts.
-        chunk_ms: When the last chunk was sent.
     """
 
     differs: int = 0
     exchanged_ms: float = -EXCHANGE_MS
-    position: int = 0
-    chunk_ms: float = -EXCHANGE_MS
 
 
 @attrs.define
@@ -85,6 +87,7 @@
             messages.RULES_KIND,
             messages.TOPOLOGY_KIND,
         ),
+        buffer: EventBuffer | None = None,
     ) -> None:
         """Make a spreader without documents.
 
@@ -93,17 +96,21 @@
             incarnation: Of this process.
             data_centre: Where it runs.
             kinds: Kinds of documents to keep.
+            buffer: Records accepted documents for the time line.
         """
         self.vm = vm
         self.incarnation = incarnation
         self.data_centre = data_centre
         self.kinds = kinds
+        self.buffer = buffer
         self.table = DocumentTable()
         self.confirmations = ConfirmationTable()
+        self.confirming = ConfirmationSpreader(
+            vm, incarnation, self.confirmations
+        )
         self.gate = StartGate(kinds)
         self.peers: dict[str, PeerProgress] = {}
         self.pulls: dict[DocumentKey, PendingPull] = {}
-        self.news: dict[str, tuple[messages.Confirmation, str]] = {}
         self.watching = False
         self.isolated = False
         self.heard_ms = 0.0
@@ -124,12 +131,13 @@
             case effects.StoreRead():
                 self._take_store(now_ms, event)
             case effects.DocumentWritten():
-                self._accept((event.document,), "")
+                self._accept(now_ms, (event.document,), "")
             case effects.PeerLinked():
                 self.peers[event.vm] = PeerProgress()
                 self._send_versions(now_ms, event.vm)
             case effects.PeerLost():
                 self.peers.pop(event.vm, None)
+                self.confirming.forget(event.vm)
             case effects.PeerDigest():
                 self._compare(now_ms, event.vm, dict(event.digests))
             case effects.Received():
@@ -169,7 +177,7 @@
         self._retry_pulls(now_ms)
         if now_ms >= self.next_flush_ms:
             self.next_flush_ms = now_ms + FLUSH_MS
-            self._flush_confirmations()
+            self.out += self.confirming.flush(self.peers)
         self._check_isolation(now_ms)
 
     def _check_isolation(self, now_ms: float) -> None:
@@ -184,12 +192,15 @@
 
     def _take_store(self, now_ms: float, event: effects.StoreRead) -> None:
         self.heard_ms = now_ms
-        self._accept(event.documents, "")
+        self._accept(now_ms, event.documents, "")
         if event.complete:
             self.gate.store_listed(event.kind)
 
     def _accept(
-        self, documents: Iterable[VersionedDocument], source: str
+        self,
+        now_ms: float,
+        documents: Iterable[VersionedDocument],
+        source: str,
     ) -> None:
         accepted = [
             item
@@ -198,9 +209,10 @@
         ]
         for document in accepted:
             self._forget_pull(document)
+            self._record(now_ms, document)
             self.out.append(effects.DocumentAccepted(document))
             if document.key.kind == messages.RULES_KIND:
-                self._confirm(document.version)
+                self.confirming.confirm(document.version)
         if accepted:
             versions = tuple(
                 DocumentVersion(item.key, item.version) for item in accepted
@@ -210,31 +222,18 @@
                 if vm != source:
                     self.out.append(Send(vm, announcement))
 
+    def _record(self, now_ms: float, document: VersionedDocument) -> None:
+        kind = RECORDED_KINDS.get(document.key.kind)
+        if self.buffer is not None and kind is not None:
+            self.buffer.record(
+                now_ms, kind, "", document.key.name, document.version
+            )
+
     def _forget_pull(self, document: VersionedDocument) -> None:
         pull = self.pulls.get(document.key)
         if pull is not None and pull.version <= document.version:
             del self.pulls[document.key]
 
-    def _confirm(self, version: int) -> None:
-        own = messages.Confirmation(self.vm, self.incarnation, version)
-        self._merge_confirmation(own, "")
-
-    def _merge_confirmation(
-        self, item: messages.Confirmation, source: str
-    ) -> None:
-        if self.confirmations.merge(item):
-            self.news[item.vm] = (item, source)
-
-    def _flush_confirmations(self) -> None:
-        for vm in self.peers if self.news else ():
-            items = tuple(
-                item for item, source in self.news.values() if source != vm
-            )
-            if items:
-                message = messages.Confirmations(items)
-                self.out.append(Send(vm, message))
-        self.news.clear()
-
     def _send_versions(self, now_ms: float, vm: str) -> None:
         self.peers[vm].exchanged_ms = now_ms
         versions = messages.VersionList(self.table.versions(), self.gate.opened)
@@ -253,22 +252,9 @@
         # One difference may be an announcement under way.
         if due and (peer.differs > 1 or not self.gate.opened):
             self._send_versions(now_ms, vm)
-        chunk_due = now_ms - peer.chunk_ms >= EXCHANGE_MS
-        if chunk_due and (
-            digests.get(CONFIRMED_DIGEST) != self.confirmations.digest
-        ):
-            peer.chunk_ms = now_ms
-            self._send_chunk(vm, peer)
-
-    def _send_chunk(self, vm: str, peer: PeerProgress) -> None:
-        """Send the next part of all confirmations, so that losses heal."""
-        items = tuple(self.confirmations.items.values())
-        if not items:
-            return
-        start = peer.position % len(items)
-        chunk = items[start : start + CONFIRMATION_CHUNK]
-        peer.position = start + len(chunk)
-        self.out.append(Send(vm, messages.Confirmations(chunk)))
+        self.out += self.confirming.compare(
+            now_ms, vm, digests.get(CONFIRMED_DIGEST)
+        )
 
     def _receive(self, now_ms: float, vm: str, message: object) -> None:
         match message:
@@ -282,7 +268,7 @@
                 ]
                 self._push(vm, documents)
             case messages.Push():
-                self._accept(message.documents, vm)
+                self._accept(now_ms, message.documents, vm)
             case messages.VersionList():
                 if message.confirmed:
                     self.gate.peer_named(now_ms, vm, message.versions)
@@ -291,8 +277,7 @@
                 self._push(vm, self.table.newer_than(message.versions))
                 self._pull(now_ms, vm, message.versions)
             case messages.Confirmations():
-                for item in message.items:
-                    self._merge_confirmation(item, vm)
+                self.confirming.receive(vm, message)
 
     def _push(self, vm: str, documents: list[VersionedDocument]) -> None:
         for batch in self.table.batches(documents):
--- a/src/oriolegate/shares/core.py
+++ b/src/oriolegate/shares/core.py
@@ -9,6 +9,8 @@
 from oriolegate.shares.effects import SharesEffect
 from oriolegate.shares.service_share import ServiceShare
 from oriolegate.shares.service_share import ShareOwner
+from oriolegate.timeline.events import EventBuffer
+from oriolegate.timeline.events import EventKind
 
 MAX_ENDED = 8_192
 
@@ -21,14 +23,21 @@
         ended: Newest incarnation of each VM that is known to have ended.
     """
 
-    def __init__(self, owner: ShareOwner, generator: random.Random) -> None:
+    def __init__(
+        self,
+        owner: ShareOwner,
+        generator: random.Random,
+        buffer: EventBuffer | None = None,
+    ) -> None:
         """Make a core without services.
 
         Args:
             owner: This process.
             generator: Spreads retries.
+            buffer: Records changes of grants for the time line.
         """
         self.owner = owner
+        self.buffer = buffer
         self.generator = generator
         self.services: dict[str, ServiceShare] = {}
         self.ended: collections.OrderedDict[str, int] = (
@@ -75,8 +84,22 @@
                 share.wanted = False
             out += share.advance(now_ms)
         out += self._finish()
+        self._record(now_ms, out)
         return out
 
+    def _record(self, now_ms: float, out: list[SharesEffect]) -> None:
+        if self.buffer is None:
+            return
+        for effect in out:
+            if isinstance(effect, effects.GrantChanged):
+                self.buffer.record(
+                    now_ms,
+                    EventKind.SHARES_CHANGED,
+                    "",
+                    effect.service,
+                    *effect.amounts.values(),
+                )
+
     def _service(self, service: str) -> ServiceShare:
         share = self.services.get(service)
         if share is None:
--- a/tests/configuration/test_spreader.py
+++ b/tests/configuration/test_spreader.py
@@ -6,6 +6,8 @@
 from oriolegate.configuration import messages
 from oriolegate.configuration import spreader
 from oriolegate.membership.effects import Send
+from oriolegate.timeline.events import EventBuffer
+from oriolegate.timeline.events import EventKind
 
 RULES = messages.DocumentKey("rules", "accepted")
 
@@ -125,6 +127,51 @@
             ]
         self.assertEqual(asked, ["vm-2", "vm-3"])
 
+    def test_a_lasting_difference_of_digests_sends_all_versions(self):
+        self.open_by_store(rules(4))
+        self.core.step(0.0, effects.PeerLinked("vm-2"))
+        other = effects.PeerDigest("vm-2", (("documents", 1),))
+        exchanges = [
+            Send("vm-2", version_list(4)) in self.core.step(now_ms, other)
+            for now_ms in (3_000.0, 4_000.0, 5_000.0, 6_000.0)
+        ]
+        self.assertEqual(exchanges, [False, True, False, True])
+
+    def test_equal_digests_send_nothing(self):
+        self.core.step(0.0, effects.PeerLinked("vm-2"))
+        self.open_by_store(rules(4))
+        same = effects.PeerDigest("vm-2", self.core.sent_digests)
+        for now_ms in (3_000.0, 4_000.0, 5_000.0):
+            self.assertEqual(self.core.step(now_ms, same), [])
+
+    def test_lost_confirmations_are_sent_again_in_parts(self):
+        self.core.step(0.0, effects.PeerLinked("vm-2"))
+        items = tuple(
+            messages.Confirmation(f"vm-{number}", 1, 4)
+            for number in range(10, 110)
+        )
+        known = effects.Received("vm-3", messages.Confirmations(items))
+        self.core.step(0.0, known)
+        self.core.step(0.0, effects.Tick())
+        other = effects.PeerDigest("vm-2", (("confirmed", 1),))
+        sent = []
+        for now_ms in (2_000.0, 3_000.0, 4_000.0):
+            for item in self.core.step(now_ms, other):
+                if isinstance(item, Send) and isinstance(
+                    item.message, messages.Confirmations
+                ):
+                    sent.append(len(item.message.items))
+        self.assertEqual(sent, [64, 36])
+
+    def test_accepted_documents_are_recorded_for_the_time_line(self):
+        buffer = EventBuffer("vm-1", 0.0)
+        core = spreader.DocumentSpreader("vm-1", 1, "scl-a", buffer=buffer)
+        core.step(0.0, effects.DocumentWritten(rules(7)))
+        recorded = [(event.kind, event.detail) for event in buffer.events()]
+        self.assertEqual(
+            recorded, [(EventKind.RULES_ACCEPTED, ("accepted", 7))]
+        )
+
     def test_few_vms_of_a_data_centre_watch_the_store(self):
         names = [f"vm-{number}" for number in range(20)]
         watching = 0
--- a/tests/configuration/test_spreading_properties.py
+++ b/tests/configuration/test_spreading_properties.py
@@ -158,6 +158,10 @@
     def lose(self, position):
         del self.messages[position % len(self.messages)]
 
+    @stateful.rule()
+    def lose_all(self):
+        self.messages.clear()
+
     @stateful.rule(vm=vms, interval_ms=strategies.integers(1, 20_000))
     def tick(self, vm, interval_ms):
         self.now_ms += interval_ms
--- a/tests/shares/test_core.py
+++ b/tests/shares/test_core.py
@@ -14,6 +14,7 @@
 from oriolegate.shares.share_object import NOTHING
 from oriolegate.shares.share_object import ShareObject
 from oriolegate.shares.share_object import to_value
+from oriolegate.timeline.events import EventBuffer
 
 LIMITS = Amounts(4, 35, 1)
 WANTED = effects.ServiceWanted("s", True, LIMITS, 1)
@@ -78,6 +79,13 @@
         self.assertEqual(self.grants, [LIMITS])
         self.assertEqual(self.stored.grants["vm-1"].amounts, LIMITS)
 
+    def test_changed_grants_are_recorded_for_the_time_line(self):
+        buffer = EventBuffer("vm-1", 0.0)
+        self.core = Shares(self.core.owner, random.Random(1), buffer)
+        self.step(WANTED)
+        details = [event.detail for event in buffer.events()]
+        self.assertEqual(details, [("s", 4, 35, 1)])
+
     def test_a_joining_home_asks_and_waits_until_others_have_lowered(self):
         self.store(1, {"vm-2": grant("vm-2", LIMITS)})
         self.step(WANTED)
