--- a/src/oriolegate/membership/core.py
+++ b/src/oriolegate/membership/core.py
@@ -10,12 +10,12 @@
 from oriolegate.membership import effects
 from oriolegate.membership import messages
 from oriolegate.membership.effects import MembershipEffect
-from oriolegate.membership.member_table import BUCKETS
 from oriolegate.membership.member_table import MemberTable
 from oriolegate.membership.messages import Member
 from oriolegate.membership.messages import MemberState
 from oriolegate.membership.neighbours import choose_neighbours
 from oriolegate.membership.pause_detector import PauseDetector
+from oriolegate.membership.table_exchange import TableExchange
 from oriolegate.membership.vm_listing import VmListing
 from oriolegate.timeline.events import EventBuffer
 from oriolegate.timeline.events import EventKind
@@ -25,10 +25,8 @@
 SUSPECT_AFTER_MS = 3_500.0
 DEAD_AFTER_MS = 6_000.0
 AVOID_MS = 300_000.0
-EXCHANGE_MS = 1_000.0
 SEEK_MS = 10_000.0
 SEEK_COUNT = 2
-BUCKETS_PER_EXCHANGE = 16
 
 
 @attrs.define
@@ -38,14 +36,10 @@
     Attributes:
         linked: Whether a link is ready.
         heard_ms: Last message, or when waiting for one began.
-        differs: Heartbeats in a row whose table hash differed.
-        exchanged_ms: When tables were last compared.
     """
 
     linked: bool = False
     heard_ms: float = 0.0
-    differs: int = 0
-    exchanged_ms: float = -EXCHANGE_MS
 
 
 @attrs.frozen
@@ -84,6 +78,7 @@
         self.buffer = buffer
         self.table = MemberTable()
         self.table.merge(0.0, own)
+        self.exchange = TableExchange(self.table, generator)
         self.pauses = PauseDetector()
         self.neighbours: set[str] = set()
         self.seeking: set[str] = set()
@@ -251,6 +246,7 @@
         view = self.peers.get(vm)
         if view is not None:
             view.linked = False
+            self.exchange.forget(vm)
             if vm not in self.neighbours:
                 del self.peers[vm]
 
@@ -259,49 +255,16 @@
         view.heard_ms = now_ms
         match message:
             case messages.Heartbeat():
-                self._compare(now_ms, vm, view, message)
+                self.out += self.exchange.compare(
+                    now_ms, vm, message.table_hash
+                )
                 self.out.append(effects.PeerDigests(vm, message.digests))
             case messages.BucketHashes():
-                self._answer_hashes(vm, message)
+                self.out += self.exchange.answer(vm, message)
             case messages.MemberDelta():
                 for member in message.members:
                     self._merge(now_ms, member, source=vm)
 
-    def _compare(
-        self,
-        now_ms: float,
-        vm: str,
-        view: PeerView,
-        heartbeat: messages.Heartbeat,
-    ) -> None:
-        if heartbeat.table_hash == self.table.table_hash():
-            view.differs = 0
-            return
-        view.differs += 1
-        # News under way makes tables differ for a moment; a table that
-        # holds this VM alone has nothing to wait for.
-        joining = len(self.table.members) <= 2
-        if view.differs < 2 and not joining:
-            return
-        if now_ms - view.exchanged_ms >= EXCHANGE_MS:
-            view.exchanged_ms = now_ms
-            hashes = messages.BucketHashes(tuple(self.table.hashes))
-            self.out.append(effects.Send(vm, hashes))
-
-    def _answer_hashes(self, vm: str, message: messages.BucketHashes) -> None:
-        if len(message.hashes) != BUCKETS:
-            return
-        differing = [
-            bucket
-            for bucket, value in enumerate(message.hashes)
-            if value != self.table.hashes[bucket]
-        ]
-        count = min(BUCKETS_PER_EXCHANGE, len(differing))
-        members = self.table.in_buckets(self.generator.sample(differing, count))
-        if members:
-            delta = messages.MemberDelta(tuple(members))
-            self.out.append(effects.Send(vm, delta))
-
     def _merge(self, now_ms: float, member: Member, source: str = "") -> None:
         if member.vm == self.own.vm:
             self._hear_of_self(now_ms, member)
