--- a/src/oriolegate/network/peer_mesh.py
+++ b/src/oriolegate/network/peer_mesh.py
@@ -234,8 +234,10 @@
         slot.use(link, self.clock.now_ms())
         if present is not None:
             present.close()
-        else:
-            self.on_linked(vm)
+            if present.peer_incarnation == link.peer_incarnation:
+                return
+            self.on_lost(vm)
+        self.on_linked(vm)
 
     def link_message(
         self, link: PeerLink, logical_time: int, message: object, size: int
--- a/tests/network/test_peer_mesh.py
+++ b/tests/network/test_peer_mesh.py
@@ -225,6 +225,10 @@
         restarted.connect_to("vm1", "127.0.0.1", 1)
         self.network.deliver()
         self.assertEqual(self.one.slots["vm2"].link.peer_incarnation, 2)
+        self.assertEqual(
+            self.one.events,
+            [("linked", "vm2"), ("lost", "vm2"), ("linked", "vm2")],
+        )
 
     def test_a_wanted_link_is_dialed_again_later_and_later(self):
         del self.network.listeners[2]
