Drive membership, spreading and shares together over links

Cause: each core was tested alone; their contracts meet only in the runtime. Change: three processes over in-memory links of real bytes, with a store that answers: all capacity shared, an edit in force within a second, a dead VM's share used again once listed gone, a restart in place.

--- a/tests/configuration/test_spreading_properties.py
+++ b/tests/configuration/test_spreading_properties.py
@@ -148,6 +148,9 @@
     @stateful.precondition(lambda self: self.messages)
     @stateful.rule()
     def deliver_all(self):
+        self.deliver_waiting()
+
+    def deliver_waiting(self):
         waiting = len(self.messages)
         for index in range(waiting):
             self.deliver_at(index)
@@ -169,8 +172,7 @@
 
     @stateful.rule(vm=vms, peer=vms)
     def heartbeat(self, vm, peer):
-        if vm != peer and frozenset((vm, peer)) not in self.cut:
-            self.step(peer, effects.PeerDigest(vm, self.digests[vm]))
+        self.beat(vm, peer)
 
     @stateful.rule(vm=vms)
     def resume(self, vm):
@@ -201,6 +203,9 @@
 
     @stateful.invariant()
     def in_force_is_honest_and_lasts(self):
+        self.check_in_force()
+
+    def check_in_force(self):
         for viewer in self.nodes.values():
             newest = viewer.table.version_of(RULES)
             if newest and viewer.confirmations.in_force(newest).everywhere:
@@ -217,25 +222,37 @@
             self.step(vm, effects.PeerLinked(peer))
             self.step(peer, effects.PeerLinked(vm))
         self.asked.clear()
+        self.store_up = True
         for _ in range(HEAL_TICKS):
-            self.now_ms += TICK_MS
-            for vm, node in self.nodes.items():
-                self.step(vm, effects.Tick())
-                # One watch that works must be enough for all.
-                if vm == "vm-1" and node.watching:
-                    for event in self.snapshot():
-                        self.step(vm, event)
-                for peer in VMS:
-                    if peer != vm:
-                        self.step(
-                            peer, effects.PeerDigest(vm, self.digests[vm])
-                        )
-            self.answer_reads()
-            self.deliver_all()
+            self.run_round()
+
+    @stateful.rule(rounds=strategies.integers(1, 6))
+    def run_on(self, rounds):
+        for _ in range(rounds):
+            self.run_round()
+            self.check_in_force()
+
+    def run_round(self):
+        """Tick, beat and deliver once, with the store if it is up."""
+        self.now_ms += TICK_MS
+        for vm, node in self.nodes.items():
+            self.step(vm, effects.Tick())
+            # One watch that works must be enough for all.
+            if vm == "vm-1" and node.watching and self.store_up:
+                for event in self.snapshot():
+                    self.step(vm, event)
+            for peer in VMS:
+                self.beat(vm, peer)
+        self.answer_reads()
+        self.deliver_waiting()
+
+    def beat(self, vm, peer):
+        if vm != peer and frozenset((vm, peer)) not in self.cut:
+            self.step(peer, effects.PeerDigest(vm, self.digests[vm]))
 
     def answer_reads(self):
         asked, self.asked = self.asked, []
-        for vm, kind in asked:
+        for vm, kind in asked if self.store_up else ():
             for event in self.snapshot():
                 if event.kind == kind:
                     self.step(vm, event)
--- /dev/null
+++ b/tests/network/test_peer_parts.py
@@ -0,0 +1,235 @@
+"""Membership, spreading and shares together, over links of real bytes."""
+
+import random
+import unittest
+
+import attrs
+
+from oriolegate.clock import FakeClock
+from oriolegate.configuration import effects as spreading
+from oriolegate.configuration import messages as documents
+from oriolegate.configuration.spreader import DocumentSpreader
+from oriolegate.membership import effects as members
+from oriolegate.membership import messages as membership
+from oriolegate.membership.core import Membership
+from oriolegate.network.peer_codec import PeerCodec
+from oriolegate.network.peer_handshake import PeerIdentity
+from oriolegate.network.peer_mesh import PeerMesh
+from oriolegate.shares import effects as sharing
+from oriolegate.shares import messages as shares
+from oriolegate.shares.core import Shares
+from oriolegate.shares.homes import choose_homes
+from oriolegate.shares.service_share import ShareOwner
+from oriolegate.shares.share_object import Amounts
+from oriolegate.shares.share_object import NOTHING
+from oriolegate.shares.share_object import total
+from oriolegate.timeline.events import EventBuffer
+from tests.network.test_peer_mesh import KEY
+from tests.network.test_peer_mesh import Network
+from tests.network.test_peer_mesh import Reactor
+
+LIMITS = Amounts(4, 35, 1)
+TICK_MS = 250.0
+
+
+class Store:
+    """A store of one share object that always answers."""
+
+    def __init__(self):
+        self.share_object = None
+
+    def answer(self, call):
+        present = self.share_object.version if self.share_object else 0
+        match call:
+            case sharing.ReadShares():
+                return sharing.SharesRead("s", call.ticket, self.share_object)
+            case _ if call.expected_version != present:
+                return sharing.WriteRefused("s", call.ticket)
+        self.share_object = attrs.evolve(call.share_object, version=present + 1)
+        return sharing.SharesWritten("s", call.ticket, present + 1)
+
+
+class Vm:
+    """One process: the cores and a mesh, wired as the runtime does."""
+
+    def __init__(self, network, store, clock, vm, incarnation):
+        codec = PeerCodec(
+            membership.PEER_MESSAGES,
+            documents.PEER_MESSAGES,
+            shares.PEER_MESSAGES,
+        )
+        port = int(vm[2:])
+        self.clock = clock
+        self.store = store
+        self.vm = vm
+        self.own = membership.Member(
+            vm, "127.0.0.1", port, "scl-a", incarnation
+        )
+        generator = random.Random(vm)
+        self.mesh = PeerMesh(
+            PeerIdentity(vm, incarnation, KEY),
+            codec,
+            clock,
+            Reactor(network),
+            generator,
+            EventBuffer(vm, 0.0),
+        )
+        self.membership = Membership(self.own, generator)
+        self.spreader = DocumentSpreader(vm, incarnation, "scl-a")
+        self.shares = Shares(
+            ShareOwner(vm, incarnation, f"127.0.0.1:{port}"), generator
+        )
+        self.grant = NOTHING
+        self.mesh.on_message = self.receive
+        self.mesh.on_linked = self.linked
+        self.mesh.on_lost = self.lost
+        self.mesh.listen("127.0.0.1", port)
+
+    def receive(self, vm, message):
+        self.step_members(members.Received(vm, message))
+        self.step_spreader(spreading.Received(vm, message))
+        self.step_shares(sharing.Received(vm, message))
+
+    def linked(self, vm):
+        self.step_members(members.LinkUp(vm))
+        self.step_spreader(spreading.PeerLinked(vm))
+
+    def lost(self, vm):
+        self.step_members(members.LinkDown(vm))
+        self.step_spreader(spreading.PeerLost(vm))
+
+    def tick(self):
+        self.mesh.check()
+        self.step_members(members.Tick())
+        self.step_spreader(spreading.Tick())
+        self.step_shares(sharing.Tick())
+
+    def step_members(self, event):
+        for effect in self.membership.step(self.clock.now_ms(), event):
+            match effect:
+                case members.ConnectTo():
+                    self.mesh.connect_to(effect.vm, effect.host, effect.port)
+                case members.DropLink():
+                    self.mesh.drop_link(effect.vm)
+                case members.Send():
+                    self.mesh.send(effect.vm, effect.message)
+                case members.PeerDigests():
+                    self.step_spreader(
+                        spreading.PeerDigest(effect.vm, effect.digests)
+                    )
+                case members.IncarnationEnded():
+                    self.step_shares(
+                        sharing.ProcessEnded(effect.vm, effect.incarnation)
+                    )
+                case members.MemberChanged():
+                    self.take_members()
+
+    def take_members(self):
+        entries = tuple(
+            spreading.CensusEntry(
+                member.vm,
+                member.data_centre,
+                member.incarnation,
+                member.state is not membership.MemberState.DEAD,
+            )
+            for member in self.membership.census()
+        )
+        self.step_spreader(spreading.CensusTaken(entries))
+        placeable = self.membership.table.placeable()
+        homes = choose_homes("s", LIMITS, placeable)
+        wanted = sharing.ServiceWanted("s", self.vm in homes, LIMITS, 1)
+        self.step_shares(wanted)
+
+    def step_spreader(self, event):
+        for effect in self.spreader.step(self.clock.now_ms(), event):
+            match effect:
+                case members.Send():
+                    self.mesh.send(effect.vm, effect.message)
+                case spreading.DigestsChanged():
+                    self.step_members(members.DigestsSet(effect.digests))
+
+    def step_shares(self, event):
+        for effect in self.shares.step(self.clock.now_ms(), event):
+            match effect:
+                case members.Send():
+                    self.mesh.send(effect.vm, effect.message)
+                case sharing.GrantChanged():
+                    self.grant = effect.amounts
+                    self.step_shares(sharing.GrantApplied("s", effect.amounts))
+                case sharing.ReadShares() | sharing.WriteShares():
+                    self.step_shares(self.store.answer(effect))
+
+
+class PeerPartsTest(unittest.TestCase):
+    def setUp(self):
+        self.network = Network()
+        self.store = Store()
+        self.clock = FakeClock()
+        self.running = {}
+        for vm in ("vm1", "vm2", "vm3"):
+            self.start(vm, 1)
+        self.list_all()
+        self.run_for(15_000)
+
+    def start(self, vm, incarnation):
+        self.running[vm] = Vm(
+            self.network, self.store, self.clock, vm, incarnation
+        )
+
+    def stop(self, vm):
+        self.running.pop(vm).mesh.stop()
+        del self.network.listeners[int(vm[2:])]
+        self.network.deliver()
+
+    def list_all(self, *gone):
+        rows = tuple(
+            members.ListedVm(
+                f"vm{number}", "127.0.0.1", number, "scl-a", number in gone
+            )
+            for number in (1, 2, 3)
+        )
+        for vm in self.running.values():
+            vm.step_members(members.VmsListed(rows))
+
+    def run_for(self, interval_ms):
+        end_ms = self.clock.now_ms() + interval_ms
+        while self.clock.now_ms() < end_ms:
+            self.clock.advance(TICK_MS)
+            for vm in self.running.values():
+                vm.tick()
+            self.network.deliver()
+            used = total(vm.grant for vm in self.running.values())
+            self.assertTrue(used.fits_in(LIMITS), used)
+
+    def held(self):
+        return total(vm.grant for vm in self.running.values())
+
+    def test_three_vms_share_all_capacity(self):
+        self.assertEqual(self.held(), LIMITS)
+        slots = [vm.grant.slots for vm in self.running.values()]
+        self.assertEqual(sorted(slots), [1, 1, 2])
+
+    def test_an_edit_is_in_force_everywhere_within_seconds(self):
+        accepted = documents.AcceptedRules(5, "text", "edit-1")
+        document = documents.rules_document(accepted)
+        self.running["vm1"].step_spreader(spreading.DocumentWritten(document))
+        self.run_for(1_000)
+        for vm in self.running.values():
+            answer = vm.spreader.confirmations.in_force(5)
+            self.assertTrue(answer.everywhere, (vm.vm, answer))
+
+    def test_a_dead_vms_share_is_used_again_once_it_is_listed_gone(self):
+        self.stop("vm3")
+        self.run_for(20_000)
+        self.assertNotEqual(self.held(), LIMITS)
+        self.list_all(3)
+        self.run_for(20_000)
+        self.assertEqual(self.held(), LIMITS)
+
+    def test_a_restart_in_place_gets_its_share_back(self):
+        self.stop("vm3")
+        self.start("vm3", 2)
+        self.list_all()
+        self.run_for(20_000)
+        self.assertEqual(self.held(), LIMITS)
+        self.assertGreater(self.running["vm3"].grant.slots, 0)
