--- a/src/oriolegate/rules/evaluation.py
+++ b/src/oriolegate/rules/evaluation.py
@@ -14,6 +14,8 @@
 from oriolegate.rules.model import RuleSet
 
 MAX_CACHED_CALLERS = 4_096
+# Longer names are not kept, so that callers can't fill the memory with them.
+MAX_CACHED_NAME_LENGTH = 200
 
 
 @attrs.frozen
@@ -93,9 +95,7 @@
             if route is None:
                 return None
             plan = self._plan(route, request)
-            if len(self.plans) >= MAX_CACHED_CALLERS:
-                self.plans.clear()
-            self.plans[key] = plan
+            self._keep(key, plan)
         if not plan.mirrors:
             return plan.decision
         mirror = _choose_mirror(plan.mirrors, request)
@@ -123,6 +123,14 @@
         ]
         return attrs.evolve(decision, met=tuple(met))
 
+    def _keep(self, key: tuple[str, str, Priority], plan: _CallerPlan) -> None:
+        _, caller, _ = key
+        if len(caller) > MAX_CACHED_NAME_LENGTH:
+            return
+        if len(self.plans) >= MAX_CACHED_CALLERS:
+            self.plans.clear()
+        self.plans[key] = plan
+
     def _plan(
         self, route: CompiledRoute, request: CallerRequest
     ) -> _CallerPlan:
--- a/src/oriolegate/rules/proposal.py
+++ b/src/oriolegate/rules/proposal.py
@@ -14,6 +14,7 @@
 from oriolegate.rules.errors import RuleErrorCode
 from oriolegate.rules.formatter import write_document
 from oriolegate.rules.merge import merge
+from oriolegate.rules.merge import RuleConflict
 from oriolegate.rules.model import Document
 from oriolegate.rules.model import RouteRule
 from oriolegate.rules.parser import LineCache
@@ -79,6 +80,14 @@
     return Error(Refused(present.version, message))
 
 
+def _conflict(present: int, conflicts: tuple[RuleConflict, ...]) -> Refused:
+    message = (
+        f"version {present} changed the same rules; take it with 'oriolegate "
+        f"show', make the edit again and apply it with --base {present}"
+    )
+    return Refused(present, message, conflicts)
+
+
 def propose(
     edit: RulesEdit,
     document: Document,
@@ -111,12 +120,7 @@
         )
     merged = merge(old, now, document)
     if merged.is_error():
-        message = (
-            f"version {present.version} changed the same rules; take it "
-            f"with 'oriolegate show', make the edit again and apply it "
-            f"with --base {present.version}"
-        )
-        return Error(Refused(present.version, message, merged.error))
+        return Error(_conflict(present.version, merged.error))
     return _check_routes(now, merged.ok, present).map(
         lambda _: _merged_proposal(edit, present, old, now, merged.ok)
     )
--- a/tests/commands/admin_fixture.py
+++ b/tests/commands/admin_fixture.py
@@ -26,7 +26,8 @@
         body = self.rfile.read(length)
         key = self.headers.get("Authorization")
         self.server.received.append((self.command, self.path, key, body))
-        status, answer = self.server.answer
+        answer = self.server.answer
+        status, answer = answer(body) if callable(answer) else answer
         content = answer if isinstance(answer, bytes) else json.dumps(answer)
         self.send_response(status)
         self.end_headers()
--- a/tests/commands/test_apply.py
+++ b/tests/commands/test_apply.py
@@ -7,7 +7,10 @@
 from oriolegate.rules import admin_view
 from oriolegate.rules.merge import RuleConflict
 from oriolegate.rules.model import RuleKey
+from oriolegate.rules.stored_rules import ACCEPTED
 from tests.commands.admin_fixture import CommandTestCase
+from tests.rules.fake_store import FakeStore
+from tests.rules.fake_store import Operator
 
 TEXT = "route a to b  # asked-by: M\n"
 
@@ -70,6 +73,39 @@
         self.assertEqual(status, ExitStatus.PENDING)
         self.assertIn("not confirmed by: b", err)
 
+    def test_operators_race_through_the_whole_path(self):
+        store = FakeStore()
+
+        def vm(body):
+            number = f"e{len(self.server.received)}"
+            edit = admin_view.read_edit(body, number).ok
+            operator = Operator(edit, store)
+            operator.run()
+            result = operator.reports[-1]
+            view = admin_view.result_view(result, in_force_on=["vm-1"])
+            return admin_view.http_status(result), view
+
+        self.server.answer = vm
+        other = self.write("other", TEXT + "route c to b  # asked-by: R\n")
+        clash = self.write("clash", TEXT.replace("to b", "to d"))
+        late = self.write("late", TEXT.replace("to b", "to e"))
+        admin = ("--admin", self.admin)
+        self.assertEqual(self.apply("--base", "0")[0], ExitStatus.SUCCESS)
+        outcomes = [
+            self.run_command("apply", path, "--base", "1", *admin)
+            for path in (other, clash, late)
+        ]
+        self.assertEqual(
+            [status for status, _, _ in outcomes],
+            [ExitStatus.SUCCESS, ExitStatus.SUCCESS, ExitStatus.CONFLICT],
+        )
+        self.assertIn("merged, version 3", outcomes[1][1])
+        self.assertIn("accepted: route a to d", outcomes[2][2])
+        self.assertEqual(
+            store.objects[ACCEPTED][1]["text"],
+            "route a to d  # asked-by: M\nroute c to b  # asked-by: R\n",
+        )
+
     def test_other_outcomes_have_their_own_status(self):
         for result, expected in (
             (messages.Unavailable("down"), ExitStatus.UNAVAILABLE),
--- a/tests/rules/test_evaluation.py
+++ b/tests/rules/test_evaluation.py
@@ -136,6 +136,13 @@
             rules.decide(request(f"c{number}"), 0)
         self.assertLessEqual(len(rules.plans), evaluation.MAX_CACHED_CALLERS)
 
+    def test_long_names_are_decided_but_not_kept(self):
+        rules = active()
+        name = "studio-1" + "x" * evaluation.MAX_CACHED_NAME_LENGTH
+        decision = rules.decide(request(name), 0)
+        self.assertIs(decision.priority, Priority.URGENT)
+        self.assertEqual(rules.plans, {})
+
     @settings(derandomize=True, max_examples=100, deadline=None)
     @given(strategies.DOCUMENTS)
     def test_the_order_of_rules_decides_nothing(self, document):
