Run many processes together: peers, shares, documents, forwarding

Cause: membership, spreading of documents, shares and claims were cores that nothing ran; each process used the whole limit of every leaf. Change: runners carry their effects over the peer links and the platform; grants come from the share objects; a VM without slots forwards whole queries to a home; homes tell each other which leafs they have warmed, and of cold and draining ones at once; SIGTERM runs the stop sequence.

--- a/src/oriolegate/commands/serve.py
+++ b/src/oriolegate/commands/serve.py
@@ -11,7 +11,6 @@
 
 from oriolegate import logging_setup
 from oriolegate.cli import options
-from oriolegate.cli.status_codes import ExitStatus
 from oriolegate.clock import SystemClock
 from oriolegate.exceptions import SettingsError
 from oriolegate.network.platform_client import PlatformClient
@@ -51,6 +50,7 @@
         signal.signal(
             number, lambda *_: reactor.callFromThread(process.plan_stop)
         )
+    process.on_exit = reactor.stop
     # Twisted's own handlers would stop the reactor at once.
     reactor.run(installSignalHandlers=False)
-    return ExitStatus.SUCCESS
+    return process.exit_status
--- a/src/oriolegate/configuration/messages.py
+++ b/src/oriolegate/configuration/messages.py
@@ -4,26 +4,13 @@
 
 import attrs
 
+from oriolegate.rules.model import AcceptedRules
+
 RULES_KIND = "rules"
 RULES_NAME = "accepted"
 TOPOLOGY_KIND = "topology"
 
 
-@attrs.frozen
-class AcceptedRules:
-    """The rules in force.
-
-    Attributes:
-        version: Rises with each accepted edit.
-        text: The rule file.
-        edit_id: The edit that made this version.
-    """
-
-    version: int
-    text: str
-    edit_id: str
-
-
 @attrs.frozen
 class DocumentKey:
     """Names one document."""
--- a/src/oriolegate/coordinator/machine.py
+++ b/src/oriolegate/coordinator/machine.py
@@ -13,6 +13,7 @@
 from oriolegate.coordinator import dispatch
 from oriolegate.coordinator import outcome
 from oriolegate.coordinator import replies
+from oriolegate.coordinator.messages import AnswerAll
 from oriolegate.coordinator.messages import CallerGone
 from oriolegate.coordinator.messages import CapacityChanged
 from oriolegate.coordinator.messages import Deliver
@@ -74,6 +75,9 @@
                 self._caller_gone(now_ms, event)
             case CapacityChanged():
                 self._drain_all(now_ms)
+            case AnswerAll():
+                for query in list(self.state.queries.values()):
+                    self._finish(now_ms, query)
         self._set_timer()
         effects = self.state.effects
         self.state.effects = []
--- a/src/oriolegate/coordinator/messages.py
+++ b/src/oriolegate/coordinator/messages.py
@@ -121,6 +121,11 @@
     """Grants, topology, rules or leaf states outside a query changed."""
 
 
+@attrs.frozen
+class AnswerAll:
+    """The process is about to end: answer every query with what is there."""
+
+
 Event = (
     QueryArrived
     | SubAnswered
@@ -131,6 +136,7 @@
     | CallerGone
     | TimerFired
     | CapacityChanged
+    | AnswerAll
 )
 
 
--- a/src/oriolegate/coordinator/replies.py
+++ b/src/oriolegate/coordinator/replies.py
@@ -87,7 +87,7 @@
         return None
     query, shard, attempt = match
     latency_ms = now_ms - attempt.sent_ms
-    attempt.leaf.note_success(latency_ms)
+    state.leafs.note_success(now_ms, attempt.leaf, latency_ms)
     service = state.services[query.arrived.service]
     service.latency.record(latency_ms)
     _count_completion(service, now_ms)
--- a/src/oriolegate/models/answer.py
+++ b/src/oriolegate/models/answer.py
@@ -59,3 +59,25 @@
     run_state: RunState
     message: str
     retry_after_ms: int | None = None
+
+
+@attrs.frozen
+class RelayedOutcome:
+    """An outcome that another VM has written; it is passed on unread.
+
+    Attributes:
+        request_id: The request.
+        status: HTTP status.
+        code: Result code.
+        body: The body for the caller.
+        retry_after_ms: When to ask again, or None.
+    """
+
+    request_id: str
+    status: int
+    code: ResultCode
+    body: bytes
+    retry_after_ms: int | None
+
+
+Outcome = Answer | Refusal | RelayedOutcome
--- a/src/oriolegate/network/caller_wire.py
+++ b/src/oriolegate/network/caller_wire.py
@@ -12,7 +12,9 @@
 
 from oriolegate.exceptions import CallerInputError
 from oriolegate.models.answer import Answer
+from oriolegate.models.answer import Outcome
 from oriolegate.models.answer import Refusal
+from oriolegate.models.answer import RelayedOutcome
 from oriolegate.models.policy import Priority
 from oriolegate.models.request import CallerRequest
 from oriolegate.result_codes import ResultCode
@@ -181,10 +183,17 @@
     )
 
 
-def response(outcome: Answer | Refusal) -> WireResponse:
-    """Write an answer or a refusal."""
+def response(outcome: Outcome) -> WireResponse:
+    """Write an outcome."""
     match outcome:
         case Answer():
             return answer_response(outcome)
         case Refusal():
             return refusal_response(outcome)
+        case RelayedOutcome():
+            return WireResponse(
+                outcome.status,
+                outcome.code,
+                outcome.body,
+                outcome.retry_after_ms,
+            )
--- a/src/oriolegate/network/claim_store.py
+++ b/src/oriolegate/network/claim_store.py
@@ -76,7 +76,7 @@
     clock: Clock
     timers: Timers
     core: ClaimsCore
-    send_to_peer: Callable[[str, object], None] = _ignore
+    send_to_peer: Callable[[str, object], object] = _ignore
     timeline: EventBuffer | None = None
     decisions: "dict[str, defer.Deferred[ClaimDecision]]" = attrs.field(
         factory=dict
--- a/src/oriolegate/network/front.py
+++ b/src/oriolegate/network/front.py
@@ -9,7 +9,7 @@
 from twisted.web import server
 
 from oriolegate.exceptions import CallerInputError
-from oriolegate.models.answer import Answer
+from oriolegate.models.answer import Outcome
 from oriolegate.models.answer import Refusal
 from oriolegate.models.request import CallerRequest
 from oriolegate.network import caller_wire
@@ -21,11 +21,18 @@
 
 
 class RequestHandler(Protocol):
-    """What serves callers' requests."""
+    """What serves callers' requests.
 
-    def handle(
-        self, request: CallerRequest
-    ) -> "defer.Deferred[Answer | Refusal]":
+    Attributes:
+        leaving: True once callers should open no new request here.
+    """
+
+    @property
+    def leaving(self) -> bool:
+        """Whether this process is about to stop."""
+        ...
+
+    def handle(self, request: CallerRequest) -> "defer.Deferred[Outcome]":
         """Serve one request."""
         ...
 
@@ -118,9 +125,14 @@
             gone = True
             self.handler.caller_gone(caller_request.request_id)
 
-        def finish(outcome: Answer | Refusal) -> None:
-            if not gone:
-                write(request, caller_wire.response(outcome))
+        def finish(outcome: Outcome) -> None:
+            if gone:
+                return
+            if self.handler.leaving:
+                # The balancer opens its next connection to another VM.
+                request.setHeader("Connection", "close")
+                request.channel.persistent = False
+            write(request, caller_wire.response(outcome))
 
         request.notifyFinish().addErrback(closed)
         self.handler.handle(caller_request).addCallback(finish)
--- a/src/oriolegate/network/peer_mesh.py
+++ b/src/oriolegate/network/peer_mesh.py
@@ -139,6 +139,13 @@
         self.counters.refused_sends += 1
         return False
 
+    def open_link(self, vm: str) -> None:
+        """Dial a peer that messages will be sent to soon."""
+        if vm in self.addresses and not self.stopped:
+            slot = self.slots.setdefault(vm, PeerSlot())
+            slot.used_ms = self.clock.now_ms()
+            self._dial(vm, slot)
+
     def _send_bytes(self, vm: str, data: bytes) -> bool:
         slot = self.slots.get(vm)
         if slot is not None and slot.link is not None:
--- a/src/oriolegate/network/upstream_client.py
+++ b/src/oriolegate/network/upstream_client.py
@@ -263,6 +263,12 @@
         for pending in queue:
             self.client.report(SubUnsent(pending.sub, self.leaf.name))
 
+    def trim(self, limit: int) -> None:
+        """Close free connections while there are more than `limit`."""
+        for connection in list(self.idle)[: max(0, self.size - limit)]:
+            self.idle.remove(connection)
+            connection.close()
+
     def close(self) -> None:
         """Close free connections; busy ones end with their request."""
         for connection in list(self.idle):
--- a/src/oriolegate/runtime/admin_routes.py
+++ b/src/oriolegate/runtime/admin_routes.py
@@ -12,10 +12,9 @@
 from oriolegate.network.admin import AdminAnswer
 from oriolegate.network.admin import AdminRequest
 from oriolegate.network.admin import Route
-from oriolegate.runtime.query_tier import QueryTier
+from oriolegate.runtime.process import ProcessParts
 from oriolegate.settings.serve import ServeSettings
 from oriolegate.timeline import events_json
-from oriolegate.timeline.events import EventBuffer
 
 UNAVAILABLE_STATUS = 503
 
@@ -27,15 +26,15 @@
         self,
         settings: ServeSettings,
         clock: Clock,
-        tier: QueryTier,
+        parts: ProcessParts,
         metrics: MetricsRegistry,
-        events: EventBuffer,
     ) -> None:
         self.settings = settings
         self.clock = clock
-        self.tier = tier
+        self.parts = parts
+        self.tier = parts.tier
         self.metrics = metrics
-        self.events = events
+        self.events = parts.events
 
     def open_routes(self) -> Mapping[tuple[str, str], Route]:
         """Return routes that need no key."""
@@ -58,10 +57,12 @@
 
     def _ready(self, _: AdminRequest) -> AdminAnswer:
         state = self.tier.flow.state
-        if state.stopping:
+        if state.stopping or state.leaving:
             return AdminAnswer({"state": "stopping"}, UNAVAILABLE_STATUS)
         if not state.ready:
             return AdminAnswer({"state": "starting"}, UNAVAILABLE_STATUS)
+        if state.isolated:
+            return AdminAnswer({"state": "isolated"}, UNAVAILABLE_STATUS)
         return AdminAnswer({"state": "ready"})
 
     def _status(self, _: AdminRequest) -> AdminAnswer:
@@ -72,8 +73,15 @@
             "version": __version__,
             "data_centre": self.settings.data_centre,
             "ready": tier.flow.state.ready,
-            "stopping": tier.flow.state.stopping,
+            "leaving": tier.flow.state.leaving,
+            "isolated": tier.flow.state.isolated,
             "rules_version": None if accepted is None else accepted.version,
+            "members": {
+                member.vm: member.state.name.lower()
+                for member in self.parts.peers.membership.census()
+            },
+            "links": sorted(self.parts.peers.mesh.linked_vms()),
+            "forwarded": self.parts.forwards.core.forwarded,
             "requests_active": len(tier.flow.active),
             "services": {
                 name: self._service(name) for name in tier.table.topologies
@@ -94,6 +102,7 @@
             "generation": topology.generation,
             "index_version": topology.current,
             "leafs": phases,
+            "homes": self.parts.shares.homes.get(name, []),
             "grant": None if grant is None else attrs.asdict(grant),
         }
 
--- a/src/oriolegate/runtime/claim_gate.py
+++ b/src/oriolegate/runtime/claim_gate.py
@@ -7,7 +7,7 @@
 from oriolegate.claims.effects import ClaimGranted
 from oriolegate.claims.effects import ClaimRefused
 from oriolegate.clock import Clock
-from oriolegate.models.answer import Answer
+from oriolegate.models.answer import Outcome
 from oriolegate.models.answer import Refusal
 from oriolegate.models.request import CallerRequest
 from oriolegate.network.claim_store import ClaimDecision
@@ -25,7 +25,7 @@
         """Return None once the key is claimed, or why it can't be."""
         ...
 
-    def ended(self, request: CallerRequest, outcome: Answer | Refusal) -> None:
+    def ended(self, request: CallerRequest, outcome: Outcome) -> None:
         """Take what came of a request whose key was claimed."""
         ...
 
@@ -66,7 +66,7 @@
 
         return decision.addCallback(told)
 
-    def ended(self, request: CallerRequest, outcome: Answer | Refusal) -> None:
+    def ended(self, request: CallerRequest, outcome: Outcome) -> None:
         """Record what came of a request whose key was claimed.
 
         A refusal "not run" promises that it will not be dispatched, so its
--- a/src/oriolegate/runtime/composition.py
+++ b/src/oriolegate/runtime/composition.py
@@ -5,24 +5,45 @@
 
 import attrs
 
+from oriolegate.claims import messages as claims_messages
 from oriolegate.claims.core import ClaimsCore
 from oriolegate.claims.settings import ClaimsSettings
 from oriolegate.clock import Clock
+from oriolegate.configuration import messages as configuration_messages
+from oriolegate.configuration.spreader import DocumentSpreader
 from oriolegate.coordinator.machine import Coordinator
+from oriolegate.forwarding import messages as forwarding_messages
+from oriolegate.membership import messages as membership_messages
+from oriolegate.membership.core import Membership
+from oriolegate.membership.messages import Member
 from oriolegate.metrics import MetricsRegistry
 from oriolegate.network import admin
 from oriolegate.network import front
 from oriolegate.network.claim_store import ClaimStore
+from oriolegate.network.peer_codec import PeerCodec
+from oriolegate.network.peer_handshake import PeerIdentity
+from oriolegate.network.peer_mesh import PeerMesh
 from oriolegate.network.platform_api import Platform
 from oriolegate.network.upstream_client import UpstreamClient
+from oriolegate.quarantine import messages as quarantine_messages
 from oriolegate.runtime.admin_routes import AdminRoutes
 from oriolegate.runtime.claim_gate import StoreClaimGate
+from oriolegate.runtime.document_runner import DocumentRunner
+from oriolegate.runtime.forward_runner import ForwardRunner
+from oriolegate.runtime.leaf_news_runner import LeafNewsRunner
+from oriolegate.runtime.peer_runner import PeerRunner
 from oriolegate.runtime.process import Process
+from oriolegate.runtime.process import ProcessParts
 from oriolegate.runtime.query_runner import QueryRunner
 from oriolegate.runtime.query_tier import QueryTier
 from oriolegate.runtime.request_flow import RequestFlow
+from oriolegate.runtime.share_runner import ShareRunner
 from oriolegate.settings.serve import ServeSettings
+from oriolegate.shares import messages as shares_messages
+from oriolegate.shares.core import Shares
+from oriolegate.shares.service_share import ShareOwner
 from oriolegate.timeline.events import EventBuffer
+from oriolegate.upstreams import messages as upstreams_messages
 from oriolegate.upstreams.leaf_table import LeafTable
 
 
@@ -42,53 +63,135 @@
     platform: Platform
     rng: random.Random
 
+    @property
+    def call_later(self) -> Any:
+        """The reactor's timer function; delays are in seconds."""
+        return self.reactor.callLater
+
+
+def peer_codec() -> PeerCodec:
+    """Return the codec of every message between processes."""
+    return PeerCodec(
+        membership_messages.PEER_MESSAGES,
+        configuration_messages.PEER_MESSAGES,
+        shares_messages.PEER_MESSAGES,
+        quarantine_messages.PEER_MESSAGES,
+        forwarding_messages.PEER_MESSAGES,
+        claims_messages.PEER_MESSAGES,
+        upstreams_messages.PEER_MESSAGES,
+    )
+
+
+def build_tier(
+    settings: ServeSettings,
+    surroundings: Surroundings,
+    own: Member,
+    events: EventBuffer,
+    metrics: MetricsRegistry,
+    claim_store: ClaimStore,
+) -> QueryTier:
+    """Wire the query path."""
+    clock = surroundings.clock
+    process = f"{own.vm}.{own.incarnation}"
+    table = LeafTable(own.data_centre, events)
+    coordinator = Coordinator(table, events)
+    runner = QueryRunner(coordinator, clock, surroundings.call_later)
+    client = UpstreamClient(
+        surroundings.reactor, clock, process, runner, own.host
+    )
+    runner.sender = client
+    flow = RequestFlow(
+        process=process,
+        clock=clock,
+        runner=runner,
+        claims=StoreClaimGate(claim_store, clock),
+        events=events,
+        metrics=metrics,
+        max_concurrent=settings.max_concurrent_queries,
+    )
+    return QueryTier(clock, table, runner, client, flow)
+
+
+def build_peers(
+    settings: ServeSettings,
+    surroundings: Surroundings,
+    own: Member,
+    events: EventBuffer,
+) -> PeerRunner:
+    """Wire membership and the links to peers."""
+    mesh = PeerMesh(
+        PeerIdentity(own.vm, own.incarnation, settings.peer_key.encode()),
+        peer_codec(),
+        surroundings.clock,
+        surroundings.reactor,
+        surroundings.rng,
+        events,
+    )
+    return PeerRunner(
+        Membership(own, surroundings.rng, events),
+        mesh,
+        surroundings.platform,
+        surroundings.clock,
+        surroundings.call_later,
+        surroundings.rng,
+    )
+
 
 def build_process(
     settings: ServeSettings, surroundings: Surroundings
 ) -> Process:
     """Wire the parts of one process; nothing is started."""
     clock = surroundings.clock
-    incarnation = settings.incarnation or clock.wall_ms()
-    process_name = f"{settings.vm}.{incarnation}"
-    events = EventBuffer(
+    call_later = surroundings.call_later
+    own = Member(
         settings.vm,
-        clock.wall_ms() - clock.now_ms(),
-        settings.timeline_capacity,
+        settings.advertise_host,
+        settings.peer_port,
+        settings.data_centre,
+        settings.incarnation or clock.wall_ms(),
     )
+    wall_offset_ms = clock.wall_ms() - clock.now_ms()
+    events = EventBuffer(own.vm, wall_offset_ms, settings.timeline_capacity)
     metrics = MetricsRegistry()
-    table = LeafTable(settings.data_centre, events)
-    coordinator = Coordinator(table, events)
-    runner = QueryRunner(coordinator, clock, surroundings.reactor.callLater)
-    client = UpstreamClient(
+    peers = build_peers(settings, surroundings, own, events)
+    claim_store = ClaimStore(
+        surroundings.platform,
+        clock,
         surroundings.reactor,
+        ClaimsCore(own.vm, str(own.incarnation), ClaimsSettings()),
+        peers.mesh.send,
+        events,
+    )
+    tier = build_tier(settings, surroundings, own, events, metrics, claim_store)
+    documents = DocumentRunner(
+        DocumentSpreader(own.vm, own.incarnation, own.data_centre),
+        peers,
+        surroundings.platform,
+        tier,
         clock,
-        process_name,
-        runner,
-        settings.advertise_host,
+        call_later,
+        surroundings.rng,
     )
-    runner.sender = client
-    claim_store = ClaimStore(
+    owner = ShareOwner(own.vm, own.incarnation, f"{own.host}:{own.peer_port}")
+    shares = ShareRunner(
+        Shares(owner, surroundings.rng),
+        peers,
         surroundings.platform,
+        tier,
         clock,
-        surroundings.reactor,
-        ClaimsCore(settings.vm, str(incarnation), ClaimsSettings()),
+        call_later,
     )
-    flow = RequestFlow(
-        process=process_name,
-        clock=clock,
-        runner=runner,
-        claims=StoreClaimGate(claim_store, clock),
-        events=events,
-        metrics=metrics,
-        max_concurrent=settings.max_concurrent_queries,
+    forwards = ForwardRunner(peers, shares, tier, clock, call_later, events)
+    tier.flow.forwarder = forwards
+    news = LeafNewsRunner(peers, shares, tier, clock, call_later)
+    parts = ProcessParts(
+        tier, peers, documents, shares, forwards, news, claim_store, events
     )
-    tier = QueryTier(clock, table, runner, client, flow)
-    routes = AdminRoutes(settings, clock, tier, metrics, events)
+    routes = AdminRoutes(settings, clock, parts, metrics)
     return Process(
         settings=settings,
         surroundings=surroundings,
-        tier=tier,
-        claim_store=claim_store,
-        caller_site=front.caller_site(flow, settings.max_body_bytes),
+        parts=parts,
+        caller_site=front.caller_site(tier.flow, settings.max_body_bytes),
         admin_site=admin.admin_site(routes, settings.admin_key),
     )
--- /dev/null
+++ b/src/oriolegate/runtime/document_runner.py
@@ -0,0 +1,183 @@
+"""Runs the document spreader: rules and topologies, from store and peers."""
+
+from collections.abc import Callable
+import json
+import random
+from typing import Any
+
+from oriolegate.clock import Clock
+from oriolegate.configuration import effects
+from oriolegate.configuration import messages
+from oriolegate.configuration.messages import DocumentKey
+from oriolegate.configuration.messages import VersionedDocument
+from oriolegate.configuration.spreader import DocumentSpreader
+from oriolegate.exceptions import PlatformError
+from oriolegate.logging_setup import get_logger
+from oriolegate.membership.effects import Send
+from oriolegate.membership.messages import MemberState
+from oriolegate.network import topology_wire
+from oriolegate.network.platform_api import ObjectList
+from oriolegate.network.platform_api import Platform
+from oriolegate.rules.model import AcceptedRules
+from oriolegate.runtime.peer_runner import PeerRunner
+from oriolegate.runtime.query_tier import QueryTier
+from oriolegate.runtime.store_feed import StoreFeed
+
+TICK_S = 0.25
+PEER_EVENTS = tuple(row[1] for row in messages.PEER_MESSAGES)
+
+log = get_logger("config")
+
+
+class DocumentRunner:
+    """Puts accepted documents in force in one process.
+
+    Attributes:
+        spreader: The decisions.
+        feeds: Watches on the store, by kind.
+        on_confirmed: Called once this process may take work.
+    """
+
+    def __init__(
+        self,
+        spreader: DocumentSpreader,
+        peers: PeerRunner,
+        platform: Platform,
+        tier: QueryTier,
+        clock: Clock,
+        call_later: Callable[..., Any],
+        rng: random.Random,
+    ) -> None:
+        self.spreader = spreader
+        self.peers = peers
+        self.platform = platform
+        self.tier = tier
+        self.clock = clock
+        self.call_later = call_later
+        self.rng = rng
+        self.feeds: dict[str, StoreFeed] = {}
+        self.on_confirmed: Callable[[], None] = lambda: None
+        self.timer: Any = None
+        self.stopped = False
+        for message_type in PEER_EVENTS:
+            peers.handlers[message_type] = self._received
+        peers.on_linked.append(lambda vm: self.step(effects.PeerLinked(vm)))
+        peers.on_lost.append(lambda vm: self.step(effects.PeerLost(vm)))
+        peers.on_members.append(self._take_census)
+        peers.on_paused.append(lambda: self.step(effects.Resumed()))
+        peers.on_digests = lambda vm, digests: self.step(
+            effects.PeerDigest(vm, digests)
+        )
+
+    def start(self) -> None:
+        """Begin to follow the documents."""
+        self._take_census()
+        self._tick()
+
+    def stop(self) -> None:
+        """Stop following."""
+        self.stopped = True
+        if self.timer is not None:
+            self.timer.cancel()
+        for feed in self.feeds.values():
+            feed.stop()
+
+    def written(self, accepted: AcceptedRules) -> None:
+        """Take a version of the rules that this process had accepted."""
+        document = messages.rules_document(accepted)
+        self.step(effects.DocumentWritten(document))
+
+    def _received(self, vm: str, message: object) -> None:
+        self.step(effects.Received(vm, message))
+
+    def _tick(self) -> None:
+        self.step(effects.Tick())
+        self.timer = self.call_later(TICK_S, self._tick)
+
+    def _take_census(self) -> None:
+        entries = tuple(
+            effects.CensusEntry(
+                member.vm,
+                member.data_centre,
+                member.incarnation,
+                member.state in (MemberState.LIVE, MemberState.LEAVING),
+            )
+            for member in self.peers.membership.census()
+        )
+        self.step(effects.CensusTaken(entries))
+
+    def step(self, event: effects.SpreaderEvent) -> None:
+        """Feed one event and carry out what follows."""
+        if self.stopped:
+            return
+        for effect in self.spreader.step(self.clock.now_ms(), event):
+            self._carry_out(effect)
+
+    def _carry_out(self, effect: effects.SpreaderEffect) -> None:
+        match effect:
+            case effects.DocumentAccepted(document):
+                self._accept(document)
+            case Send(vm, message):
+                self.peers.mesh.send(vm, message)
+            case effects.WatchStore(kind):
+                self._watch(kind)
+            case effects.UnwatchStore(kind):
+                feed = self.feeds.pop(kind, None)
+                if feed is not None:
+                    feed.stop()
+            case effects.ReadStore(kind):
+                self._read_once(kind)
+            case effects.DigestsChanged(digests):
+                self.peers.set_digests(digests)
+            case effects.VersionsConfirmed():
+                if self.tier.accepted is None:
+                    self.tier.take_rules(AcceptedRules(0, "", ""))
+                self.on_confirmed()
+            case effects.IsolationChanged(isolated):
+                log.warning("Cut off from store and peers: {}.", isolated)
+                self.tier.flow.state.isolated = isolated
+
+    def _accept(self, document: VersionedDocument) -> None:
+        key = document.key
+        try:
+            if key.kind == messages.RULES_KIND:
+                self.tier.take_rules(messages.accepted_rules(document))
+                return
+            topology = topology_wire.read_topology(
+                key.name, document.version, json.loads(document.payload)
+            )
+        except (PlatformError, ValueError) as error:
+            log.error("{} {} can't be read: {}", key.kind, key.name, error)
+            return
+        self.tier.take_topology(topology)
+
+    def _watch(self, kind: str) -> None:
+        if kind in self.feeds:
+            return
+        feed = StoreFeed(
+            self.platform,
+            kind,
+            lambda found, complete: self._store_read(kind, found, complete),
+            self.call_later,
+            self.rng,
+        )
+        self.feeds[kind] = feed
+        feed.start()
+
+    def _read_once(self, kind: str) -> None:
+        call = self.platform.list(kind)
+        call.addCallbacks(
+            lambda found: self._store_read(kind, found, True),
+            lambda _: None,
+        )
+
+    def _store_read(self, kind: str, found: ObjectList, complete: bool) -> None:
+        documents = tuple(
+            VersionedDocument(
+                DocumentKey(kind, item.name),
+                item.version,
+                json.dumps(item.value, sort_keys=True).encode(),
+            )
+            for item in found.items
+        )
+        self.step(effects.StoreRead(kind, documents, complete))
--- a/src/oriolegate/runtime/process.py
+++ b/src/oriolegate/runtime/process.py
@@ -1,142 +1,221 @@
-"""One serving process: what it starts, and what it stops."""
+"""One serving process: what it starts, and how it stops."""
 
+from collections.abc import Callable
 from typing import Any
 from typing import TYPE_CHECKING
 
-from twisted.internet import task
+import attrs
 from twisted.web import server
 
+from oriolegate.claims import messages as claims_messages
 from oriolegate.logging_setup import get_logger
-from oriolegate.network import topology_wire
 from oriolegate.network.claim_store import ClaimStore
-from oriolegate.network.platform_api import StoredObject
-from oriolegate.rules.model import AcceptedRules
+from oriolegate.runtime.document_runner import DocumentRunner
+from oriolegate.runtime.forward_runner import ForwardRunner
+from oriolegate.runtime.leaf_news_runner import LeafNewsRunner
+from oriolegate.runtime.peer_runner import PeerRunner
 from oriolegate.runtime.query_tier import QueryTier
-from oriolegate.runtime.store_feed import StoreFeed
+from oriolegate.runtime.share_runner import ShareRunner
+from oriolegate.runtime.stop_runner import StopRunner
+from oriolegate.runtime.stop_sequence import ConnectionsClosed
+from oriolegate.runtime.stop_sequence import RunningChanged
+from oriolegate.runtime.stop_sequence import SharesHandedOver
+from oriolegate.runtime.stop_sequence import StopRequested
+from oriolegate.runtime.stop_sequence import StopSequence
 from oriolegate.settings.serve import ServeSettings
-from oriolegate.upstreams.leaf_state import Grant
+from oriolegate.timeline.events import EventBuffer
+from oriolegate.timeline.events import EventKind
 
 if TYPE_CHECKING:
     from oriolegate.runtime.composition import Surroundings
 
 TICK_S = 0.5
-RULES_KIND = "rules"
-ACCEPTED_NAME = "accepted"
+CLOSE_S = 0.1
+SUPERSEDED_STATUS = 1
 
 log = get_logger("main")
 
 
+@attrs.frozen
+class ProcessParts:
+    """The running parts of a process."""
+
+    tier: QueryTier
+    peers: PeerRunner
+    documents: DocumentRunner
+    shares: ShareRunner
+    forwards: ForwardRunner
+    news: LeafNewsRunner
+    claim_store: ClaimStore
+    events: EventBuffer
+
+
 class Process:
     """One serving process.
 
     Attributes:
         settings: Its settings.
-        tier: The query path.
-        ports: Listening ports.
-        feeds: What follows the platform's store.
+        parts: Its running parts.
+        exit_status: What the process ends with.
+        on_exit: Called once the process has nothing left to do.
     """
 
     def __init__(
         self,
         settings: ServeSettings,
         surroundings: "Surroundings",
-        tier: QueryTier,
-        claim_store: ClaimStore,
+        parts: ProcessParts,
         caller_site: server.Site,
         admin_site: server.Site,
     ) -> None:
         self.settings = settings
         self.surroundings = surroundings
-        self.tier = tier
-        self.claim_store = claim_store
+        self.parts = parts
         self.caller_site = caller_site
         self.admin_site = admin_site
+        self.caller_port: Any = None
         self.ports: list[Any] = []
-        self.feeds = [
-            self._feed(topology_wire.KIND, self._got_topology),
-            self._feed(RULES_KIND, self._got_rules),
-        ]
-        self.ticker = task.LoopingCall(self._tick)
-        self.ticker.clock = surroundings.reactor
-
-    def _feed(self, kind: str, receive: Any) -> StoreFeed:
-        surroundings = self.surroundings
-        feed = StoreFeed(
-            surroundings.platform,
-            kind,
-            receive,
-            surroundings.reactor.callLater,
-            surroundings.rng,
+        self.timer: Any = None
+        self.exit_status = 0
+        self.on_exit: Callable[[], None] = lambda: None
+        sequence = StopSequence(
+            settings.balancer_notice_ms, settings.stop_limit_ms
+        )
+        self.stop_runner = StopRunner(
+            sequence,
+            self,
+            surroundings.clock,
+            surroundings.call_later,
+            parts.events,
+        )
+        self._connect_parts()
+
+    @property
+    def tier(self) -> QueryTier:
+        """The query path."""
+        return self.parts.tier
+
+    def _connect_parts(self) -> None:
+        parts = self.parts
+        parts.tier.flow.on_change = lambda count: self.stop_runner.receive(
+            RunningChanged(count)
+        )
+        parts.tier.on_topology = parts.shares.choose_homes
+        parts.tier.runner.on_pause = parts.shares.paused
+        parts.documents.on_confirmed = self._confirmed
+        parts.shares.on_returned = lambda: self.stop_runner.receive(
+            SharesHandedOver()
         )
-        feed.on_listed = self._check_ready
-        return feed
+        parts.peers.on_superseded = self._superseded
+        parts.peers.on_paused.append(parts.claim_store.paused)
+        parts.peers.on_members.append(self._owners_changed)
+        for message_type in (row[1] for row in claims_messages.PEER_MESSAGES):
+            parts.peers.handlers[message_type] = parts.claim_store.peer_message
 
     def start(self) -> None:
-        """Listen, and follow the platform's store."""
+        """Listen, look for peers, and follow the platform's store."""
         settings = self.settings
         listen = self.surroundings.reactor.listenTCP
         host = settings.bind_host
+        # The peer port comes first: who holds it is the only process that
+        # may use this VM's shares.
         self.ports = [
+            self.parts.peers.start(host, settings.peer_port),
             listen(settings.admin_port, self.admin_site, interface=host),
-            listen(settings.caller_port, self.caller_site, interface=host),
         ]
-        for feed in self.feeds:
-            feed.start()
-        self.ticker.start(TICK_S, now=False)
+        self.caller_port = listen(
+            settings.caller_port, self.caller_site, interface=host
+        )
+        for part in (
+            self.parts.documents,
+            self.parts.shares,
+            self.parts.forwards,
+            self.parts.news,
+        ):
+            part.start()
+        self._tick()
+        self.parts.events.record(
+            self.surroundings.clock.now_ms(), EventKind.STARTED
+        )
         log.info("Serving as {} in {}.", settings.vm, settings.data_centre)
 
-    def stop(self) -> None:
-        """Stop following the store and close the ports."""
-        for feed in self.feeds:
-            feed.stop()
-        self.claim_store.stop()
-        if self.ticker.running:
-            self.ticker.stop()
-        for port in self.ports:
-            port.stopListening()
-        for pool in self.tier.client.pools.values():
-            pool.close()
+    def _tick(self) -> None:
+        self.parts.tier.runner.check_pause()
+        self.parts.tier.tick()
+        self.timer = self.surroundings.call_later(TICK_S, self._tick)
+
+    def _confirmed(self) -> None:
+        self.parts.tier.flow.state.ready = True
+        log.info("Ready.")
+
+    def _owners_changed(self) -> None:
+        vms = sorted(member.vm for member in self.parts.peers.members())
+        self.parts.claim_store.owners_changed(tuple(vms))
+
+    def _superseded(self) -> None:
+        log.error("A newer process of this VM runs; this one ends.")
+        self.parts.tier.flow.state.stopping = True
+        self.exit(SUPERSEDED_STATUS)
 
     def plan_stop(self) -> None:
-        """Stop without cutting a request."""
-        log.info("Stopping.")
-        self.tier.flow.state.stopping = True
-        self.tier.flow.on_idle = self._finish_stop
-        if not self.tier.flow.active:
-            self._finish_stop()
-
-    def _finish_stop(self) -> None:
-        self.stop()
-        self.surroundings.reactor.callLater(0.1, self.surroundings.reactor.stop)
+        """Begin the planned stop; a second call changes nothing."""
+        self.stop_runner.receive(StopRequested())
 
-    def _tick(self) -> None:
-        self.tier.tick()
+    def set_not_ready(self) -> None:
+        """Fail the readiness check; go on serving."""
+        self.parts.tier.flow.state.leaving = True
 
-    def _got_topology(self, item: StoredObject) -> None:
-        topology = topology_wire.read_topology(
-            item.name, item.version, item.value
-        )
-        leaf = next(iter(topology.leafs.values()))
-        self.tier.take_topology(topology)
-        self.tier.take_grant(
-            item.name, Grant(leaf.slots, leaf.connections, leaf.cold_slots)
-        )
+    def announce_leaving(self) -> None:
+        """Tell peers that this VM leaves."""
+        self.parts.peers.leave()
 
-    def _got_rules(self, item: StoredObject) -> None:
-        if item.name != ACCEPTED_NAME:
-            return
-        self.tier.take_rules(
-            AcceptedRules(
-                item.version,
-                str(item.value["text"]),
-                str(item.value.get("edit_id", "")),
-            )
+    def close_after_answers(self) -> None:
+        """Do nothing more: the front closes connections while leaving."""
+
+    def stop_accepting(self) -> None:
+        """Close the callers' port; its connections are still served."""
+        self.caller_port.stopListening()
+        self.caller_port = None
+
+    def hand_over_shares(self) -> None:
+        """Give shares back, each as soon as it is unused."""
+        self.parts.shares.give_back()
+
+    def answer_running(self) -> None:
+        """Answer what runs with what is there, and refuse what comes."""
+        self.parts.tier.flow.state.stopping = True
+        self.parts.tier.runner.answer_all()
+
+    def close_connections(self) -> None:
+        """Close connections to upstreams and peers."""
+        self.stop()
+        self.surroundings.call_later(
+            CLOSE_S, lambda: self.stop_runner.receive(ConnectionsClosed())
         )
 
-    def _check_ready(self) -> None:
-        if not all(feed.listed for feed in self.feeds):
+    def exit(self, status: int) -> None:
+        """End the process with this status."""
+        self.exit_status = status
+        self.stop()
+        self.on_exit()
+
+    def stop(self) -> None:
+        """Close all ports and connections, and stop all timers."""
+        if self.timer is None:
             return
-        if self.tier.accepted is None:
-            self.tier.take_rules(AcceptedRules(0, "", ""))
-        self.tier.flow.state.ready = True
-        log.info("Ready.")
+        self.timer.cancel()
+        self.timer = None
+        for part in (
+            self.parts.documents,
+            self.parts.shares,
+            self.parts.forwards,
+            self.parts.news,
+            self.parts.claim_store,
+            self.parts.peers,
+        ):
+            part.stop()
+        for port in (*self.ports, self.caller_port):
+            if port is not None:
+                port.stopListening()
+        for pool in self.tier.client.pools.values():
+            pool.close()
--- a/src/oriolegate/runtime/query_runner.py
+++ b/src/oriolegate/runtime/query_runner.py
@@ -6,6 +6,7 @@
 
 from oriolegate.clock import Clock
 from oriolegate.coordinator.machine import Coordinator
+from oriolegate.coordinator.messages import AnswerAll
 from oriolegate.coordinator.messages import CancelSub
 from oriolegate.coordinator.messages import CapacityChanged
 from oriolegate.coordinator.messages import Deliver
@@ -14,6 +15,7 @@
 from oriolegate.coordinator.messages import SendSub
 from oriolegate.coordinator.messages import SetTimer
 from oriolegate.coordinator.messages import TimerFired
+from oriolegate.membership.pause_detector import PauseDetector
 from oriolegate.models.answer import Answer
 from oriolegate.models.answer import Refusal
 
@@ -68,9 +70,16 @@
         self.events: collections.deque[Event] = collections.deque()
         self.running = False
         self.timer: DelayedCall | None = None
+        self.pauses = PauseDetector()
+        self.on_pause: Callable[[], None] = lambda: None
 
     def feed(self, event: Event) -> None:
-        """Take one event, now or after those that came before."""
+        """Take one event, now or after those that came before.
+
+        A pause is noticed before the event is handled, so that nothing is
+        sent by rights that may have been given to others meanwhile.
+        """
+        self.check_pause()
         self.events.append(event)
         if self.running:
             return
@@ -105,6 +114,15 @@
         delay_ms = max(0.0, at_ms - self.clock.now_ms())
         self.timer = self.call_later(delay_ms / 1000.0, self._timer_fired)
 
+    def check_pause(self) -> None:
+        """Notice a pause; called at least twice a second, also when idle."""
+        if self.pauses.observe(self.clock.now_ms(), None) is not None:
+            self.on_pause()
+
+    def answer_all(self) -> None:
+        """Answer every query with what is there."""
+        self.feed(AnswerAll())
+
     def _timer_fired(self) -> None:
         self.timer = None
         self.feed(TimerFired())
--- a/src/oriolegate/runtime/query_tier.py
+++ b/src/oriolegate/runtime/query_tier.py
@@ -19,6 +19,7 @@
 from oriolegate.runtime.request_flow import RequestFlow
 from oriolegate.timeline.events import EventKind
 from oriolegate.upstreams.leaf_state import Grant
+from oriolegate.upstreams.leaf_state import LeafPhase
 from oriolegate.upstreams.leaf_table import LeafTable
 
 log = get_logger("tier")
@@ -29,7 +30,7 @@
 
     Attributes:
         accepted: The accepted rules in force, or None.
-        on_rules: Called after a newer version of the rules is in force.
+        on_topology: Called after a newer topology is in force.
     """
 
     def __init__(
@@ -46,7 +47,7 @@
         self.client = client
         self.flow = flow
         self.accepted: AcceptedRules | None = None
-        self.on_rules: Callable[[AcceptedRules], None] = lambda _: None
+        self.on_topology: Callable[[], None] = lambda: None
 
     @property
     def rules(self) -> ActiveRules | None:
@@ -67,6 +68,7 @@
         if held is not None:
             for name in set(held.leafs) - set(topology.leafs):
                 self.client.remove_leaf(name)
+        self.on_topology()
         self.runner.feed(CapacityChanged())
         return True
 
@@ -92,7 +94,6 @@
             self.clock.now_ms(), EventKind.RULES_ACCEPTED, "", accepted.version
         )
         log.info("Rules {} are in force.", accepted.version)
-        self.on_rules(accepted)
         return True
 
     def tick(self) -> None:
@@ -111,3 +112,34 @@
         """Put this process's part of a service's limits in force."""
         self.table.set_grant(self.clock.now_ms(), service, grant)
         self.runner.feed(CapacityChanged())
+
+    def capacity_changed(self) -> None:
+        """Send what waits, after leaf states changed outside a query."""
+        self.runner.feed(CapacityChanged())
+
+    def fits_grant(self, service: str) -> bool:
+        """Return whether what is in use fits in the service's grant.
+
+        Connections that are free and beyond the grant are closed first.
+        """
+        grant = self.table.grants.get(service)
+        topology = self.table.topologies.get(service)
+        if grant is None or topology is None:
+            return True
+        fits = True
+        for name in topology.leafs:
+            pool = self.client.pools.get(name)
+            if pool is not None:
+                pool.trim(grant.connections)
+                fits = fits and pool.size <= grant.connections
+            state = self.table.leafs[name]
+            allowed = grant.slots
+            if state.phase is LeafPhase.COLD:
+                allowed = min(grant.cold, grant.slots)
+            fits = fits and state.in_flight <= allowed
+        return fits
+
+    def can_run(self, service: str) -> bool:
+        """Return whether this process holds slots of a service's leafs."""
+        grant = self.table.grants.get(service)
+        return grant is not None and min(grant.slots, grant.connections) > 0
--- a/src/oriolegate/runtime/request_flow.py
+++ b/src/oriolegate/runtime/request_flow.py
@@ -1,12 +1,14 @@
 """Takes a caller's request from the front to its outcome.
 
 The order of the checks: is the process accepting, is there room, do the rules
-name a service, and, where the request is not idempotent, is its key claimed.
-A refusal before the coordinator is always "not run".
+name a service, does this process hold slots of it or is the whole request
+forwarded to a home, and, where the request is not idempotent, is its key
+claimed. A refusal before the coordinator is always "not run".
 """
 
 from collections.abc import Callable
 import itertools
+from typing import Protocol
 
 import attrs
 from twisted.internet import defer
@@ -15,8 +17,9 @@
 from oriolegate.coordinator.messages import CallerGone
 from oriolegate.coordinator.messages import QueryArrived
 from oriolegate.metrics import MetricsRegistry
-from oriolegate.models.answer import Answer
+from oriolegate.models.answer import Outcome
 from oriolegate.models.answer import Refusal
+from oriolegate.models.answer import RelayedOutcome
 from oriolegate.models.request import CallerRequest
 from oriolegate.result_codes import ResultCode
 from oriolegate.result_codes import RunState
@@ -29,7 +32,40 @@
 
 RETRY_AFTER_MS = 200
 
-Outcome = Answer | Refusal
+
+class RequestForwarder(Protocol):
+    """Runs whole requests on the homes of their service."""
+
+    def must_forward(self, service: str) -> bool:
+        """Return whether another process should run the service's requests."""
+        ...
+
+    def forward(
+        self, request: CallerRequest, service: str, limit_ms: float
+    ) -> "defer.Deferred[Outcome]":
+        """Run a request on a home; the result never is an error."""
+        ...
+
+    def caller_gone(self, request_id: str) -> None:
+        """Cancel a forwarded request."""
+        ...
+
+
+class NoForwarding:
+    """Keeps every request in this process."""
+
+    def must_forward(self, service: str) -> bool:
+        """Return False."""
+        return False
+
+    def forward(
+        self, request: CallerRequest, service: str, limit_ms: float
+    ) -> "defer.Deferred[Outcome]":
+        """Never called."""
+        raise AssertionError("nothing is forwarded")
+
+    def caller_gone(self, request_id: str) -> None:
+        """Do nothing."""
 
 
 @attrs.define
@@ -39,11 +75,15 @@
     Attributes:
         rules: The rules in force, or None before any were confirmed.
         ready: True once rules and topology are confirmed.
+        isolated: True while neither the store nor a peer is heard.
+        leaving: True once the balancer should send no new request.
         stopping: True once new requests are refused.
     """
 
     rules: ActiveRules | None = None
     ready: bool = False
+    isolated: bool = False
+    leaving: bool = False
     stopping: bool = False
 
 
@@ -75,7 +115,13 @@
         self.state = FlowState()
         self.active: dict[str, float] = {}
         self.numbers = itertools.count(1)
-        self.on_idle: Callable[[], None] = lambda: None
+        self.forwarder: RequestForwarder = NoForwarding()
+        self.on_change: Callable[[int], None] = lambda _: None
+
+    @property
+    def leaving(self) -> bool:
+        """Whether callers should open no new request here."""
+        return self.state.leaving
 
     def fresh_request_id(self) -> str:
         """Return a request id that no other request has."""
@@ -84,9 +130,21 @@
     def caller_gone(self, request_id: str) -> None:
         """Take that the caller of a request closed its connection."""
         self.runner.feed(CallerGone(request_id))
+        self.forwarder.caller_gone(request_id)
 
     def handle(self, request: CallerRequest) -> "defer.Deferred[Outcome]":
-        """Serve one request; the result never is an error."""
+        """Serve one request of a caller; the result never is an error."""
+        return self._serve(request, may_forward=True)
+
+    def handle_forwarded(
+        self, request: CallerRequest
+    ) -> "defer.Deferred[Outcome]":
+        """Serve one request that another process forwarded."""
+        return self._serve(request, may_forward=False)
+
+    def _serve(
+        self, request: CallerRequest, may_forward: bool
+    ) -> "defer.Deferred[Outcome]":
         now_ms = self.clock.now_ms()
         self.events.record(
             now_ms,
@@ -95,11 +153,13 @@
             request.caller,
             request.route,
         )
-        outcome = self._start(request)
+        outcome = self._start(request, may_forward)
         outcome.addCallback(self._finished, request, now_ms)
         return outcome
 
-    def _start(self, request: CallerRequest) -> "defer.Deferred[Outcome]":
+    def _start(
+        self, request: CallerRequest, may_forward: bool
+    ) -> "defer.Deferred[Outcome]":
         refusal = self._check(request)
         if refusal is not None:
             return defer.succeed(refusal)
@@ -115,10 +175,31 @@
                 )
             )
         self.active[request.request_id] = self.clock.now_ms()
+        self.on_change(len(self.active))
+        if self.forwarder.must_forward(decision.service):
+            return self._forward(request, decision, may_forward)
         if request.idempotent:
             return self._run(request, decision)
         return self._claim_and_run(request, decision)
 
+    def _forward(
+        self,
+        request: CallerRequest,
+        decision: RoutingDecision,
+        may_forward: bool,
+    ) -> "defer.Deferred[Outcome]":
+        if not may_forward:
+            # The sender asks the next home; a second hop could go in circles.
+            return defer.succeed(
+                _refuse(
+                    request,
+                    ResultCode.NOT_READY,
+                    f"this VM holds no slots of {decision.service}",
+                )
+            )
+        limit_ms = _limit_ms(request, decision)
+        return self.forwarder.forward(request, decision.service, limit_ms)
+
     def _check(self, request: CallerRequest) -> Refusal | None:
         state = self.state
         if state.stopping:
@@ -146,9 +227,7 @@
     def _claim_and_run(
         self, request: CallerRequest, decision: RoutingDecision
     ) -> "defer.Deferred[Outcome]":
-        policy = decision.policy
-        wanted_ms = request.deadline_ms or policy.deadline_ms
-        limit_ms = min(wanted_ms, policy.max_deadline_ms)
+        limit_ms = _limit_ms(request, decision)
         started_ms = self.clock.now_ms()
 
         def claimed(refusal: Refusal | None) -> "defer.Deferred[Outcome]":
@@ -194,19 +273,31 @@
         self, outcome: Outcome, request: CallerRequest, arrived_ms: float
     ) -> Outcome:
         self.active.pop(request.request_id, None)
-        code = ResultCode.OK
-        if isinstance(outcome, Refusal):
-            code = outcome.code
-        elif outcome.coverage.missing:
-            code = ResultCode.PARTIAL
+        code = _code_of(outcome)
         self.metrics.counter("requests", code=code.name).add()
         latency_ms = self.clock.now_ms() - arrived_ms
         self.metrics.latency("request_latency").record(latency_ms)
-        if not self.active:
-            self.on_idle()
+        self.on_change(len(self.active))
         return outcome
 
 
+def _code_of(outcome: Outcome) -> ResultCode:
+    match outcome:
+        case Refusal(code=code) | RelayedOutcome(code=code):
+            return code
+        case _:
+            if outcome.coverage.missing:
+                return ResultCode.PARTIAL
+            return ResultCode.OK
+
+
+def _limit_ms(request: CallerRequest, decision: RoutingDecision) -> float:
+    wanted_ms = request.deadline_ms
+    if wanted_ms is None:
+        wanted_ms = decision.policy.deadline_ms
+    return min(wanted_ms, decision.policy.max_deadline_ms)
+
+
 def _refuse(
     request: CallerRequest,
     code: ResultCode,
--- a/src/oriolegate/runtime/store_feed.py
+++ b/src/oriolegate/runtime/store_feed.py
@@ -11,11 +11,9 @@
 
 from twisted.internet import defer
 
-from oriolegate.exceptions import PlatformError
 from oriolegate.logging_setup import get_logger
 from oriolegate.network.platform_api import ObjectList
 from oriolegate.network.platform_api import Platform
-from oriolegate.network.platform_api import StoredObject
 
 WATCH_MS = 25_000
 FIRST_BACKOFF_MS = 100.0
@@ -25,18 +23,18 @@
 
 
 class StoreFeed:
-    """Tells one receiver of every object of a kind, and of each change.
+    """Tells one receiver of a kind's objects, and of each change.
 
     Attributes:
         kind: The kind of objects.
-        listed: True once the whole kind was read.
+        receive: Takes what was read, and whether it is the whole kind.
     """
 
     def __init__(
         self,
         platform: Platform,
         kind: str,
-        receive: Callable[[StoredObject], None],
+        receive: Callable[[ObjectList, bool], None],
         call_later: Callable[..., Any],
         rng: random.Random,
     ) -> None:
@@ -45,8 +43,6 @@
         self.receive = receive
         self.call_later = call_later
         self.rng = rng
-        self.listed = False
-        self.on_listed: Callable[[], None] = lambda: None
         self.backoff_ms = FIRST_BACKOFF_MS
         self.stopped = False
         self.waiting: defer.Deferred[Any] | None = None
@@ -72,26 +68,24 @@
         call.addErrback(self._failed)
 
     def _got_list(self, found: ObjectList) -> None:
+        self._got(found, complete=True)
+
+    def _got_change(self, found: ObjectList) -> None:
+        self._got(found, complete=False)
+
+    def _got(self, found: ObjectList, complete: bool) -> None:
         self.backoff_ms = FIRST_BACKOFF_MS
-        self._tell(found)
-        if not self.listed:
-            self.listed = True
-            self.on_listed()
+        if self.stopped:
+            return
+        self.receive(found, complete)
         self._watch(found.revision)
 
-    def _tell(self, found: ObjectList) -> None:
-        for item in found.items:
-            try:
-                self.receive(item)
-            except PlatformError as error:
-                log.error("{} {}: {}", self.kind, item.name, error.message)
-
     def _watch(self, revision: int) -> None:
         if self.stopped:
             return
         self._call(
             self.platform.watch(self.kind, revision, WATCH_MS),
-            self._got_list,
+            self._got_change,
         )
 
     def _failed(self, reason: Any) -> None:
--- a/src/oriolegate/upstreams/leaf_state.py
+++ b/src/oriolegate/upstreams/leaf_state.py
@@ -74,6 +74,8 @@
         latency_ms: Moving average of the latency seen here.
         suspect_until_ms: No new work before this time.
         losses: Connection losses in a row.
+        lost_incarnation: The newest incarnation whose connection was lost
+            here since it last answered here.
     """
 
     leaf: Leaf
@@ -89,6 +91,7 @@
     latency_ms: float = LOCAL_LATENCY_MS
     suspect_until_ms: float = 0.0
     losses: int = 0
+    lost_incarnation: int = -1
 
     def refresh_limit(self) -> None:
         """Work out `limit` again after a change of grant or phase."""
@@ -152,31 +155,39 @@
                     self.set_phase(LeafPhase.WARMING)
         return self.phase is not before
 
-    def note_success(self, latency_ms: float) -> None:
-        """Take in a completed request; may raise the limit."""
+    def note_success(self, latency_ms: float) -> bool:
+        """Take in a completed request; may raise the limit.
+
+        Returns:
+            True if the leaf became warm.
+        """
         self.latency_ms += LATENCY_WEIGHT * (latency_ms - self.latency_ms)
         self.losses = 0
+        self.lost_incarnation = -1
         if self.phase is LeafPhase.WARMING:
-            self._grow_ramp()
-        elif self.pressure < 1.0:
+            return self._grow_ramp()
+        if self.pressure < 1.0:
             self.pressure = min(1.0, self.pressure + SHED_RECOVERY)
             self.refresh_limit()
+        return False
 
     def note_slow(self, elapsed_ms: float) -> None:
         """Take in that a cancelled request had taken at least this long."""
         if elapsed_ms > self.latency_ms:
             self.latency_ms += LATENCY_WEIGHT * (elapsed_ms - self.latency_ms)
 
-    def _grow_ramp(self) -> None:
+    def _grow_ramp(self) -> bool:
+        """Count a success of the ramp; return True if the ramp is done."""
         self.ramp_successes += 1
         if self.ramp_successes < self.ramp:
-            return
+            return False
         self.ramp *= 2
         self.ramp_successes = 0
         if self.ramp >= self.grant.slots:
             self.set_phase(LeafPhase.WARM)
-        else:
-            self.refresh_limit()
+            return True
+        self.refresh_limit()
+        return False
 
     def note_shed(self) -> None:
         """Take in that the leaf refused work because it was busy."""
@@ -191,6 +202,7 @@
                 each loss in a row.
         """
         self.losses += 1
+        self.lost_incarnation = self.incarnation
         rest_ms = SUSPECT_BASE_MS * 2 ** min(self.losses - 1, 8)
         self.suspect_until_ms = now_ms + min(rest_ms, SUSPECT_MAX_MS)
         if self.phase is not LeafPhase.DRAINING:
--- a/src/oriolegate/upstreams/leaf_table.py
+++ b/src/oriolegate/upstreams/leaf_table.py
@@ -5,6 +5,7 @@
 of each request.
 """
 
+from collections.abc import Callable
 from collections.abc import Iterable
 from collections.abc import Mapping
 
@@ -19,6 +20,7 @@
 from oriolegate.upstreams.leaf_state import LeafState
 from oriolegate.upstreams.leaf_state import NO_GRANT
 from oriolegate.upstreams.leaf_state import ReportedState
+from oriolegate.upstreams.messages import LeafNews
 
 
 @attrs.define
@@ -31,6 +33,7 @@
         topologies: The newest topology of each service.
         leafs: Leaf states by name.
         grants: This process's part of the limits, by service.
+        on_phase: Called with a leaf whose phase an answer or a loss changed.
     """
 
     data_centre: str
@@ -41,6 +44,7 @@
     service_of: dict[str, str] = attrs.field(factory=dict)
     out_data_centres: frozenset[str] = frozenset()
     out_upstreams: frozenset[str] = frozenset()
+    on_phase: Callable[[LeafState], None] = lambda _: None
 
     def set_topology(self, now_ms: float, topology: ServiceTopology) -> bool:
         """Take over a topology unless a newer one is held.
@@ -124,6 +128,34 @@
         held = self.leafs.get(leaf)
         if held is not None and held.note_state(state, incarnation):
             self._record(now_ms, held)
+            self.on_phase(held)
+
+    def note_success(
+        self, now_ms: float, state: LeafState, latency_ms: float
+    ) -> None:
+        """Take in a completed request of a leaf."""
+        if state.note_success(latency_ms):
+            self._record(now_ms, state)
+            self.on_phase(state)
+
+    def take_news(self, now_ms: float, news: LeafNews) -> None:
+        """Take in what another VM saw of a leaf.
+
+        A leaf that another VM has warmed is ramped here as well. News of an
+        incarnation older than the one known here are dropped.
+        """
+        held = self.leafs.get(news.leaf)
+        if held is None or news.incarnation < held.incarnation:
+            return
+        # After a loss seen here, news of the same incarnation may be older
+        # than the loss; only a newer one shows that the leaf is warm again.
+        if (
+            news.state is ReportedState.WARM
+            and held.lost_incarnation >= news.incarnation
+        ):
+            return
+        if held.note_state(news.state, news.incarnation):
+            self._record(now_ms, held)
 
     def note_loss(self, now_ms: float, leaf: str) -> None:
         """Take in a lost connection to a leaf."""
@@ -131,6 +163,7 @@
         if held is not None:
             held.note_loss(now_ms)
             self._record(now_ms, held)
+            self.on_phase(held)
 
     def _record(self, now_ms: float, state: LeafState) -> None:
         self.events.record(
