Start a service where its cold leafs can be reached

Cause: seen with 8 processes: a home without cold slots refused its first query at once (3007, no replica), since every leaf was cold to it and tail-first gave a shard up as soon as no replica accepted work. Change: for 15 s after its first grant a home forwards until each shard has a reachable replica; a shard whose leafs may recover waits for the soft deadline.

--- a/src/oriolegate/coordinator/dispatch.py
+++ b/src/oriolegate/coordinator/dispatch.py
@@ -15,7 +15,6 @@
 from oriolegate.coordinator.query import ShardState
 from oriolegate.coordinator.state import CoordinatorState
 from oriolegate.coordinator.state import WakeKind
-from oriolegate.models.policy import CoverageMode
 from oriolegate.result_codes import ResultCode
 from oriolegate.timeline.events import EventKind
 from oriolegate.upstreams.leaf_state import LeafPhase
@@ -72,7 +71,7 @@
     if leaf is not None:
         send(state, now_ms, query, shard, leaf, kind)
         return
-    if _may_wait(state, query, shard):
+    if state.leafs.any_recoverable(shard.replicas, shard.tried):
         wait(state, now_ms, query, shard)
     elif not shard.in_flight:
         give_up(query, shard, _reason_without_replica(shard))
@@ -84,17 +83,6 @@
     return ResultCode.NO_REPLICA
 
 
-def _may_wait(
-    state: CoordinatorState, query: QueryState, shard: ShardState
-) -> bool:
-    leafs = state.leafs
-    if leafs.any_usable(shard.replicas, shard.tried):
-        return True
-    if query.arrived.policy.coverage_mode is CoverageMode.TAIL_FIRST:
-        return False
-    return leafs.any_recoverable(shard.replicas, shard.tried)
-
-
 def wait(
     state: CoordinatorState,
     now_ms: float,
--- a/src/oriolegate/runtime/query_tier.py
+++ b/src/oriolegate/runtime/query_tier.py
@@ -22,6 +22,8 @@
 from oriolegate.upstreams.leaf_state import LeafPhase
 from oriolegate.upstreams.leaf_table import LeafTable
 
+FIRST_WARMING_MS = 15_000.0
+
 log = get_logger("tier")
 
 
@@ -30,6 +32,7 @@
 
     Attributes:
         accepted: The accepted rules in force, or None.
+        granted_ms: When slots of a service were first granted.
         on_topology: Called after a newer topology is in force.
     """
 
@@ -47,6 +50,7 @@
         self.client = client
         self.flow = flow
         self.accepted: AcceptedRules | None = None
+        self.granted_ms: dict[str, float] = {}
         self.on_topology: Callable[[], None] = lambda: None
 
     @property
@@ -110,6 +114,10 @@
 
     def take_grant(self, service: str, grant: Grant) -> None:
         """Put this process's part of a service's limits in force."""
+        if grant.slots <= 0:
+            self.granted_ms.pop(service, None)
+        else:
+            self.granted_ms.setdefault(service, self.clock.now_ms())
         self.table.set_grant(self.clock.now_ms(), service, grant)
         self.runner.feed(CapacityChanged())
 
@@ -140,6 +148,16 @@
         return fits
 
     def can_run(self, service: str) -> bool:
-        """Return whether this process holds slots of a service's leafs."""
+        """Return whether this process should run the service's requests.
+
+        It must hold slots. For some time after it got them it must also
+        reach every shard: until the holder of cold slots has told of warm
+        leafs, a query is better off there.
+        """
         grant = self.table.grants.get(service)
-        return grant is not None and min(grant.slots, grant.connections) > 0
+        if grant is None or min(grant.slots, grant.connections) <= 0:
+            return False
+        if grant.cold > 0 or self.table.covers(service):
+            return True
+        held_ms = self.clock.now_ms() - self.granted_ms[service]
+        return held_ms > FIRST_WARMING_MS
--- a/src/oriolegate/upstreams/leaf_table.py
+++ b/src/oriolegate/upstreams/leaf_table.py
@@ -33,6 +33,7 @@
         topologies: The newest topology of each service.
         leafs: Leaf states by name.
         grants: This process's part of the limits, by service.
+        covered: Cached results of `covers`.
         on_phase: Called with a leaf whose phase an answer or a loss changed.
     """
 
@@ -44,6 +45,7 @@
     service_of: dict[str, str] = attrs.field(factory=dict)
     out_data_centres: frozenset[str] = frozenset()
     out_upstreams: frozenset[str] = frozenset()
+    covered: dict[str, bool] = attrs.field(factory=dict)
     on_phase: Callable[[LeafState], None] = lambda _: None
 
     def set_topology(self, now_ms: float, topology: ServiceTopology) -> bool:
@@ -94,10 +96,12 @@
             or state.leaf.upstream in self.out_upstreams
         )
         state.refresh_limit()
+        self.covered.clear()
 
     def set_grant(self, now_ms: float, service: str, grant: Grant) -> None:
         """Set this process's part of the limits of a service's leafs."""
         self.grants[service] = grant
+        self.covered.clear()
         for name, owner in self.service_of.items():
             if owner == service:
                 self.leafs[name].grant = grant
@@ -166,6 +170,7 @@
             self.on_phase(held)
 
     def _record(self, now_ms: float, state: LeafState) -> None:
+        self.covered.clear()
         self.events.record(
             now_ms,
             EventKind.LEAF_STATE,
@@ -217,15 +222,27 @@
                 best_cost = cost
         return best
 
-    def any_usable(
-        self, replicas: Iterable[str], avoid: Mapping[str, object] | set[str]
-    ) -> bool:
-        """Return whether some replica accepts work once a slot is free."""
-        for name in replicas:
-            state = self.leafs.get(name)
-            if state is not None and state.limit > 0 and name not in avoid:
-                return True
-        return False
+    def covers(self, service: str) -> bool:
+        """Return whether each shard of the current version may be sent now.
+
+        A home that holds no cold slot can't reach a shard whose replicas
+        are all cold.
+        """
+        covered = self.covered.get(service)
+        if covered is None:
+            covered = self._covers(service)
+            self.covered[service] = covered
+        return covered
+
+    def _covers(self, service: str) -> bool:
+        topology = self.topologies.get(service)
+        if topology is None:
+            return False
+        leafs = self.leafs
+        return all(
+            any(leafs[name].limit > 0 for name in names if name in leafs)
+            for names in topology.versions[topology.current].shards
+        )
 
     def any_recoverable(
         self, replicas: Iterable[str], avoid: Mapping[str, object] | set[str]
