Measure faults on a fleet of 8 processes under load

Cause: promises about many processes were only tested core by core. Change: tools/measure_fleet.py runs 16 callers behind a balancer against 8 serve processes and the emulator; counts come from the emulator's records.

--- /dev/null
+++ b/tools/measure_fleet.py
@@ -0,0 +1,187 @@
+"""Faults on a fleet of 8 processes under load, judged from the far side.
+
+    python -m tools.measure_fleet [--layout L] [--scenario S] [--json FILE]
+
+Counts of runs come from the emulator's records, not from the processes.
+"""
+
+import argparse
+import collections
+from collections.abc import Callable
+import json
+import pathlib
+import statistics
+import sys
+import tempfile
+import time
+from typing import Any
+
+from tools.fleet import call
+from tools.fleet import CALLER_PORT
+from tools.fleet import Fleet
+from tools.fleet import ROOT
+from tools.fleet_load import Load
+from tools.fleet_load import Outcome
+
+VMS = 8
+CALLERS = 16
+PAUSE_S = 0.15
+SUBMIT_SHARE = 0.1
+WARM_UP_S = 6.0
+ROUTES = {
+    "anga-pamoja": ["forecast", "observations", "archive", "members"],
+    "consortium": ["charges", "fleets", "receipts", "audit"],
+}
+
+
+def steady(fleet: Fleet, seconds: float) -> dict[str, Any]:
+    """Do nothing but wait."""
+    time.sleep(seconds)
+    return {}
+
+
+def rolling(fleet: Fleet, seconds: float) -> dict[str, Any]:
+    """Replace every VM's process, one after the other."""
+    statuses = []
+    for vm in fleet.vms:
+        statuses.append(fleet.stop_vm(vm))
+        fleet.start_vm(vm)
+        fleet.wait_ready(vm)
+    return {"exit_statuses": statuses}
+
+
+def kill(fleet: Fleet, seconds: float) -> dict[str, Any]:
+    """End one VM's process at once, and start it again later."""
+    vm = fleet.vms[0]
+    time.sleep(seconds / 4)
+    fleet.kill_vm(vm)
+    time.sleep(seconds / 2)
+    fleet.start_vm(vm)
+    fleet.wait_ready(vm)
+    time.sleep(seconds / 4)
+    return {"killed": vm.name}
+
+
+def store_down(fleet: Fleet, seconds: float) -> dict[str, Any]:
+    """Take the platform's store down; a process starts meanwhile."""
+    fleet.platform("POST", "/control", {"outage": True})
+    time.sleep(seconds / 3)
+    vm = fleet.vms[-1]
+    status = fleet.stop_vm(vm)
+    fleet.start_vm(vm)
+    fleet.wait_ready(vm)
+    body = {"place": 1}
+    host = vm.host
+    joined = call(
+        host, CALLER_PORT, "POST", "/v1/query/" + ROUTES[fleet.layout][0], body
+    )[0]
+    time.sleep(seconds * 2 / 3)
+    fleet.platform("POST", "/control", {"outage": False})
+    time.sleep(3.0)
+    return {"new_vm_answered": joined, "stop_status": status}
+
+
+SCENARIOS: dict[str, Callable[[Fleet, float], dict[str, Any]]] = {
+    "steady": steady,
+    "rolling": rolling,
+    "kill": kill,
+    "store-down": store_down,
+}
+
+
+def _percentile(values: list[float], share: float) -> float | None:
+    if not values:
+        return None
+    ordered = sorted(values)
+    return ordered[min(len(ordered) - 1, int(share * len(ordered)))]
+
+
+def figures(outcomes: list[Outcome], records: dict[str, Any]) -> dict[str, Any]:
+    """Work out figures from what callers got and what leafs saw."""
+    queries = [row for row in outcomes if not row.submit]
+    submits = [row for row in outcomes if row.submit]
+    answered = [row for row in queries if row.status == 200]
+    latencies = [row.latency_ms for row in answered]
+    faults = collections.Counter(
+        fault for row in outcomes for fault in row.faults
+    )
+    codes = collections.Counter(
+        row.code for row in outcomes if row.status != 200
+    )
+    totals = records["totals"]
+    return {
+        "queries": len(queries),
+        "answered": len(answered),
+        "whole": sum(row.coverage == 1.0 for row in answered),
+        "submits": len(submits),
+        "submits_ran": sum(row.status == 200 for row in submits),
+        "refusals_by_code": dict(sorted(codes.items())),
+        "p50_ms": _percentile(latencies, 0.5),
+        "p99_ms": _percentile(latencies, 0.99),
+        "coverage": statistics.fmean(row.coverage for row in answered)
+        if answered
+        else None,
+        "violations": {
+            "cut": sum(row.status == 0 for row in outcomes),
+            "doubled": faults["doubled"] + records["doubled_runs"],
+            "mixed_snapshots": faults["mixed_snapshots"],
+            "false_not_run": _false_not_run(submits, records),
+            "cold_over_limit": totals.get("cold_over_limit", 0),
+            "connections_over_limit": totals["connections_over_limit"],
+        },
+    }
+
+
+def _false_not_run(submits: list[Outcome], records: dict[str, Any]) -> int:
+    ran = {row.get("key") for row in records.get("records", ())}
+    return sum(row.run_state == "not_run" and row.key in ran for row in submits)
+
+
+def measure(
+    layout: str, scenario: str, seconds: float, seed: int, program: list[str]
+) -> dict[str, Any]:
+    """Run one scenario on a fresh fleet."""
+    folder = pathlib.Path(tempfile.mkdtemp(prefix="fleet-"))
+    fleet = Fleet(layout, VMS, folder, program)
+    rules = (ROOT / "examples" / layout / "rules.txt").read_text()
+    try:
+        fleet.start(rules)
+        load = Load(fleet, ROUTES[layout], CALLERS, SUBMIT_SHARE, PAUSE_S, seed)
+        load.start()
+        time.sleep(WARM_UP_S)
+        extra = SCENARIOS[scenario](fleet, seconds)
+        load.stop()
+        records = fleet.platform("GET", "/control/records?runs=1")[1]
+        found = figures(list(load.outcomes), records)
+    finally:
+        fleet.close()
+    return {"layout": layout, "scenario": scenario, **found, **extra}
+
+
+def main() -> int:
+    """Measure the named scenarios and print their figures."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--layout", default="anga-pamoja")
+    parser.add_argument("--scenario", choices=SCENARIOS, action="append")
+    parser.add_argument("--seconds", type=float, default=20.0)
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--program", help="such as dist/oriolegate")
+    parser.add_argument("--json")
+    options = parser.parse_args()
+    program = [sys.executable, "-m", "oriolegate"]
+    if options.program:
+        program = [options.program]
+    results = []
+    for scenario in options.scenario or SCENARIOS:
+        found = measure(
+            options.layout, scenario, options.seconds, options.seed, program
+        )
+        print(json.dumps(found, indent=2), flush=True)
+        results.append(found)
+    if options.json:
+        pathlib.Path(options.json).write_text(json.dumps(results, indent=2))
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
