Keep homes by change, replace keys in rounds, spread first retries

Cause: choosing homes anew for 500 services at each member change costs 2.7 s; a new key would have cut the fleet in two during a rolling restart; the first retry of shares and dials had no jitter (its range was one point); start reads of a whole fleet came every 2 s. Change: HomeDirectory, other_keys, a random part on every wait, start reads that become rarer.

--- a/src/oriolegate/configuration/spreader.py
+++ b/src/oriolegate/configuration/spreader.py
@@ -29,6 +29,7 @@
 EXCHANGE_MS = 2_000.0
 FLUSH_MS = 250.0
 START_READ_MS = 2_000.0
+START_READ_MAX_MS = 16_000.0  # all VMs may start at once
 ISOLATION_MS = 10_000.0
 PROBE_MS = 4_000.0
 RECORDED_KINDS = {
@@ -117,6 +118,7 @@
         self.probed_ms = 0.0
         self.next_flush_ms = 0.0
         self.next_start_read_ms = 0.0
+        self.start_read_ms = START_READ_MS
         self.sent_digests: tuple[tuple[str, int], ...] = ()
         self.out: list[SpreaderEffect] = []
 
@@ -153,6 +155,8 @@
         return self.out
 
     def _try_open(self, now_ms: float) -> None:
+        if self.gate.opened:
+            return
         reachable = sum(
             entry.reachable and entry.vm != self.vm
             for entry in self.confirmations.census.values()
@@ -171,7 +175,8 @@
 
     def _tick(self, now_ms: float) -> None:
         if not self.gate.opened and now_ms >= self.next_start_read_ms:
-            self.next_start_read_ms = now_ms + START_READ_MS
+            self.next_start_read_ms = now_ms + self.start_read_ms
+            self.start_read_ms = min(self.start_read_ms * 2, START_READ_MAX_MS)
             for kind in sorted(self.gate.missing_kinds):
                 self.out.append(effects.ReadStore(kind))
         self._retry_pulls(now_ms)
--- a/src/oriolegate/network/peer_handshake.py
+++ b/src/oriolegate/network/peer_handshake.py
@@ -28,6 +28,8 @@
         vm: Name of this VM.
         incarnation: Of this process.
         key: The shared key, at least `MIN_KEY_BYTES` long.
+        other_keys: Keys that peers may prove as well, while a key is
+            being replaced.
     """
 
     vm: str
@@ -35,6 +37,13 @@
     key: bytes = attrs.field(
         repr=False, validator=attrs.validators.min_len(MIN_KEY_BYTES)
     )
+    other_keys: tuple[bytes, ...] = attrs.field(
+        default=(),
+        repr=False,
+        validator=attrs.validators.deep_iterable(
+            attrs.validators.min_len(MIN_KEY_BYTES)
+        ),
+    )
 
 
 def proof_of(key: bytes, prover: PeerHello, verifier: PeerHello) -> bytes:
@@ -111,8 +120,14 @@
         return [self._proof_for(hello)]
 
     def _receive_proof(self, peer: PeerHello, proof: PeerProof) -> list[object]:
-        expected = proof_of(self.identity.key, peer, self.hello)
-        if not hmac.compare_digest(expected, proof.signature):
+        keys = (self.identity.key, *self.identity.other_keys)
+        matches = [
+            hmac.compare_digest(
+                proof_of(key, peer, self.hello), proof.signature
+            )
+            for key in keys
+        ]
+        if not any(matches):
             raise _unauthorized(
                 "peer does not hold the site's key; check --peer-key"
             )
--- a/src/oriolegate/network/peer_slots.py
+++ b/src/oriolegate/network/peer_slots.py
@@ -86,7 +86,7 @@
 
     def back_off(self, now_ms: float, generator: random.Random) -> None:
         """Set the next dial, later with each failure in a row."""
-        wait_ms = generator.uniform(BACKOFF_MIN_MS, self.backoff_ms)
+        wait_ms = BACKOFF_MIN_MS + generator.uniform(0, self.backoff_ms)
         self.dial_at_ms = now_ms + wait_ms
         self.backoff_ms = min(self.backoff_ms * 2, BACKOFF_MAX_MS)
 
--- a/src/oriolegate/shares/homes.py
+++ b/src/oriolegate/shares/homes.py
@@ -10,6 +10,11 @@
 MAX_HOMES = 16  # holders of one share object; each change touches them all
 
 
+def home_key(service: str) -> str:
+    """Return the key by which a service's homes are ranked."""
+    return f"home/{service}"
+
+
 def choose_homes(
     service: str, limits: Amounts, members: Iterable[Member]
 ) -> list[str]:
@@ -24,7 +29,7 @@
     for member in members:
         groups.setdefault(member.data_centre, []).append(member.vm)
     count = min(limits.slots, limits.connections, MAX_HOMES)
-    return spread(f"home/{service}", groups, count)
+    return spread(home_key(service), groups, count)
 
 
 def forwarding_order(
--- a/src/oriolegate/shares/service_share.py
+++ b/src/oriolegate/shares/service_share.py
@@ -179,7 +179,7 @@
         else:
             return
         self.stale = True
-        wait_ms = self.generator.uniform(RETRY_MIN_MS, self.retry_ms)
+        wait_ms = RETRY_MIN_MS + self.generator.uniform(0, self.retry_ms)
         self.next_try_ms = now_ms + wait_ms
         self.retry_ms = min(self.retry_ms * 2, RETRY_MAX_MS)
 
--- a/tests/configuration/test_spreader.py
+++ b/tests/configuration/test_spreader.py
@@ -106,6 +106,18 @@
             self.core.step(float(now_ms), effects.Tick())
         self.assertFalse(self.core.gate.opened)
 
+    def test_start_reads_become_rarer_while_they_fail(self):
+        reads = []
+        for now_ms in range(0, 60_000, 250):
+            out = self.core.step(float(now_ms), effects.Tick())
+            if effects.ReadStore("topology") in out:
+                reads.append(now_ms)
+        gaps = [
+            later - earlier
+            for earlier, later in zip(reads, reads[1:], strict=False)
+        ]
+        self.assertEqual(gaps, [2_000, 4_000, 8_000, 16_000, 16_000])
+
     def test_a_writer_announces_with_the_store_down(self):
         self.core.step(0.0, effects.PeerLinked("vm-2"))
         out = self.core.step(0.0, effects.DocumentWritten(rules(7)))
--- a/tests/network/test_peer_mesh.py
+++ b/tests/network/test_peer_mesh.py
@@ -13,6 +13,7 @@
 from oriolegate.network import peer_handshake
 from oriolegate.network import peer_link
 from oriolegate.network import peer_mesh
+from oriolegate.network import peer_slots
 from oriolegate.timeline.events import EventBuffer
 
 KEY = b"k" * 32
@@ -109,9 +110,9 @@
         self.network.listeners[port] = factory
 
 
-def make_mesh(network, vm, key=KEY, incarnation=1):
+def make_mesh(network, vm, key=KEY, incarnation=1, other_keys=()):
     mesh = peer_mesh.PeerMesh(
-        peer_handshake.PeerIdentity(vm, incarnation, key),
+        peer_handshake.PeerIdentity(vm, incarnation, key, other_keys),
         peer_codec.PeerCodec(messages.PEER_MESSAGES),
         FakeClock(),
         Reactor(network),
@@ -164,6 +165,19 @@
         self.assertEqual(self.one.events, [])
         self.assertEqual(stranger.linked_vms(), [])
 
+    def test_a_key_can_be_replaced_while_links_go_on(self):
+        old = make_mesh(self.network, "vm3", KEY, other_keys=(OTHER_KEY,))
+        make_mesh(self.network, "vm4", OTHER_KEY, other_keys=(KEY,))
+        old.connect_to("vm4", "127.0.0.1", 4)
+        old.connect_to("vm1", "127.0.0.1", 1)
+        self.network.deliver()
+        self.assertEqual(old.linked_vms(), ["vm4", "vm1"])
+
+    def test_a_short_key_is_refused(self):
+        for key, others in ((b"short", ()), (KEY, (b"short",))):
+            with self.assertRaises(ValueError):
+                peer_handshake.PeerIdentity("vm1", 1, key, others)
+
     def test_a_server_without_the_key_is_refused(self):
         make_mesh(self.network, "vm3", key=OTHER_KEY)
         self.one.connect_to("vm3", "127.0.0.1", 3)
@@ -249,6 +263,17 @@
         self.network.deliver()
         self.assertEqual(self.one.linked_vms(), ["vm2"])
 
+    def test_even_the_first_waits_differ(self):
+        generator = random.Random(1)
+        waits = set()
+        for _ in range(10):
+            slot = peer_slots.PeerSlot()
+            slot.back_off(0.0, generator)
+            waits.add(slot.dial_at_ms)
+        self.assertEqual(len(waits), 10)
+        self.assertGreaterEqual(min(waits), peer_slots.BACKOFF_MIN_MS)
+        self.assertLessEqual(max(waits), 2 * peer_slots.BACKOFF_MIN_MS)
+
     def test_a_peer_that_is_no_longer_wanted_is_forgotten(self):
         del self.network.listeners[2]
         self.one.connect_to("vm2", "127.0.0.1", 2)
--- a/tests/shares/test_homes.py
+++ b/tests/shares/test_homes.py
@@ -8,6 +8,7 @@
 
 from oriolegate.membership.messages import Member
 from oriolegate.shares import homes
+from oriolegate.shares.home_directory import HomeDirectory
 from oriolegate.shares.share_object import Amounts
 from oriolegate.shares.share_object import total
 
@@ -66,3 +67,36 @@
         self.assertEqual((whole.slots, whole.connections), (slots, connections))
         self.assertGreaterEqual(whole.cold, min(cold, slots, 1))
         self.assertTrue(all(part.cold <= part.slots for part in parts))
+
+    @settings(derandomize=True, max_examples=150, deadline=None)
+    @given(
+        changes=strategies.lists(
+            strategies.tuples(
+                strategies.booleans(), strategies.integers(0, 14)
+            ),
+            max_size=60,
+        )
+    )
+    def test_the_directory_holds_what_a_fresh_choice_would(self, changes):
+        fleet = members(5)
+        limits = {f"s-{slots}": Amounts(slots, 9, 1) for slots in range(1, 9)}
+        directory = HomeDirectory()
+        for service, amounts in limits.items():
+            directory.set_service(service, amounts)
+        present = {}
+        for joins, number in changes:
+            member = fleet[number]
+            before = {
+                service: home_set.homes
+                for service, home_set in directory.services.items()
+            }
+            if joins:
+                present[member.vm] = member
+                changed = directory.add(member)
+            else:
+                present.pop(member.vm, None)
+                changed = directory.remove(member)
+            for service, amounts in limits.items():
+                fresh = homes.choose_homes(service, amounts, present.values())
+                self.assertEqual(directory.services[service].homes, fresh)
+                self.assertEqual(service in changed, before[service] != fresh)
