Let new work wait for a moment after a pause

Cause: a process that was paused for long would have gone on by old rules until its peers' first messages. Change: after a pause new work waits until the store or a peer has confirmed the versions, 2 s at most.

--- a/src/oriolegate/configuration/effects.py
+++ b/src/oriolegate/configuration/effects.py
@@ -145,6 +145,11 @@
     """This process may take work: its versions are not merely old ones."""
 
 
+@attrs.frozen
+class VersionsUnconfirmed:
+    """New work must wait for `VersionsConfirmed`: this process was paused."""
+
+
 @attrs.frozen
 class IsolationChanged:
     """Whether neither the store nor any peer has been heard for a while."""
@@ -160,6 +165,7 @@
     | ReadStore
     | DigestsChanged
     | VersionsConfirmed
+    | VersionsUnconfirmed
     | IsolationChanged
 )
 
--- a/src/oriolegate/configuration/spreader.py
+++ b/src/oriolegate/configuration/spreader.py
@@ -18,6 +18,7 @@
 from oriolegate.configuration.messages import DocumentKey
 from oriolegate.configuration.messages import DocumentVersion
 from oriolegate.configuration.messages import VersionedDocument
+from oriolegate.configuration.resume_hold import ResumeHold
 from oriolegate.configuration.start_gate import StartGate
 from oriolegate.membership.effects import Send
 from oriolegate.membership.rendezvous import ranked
@@ -74,7 +75,8 @@
     Attributes:
         table: Documents in force in this process.
         confirmations: Who has which version of the rules.
-        gate: Whether the process may take work.
+        gate: Whether the process has ever known current versions.
+        hold: Keeps new work waiting for a moment after a pause.
         watching: Whether this VM watches the store.
         isolated: Whether neither store nor peers were heard for a while.
     """
@@ -110,6 +112,7 @@
             vm, incarnation, self.confirmations
         )
         self.gate = StartGate(kinds)
+        self.hold = ResumeHold()
         self.peers: dict[str, PeerProgress] = {}
         self.pulls: dict[DocumentKey, PendingPull] = {}
         self.watching = False
@@ -148,13 +151,27 @@
             case effects.CensusTaken():
                 self._take_census(event.entries)
             case effects.Resumed():
-                for vm in self.peers:
-                    self._send_versions(now_ms, vm)
+                self._resume(now_ms)
         self._try_open(now_ms)
         self._publish_digests()
         return self.out
 
+    @property
+    def confirmed(self) -> bool:
+        """Whether this process may take work by what it knows."""
+        return self.gate.opened and not self.hold.active
+
+    def _resume(self, now_ms: float) -> None:
+        if self.gate.opened:
+            self.hold.begin(now_ms)
+            self.out.append(effects.VersionsUnconfirmed())
+            self.out.append(effects.ReadStore(messages.RULES_KIND))
+        for vm in self.peers:
+            self._send_versions(now_ms, vm)
+
     def _try_open(self, now_ms: float) -> None:
+        if self.hold.try_end(now_ms, self.table):
+            self.out.append(effects.VersionsConfirmed())
         if self.gate.opened:
             return
         reachable = sum(
@@ -200,6 +217,8 @@
         self._accept(now_ms, event.documents, "")
         if event.complete:
             self.gate.store_listed(event.kind)
+            if event.kind == messages.RULES_KIND:
+                self.hold.store_read()
 
     def _accept(
         self,
@@ -241,7 +260,7 @@
 
     def _send_versions(self, now_ms: float, vm: str) -> None:
         self.peers[vm].exchanged_ms = now_ms
-        versions = messages.VersionList(self.table.versions(), self.gate.opened)
+        versions = messages.VersionList(self.table.versions(), self.confirmed)
         self.out.append(Send(vm, versions))
 
     def _compare(self, now_ms: float, vm: str, digests: dict[str, int]) -> None:
@@ -277,7 +296,8 @@
             case messages.VersionList():
                 if message.confirmed:
                     self.gate.peer_named(now_ms, vm, message.versions)
-                elif self.gate.opened and vm in self.peers:
+                    self.hold.peer_named(message.versions)
+                elif self.confirmed and vm in self.peers:
                     self._send_versions(now_ms, vm)
                 self._push(vm, self.table.newer_than(message.versions))
                 self._pull(now_ms, vm, message.versions)
--- a/tests/configuration/test_spreader.py
+++ b/tests/configuration/test_spreader.py
@@ -106,6 +106,44 @@
             self.core.step(float(now_ms), effects.Tick())
         self.assertFalse(self.core.gate.opened)
 
+    def resume(self):
+        self.core.step(0.0, effects.PeerLinked("vm-2"))
+        self.open_by_store(rules(4))
+        return self.core.step(90_000.0, effects.Resumed())
+
+    def test_after_a_pause_work_waits_for_a_peers_versions(self):
+        out = self.resume()
+        self.assertIn(effects.VersionsUnconfirmed(), out)
+        self.assertIn(Send("vm-2", version_list(4, confirmed=False)), out)
+        named = effects.Received("vm-2", version_list(6))
+        out = self.core.step(90_010.0, named)
+        self.assertNotIn(effects.VersionsConfirmed(), out)
+        pushed = effects.Received("vm-2", messages.Push((rules(6),)))
+        out = self.core.step(90_020.0, pushed)
+        self.assertIn(effects.VersionsConfirmed(), out)
+
+    def test_after_a_pause_the_stores_word_is_enough(self):
+        self.resume()
+        read = effects.StoreRead("rules", (rules(6),), True)
+        out = self.core.step(90_010.0, read)
+        self.assertIn(effects.VersionsConfirmed(), out)
+
+    def test_the_hold_after_a_pause_ends_by_itself(self):
+        self.resume()
+        self.assertNotIn(
+            effects.VersionsConfirmed(),
+            self.core.step(91_000.0, effects.Tick()),
+        )
+        self.assertIn(
+            effects.VersionsConfirmed(),
+            self.core.step(92_000.0, effects.Tick()),
+        )
+
+    def test_two_held_processes_do_not_answer_each_other(self):
+        self.resume()
+        other = effects.Received("vm-2", version_list(4, confirmed=False))
+        self.assertEqual(self.core.step(90_010.0, other), [])
+
     def test_start_reads_become_rarer_while_they_fail(self):
         reads = []
         for now_ms in range(0, 60_000, 250):
--- a/tests/membership/test_core.py
+++ b/tests/membership/test_core.py
@@ -65,6 +65,18 @@
         self.assert_all_live(fleet)
         self.assertEqual(fleet.nodes["scl-a-0"].own.incarnation, 1)
 
+    def test_a_resumed_vm_suspects_nobody_for_its_own_silence(self):
+        fleet = make_fleet(2)
+        node = fleet.nodes["scl-a-0"]
+        out = node.step(fleet.now_ms + 60_000, effects.Tick())
+        self.assertIn(effects.Paused, [type(effect) for effect in out])
+        changes = [
+            effect
+            for effect in out
+            if isinstance(effect, effects.MemberChanged)
+        ]
+        self.assertEqual(changes, [])
+
     def test_a_wall_clock_jump_alone_counts_as_a_pause(self):
         node = Fleet().add("vm-1")
         node.step(0.0, effects.Tick(wall_ms=1_000))
