Move pulls into a module of their own; ignore kinds not kept here

Change: named versions of other kinds don't hold the gate; pull_tracker.py. Seen: 31 tests of configuration and of the parts together pass.

--- a/src/oriolegate/configuration/spreader.py
+++ b/src/oriolegate/configuration/spreader.py
@@ -15,9 +15,9 @@
 from oriolegate.configuration.confirmation_table import ConfirmationTable
 from oriolegate.configuration.document_table import DocumentTable
 from oriolegate.configuration.effects import SpreaderEffect
-from oriolegate.configuration.messages import DocumentKey
 from oriolegate.configuration.messages import DocumentVersion
 from oriolegate.configuration.messages import VersionedDocument
+from oriolegate.configuration.pull_tracker import PullTracker
 from oriolegate.configuration.resume_hold import ResumeHold
 from oriolegate.configuration.start_gate import StartGate
 from oriolegate.membership.effects import Send
@@ -26,7 +26,6 @@
 from oriolegate.timeline.events import EventKind
 
 WATCHERS_PER_DATA_CENTRE = 2
-PULL_RETRY_MS = 1_000.0
 EXCHANGE_MS = 2_000.0
 FLUSH_MS = 250.0
 START_READ_MS = 2_000.0
@@ -54,21 +53,6 @@
     exchanged_ms: float = -EXCHANGE_MS
 
 
-@attrs.define
-class PendingPull:
-    """A document that was announced and has not come yet.
-
-    Attributes:
-        version: The newest announced.
-        peers: Who announced it, the next to ask first.
-        asked_ms: When a peer was last asked.
-    """
-
-    version: int
-    peers: list[str]
-    asked_ms: float
-
-
 class DocumentSpreader:
     """Keeps the documents of one process up to date and tells its peers.
 
@@ -114,7 +98,7 @@
         self.gate = StartGate(kinds)
         self.hold = ResumeHold()
         self.peers: dict[str, PeerProgress] = {}
-        self.pulls: dict[DocumentKey, PendingPull] = {}
+        self.pulls = PullTracker()
         self.watching = False
         self.isolated = False
         self.heard_ms = 0.0
@@ -196,7 +180,7 @@
             self.start_read_ms = min(self.start_read_ms * 2, START_READ_MAX_MS)
             for kind in sorted(self.gate.missing_kinds):
                 self.out.append(effects.ReadStore(kind))
-        self._retry_pulls(now_ms)
+        self.out += self.pulls.retry(now_ms, self.peers)
         if now_ms >= self.next_flush_ms:
             self.next_flush_ms = now_ms + FLUSH_MS
             self.out += self.confirming.flush(self.peers)
@@ -232,7 +216,7 @@
             if item.key.kind in self.kinds and self.table.accept(item)
         ]
         for document in accepted:
-            self._forget_pull(document)
+            self.pulls.arrived(document)
             self._record(now_ms, document)
             self.out.append(effects.DocumentAccepted(document))
             if document.key.kind == messages.RULES_KIND:
@@ -253,11 +237,6 @@
                 now_ms, kind, "", document.key.name, document.version
             )
 
-    def _forget_pull(self, document: VersionedDocument) -> None:
-        pull = self.pulls.get(document.key)
-        if pull is not None and pull.version <= document.version:
-            del self.pulls[document.key]
-
     def _send_versions(self, now_ms: float, vm: str) -> None:
         self.peers[vm].exchanged_ms = now_ms
         versions = messages.VersionList(self.table.versions(), self.confirmed)
@@ -294,16 +273,25 @@
             case messages.Push():
                 self._accept(now_ms, message.documents, vm)
             case messages.VersionList():
-                if message.confirmed:
-                    self.gate.peer_named(now_ms, vm, message.versions)
-                    self.hold.peer_named(message.versions)
-                elif self.confirmed and vm in self.peers:
-                    self._send_versions(now_ms, vm)
-                self._push(vm, self.table.newer_than(message.versions))
-                self._pull(now_ms, vm, message.versions)
+                self._take_versions(now_ms, vm, message)
             case messages.Confirmations():
                 self.confirming.receive(vm, message)
 
+    def _take_versions(
+        self, now_ms: float, vm: str, message: messages.VersionList
+    ) -> None:
+        # A newer release may keep kinds that this one does not know.
+        kept = tuple(
+            item for item in message.versions if item.key.kind in self.kinds
+        )
+        if message.confirmed:
+            self.gate.peer_named(now_ms, vm, kept)
+            self.hold.peer_named(kept)
+        elif self.confirmed and vm in self.peers:
+            self._send_versions(now_ms, vm)
+        self._push(vm, self.table.newer_than(message.versions))
+        self._pull(now_ms, vm, message.versions)
+
     def _push(self, vm: str, documents: list[VersionedDocument]) -> None:
         for batch in self.table.batches(documents):
             self.out.append(Send(vm, messages.Push(batch)))
@@ -311,32 +299,9 @@
     def _pull(
         self, now_ms: float, vm: str, versions: Iterable[DocumentVersion]
     ) -> None:
-        keys = []
-        for item in self.table.older_than(versions):
-            if item.key.kind not in self.kinds:
-                continue
-            pull = self.pulls.get(item.key)
-            if pull is None or item.version > pull.version:
-                self.pulls[item.key] = PendingPull(item.version, [vm], now_ms)
-                keys.append(item.key)
-            elif vm not in pull.peers:
-                pull.peers.append(vm)
-        if keys:
-            self.out.append(Send(vm, messages.Pull(tuple(keys))))
-
-    def _retry_pulls(self, now_ms: float) -> None:
-        for key, pull in list(self.pulls.items()):
-            if now_ms - pull.asked_ms < PULL_RETRY_MS:
-                continue
-            pull.asked_ms = now_ms
-            pull.peers = [vm for vm in pull.peers if vm in self.peers]
-            if not pull.peers:
-                # A later digest or announcement names another source.
-                del self.pulls[key]
-                continue
-            vm = pull.peers.pop(0)
-            pull.peers.append(vm)
-            self.out.append(Send(vm, messages.Pull((key,))))
+        kept = [item for item in versions if item.key.kind in self.kinds]
+        lacking = self.table.older_than(kept)
+        self.out += self.pulls.announced(now_ms, vm, lacking)
 
     def _take_census(self, entries: tuple[effects.CensusEntry, ...]) -> None:
         self.confirmations.take_census(entries)
--- a/tests/configuration/test_spreader.py
+++ b/tests/configuration/test_spreader.py
@@ -84,6 +84,15 @@
             self.core.step(0.0, effects.Received(vm, version_list(4)))
         self.assertTrue(self.core.gate.opened)
 
+    def test_kinds_of_a_newer_release_do_not_keep_the_gate_shut(self):
+        self.core.step(0.0, effects.DocumentWritten(rules(4)))
+        known = messages.DocumentVersion(RULES, 4)
+        newer = messages.DocumentVersion(messages.DocumentKey("trials", "a"), 3)
+        named = messages.VersionList((known, newer), confirmed=True)
+        for vm in ("vm-2", "vm-3"):
+            self.core.step(0.0, effects.Received(vm, named))
+        self.assertTrue(self.core.gate.opened)
+
     def test_a_confirmed_peer_names_its_versions_to_a_starting_one(self):
         self.core.step(0.0, effects.PeerLinked("vm-2"))
         self.open_by_store(rules(4))
