Wait for a dead process's last requests before its share is used again

Cause: what a dead process had sent may still run at a leaf when another process takes its share over. Change: a proven end, and the take-over of a former process's grant at the same address, count 10 s later; a process's own goodbye counts at once. Three tests expected the share at once; they now check that nothing comes a millisecond before the 10 s and all at 10 s.

--- a/src/oriolegate/shares/core.py
+++ b/src/oriolegate/shares/core.py
@@ -7,6 +7,7 @@
 from oriolegate.shares import effects
 from oriolegate.shares import messages
 from oriolegate.shares.effects import SharesEffect
+from oriolegate.shares.service_share import LINGER_MS
 from oriolegate.shares.service_share import ServiceShare
 from oriolegate.shares.service_share import ShareOwner
 from oriolegate.timeline.events import EventBuffer
@@ -20,7 +21,10 @@
 
     Attributes:
         services: By name; kept once a service was wanted.
-        ended: Newest incarnation of each VM that is known to have ended.
+        ended: Newest incarnation of each VM that is known to have ended and
+            of which nothing runs any more.
+        lingering: Newest ended incarnation of which requests may still run,
+            and until when.
     """
 
     def __init__(
@@ -43,6 +47,8 @@
         self.ended: collections.OrderedDict[str, int] = (
             collections.OrderedDict()
         )
+        self.lingering: dict[str, tuple[int, float]] = {}
+        self.started_ms: float | None = None
         self.stopping = False
         self.returned = False
 
@@ -51,6 +57,9 @@
     ) -> list[SharesEffect]:
         """Take one event and return what follows from it."""
         out: list[SharesEffect] = []
+        if self.started_ms is None:
+            self.started_ms = now_ms
+        self._end_lingering(now_ms)
         match event:
             case effects.ServiceWanted():
                 self._service(event.service).want(event)
@@ -74,7 +83,7 @@
                 for share in self.services.values():
                     share.pause()
             case effects.ProcessEnded():
-                self._end(event.vm, event.incarnation)
+                self._linger(now_ms, event.vm, event.incarnation)
             case effects.StopSharing():
                 self.stopping = True
             case effects.Received():
@@ -105,9 +114,23 @@
         if share is None:
             share = ServiceShare(service, self.owner, self.generator)
             share.ended = self.ended
+            if self.started_ms is not None:
+                share.take_over_at_ms = self.started_ms + LINGER_MS
             self.services[service] = share
         return share
 
+    def _linger(self, now_ms: float, vm: str, incarnation: int) -> None:
+        """Count a process as ended once its last requests have run out."""
+        known = self.lingering.get(vm, (self.ended.get(vm, -1), 0.0))
+        if incarnation > known[0]:
+            self.lingering[vm] = (incarnation, now_ms + LINGER_MS)
+
+    def _end_lingering(self, now_ms: float) -> None:
+        for vm, (incarnation, until_ms) in list(self.lingering.items()):
+            if now_ms >= until_ms:
+                del self.lingering[vm]
+                self._end(vm, incarnation)
+
     def _end(self, vm: str, incarnation: int) -> None:
         if vm == self.owner.vm and incarnation >= self.owner.incarnation:
             return
--- a/src/oriolegate/shares/service_share.py
+++ b/src/oriolegate/shares/service_share.py
@@ -25,6 +25,7 @@
 RETRY_MIN_MS = 100.0
 RETRY_MAX_MS = 5_000.0
 REFRESH_MS = 120_000.0
+LINGER_MS = 10_000.0  # the longest deadline of what a dead process has sent
 
 
 @attrs.frozen
@@ -51,6 +52,8 @@
         in_use: Upper bound of what may be in use: `held`, and more until
             a lowered grant has been applied.
         confirmed: Whether the object was read since the last pause.
+        take_over_at_ms: When nothing runs any more that a former process at
+            this address has sent.
         returned: Whether the store shows no grant of this process.
     """
 
@@ -75,6 +78,7 @@
         self.in_use = NOTHING
         self.confirmed = False
         self.ended: Mapping[str, int] = {}
+        self.take_over_at_ms = LINGER_MS
         self.ticket = 0
         self.oldest_valid_ticket = 0
         self.reading: int | None = None
@@ -196,20 +200,23 @@
     def _is_ended(self, vm: str, grant: Grant) -> bool:
         return grant.incarnation <= self.ended.get(vm, -1)
 
-    def _may_replace(self, grant: Grant) -> bool:
+    def _may_replace(self, now_ms: float, grant: Grant) -> bool:
         """Return whether the grant under this VM's name can be taken over.
 
         The address is bound exclusively: a former process that had the same
-        one has closed it by ending.
+        one has closed it by ending. What it had sent may run on for a while.
         """
         owner = self.owner
         return grant.incarnation <= owner.incarnation and (
             grant.incarnation == owner.incarnation
-            or grant.address == owner.address
+            or (
+                grant.address == owner.address
+                and now_ms >= self.take_over_at_ms
+            )
             or self._is_ended(owner.vm, grant)
         )
 
-    def _plan(self, known: ShareObject) -> ShareObject:
+    def _plan(self, now_ms: float, known: ShareObject) -> ShareObject:
         """Return the object as this process would have it."""
         limits, generation = known.limits, known.generation
         if self.generation > generation:
@@ -220,7 +227,7 @@
             if not self._is_ended(vm, grant)
         }
         own = grants.get(self.owner.vm)
-        if own is None or self._may_replace(own):
+        if own is None or self._may_replace(now_ms, own):
             grants.pop(self.owner.vm, None)
             if self.wanted:
                 others = total(item.amounts for item in grants.values())
@@ -240,7 +247,9 @@
     def advance(self, now_ms: float) -> list[SharesEffect]:
         """Return what to announce, read and write now."""
         out: list[SharesEffect] = []
-        planned = self._plan(self.known) if self.known is not None else None
+        planned = None
+        if self.known is not None:
+            planned = self._plan(now_ms, self.known)
         self._announce(planned, out)
         if now_ms < self.next_try_ms or self.writing is not None:
             return out
--- a/tests/shares/test_core.py
+++ b/tests/shares/test_core.py
@@ -7,6 +7,7 @@
 from oriolegate.shares import effects
 from oriolegate.shares import messages
 from oriolegate.shares.core import Shares
+from oriolegate.shares.service_share import LINGER_MS
 from oriolegate.shares.service_share import ShareOwner
 from oriolegate.shares.share_object import Amounts
 from oriolegate.shares.share_object import from_value
@@ -70,6 +71,16 @@
     def store(self, version, grants, limits=LIMITS, generation=1):
         self.stored = ShareObject(version, generation, limits, grants)
 
+    def after(self, interval_ms):
+        self.now_ms += interval_ms
+        self.step(effects.Tick())
+
+    def assert_granted_once_requests_have_run_out(self):
+        self.after(LINGER_MS - 1)
+        self.assertEqual(self.grants, [])
+        self.after(1)
+        self.assertEqual(self.grants, [LIMITS])
+
     def later(self):
         self.now_ms += 200_000
         self.step(effects.Tick())
@@ -221,13 +232,14 @@
         self.later()
         self.assertEqual(self.grants, [])
         self.step(effects.ProcessEnded("vm-2", 1))
-        self.assertEqual(self.grants, [LIMITS])
+        self.assert_granted_once_requests_have_run_out()
         self.assertNotIn("vm-2", self.stored.grants)
 
     def test_the_end_of_a_former_process_spares_the_present_one(self):
         self.store(1, {"vm-2": grant("vm-2", LIMITS, incarnation=2)})
         self.step(WANTED)
         self.step(effects.ProcessEnded("vm-2", 1))
+        self.later()
         self.assertIn("vm-2", self.stored.grants)
 
     def test_a_goodbye_counts_only_for_its_sender(self):
@@ -242,7 +254,7 @@
     def test_a_restart_in_place_takes_its_former_share_over(self):
         self.store(1, {"vm-1": grant("vm-1", LIMITS, incarnation=0)})
         self.step(WANTED)
-        self.assertEqual(self.grants, [LIMITS])
+        self.assert_granted_once_requests_have_run_out()
         self.assertEqual(self.stored.grants["vm-1"].incarnation, 1)
 
     def test_a_vm_at_a_new_address_waits_for_the_end_of_the_former(self):
@@ -250,8 +262,10 @@
         self.store(1, {"vm-1": former})
         self.step(WANTED)
         self.assertEqual(self.grants, [])
+        self.later()
+        self.assertEqual(self.grants, [])
         self.step(effects.ProcessEnded("vm-1", 0))
-        self.assertEqual(self.grants, [LIMITS])
+        self.assert_granted_once_requests_have_run_out()
 
     def test_lowered_limits_are_followed(self):
         self.step(WANTED)
