Check each step of a write of open fate

Cause: the tests looked at the last step's effects only, so a share raised in between showed as another failure.

--- a/tests/shares/test_core.py
+++ b/tests/shares/test_core.py
@@ -132,9 +132,14 @@
             out = self.core.step(self.now_ms, event)
         return out
 
-    def assert_no_grant(self, out):
-        kinds = [type(effect) for effect in out]
-        self.assertNotIn(effects.GrantChanged, kinds)
+    def drive_without_grant(self, *events):
+        """Run events, none of which may change the grant."""
+        out = []
+        for event in events:
+            out = self.drive(event)
+            kinds = [type(effect) for effect in out]
+            self.assertNotIn(effects.GrantChanged, kinds)
+        return out
 
     def test_a_write_of_open_fate_keeps_its_lower_share_in_force(self):
         held = {"vm-1": grant("vm-1", LIMITS)}
@@ -146,9 +151,9 @@
         # The newcomer ends, so that all is due to this process again; but
         # the lost write may still land and let others raise their shares.
         ended = effects.ProcessEnded("vm-2", 1)
-        self.assert_no_grant(self.drive(effects.WriteUnknown("s", 2), ended))
-        write = self.drive(effects.Tick(), effects.SharesRead("s", 3, asked))
-        self.assert_no_grant(write)
+        self.drive_without_grant(effects.WriteUnknown("s", 2), ended)
+        read = effects.SharesRead("s", 3, asked)
+        write = self.drive_without_grant(effects.Tick(), read)
         self.assertEqual(write[-1].expected_version, 2)
         raised = self.drive(effects.SharesWritten("s", write[-1].ticket, 3))
         self.assertEqual(raised[-1].amounts, LIMITS)
@@ -161,8 +166,8 @@
         removal = self.drive(effects.GrantApplied("s", NOTHING))[-1]
         self.assertEqual(removal.share_object.grants, {})
         self.drive(effects.WriteUnknown("s", removal.ticket), WANTED)
-        again = self.drive(effects.Tick(), effects.SharesRead("s", 3, stored))
-        self.assert_no_grant(again)
+        read = effects.SharesRead("s", 3, stored)
+        again = self.drive_without_grant(effects.Tick(), read)
         self.assertEqual(again[-1].share_object, stored)
         done = self.drive(effects.SharesWritten("s", again[-1].ticket, 3))
         self.assertEqual(done[-1].amounts, LIMITS)
