Keep the random module out of the cores

Cause: core packages import no random module, not even for a type. Change: a protocol names what they use of a generator.

--- a/src/oriolegate/membership/core.py
+++ b/src/oriolegate/membership/core.py
@@ -3,8 +3,6 @@
 Views differ between VMs: nothing that must hold depends on them.
 """
 
-import random
-
 import attrs
 
 from oriolegate.membership import effects
@@ -15,6 +13,7 @@
 from oriolegate.membership.messages import MemberState
 from oriolegate.membership.neighbours import choose_neighbours
 from oriolegate.membership.pause_detector import PauseDetector
+from oriolegate.membership.random_source import RandomSource
 from oriolegate.membership.table_exchange import TableExchange
 from oriolegate.membership.vm_listing import VmListing
 from oriolegate.timeline.events import EventBuffer
@@ -63,7 +62,7 @@
     def __init__(
         self,
         own: Member,
-        generator: random.Random,
+        generator: RandomSource,
         buffer: EventBuffer | None = None,
     ) -> None:
         """Make a table that holds this VM alone.
--- a/src/oriolegate/membership/table_exchange.py
+++ b/src/oriolegate/membership/table_exchange.py
@@ -1,7 +1,5 @@
 """Find and send what differs between two member tables."""
 
-import random
-
 import attrs
 
 from oriolegate.membership.effects import Send
@@ -9,6 +7,7 @@
 from oriolegate.membership.member_table import MemberTable
 from oriolegate.membership.messages import BucketHashes
 from oriolegate.membership.messages import MemberDelta
+from oriolegate.membership.random_source import RandomSource
 
 EXCHANGE_MS = 1_000.0
 BUCKETS_PER_EXCHANGE = 16
@@ -36,7 +35,7 @@
         progress: By peer.
     """
 
-    def __init__(self, table: MemberTable, generator: random.Random) -> None:
+    def __init__(self, table: MemberTable, generator: RandomSource) -> None:
         self.table = table
         self.generator = generator
         self.progress: dict[str, ExchangeProgress] = {}
--- a/src/oriolegate/shares/core.py
+++ b/src/oriolegate/shares/core.py
@@ -1,9 +1,9 @@
 """All shares of one process: events in, grants and store calls out."""
 
 import collections
-import random
 
 from oriolegate.membership.effects import Send
+from oriolegate.membership.random_source import RandomSource
 from oriolegate.shares import effects
 from oriolegate.shares import messages
 from oriolegate.shares.effects import SharesEffect
@@ -30,7 +30,7 @@
     def __init__(
         self,
         owner: ShareOwner,
-        generator: random.Random,
+        generator: RandomSource,
         buffer: EventBuffer | None = None,
     ) -> None:
         """Make a core without services.
--- a/src/oriolegate/shares/service_share.py
+++ b/src/oriolegate/shares/service_share.py
@@ -6,11 +6,11 @@
 """
 
 from collections.abc import Mapping
-import random
 
 import attrs
 
 from oriolegate.membership.effects import Send
+from oriolegate.membership.random_source import RandomSource
 from oriolegate.shares import effects
 from oriolegate.shares import messages
 from oriolegate.shares.effects import SharesEffect
@@ -58,7 +58,7 @@
     """
 
     def __init__(
-        self, service: str, owner: ShareOwner, generator: random.Random
+        self, service: str, owner: ShareOwner, generator: RandomSource
     ) -> None:
         """Make a share of nothing.
 
