--- a/tests/configuration/test_spreader.py
+++ b/tests/configuration/test_spreader.py
@@ -84,6 +84,15 @@
             self.core.step(0.0, effects.Received(vm, version_list(4)))
         self.assertTrue(self.core.gate.opened)
 
+    def test_kinds_of_a_newer_release_do_not_keep_the_gate_shut(self):
+        self.core.step(0.0, effects.DocumentWritten(rules(4)))
+        known = messages.DocumentVersion(RULES, 4)
+        newer = messages.DocumentVersion(messages.DocumentKey("trials", "a"), 3)
+        named = messages.VersionList((known, newer), confirmed=True)
+        for vm in ("vm-2", "vm-3"):
+            self.core.step(0.0, effects.Received(vm, named))
+        self.assertTrue(self.core.gate.opened)
+
     def test_a_confirmed_peer_names_its_versions_to_a_starting_one(self):
         self.core.step(0.0, effects.PeerLinked("vm-2"))
         self.open_by_store(rules(4))
@@ -106,6 +115,56 @@
             self.core.step(float(now_ms), effects.Tick())
         self.assertFalse(self.core.gate.opened)
 
+    def resume(self):
+        self.core.step(0.0, effects.PeerLinked("vm-2"))
+        self.open_by_store(rules(4))
+        return self.core.step(90_000.0, effects.Resumed())
+
+    def test_after_a_pause_work_waits_for_a_peers_versions(self):
+        out = self.resume()
+        self.assertIn(effects.VersionsUnconfirmed(), out)
+        self.assertIn(Send("vm-2", version_list(4, confirmed=False)), out)
+        named = effects.Received("vm-2", version_list(6))
+        out = self.core.step(90_010.0, named)
+        self.assertNotIn(effects.VersionsConfirmed(), out)
+        pushed = effects.Received("vm-2", messages.Push((rules(6),)))
+        out = self.core.step(90_020.0, pushed)
+        self.assertIn(effects.VersionsConfirmed(), out)
+
+    def test_after_a_pause_the_stores_word_is_enough(self):
+        self.resume()
+        read = effects.StoreRead("rules", (rules(6),), True)
+        out = self.core.step(90_010.0, read)
+        self.assertIn(effects.VersionsConfirmed(), out)
+
+    def test_the_hold_after_a_pause_ends_by_itself(self):
+        self.resume()
+        self.assertNotIn(
+            effects.VersionsConfirmed(),
+            self.core.step(91_000.0, effects.Tick()),
+        )
+        self.assertIn(
+            effects.VersionsConfirmed(),
+            self.core.step(92_000.0, effects.Tick()),
+        )
+
+    def test_two_held_processes_do_not_answer_each_other(self):
+        self.resume()
+        other = effects.Received("vm-2", version_list(4, confirmed=False))
+        self.assertEqual(self.core.step(90_010.0, other), [])
+
+    def test_start_reads_become_rarer_while_they_fail(self):
+        reads = []
+        for now_ms in range(0, 60_000, 250):
+            out = self.core.step(float(now_ms), effects.Tick())
+            if effects.ReadStore("topology") in out:
+                reads.append(now_ms)
+        gaps = [
+            later - earlier
+            for earlier, later in zip(reads, reads[1:], strict=False)
+        ]
+        self.assertEqual(gaps, [2_000, 4_000, 8_000, 16_000, 16_000])
+
     def test_a_writer_announces_with_the_store_down(self):
         self.core.step(0.0, effects.PeerLinked("vm-2"))
         out = self.core.step(0.0, effects.DocumentWritten(rules(7)))
