--- a/src/oriolegate/timeline/detail_fields.py
+++ b/src/oriolegate/timeline/detail_fields.py
@@ -35,7 +35,7 @@
         "generation",
         "index_version",
     ),
-    EventKind.MEMBER_CHANGED: ("member", "state"),
+    EventKind.MEMBER_CHANGED: ("member", "incarnation", "state"),
     EventKind.SHARES_CHANGED: (
         "service",
         "slots",
--- a/tests/cli/test_command_line.py
+++ b/tests/cli/test_command_line.py
@@ -67,6 +67,22 @@
         self.assertEqual(run_command("version").stdout, expected)
         self.assertEqual(run_command("--version").stdout, expected)
 
+    def test_serve_names_every_setting_that_is_wrong_and_ends(self):
+        done = run_command(
+            "serve", "--peer-port=x", ORIOLEGATE_STOP_LIMIT_MS="1"
+        )
+        self.assertEqual(done.returncode, ExitStatus.USAGE)
+        for label in (
+            "--vm (ORIOLEGATE_VM)",
+            "--data-centre (ORIOLEGATE_DATA_CENTRE)",
+            "--platform-urls (ORIOLEGATE_PLATFORM_URLS)",
+            "ORIOLEGATE_PEER_KEY: neither is set",
+            "ORIOLEGATE_ADMIN_KEY: neither is set",
+            "--peer-port (ORIOLEGATE_PEER_PORT): got 'x' from the flag",
+            "--stop-limit-ms (ORIOLEGATE_STOP_LIMIT_MS): got 1",
+        ):
+            self.assertIn(label, done.stderr)
+
     def test_a_reader_that_leaves_early_is_no_fault(self):
         reader, writer = os.pipe()
         os.close(reader)
