Keep shares until nothing runs in a planned stop

Cause: in a trial of a whole process under load, requests after SIGTERM were refused with upstream_busy: the process told its peers at once, gave up its place in the home sets, and had no slots for the requests of the notice time.

Change: peers are told when accepting ends, and shares are handed over once nothing runs.

--- a/src/oriolegate/runtime/stop_sequence.py
+++ b/src/oriolegate/runtime/stop_sequence.py
@@ -77,7 +77,7 @@
 
 @attrs.frozen
 class HandOverShares:
-    """Give the shares of leaf limits away as soon as each is unused."""
+    """Give the shares of leaf limits away."""
 
 
 @attrs.frozen
@@ -137,6 +137,7 @@
         running: Requests that run here.
         shares_held: Whether shares may still be held.
         has_answered_running: Whether running requests were told to end.
+        has_begun_hand_over: Whether shares are being given away.
         has_closed: Whether all connections are closed.
         accept_until_ms: When accepting ends; set by the stop request.
         answer_at_ms: When requests that still run are answered.
@@ -157,6 +158,7 @@
         self.running = 0
         self.shares_held = True
         self.has_answered_running = False
+        self.has_begun_hand_over = False
         self.has_closed = False
         self.accept_until_ms = 0.0
         self.answer_at_ms = 0.0
@@ -195,8 +197,7 @@
         self.answer_at_ms = max(
             self.accept_until_ms, self.limit_ms - ANSWER_RESERVE_MS
         )
-        effects: list[StopEffect] = [SetNotReady(), AnnounceLeaving()]
-        effects.append(CloseAfterAnswers())
+        effects: list[StopEffect] = [SetNotReady(), CloseAfterAnswers()]
         return effects + self._advance(now_ms)
 
     def _advance(self, now_ms: float) -> list[StopEffect]:
@@ -207,10 +208,13 @@
         effects: list[StopEffect] = []
         if self._accepting_is_over(now_ms):
             self.phase = StopPhase.FINISHING
-            effects += [StopAccepting(), HandOverShares()]
+            effects += [StopAccepting(), AnnounceLeaving()]
         if self._must_answer_running(now_ms):
             self.has_answered_running = True
             effects.append(AnswerRunning())
+        if self._may_hand_over():
+            self.has_begun_hand_over = True
+            effects.append(HandOverShares())
         if self._has_finished():
             self.phase = StopPhase.CLOSING
             effects.append(CloseConnections())
@@ -230,10 +234,19 @@
             and now_ms >= self.answer_at_ms
         )
 
+    def _may_hand_over(self) -> bool:
+        # Sub-requests that wait for a slot need the shares until the end.
+        return (
+            self.phase is StopPhase.FINISHING
+            and self.running == 0
+            and not self.has_begun_hand_over
+        )
+
     def _has_finished(self) -> bool:
         return (
             self.phase is StopPhase.FINISHING
             and self.running == 0
+            and self.has_begun_hand_over
             and not self.shares_held
         )
 
--- a/tests/runtime/test_stop_runner.py
+++ b/tests/runtime/test_stop_runner.py
@@ -59,13 +59,14 @@
             ("close_connections", stop.ConnectionsClosed()),
         ]
         self.runner.receive(stop.StopRequested())
-        first = ["set_not_ready", "announce_leaving", "close_after_answers"]
+        first = ["set_not_ready", "close_after_answers"]
         self.assertEqual(self.actions.names(), first)
         self.advance(100.0)
         self.assertEqual(
-            self.actions.calls[3:],
+            self.actions.calls[2:],
             [
                 ("stop_accepting",),
+                ("announce_leaving",),
                 ("hand_over_shares",),
                 ("close_connections",),
                 ("exit", 0),
--- a/tests/runtime/test_stop_sequence.py
+++ b/tests/runtime/test_stop_sequence.py
@@ -11,7 +11,6 @@
 LIMIT_MS = 5_000.0
 FIRST_EFFECTS = [
     stop.SetNotReady(),
-    stop.AnnounceLeaving(),
     stop.CloseAfterAnswers(),
 ]
 
@@ -39,11 +38,16 @@
                 stop.Tick(),
                 [
                     stop.StopAccepting(),
-                    stop.HandOverShares(),
+                    stop.AnnounceLeaving(),
                     stop.WakeAt(4_000.0),
                 ],
             ),
-            (200, stop.RunningChanged(0), [stop.WakeAt(4_000.0)]),
+            (150, stop.RunningChanged(1), [stop.WakeAt(4_000.0)]),
+            (
+                200,
+                stop.RunningChanged(0),
+                [stop.HandOverShares(), stop.WakeAt(4_000.0)],
+            ),
             (
                 300,
                 stop.SharesHandedOver(),
@@ -71,7 +75,9 @@
         effects = sequence.step(4_000.0, stop.Tick())
         self.assertEqual(effects, [stop.AnswerRunning(), stop.WakeAt(LIMIT_MS)])
         effects = sequence.step(4_010.0, stop.RunningChanged(0))
-        self.assertEqual(effects[0], stop.CloseConnections())
+        self.assertEqual(
+            effects[:2], [stop.HandOverShares(), stop.CloseConnections()]
+        )
         effects = sequence.step(4_020.0, stop.ConnectionsClosed())
         self.assertEqual(effects, [stop.Exit(0, 0, False)])
 
@@ -103,6 +109,7 @@
             [
                 *FIRST_EFFECTS,
                 stop.StopAccepting(),
+                stop.AnnounceLeaving(),
                 stop.HandOverShares(),
                 stop.WakeAt(LIMIT_MS + 7.0 - stop.ANSWER_RESERVE_MS),
             ],
@@ -138,6 +145,8 @@
             for effect in sequence.step(now_ms, event):
                 self.check(effect, now_ms - (requested_ms or 0.0))
                 is_early = now_ms < (requested_ms or 0.0) + LIMIT_MS
+                if isinstance(effect, stop.HandOverShares):
+                    self.assertEqual(running, 0)
                 if isinstance(effect, stop.CloseConnections):
                     self.assertEqual((running, shares_held), (0, False))
                 if isinstance(effect, stop.Exit):
