Let a VM join during an outage, and judge a queue by what is in flight

Cause 1: with the store down for 20 s a restarted VM found no peers, since the platform's list was down as well; and a stop waited for the store until its limit. Seed addresses come from settings now; a stop with the store down tells the holders itself, and they may reclaim its shares.

--- a/src/oriolegate/coordinator/admission.py
+++ b/src/oriolegate/coordinator/admission.py
@@ -6,16 +6,26 @@
 from oriolegate.models.topology import ServiceTopology
 from oriolegate.result_codes import ResultCode
 from oriolegate.result_codes import RunState
+from oriolegate.upstreams.leaf_table import LeafTable
 
 MIN_RETRY_AFTER_MS = 50
 MAX_RETRY_AFTER_MS = 5_000
 
 
-def expected_wait_ms(service: ServiceState) -> float:
-    """Estimate how long a new sub-request waits for a slot."""
-    if service.waiting == 0 or service.completions_per_ms <= 0.0:
+def expected_wait_ms(
+    service: ServiceState, topology: ServiceTopology, leafs: LeafTable
+) -> float:
+    """Estimate how long a new sub-request waits for a slot.
+
+    By Little's law the service completes what is in flight once in each mean
+    latency. A measured rate of completions would not do: at low load it is
+    the rate of arrivals, far below what the leafs can do.
+    """
+    if service.waiting == 0:
         return 0.0
-    return service.waiting / service.completions_per_ms
+    states = leafs.leafs
+    in_flight = sum(states[name].in_flight for name in topology.leafs)
+    return service.waiting * service.mean_ms / max(1, in_flight)
 
 
 def check(
@@ -23,6 +33,7 @@
     query: QueryState,
     service: ServiceState,
     topology: ServiceTopology | None,
+    leafs: LeafTable,
 ) -> Refusal | None:
     """Return a refusal "not run" if the query must not start.
 
@@ -31,6 +42,7 @@
         query: The query, not yet pinned.
         service: Load of its service.
         topology: The service's topology, or None if there is none yet.
+        leafs: States of the leafs.
     """
     if topology is None:
         return _refusal(
@@ -40,7 +52,7 @@
             MIN_RETRY_AFTER_MS,
         )
     policy = query.arrived.policy
-    wait_ms = expected_wait_ms(service)
+    wait_ms = expected_wait_ms(service, topology, leafs)
     remaining_ms = query.hard_deadline_ms - now_ms
     if service.waiting >= policy.max_waiting or wait_ms > remaining_ms:
         retry_ms = min(
--- a/src/oriolegate/coordinator/machine.py
+++ b/src/oriolegate/coordinator/machine.py
@@ -91,7 +91,7 @@
         query = _new_query(state.next_query, now_ms, event)
         state.next_query += 1
         topology = state.leafs.topologies.get(event.service)
-        refusal = admission.check(now_ms, query, service, topology)
+        refusal = admission.check(now_ms, query, service, topology, state.leafs)
         if refusal is not None:
             self._refuse(now_ms, refusal)
             return
--- a/src/oriolegate/coordinator/replies.py
+++ b/src/oriolegate/coordinator/replies.py
@@ -16,13 +16,11 @@
 from oriolegate.coordinator.query import QueryState
 from oriolegate.coordinator.query import ShardState
 from oriolegate.coordinator.state import CoordinatorState
-from oriolegate.coordinator.state import ServiceState
 from oriolegate.result_codes import ResultCode
 from oriolegate.timeline.events import EventKind
 
 SHED_REST_FACTOR = 2.0
-RATE_WINDOW_MS = 100.0
-RATE_WEIGHT = 0.3
+MEAN_WEIGHT = 0.02
 
 STALE_REASONS = frozenset(("no-version", "no-shard"))
 
@@ -61,19 +59,6 @@
     dispatch.drain_queue(state, now_ms, attempt.leaf)
 
 
-def _count_completion(service: ServiceState, now_ms: float) -> None:
-    service.window_completions += 1
-    elapsed_ms = now_ms - service.window_start_ms
-    if elapsed_ms < RATE_WINDOW_MS:
-        return
-    rate = service.window_completions / elapsed_ms
-    service.completions_per_ms += RATE_WEIGHT * (
-        rate - service.completions_per_ms
-    )
-    service.window_start_ms = now_ms
-    service.window_completions = 0
-
-
 def answered(
     state: CoordinatorState, now_ms: float, event: SubAnswered
 ) -> QueryState | None:
@@ -90,7 +75,7 @@
     state.leafs.note_success(now_ms, attempt.leaf, latency_ms)
     service = state.services[query.arrived.service]
     service.latency.record(latency_ms)
-    _count_completion(service, now_ms)
+    service.mean_ms += MEAN_WEIGHT * (latency_ms - service.mean_ms)
     if event.index_version != query.index_version:
         state.counters.wrong_version_dropped += 1
         _after_failure(state, now_ms, match, ResultCode.VERSION_GONE)
--- a/src/oriolegate/coordinator/state.py
+++ b/src/oriolegate/coordinator/state.py
@@ -35,18 +35,14 @@
         retries: Budget of retries.
         latency: Tracks when to hedge.
         waiting: Sub-requests that wait for a slot.
-        completions_per_ms: Moving rate of completed sub-requests.
-        window_start_ms: Start of the window being counted.
-        window_completions: Completed sub-requests in that window.
+        mean_ms: Moving average of the latency of sub-requests.
     """
 
     hedges: RatioBudget
     retries: RatioBudget
     latency: LatencyTracker
     waiting: int = 0
-    completions_per_ms: float = 0.0
-    window_start_ms: float = 0.0
-    window_completions: int = 0
+    mean_ms: float = 0.0
 
 
 @attrs.define
--- a/src/oriolegate/runtime/composition.py
+++ b/src/oriolegate/runtime/composition.py
@@ -15,6 +15,7 @@
 from oriolegate.forwarding import messages as forwarding_messages
 from oriolegate.membership import messages as membership_messages
 from oriolegate.membership.core import Membership
+from oriolegate.membership.effects import ListedVm
 from oriolegate.membership.messages import Member
 from oriolegate.metrics import MetricsRegistry
 from oriolegate.network import admin
@@ -134,6 +135,11 @@
         surroundings.clock,
         surroundings.call_later,
         surroundings.rng,
+        tuple(
+            ListedVm(seed.vm, seed.host, seed.port, seed.data_centre)
+            for seed in settings.seed_peers or ()
+            if seed.vm != own.vm
+        ),
     )
 
 
--- a/src/oriolegate/runtime/document_runner.py
+++ b/src/oriolegate/runtime/document_runner.py
@@ -35,7 +35,7 @@
     Attributes:
         spreader: The decisions.
         feeds: Watches on the store, by kind.
-        on_confirmed: Called once this process may take work.
+        on_confirmed: Called with whether this process may take work.
     """
 
     def __init__(
@@ -56,7 +56,7 @@
         self.call_later = call_later
         self.rng = rng
         self.feeds: dict[str, StoreFeed] = {}
-        self.on_confirmed: Callable[[], None] = lambda: None
+        self.on_confirmed: Callable[[bool], None] = lambda _: None
         self.timer: Any = None
         self.stopped = False
         for message_type in PEER_EVENTS:
@@ -132,7 +132,9 @@
             case effects.VersionsConfirmed():
                 if self.tier.accepted is None:
                     self.tier.take_rules(AcceptedRules(0, "", ""))
-                self.on_confirmed()
+                self.on_confirmed(True)
+            case effects.VersionsUnconfirmed():
+                self.on_confirmed(False)
             case effects.IsolationChanged(isolated):
                 log.warning("Cut off from store and peers: {}.", isolated)
                 self.tier.flow.state.isolated = isolated
--- a/src/oriolegate/runtime/peer_runner.py
+++ b/src/oriolegate/runtime/peer_runner.py
@@ -47,7 +47,20 @@
         clock: Clock,
         call_later: Callable[..., Any],
         rng: random.Random,
+        seeds: tuple[effects.ListedVm, ...] = (),
     ) -> None:
+        """Make a membership without links.
+
+        Args:
+            membership: The decisions.
+            mesh: The links.
+            platform: For its list of VMs.
+            clock: Time.
+            call_later: The reactor's timer function.
+            rng: Spreads the reads of the list.
+            seeds: VMs to look for until the list was read.
+        """
+        self.seeds = seeds
         self.membership = membership
         self.mesh = mesh
         self.platform = platform
@@ -72,6 +85,8 @@
     def start(self, host: str, port: int) -> Any:
         """Listen for peers and begin to look for them."""
         listening = self.mesh.listen(host, port)
+        if self.seeds:
+            self._step(effects.VmsListed(self.seeds))
         self._tick()
         self._list_vms()
         return listening
--- a/src/oriolegate/runtime/process.py
+++ b/src/oriolegate/runtime/process.py
@@ -31,6 +31,7 @@
 
 TICK_S = 0.5
 CLOSE_S = 0.1
+HAND_OVER_S = 4.0
 SUPERSEDED_STATUS = 1
 
 log = get_logger("main")
@@ -144,9 +145,9 @@
         self.parts.tier.tick()
         self.timer = self.surroundings.call_later(TICK_S, self._tick)
 
-    def _confirmed(self) -> None:
-        self.parts.tier.flow.state.ready = True
-        log.info("Ready.")
+    def _confirmed(self, confirmed: bool) -> None:
+        self.parts.tier.flow.state.ready = confirmed
+        log.info("Ready." if confirmed else "Not ready after a pause.")
 
     def _owners_changed(self) -> None:
         vms = sorted(member.vm for member in self.parts.peers.members())
@@ -178,8 +179,25 @@
         self.caller_port = None
 
     def hand_over_shares(self) -> None:
-        """Give shares back, each as soon as it is unused."""
+        """Give shares back, each as soon as it is unused.
+
+        With the store down the holders that are left are told instead, once
+        nothing runs here any more.
+        """
         self.parts.shares.give_back()
+        self.surroundings.call_later(HAND_OVER_S, self._farewell)
+
+    def _farewell(self) -> None:
+        if self.timer is None or self.parts.shares.shares.returned:
+            return
+        if self.parts.tier.flow.active:
+            self.surroundings.call_later(HAND_OVER_S, self._farewell)
+            return
+        self.parts.tier.flow.state.stopping = True
+        for pool in self.tier.client.pools.values():
+            pool.close()
+        self.parts.shares.farewell()
+        self.stop_runner.receive(SharesHandedOver())
 
     def answer_running(self) -> None:
         """Answer what runs with what is there, and refuse what comes."""
--- a/src/oriolegate/runtime/share_runner.py
+++ b/src/oriolegate/runtime/share_runner.py
@@ -85,6 +85,11 @@
         """Give every share back, each as soon as it is unused."""
         self.step(effects.StopSharing())
 
+    def farewell(self) -> None:
+        """Tell all holders that this process sends nothing any more."""
+        for effect in self.shares.farewell():
+            self._carry_out(effect)
+
     def forwarding_order(self, service: str) -> list[str]:
         """Return the other homes of a service in the order to ask them."""
         own = self.peers.membership.own
--- a/src/oriolegate/settings/kinds.py
+++ b/src/oriolegate/settings/kinds.py
@@ -48,6 +48,21 @@
     """One or more http URLs, with commas between them."""
 
 
+@attrs.frozen
+class PeerAddress:
+    """A VM that may be running, as a setting names it."""
+
+    vm: str
+    data_centre: str
+    host: str
+    port: int
+
+
+@attrs.frozen
+class PeerList:
+    """VMs as NAME/DATA-CENTRE/IP:PORT, with commas between them."""
+
+
 @attrs.frozen
 class FilePath:
     """A path of a file."""
@@ -58,7 +73,17 @@
     """A shared key; its text is never printed."""
 
 
-Kind = Name | Text | WholeNumber | Choice | IpNumber | UrlList | FilePath | Key
+Kind = (
+    Name
+    | Text
+    | WholeNumber
+    | Choice
+    | IpNumber
+    | UrlList
+    | PeerList
+    | FilePath
+    | Key
+)
 
 
 def allowed(kind: Kind) -> str:
@@ -76,6 +101,8 @@
             return "an IP number, such as 10.0.0.7"
         case UrlList():
             return "http URLs with commas between them"
+        case PeerList():
+            return "NAME/DATA-CENTRE/IP:PORT with commas between them"
         case FilePath():
             return "the path of a file"
         case Key():
@@ -113,6 +140,19 @@
     return urls
 
 
+def _parse_peer(text: str) -> PeerAddress:
+    vm, data_centre, address = text.strip().split("/")
+    host, _, port = address.rpartition(":")
+    return PeerAddress(
+        vm=_require(bool(NAME_PATTERN.fullmatch(vm)), vm),
+        data_centre=_require(
+            bool(NAME_PATTERN.fullmatch(data_centre)), data_centre
+        ),
+        host=str(ipaddress.ip_address(host)),
+        port=_parse_whole_number(port, 1, 65_535),
+    )
+
+
 def _require(condition: bool, text: str) -> str:
     if not condition:
         raise ValueError(text)
@@ -133,6 +173,8 @@
             return str(ipaddress.ip_address(text))
         case UrlList():
             return _parse_urls(text)
+        case PeerList():
+            return tuple(_parse_peer(part) for part in text.split(","))
         case Key():
             return _require(len(text) >= KEY_MIN_LENGTH, text)
 
--- a/src/oriolegate/settings/serve.py
+++ b/src/oriolegate/settings/serve.py
@@ -37,6 +37,7 @@
         peer_port: Links between processes.
         peer_key: Shared by all processes of a site.
         admin_key: What operators present.
+        seed_peers: VMs to look for before the platform's list was read.
         platform_urls: Base URLs of the platform's object API.
         log_format: See `LogFormat`.
         verbose: 0 to 2.
@@ -60,6 +61,7 @@
     peer_port: int
     peer_key: str = attrs.field(repr=False)
     admin_key: str = attrs.field(repr=False)
+    seed_peers: tuple[kinds.PeerAddress, ...] | None
     platform_urls: tuple[str, ...]
     log_format: LogFormat
     verbose: int
@@ -127,6 +129,11 @@
         summary="TCP port for the other VMs",
         default="8082",
     ),
+    Setting(
+        name="seed-peers",
+        kind=kinds.PeerList(),
+        summary="some VMs to look for while the platform's list is down",
+    ),
     Setting(
         name="platform-urls",
         kind=kinds.UrlList(),
--- a/tools/fleet.py
+++ b/tools/fleet.py
@@ -182,11 +182,18 @@
                 f"--admin-port={ADMIN_PORT}",
                 f"--peer-port={PEER_PORT}",
                 f"--platform-urls=http://{PLATFORM[0]}:{PLATFORM[1]}",
+                f"--seed-peers={self._seeds()}",
                 "--balancer-notice-ms=1000",
                 "--stop-limit-ms=20000",
             ],
         )
 
+    def _seeds(self) -> str:
+        return ",".join(
+            f"{vm.name}/{vm.data_centre}/{vm.host}:{PEER_PORT}"
+            for vm in self.vms[:3]
+        )
+
     def admin(
         self, vm: Vm, path: str, method: str = "GET", body: Any = None
     ) -> tuple[int, Any]:
--- a/tools/measure_fleet.py
+++ b/tools/measure_fleet.py
@@ -133,7 +133,7 @@
 
 
 def _false_not_run(submits: list[Outcome], records: dict[str, Any]) -> int:
-    ran = {row.get("key") for row in records.get("records", ())}
+    ran = {row["idempotency_key"] for row in records["records"]}
     return sum(row.run_state == "not_run" and row.key in ran for row in submits)
 
 
