--- a/src/oriolegate/commands/demo.py
+++ b/src/oriolegate/commands/demo.py
@@ -30,7 +30,7 @@
 WARM_UP_QUERIES = 60
 START_TIMEOUT_S = 20.0
 POLL_S = 0.05
-SLOW_FACTOR = 40.0
+SLOW_FACTOR = 200.0
 SEED = 7
 
 
--- /dev/null
+++ b/tests/functional/test_demo.py
@@ -0,0 +1,27 @@
+"""The demo as a person runs it."""
+
+import os
+import pathlib
+import subprocess
+import sys
+import unittest
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent.parent
+LIMIT_S = 120.0
+
+
+class DemoTest(unittest.TestCase):
+    def test_every_step_shows_what_it_should(self):
+        done = subprocess.run(
+            [sys.executable, "-m", "oriolegate", "demo"],
+            env={**os.environ, "PYTHONPATH": str(ROOT / "src")},
+            capture_output=True,
+            text=True,
+            timeout=LIMIT_S,
+            check=False,
+        )
+        self.assertEqual(done.returncode, 0, done.stdout + done.stderr)
+        self.assertIn("coverage 30/30", done.stdout)
+        self.assertIn("HEDGE_SENT", done.stdout)
+        self.assertIn("ALREADY_CLAIMED", done.stdout)
+        self.assertIn("out, 0 sub-requests", done.stdout)
