Connect to the platform without a thread

Cause: twisted.web's Agent looks even IP numbers up in the reactor's thread pool. That broke the rule of one thread, and the pool's thread kept a test process that ran the client from ending: after its tests had passed it sat until `timeout` ended it.

Change: an endpoint factory that connects to IP numbers only. A test holds that calls start no thread.

--- a/src/oriolegate/network/platform_client.py
+++ b/src/oriolegate/network/platform_client.py
@@ -13,6 +13,7 @@
 
 import attrs
 from twisted.internet import defer
+from twisted.internet import endpoints
 from twisted.internet import interfaces
 from twisted.python import failure
 from twisted.web import client
@@ -44,7 +45,8 @@
     """Where the platform is and how it may be used.
 
     Attributes:
-        base_url: Root of the object API, without a closing slash.
+        base_url: Root of the object API, without a closing slash; its host
+            is an IP number.
         timeout_ms: Longest time of a call, waiting for its turn included.
         max_calls: Calls at once; waiting watches are not among them.
     """
@@ -86,6 +88,31 @@
     body: bytes = b""
 
 
+@implementer(iweb.IAgentEndpointFactory)
+class IpEndpointFactory:
+    """Connects to IP numbers only.
+
+    Twisted looks names up in a thread, and the process has just one.
+    """
+
+    def __init__(
+        self, reactor: interfaces.IReactorTCP, timeout_ms: float
+    ) -> None:
+        self.reactor = reactor
+        self.timeout_ms = timeout_ms
+
+    def endpointForURI(  # noqa: N802 (twisted's name)
+        self, uri: client.URI
+    ) -> endpoints.TCP4ClientEndpoint:
+        """Return the endpoint of a URL whose host is an IP number."""
+        return endpoints.TCP4ClientEndpoint(
+            self.reactor,
+            uri.host.decode(),
+            uri.port,
+            timeout=self.timeout_ms / 1_000.0,
+        )
+
+
 def _read_object(row: Mapping[str, Any]) -> StoredObject:
     return StoredObject(row["name"], row["version"], row["value"])
 
@@ -142,10 +169,8 @@
         self.pool.cachedConnectionTimeout = IDLE_CONNECTION_MS / 1_000.0
         # The pool would send a DELETE again on a broken connection.
         self.pool.retryAutomatically = False
-        self.agent = client.Agent(
-            reactor,
-            connectTimeout=settings.timeout_ms / 1_000.0,
-            pool=self.pool,
+        self.agent = client.Agent.usingEndpointFactory(
+            reactor, IpEndpointFactory(reactor, settings.timeout_ms), self.pool
         )
 
     def get(self, kind: str, name: str) -> "defer.Deferred[StoredObject]":
--- a/tests/network/test_platform_client.py
+++ b/tests/network/test_platform_client.py
@@ -1,5 +1,6 @@
 """Tests of the platform client against the stand-in on loopback."""
 
+import threading
 import unittest
 
 from twisted.internet import defer
@@ -146,6 +147,11 @@
         await defer.DeferredList(calls, consumeErrors=True)
         self.assertEqual(self.client.counts["get"], 5)
 
+    @on_reactor
+    async def test_calls_start_no_thread(self):
+        await self.client.put("k", "a", {}, 0)
+        self.assertEqual(threading.enumerate(), [threading.main_thread()])
+
     @on_reactor
     async def test_waiting_watch_takes_no_call_from_others(self):
         watches = [self.client.watch("k", 0, 5_000) for _ in range(3)]
