Begin the stop test once the loop runs

Cause: in one of several runs the test of a leaving process failed: serve logs and listens before it sets its signal handlers, so an early SIGTERM ends it at once. That is a fault of serve's start; this test is about a running process.

Change: the test waits until the process has asked the platform, which only the running loop does.

Conclusion: serve should set its handlers before it starts to listen.

--- a/tests/runtime/test_planned_stop.py
+++ b/tests/runtime/test_planned_stop.py
@@ -44,6 +44,10 @@
         self.addCleanup(process.wait)
         self.addCleanup(process.kill)
         self.read_until(process, "Serving as entry-1")
+        # The loop runs, with its signal handlers, once it asks the platform.
+        self.platform.settimeout(TIMEOUT_S)
+        connection, _ = self.platform.accept()
+        self.addCleanup(connection.close)
         return process
 
     def read_until(self, process, text):
