Ask the quarantine before a new request fans out

Cause: the quarantine core stood, but nothing called it: a request that crashes upstreams was fanned out to all of them.

Change: the coordinator holds a query whose fingerprint is not known to be harmless, asks for admission (AdmissionWanted), sends one canary, and goes on by CanaryChosen, HeldReleased or RequestAborted. An upstream that can't take the canary is passed over and the quarantine asked with those left over. A gate in the runtime owns the core, its waits, rechecks and effects; the runner tells it of every sub-request. A failed connect marks the upstream as lost but blames no request, since nothing was sent. A cancelled run proves nothing.

--- a/src/oriolegate/coordinator/dispatch.py
+++ b/src/oriolegate/coordinator/dispatch.py
@@ -42,7 +42,9 @@
     remaining_ms = max(MIN_REMAINING_MS, int(query.hard_deadline_ms - now_ms))
     state.effects.append(
         SendSub(
-            SubRequestId(query.number, shard.shard, number),
+            SubRequestId(
+                query.number, shard.shard, number, query.arrived.fingerprint
+            ),
             leaf.leaf.name,
             query.index_version,
             remaining_ms,
@@ -72,21 +74,23 @@
     if leaf is not None:
         send(state, now_ms, query, shard, leaf, kind)
         return
-    if _may_wait(state, query, shard):
+    if may_wait(state, query, shard):
         wait(state, now_ms, query, shard)
     elif not shard.in_flight:
-        give_up(query, shard, _reason_without_replica(shard))
+        give_up(query, shard, reason_without_replica(shard))
 
 
-def _reason_without_replica(shard: ShardState) -> ResultCode:
+def reason_without_replica(shard: ShardState) -> ResultCode:
+    """Return why a shard that no replica takes is missing."""
     if shard.tried:
         return shard.missing
     return ResultCode.NO_REPLICA
 
 
-def _may_wait(
+def may_wait(
     state: CoordinatorState, query: QueryState, shard: ShardState
 ) -> bool:
+    """Return whether some replica may take the shard later."""
     leafs = state.leafs
     if leafs.any_usable(shard.replicas, shard.tried):
         return True
@@ -167,6 +171,7 @@
         and query.number in state.queries
         and now_ms < query.hard_deadline_ms
         and leaf.leaf.name not in shard.tried
+        and leaf.leaf.name in shard.replicas
     )
 
 
@@ -211,6 +216,42 @@
     shard.in_flight.clear()
 
 
+def retry(
+    state: CoordinatorState,
+    now_ms: float,
+    query: QueryState,
+    shard: ShardState,
+) -> None:
+    """Send a shard again, or give it up if that is beyond the limits."""
+    if spend_retry(state, query, shard):
+        start_shard(state, now_ms, query, shard, EventKind.RETRY_SENT)
+    else:
+        give_up(query, shard, shard.missing)
+
+
+def spend_retry(
+    state: CoordinatorState, query: QueryState, shard: ShardState
+) -> bool:
+    """Take one retry from the budget, unless a limit is reached."""
+    attempts = shard.attempts - query.first_attempt
+    if attempts >= query.arrived.policy.max_attempts:
+        return False
+    if not state.services[query.arrived.service].retries.spend():
+        return False
+    state.counters.retries += 1
+    return True
+
+
+def plan_hedges(
+    state: CoordinatorState, now_ms: float, query: QueryState
+) -> None:
+    """Set the first wake-up for hedges of a query."""
+    delay_ms = hedge_delay_ms(state, query)
+    if delay_ms is not None and not query.hedges_planned:
+        query.hedges_planned = True
+        state.wake_at(now_ms + delay_ms, WakeKind.HEDGE, query.number)
+
+
 def hedge(state: CoordinatorState, now_ms: float, query: QueryState) -> None:
     """Send second attempts for shards that take longer than the quantile."""
     service = state.services[query.arrived.service]
@@ -221,6 +262,8 @@
     for shard in query.shards.values():
         if shard.done or shard.hedged or len(shard.in_flight) != 1:
             continue
+        if query.held and shard.shard != query.canary_shard:
+            continue
         (attempt,) = shard.in_flight.values()
         due_ms = attempt.sent_ms + delay_ms
         if due_ms > now_ms:
@@ -241,15 +284,18 @@
     shard: ShardState,
     attempt: Attempt,
 ) -> LeafState | None:
+    replicas = shard.hedge_replicas
+    if replicas is None:
+        replicas = shard.replicas
     avoid = shard.tried | {attempt.leaf.leaf.name}
     leafs = state.leafs
     unsure = {
         name
-        for name in shard.replicas
+        for name in replicas
         if name in leafs.leafs and leafs.leafs[name].phase != LeafPhase.WARM
     }
-    leaf = leafs.choose(now_ms, shard.replicas, avoid | unsure)
-    return leaf or leafs.choose(now_ms, shard.replicas, avoid)
+    leaf = leafs.choose(now_ms, replicas, avoid | unsure)
+    return leaf or leafs.choose(now_ms, replicas, avoid)
 
 
 def hedge_delay_ms(state: CoordinatorState, query: QueryState) -> float | None:
--- a/src/oriolegate/coordinator/machine.py
+++ b/src/oriolegate/coordinator/machine.py
@@ -7,18 +7,21 @@
 """
 
 import heapq
-import zlib
 
 from oriolegate.coordinator import admission
+from oriolegate.coordinator import canary
 from oriolegate.coordinator import dispatch
 from oriolegate.coordinator import outcome
 from oriolegate.coordinator import replies
 from oriolegate.coordinator.messages import CallerGone
+from oriolegate.coordinator.messages import CanaryChosen
 from oriolegate.coordinator.messages import CapacityChanged
 from oriolegate.coordinator.messages import Deliver
 from oriolegate.coordinator.messages import Effect
 from oriolegate.coordinator.messages import Event
+from oriolegate.coordinator.messages import HeldReleased
 from oriolegate.coordinator.messages import QueryArrived
+from oriolegate.coordinator.messages import RequestAborted
 from oriolegate.coordinator.messages import SetTimer
 from oriolegate.coordinator.messages import SubAnswered
 from oriolegate.coordinator.messages import SubFailed
@@ -26,8 +29,11 @@
 from oriolegate.coordinator.messages import SubNotRun
 from oriolegate.coordinator.messages import SubUnsent
 from oriolegate.coordinator.messages import TimerFired
+from oriolegate.coordinator.query import any_answered
+from oriolegate.coordinator.query import new_query
 from oriolegate.coordinator.query import QueryState
 from oriolegate.coordinator.query import ShardState
+from oriolegate.coordinator.query import wanted_shards
 from oriolegate.coordinator.state import CoordinatorState
 from oriolegate.coordinator.state import WakeKind
 from oriolegate.models.answer import Answer
@@ -74,6 +80,8 @@
                 self._caller_gone(now_ms, event)
             case CapacityChanged():
                 self._drain_all(now_ms)
+            case CanaryChosen() | HeldReleased() | RequestAborted():
+                self._admitted(now_ms, event)
         self._set_timer()
         effects = self.state.effects
         self.state.effects = []
@@ -84,7 +92,7 @@
         state.counters.queries += 1
         request = event.request
         service = state.service(event.service, event.policy)
-        query = _new_query(state.next_query, now_ms, event)
+        query = new_query(state.next_query, now_ms, event)
         state.next_query += 1
         topology = state.leafs.topologies.get(event.service)
         refusal = admission.check(now_ms, query, service, topology)
@@ -116,9 +124,11 @@
         """Pin a version and send the first attempt of each shard."""
         state = self.state
         query.index_version = version
-        for number in _wanted_shards(query, topology, version):
+        for number in wanted_shards(query, topology, version):
             replicas = topology.versions[version].shards[number]
-            shard = ShardState(number, replicas, attempts=query.first_attempt)
+            shard = ShardState(
+                number, replicas, replicas, attempts=query.first_attempt
+            )
             query.shards[number] = shard
         query.open_shards = len(query.shards)
         service = state.services[query.arrived.service]
@@ -133,13 +143,41 @@
             version,
             query.open_shards,
         )
-        for shard in query.shards.values():
-            dispatch.start_shard(state, now_ms, query, shard)
-        delay_ms = dispatch.hedge_delay_ms(state, query)
-        if delay_ms is not None:
-            state.wake_at(now_ms + delay_ms, WakeKind.HEDGE, query.number)
+        if query.held:
+            canary.ask(state, now_ms, query)
+        else:
+            for shard in query.shards.values():
+                dispatch.start_shard(state, now_ms, query, shard)
+            dispatch.plan_hedges(state, now_ms, query)
         self._check(now_ms, query)
 
+    def _admitted(
+        self,
+        now_ms: float,
+        event: CanaryChosen | HeldReleased | RequestAborted,
+    ) -> None:
+        """Take what the quarantine answered for a held query."""
+        query = self.state.queries.get(event.query)
+        # A query that ended, or that was pinned anew, dropped its admission.
+        if query is None or not query.held:
+            return
+        match event:
+            case CanaryChosen():
+                canary.send(self.state, now_ms, query, event)
+                self._check(now_ms, query)
+            case HeldReleased():
+                canary.release(self.state, now_ms, query)
+                self._check(now_ms, query)
+            case RequestAborted(_, code, retry_after_ms):
+                result = outcome.refusal(
+                    query,
+                    code,
+                    "the request may crash upstreams and is in quarantine",
+                    retry_after_ms,
+                )
+                self._forget(now_ms, query)
+                self._refuse(now_ms, result)
+
     def _not_run(self, now_ms: float, event: SubNotRun) -> None:
         query, stale = replies.not_run(self.state, now_ms, event)
         if query is None:
@@ -153,6 +191,8 @@
         topology = self.state.leafs.topologies[query.arrived.service]
         if query.repinned or topology.current <= query.index_version:
             return False
+        if query.held:
+            canary.drop(self.state, query)
         self._drop_attempts(now_ms, query)
         query.repinned = True
         self.state.counters.repinned += 1
@@ -219,6 +259,8 @@
     def _forget(self, now_ms: float, query: QueryState) -> None:
         del self.state.queries[query.number]
         self.state.numbers.pop(query.request_id, None)
+        if query.held:
+            canary.drop(self.state, query)
         self._drop_attempts(now_ms, query)
 
     def _caller_gone(self, now_ms: float, event: CallerGone) -> None:
@@ -250,10 +292,13 @@
     def _wake_query(
         self, now_ms: float, query: QueryState, kind: WakeKind
     ) -> None:
+        if kind is WakeKind.ADMISSION:
+            canary.ask_again(self.state, now_ms, query)
+            return
         if kind is WakeKind.HEDGE:
             dispatch.hedge(self.state, now_ms, query)
             return
-        if kind is WakeKind.SOFT_DEADLINE and not _any_answered(query):
+        if kind is WakeKind.SOFT_DEADLINE and not any_answered(query):
             query.soft_passed = True
             return
         for shard in query.shards.values():
@@ -275,35 +320,3 @@
         if state.timer_at_ms is None or at_ms < state.timer_at_ms:
             state.timer_at_ms = at_ms
             state.effects.append(SetTimer(at_ms))
-
-
-def _new_query(number: int, now_ms: float, event: QueryArrived) -> QueryState:
-    policy = event.policy
-    wanted_ms = event.request.deadline_ms
-    if wanted_ms is None:
-        wanted_ms = policy.deadline_ms
-    hard_ms = min(wanted_ms, policy.max_deadline_ms)
-    return QueryState(
-        number=number,
-        arrived=event,
-        arrived_ms=now_ms,
-        hard_deadline_ms=now_ms + hard_ms,
-        soft_deadline_ms=now_ms + min(hard_ms, policy.soft_deadline_ms),
-    )
-
-
-def _wanted_shards(
-    query: QueryState, topology: ServiceTopology, version: int
-) -> range:
-    """Return all shards, or the one that holds the request's key."""
-    total = len(topology.versions[version].shards)
-    request = query.arrived.request
-    key = request.shard_key or request.idempotency_key
-    if key is None:
-        return range(total)
-    number = zlib.crc32(key.encode()) % total
-    return range(number, number + 1)
-
-
-def _any_answered(query: QueryState) -> bool:
-    return any(shard.results is not None for shard in query.shards.values())
--- a/src/oriolegate/coordinator/messages.py
+++ b/src/oriolegate/coordinator/messages.py
@@ -8,16 +8,26 @@
 from oriolegate.models.answer import Refusal
 from oriolegate.models.policy import ServicePolicy
 from oriolegate.models.request import CallerRequest
+from oriolegate.result_codes import ResultCode
 from oriolegate.upstreams.leaf_state import ReportedState
 
 
 @attrs.frozen
 class SubRequestId:
-    """Names one attempt for one shard of one query."""
+    """Names one attempt for one shard of one query.
+
+    Attributes:
+        query: Number of the query.
+        shard: Number of the shard.
+        attempt: Number of the attempt.
+        fingerprint: The request's; here because reports bring it back even
+            after the query is forgotten.
+    """
 
     query: int
     shard: int
     attempt: int
+    fingerprint: int = attrs.field(default=0, eq=False, repr=False)
 
 
 @attrs.frozen
@@ -30,6 +40,8 @@
         policy: The policy that holds for it.
         index_version: Pinned by a trial, or None for the current one.
         preferred_upstream: Preferred by a trial, or None.
+        fingerprint: Tells the request to the quarantine; 0 without one.
+        held: Whether the quarantine is asked before anything is sent.
     """
 
     request: CallerRequest
@@ -37,6 +49,8 @@
     policy: ServicePolicy
     index_version: int | None = None
     preferred_upstream: str | None = None
+    fingerprint: int = attrs.field(default=0, repr=False)
+    held: bool = attrs.field(default=False, repr=False)
 
 
 @attrs.frozen
@@ -90,10 +104,18 @@
 
 @attrs.frozen
 class SubLost:
-    """The connection was lost after the sub-request was sent."""
+    """The connection was lost after the sub-request was sent.
+
+    Attributes:
+        sub: The attempt.
+        leaf: Where it was sent.
+        may_retry: Whether the quarantine lets the request go on; if not, it
+            is held and the quarantine is asked again.
+    """
 
     sub: SubRequestId
     leaf: str
+    may_retry: bool = True
 
 
 @attrs.frozen
@@ -121,6 +143,43 @@
     """Grants, topology, rules or leaf states outside a query changed."""
 
 
+@attrs.frozen
+class CanaryChosen:
+    """A held query may send one sub-request to this upstream, no more.
+
+    Attributes:
+        query: Number of the query.
+        upstream: Where to send it.
+        hedge_upstream: Where a hedge of it may go, or None.
+    """
+
+    query: int
+    upstream: str
+    hedge_upstream: str | None = None
+
+
+@attrs.frozen
+class HeldReleased:
+    """A held query may go to every shard."""
+
+    query: int
+
+
+@attrs.frozen
+class RequestAborted:
+    """A held query is refused.
+
+    Attributes:
+        query: Number of the query.
+        code: Why.
+        retry_after_ms: When its caller may ask again.
+    """
+
+    query: int
+    code: ResultCode
+    retry_after_ms: int
+
+
 Event = (
     QueryArrived
     | SubAnswered
@@ -131,6 +190,9 @@
     | CallerGone
     | TimerFired
     | CapacityChanged
+    | CanaryChosen
+    | HeldReleased
+    | RequestAborted
 )
 
 
@@ -168,4 +230,48 @@
     at_ms: float
 
 
-Effect = SendSub | CancelSub | Deliver | SetTimer
+@attrs.frozen
+class AdmissionWanted:
+    """Ask the quarantine how a held query may be sent.
+
+    The answer is a `CanaryChosen`, `HeldReleased` or `RequestAborted`, at
+    once or later.
+
+    Attributes:
+        query: Number of the query.
+        request_id: The caller's request, for the time line.
+        fingerprint: The request.
+        upstreams: Those that hold its shards, without those passed over.
+        canary_unsent: Whether the last canary chosen was never sent.
+    """
+
+    query: int
+    request_id: str
+    fingerprint: int
+    upstreams: tuple[str, ...]
+    canary_unsent: bool = False
+
+
+@attrs.frozen
+class AdmissionDropped:
+    """A held query is over and needs no admission.
+
+    Attributes:
+        query: Number of the query.
+        fingerprint: The request.
+        canary_unsent: Whether the last canary chosen was never sent.
+    """
+
+    query: int
+    fingerprint: int
+    canary_unsent: bool
+
+
+Effect = (
+    SendSub
+    | CancelSub
+    | Deliver
+    | SetTimer
+    | AdmissionWanted
+    | AdmissionDropped
+)
--- a/src/oriolegate/coordinator/outcome.py
+++ b/src/oriolegate/coordinator/outcome.py
@@ -64,12 +64,17 @@
     return RunState.NOT_RUN
 
 
-def refusal(query: QueryState, code: ResultCode, message: str) -> Refusal:
+def refusal(
+    query: QueryState,
+    code: ResultCode,
+    message: str,
+    retry_after_ms: int = RETRY_AFTER_MS,
+) -> Refusal:
     """Refuse a query, with an honest run state."""
     run_state = run_state_of(query)
     if run_state is RunState.MAY_HAVE_RUN and not _is_idempotent(query):
         code = ResultCode.MAY_HAVE_RUN
-    return Refusal(query.request_id, code, run_state, message, RETRY_AFTER_MS)
+    return Refusal(query.request_id, code, run_state, message, retry_after_ms)
 
 
 def _is_idempotent(query: QueryState) -> bool:
--- a/src/oriolegate/coordinator/replies.py
+++ b/src/oriolegate/coordinator/replies.py
@@ -5,6 +5,7 @@
 that match nothing are dropped and counted as foreign.
 """
 
+from oriolegate.coordinator import canary
 from oriolegate.coordinator import dispatch
 from oriolegate.coordinator.messages import SubAnswered
 from oriolegate.coordinator.messages import SubFailed
@@ -108,6 +109,8 @@
         query.open_shards -= 1
         dispatch.stop_waiting(state, query, shard)
         dispatch.cancel_others(state, now_ms, query, shard)
+        if query.held:
+            canary.attempt_ended(state, now_ms, query, shard)
     dispatch.drain_queue(state, now_ms, attempt.leaf)
     return query if query.open_shards == 0 or query.soft_passed else None
 
@@ -152,6 +155,8 @@
     if event.reason == "expired":
         if not shard.in_flight:
             dispatch.give_up(query, shard, ResultCode.SHARD_DEADLINE)
+            if query.held:
+                canary.attempt_ended(state, now_ms, query, shard)
     elif not stale:
         _try_again(state, now_ms, query, shard)
     dispatch.drain_queue(state, now_ms, attempt.leaf)
@@ -186,7 +191,14 @@
     match = _take(state, now_ms, event.sub)
     if match is None:
         return None
-    return _after_failure(state, now_ms, match, ResultCode.REPLICA_LOST)
+    query = match[0]
+    newly_held = False
+    if not event.may_retry and query.arrived.request.idempotent:
+        newly_held = canary.hold(state, query)
+    _after_failure(state, now_ms, match, ResultCode.REPLICA_LOST)
+    if newly_held:
+        canary.ask(state, now_ms, query)
+    return query
 
 
 def _after_failure(
@@ -234,11 +246,7 @@
 ) -> None:
     if shard.done or shard.in_flight:
         return
-    policy = query.arrived.policy
-    service = state.services[query.arrived.service]
-    attempts = shard.attempts - query.first_attempt
-    if attempts >= policy.max_attempts or not service.retries.spend():
-        dispatch.give_up(query, shard, shard.missing)
-        return
-    state.counters.retries += 1
-    dispatch.start_shard(state, now_ms, query, shard, EventKind.RETRY_SENT)
+    if query.held:
+        canary.attempt_ended(state, now_ms, query, shard)
+    else:
+        dispatch.retry(state, now_ms, query, shard)
--- a/src/oriolegate/coordinator/state.py
+++ b/src/oriolegate/coordinator/state.py
@@ -24,6 +24,7 @@
     SOFT_DEADLINE = 1
     HEDGE = 2
     LEAF_RESTED = 3
+    ADMISSION = 4
 
 
 @attrs.define(eq=False)
--- a/src/oriolegate/measurement/cost.py
+++ b/src/oriolegate/measurement/cost.py
@@ -32,7 +32,10 @@
 from oriolegate.models.topology import ServiceTopology
 from oriolegate.network import caller_wire
 from oriolegate.network.upstream_client import UpstreamClient
+from oriolegate.quarantine.core import Quarantine
+from oriolegate.quarantine.settings import QuarantineSettings
 from oriolegate.rules.model import AcceptedRules
+from oriolegate.runtime.quarantine_gate import QuarantineGate
 from oriolegate.runtime.query_runner import QueryRunner
 from oriolegate.runtime.query_tier import QueryTier
 from oriolegate.runtime.request_flow import RequestFlow
@@ -104,6 +107,13 @@
     runner = QueryRunner(Coordinator(table, events), clock, reactor.callLater)
     upstreams = UpstreamClient(reactor, clock, "vm-1.1", runner)
     runner.sender = upstreams
+    runner.quarantine = QuarantineGate(
+        Quarantine("vm-1", QuarantineSettings()),
+        clock,
+        reactor.callLater,
+        events,
+        runner.feed,
+    )
     flow = RequestFlow(
         process="vm-1.1",
         clock=clock,
--- a/src/oriolegate/network/upstream_client.py
+++ b/src/oriolegate/network/upstream_client.py
@@ -253,7 +253,7 @@
     def connect_failed(self) -> None:
         """Report sub-requests that can't be sent."""
         self.opening -= 1
-        self.client.connection_lost(self.leaf.name)
+        self.client.observer.connect_failed(self.leaf.name)
         if self.queue and not self.busy:
             self._unsend_queue()
 
@@ -355,5 +355,9 @@
         ...
 
     def connection_lost(self, leaf: str) -> None:
-        """Take that a connection was lost or could not be opened."""
+        """Take that a connection was lost."""
+        ...
+
+    def connect_failed(self, leaf: str) -> None:
+        """Take that a connection could not be opened."""
         ...
--- a/src/oriolegate/quarantine/core.py
+++ b/src/oriolegate/quarantine/core.py
@@ -215,6 +215,13 @@
             self.evidence.doubt(counts, upstream)
         return effects
 
+    def connect_failed(self, now_ms: float, upstream: str) -> None:
+        """Note that an upstream can't be reached.
+
+        Nothing was sent there, so no request is suspected for it.
+        """
+        self.evidence.lost(now_ms, upstream)
+
     def may_retry(self, now_ms: float, fingerprint: int) -> bool:
         """Return whether a lost sub-request may be sent to another leaf.
 
--- a/src/oriolegate/runtime/composition.py
+++ b/src/oriolegate/runtime/composition.py
@@ -15,9 +15,12 @@
 from oriolegate.network.claim_store import ClaimStore
 from oriolegate.network.platform_api import Platform
 from oriolegate.network.upstream_client import UpstreamClient
+from oriolegate.quarantine.core import Quarantine
+from oriolegate.quarantine.settings import QuarantineSettings
 from oriolegate.runtime.admin_routes import AdminRoutes
 from oriolegate.runtime.claim_gate import StoreClaimGate
 from oriolegate.runtime.process import Process
+from oriolegate.runtime.quarantine_gate import QuarantineGate
 from oriolegate.runtime.query_runner import QueryRunner
 from oriolegate.runtime.query_tier import QueryTier
 from oriolegate.runtime.request_flow import RequestFlow
@@ -67,6 +70,13 @@
         settings.advertise_host,
     )
     runner.sender = client
+    runner.quarantine = QuarantineGate(
+        Quarantine(settings.vm, QuarantineSettings(settings.canary)),
+        clock,
+        surroundings.reactor.callLater,
+        events,
+        runner.feed,
+    )
     claim_store = ClaimStore(
         surroundings.platform,
         clock,
--- a/src/oriolegate/runtime/query_runner.py
+++ b/src/oriolegate/runtime/query_runner.py
@@ -6,16 +6,21 @@
 
 from oriolegate.clock import Clock
 from oriolegate.coordinator.machine import Coordinator
+from oriolegate.coordinator.messages import AdmissionDropped
+from oriolegate.coordinator.messages import AdmissionWanted
 from oriolegate.coordinator.messages import CancelSub
 from oriolegate.coordinator.messages import CapacityChanged
 from oriolegate.coordinator.messages import Deliver
 from oriolegate.coordinator.messages import Effect
 from oriolegate.coordinator.messages import Event
+from oriolegate.coordinator.messages import QueryArrived
 from oriolegate.coordinator.messages import SendSub
 from oriolegate.coordinator.messages import SetTimer
+from oriolegate.coordinator.messages import SubRequestId
 from oriolegate.coordinator.messages import TimerFired
 from oriolegate.models.answer import Answer
 from oriolegate.models.answer import Refusal
+from oriolegate.runtime.quarantine_gate import QuarantineGate
 
 
 class SubRequestSender(Protocol):
@@ -52,6 +57,8 @@
         coordinator: The state machine.
         sender: Carries sub-requests; set by the composition root.
         receivers: Who waits for a request's outcome, by request id.
+        quarantine: Bounds what a request crashes; set by the composition
+            root. None lets every request go.
     """
 
     def __init__(
@@ -68,6 +75,13 @@
         self.events: collections.deque[Event] = collections.deque()
         self.running = False
         self.timer: DelayedCall | None = None
+        self.quarantine: QuarantineGate | None = None
+
+    def arrive(self, event: QueryArrived) -> None:
+        """Take a request; one not known to be harmless is held at first."""
+        if self.quarantine is not None:
+            event = self.quarantine.arrived(event)
+        self.feed(event)
 
     def feed(self, event: Event) -> None:
         """Take one event, now or after those that came before."""
@@ -88,6 +102,8 @@
         match effect:
             case SendSub():
                 assert self.sender is not None
+                if self.quarantine is not None:
+                    self.quarantine.started(effect)
                 self.sender.send(effect)
             case CancelSub():
                 assert self.sender is not None
@@ -98,6 +114,12 @@
                     receiver(outcome)
             case SetTimer(at_ms):
                 self._set_timer(at_ms)
+            case AdmissionWanted():
+                assert self.quarantine is not None
+                self.quarantine.admission_wanted(effect)
+            case AdmissionDropped():
+                assert self.quarantine is not None
+                self.quarantine.admission_dropped(effect)
 
     def _set_timer(self, at_ms: float) -> None:
         if self.timer is not None:
@@ -111,8 +133,14 @@
 
     def sub_report(self, event: Event) -> None:
         """Take what came of a sub-request."""
+        if self.quarantine is not None:
+            event = self.quarantine.ended(event, self._is_cancelled)
         self.feed(event)
 
+    def _is_cancelled(self, sub: SubRequestId) -> bool:
+        key = (sub.query, sub.shard, sub.attempt)
+        return key in self.coordinator.state.orphans
+
     def connection_limit(self, leaf: str) -> int:
         """Return this process's part of a leaf's connections."""
         state = self.coordinator.state.leafs.leafs.get(leaf)
@@ -123,6 +151,21 @@
 
     def connection_lost(self, leaf: str) -> None:
         """Take that a connection was lost: the leaf counts as cold."""
+        if self.quarantine is not None:
+            self.quarantine.connection_lost(self._upstream(leaf), leaf)
+        self._note_loss(leaf)
+
+    def connect_failed(self, leaf: str) -> None:
+        """Take that a connection could not be opened."""
+        if self.quarantine is not None:
+            self.quarantine.connect_failed(self._upstream(leaf))
+        self._note_loss(leaf)
+
+    def _upstream(self, leaf: str) -> str:
+        state = self.coordinator.state.leafs.leafs.get(leaf)
+        return leaf if state is None else state.leaf.upstream
+
+    def _note_loss(self, leaf: str) -> None:
         state = self.coordinator.state
         state.leafs.note_loss(self.clock.now_ms(), leaf)
         self.feed(CapacityChanged())
--- a/src/oriolegate/runtime/request_flow.py
+++ b/src/oriolegate/runtime/request_flow.py
@@ -179,7 +179,7 @@
         self.runner.receivers[request.request_id] = outcome.callback
         if decision.priority is not request.priority:
             request = attrs.evolve(request, priority=decision.priority)
-        self.runner.feed(
+        self.runner.arrive(
             QueryArrived(
                 request,
                 decision.service,
--- a/src/oriolegate/settings/serve.py
+++ b/src/oriolegate/settings/serve.py
@@ -6,6 +6,7 @@
 
 import attrs
 
+from oriolegate.quarantine.settings import CanaryMode
 from oriolegate.settings import keys
 from oriolegate.settings import kinds
 from oriolegate.settings.logs import LOG_SETTINGS
@@ -47,6 +48,7 @@
         stop_limit_ms: The longest that a planned stop takes.
         watchers_per_data_centre: VMs of a data centre that watch the store.
         max_concurrent_queries: Queries that run at once in this process.
+        canary: See `CanaryMode`.
     """
 
     vm: str
@@ -69,6 +71,7 @@
     stop_limit_ms: int
     watchers_per_data_centre: int
     max_concurrent_queries: int
+    canary: CanaryMode
 
 
 IDENTITY_SETTINGS = (
@@ -160,6 +163,12 @@
         summary="VMs of a data centre that watch the platform's store",
         default="2",
     ),
+    Setting(
+        name="canary",
+        kind=kinds.Choice(CanaryMode),
+        summary="when a request not seen before goes to one leaf first",
+        default=CanaryMode.ALWAYS.value,
+    ),
 )
 
 STOP_SETTINGS = (
--- a/tests/coordinator/test_sessions.py
+++ b/tests/coordinator/test_sessions.py
@@ -14,6 +14,7 @@
 from oriolegate.models.policy import CoverageMode
 from oriolegate.models.policy import ServicePolicy
 from oriolegate.models.request import CallerRequest
+from oriolegate.result_codes import ResultCode
 from oriolegate.upstreams.leaf_state import Grant
 from oriolegate.upstreams.leaf_state import ReportedState
 from tests.coordinator import sites
@@ -37,12 +38,16 @@
     def at(self, now_ms):
         self.now_ms = now_ms
 
-    def arrive(self, policy=None, **fields):
+    def arrive(self, policy=None, held=False, **fields):
         fields = {"request_id": "r1", "caller": "presenter-3"} | fields
         request = CallerRequest(route="studio", body=b"rain", **fields)
         self.feed(
             messages.QueryArrived(
-                request, sites.SERVICE, policy or ServicePolicy()
+                request,
+                sites.SERVICE,
+                policy or ServicePolicy(),
+                fingerprint=9,
+                held=held,
             )
         )
 
@@ -69,11 +74,12 @@
             )
         )
 
-    def lose(self, shard, attempt=0, replica=0):
+    def lose(self, shard, attempt=0, replica=0, may_retry=True, query=1):
         self.feed(
             messages.SubLost(
-                SubRequestId(1, shard, attempt),
+                SubRequestId(query, shard, attempt),
                 sites.leaf_name(shard, replica),
+                may_retry,
             )
         )
 
@@ -203,3 +209,81 @@
         self.session.at(9.0)
         self.session.answer(0, query=2)
         self.check("waiting")
+
+    def choose_canary(self, replica, hedge=None, query=1):
+        names = [f"studio-desk-{replica}"]
+        if hedge is not None:
+            names.append(f"studio-desk-{hedge}")
+        self.session.feed(messages.CanaryChosen(query, *names))
+
+    def abort(self, query):
+        self.session.feed(
+            messages.RequestAborted(query, ResultCode.QUARANTINED, 1_800_000)
+        )
+
+    def test_canary_then_fan_out(self):
+        self.session.arrive(held=True)
+        self.choose_canary(1, hedge=0)
+        self.session.at(4.0)
+        self.session.answer(0, replica=1)
+        self.session.feed(messages.HeldReleased(1))
+        self.session.at(8.0)
+        self.session.answer(1)
+        self.session.answer(2)
+        self.check("canary-then-fan-out")
+
+    def test_crash_of_the_canaries_and_a_refused_resend(self):
+        self.session.arrive(held=True)
+        self.choose_canary(1)
+        self.session.at(4.0)
+        self.session.lose(0, replica=1, may_retry=False)
+        self.session.at(104.0)
+        self.choose_canary(0)
+        self.session.at(108.0)
+        self.session.lose(0, attempt=1, may_retry=False)
+        self.abort(1)
+        self.session.at(120.0)
+        self.session.arrive(held=True, request_id="r2")
+        self.abort(2)
+        self.check("canary-crash")
+
+    def test_upstreams_that_cannot_take_the_canary_are_passed_over(self):
+        table = self.session.coordinator.state.leafs
+        table.set_taken_out(frozenset(), frozenset(["studio-desk-1"]))
+        table.set_grant(0.0, sites.SERVICE, Grant(0, 0, 0))
+        self.session.arrive(held=True)
+        self.choose_canary(1)
+        self.choose_canary(0)
+        table.set_grant(0.0, sites.SERVICE, Grant(4, 8, 1))
+        self.session.at(50.0)
+        self.session.feed(messages.TimerFired())
+        self.choose_canary(1)
+        self.choose_canary(0)
+        self.session.at(54.0)
+        self.session.answer(0)
+        self.check("canary-passed-over")
+
+    def test_held_query_without_any_upstream_is_refused_at_once(self):
+        table = self.session.coordinator.state.leafs
+        table.set_taken_out(
+            frozenset(), frozenset(["studio-desk-0", "studio-desk-1"])
+        )
+        self.session.arrive(held=True)
+        self.choose_canary(1)
+        self.choose_canary(0)
+        self.check("canary-without-upstream")
+
+    def test_hedge_of_a_canary_goes_to_the_second_upstream_only(self):
+        service = self.session.coordinator.state.service(
+            sites.SERVICE, ServicePolicy()
+        )
+        for _ in range(100):
+            service.latency.record(4.0)
+        self.session.arrive(held=True)
+        self.choose_canary(1, hedge=0)
+        self.session.at(5.0)
+        self.session.feed(messages.TimerFired())
+        self.session.at(6.0)
+        self.session.answer(0, attempt=1, replica=0)
+        self.session.feed(messages.CallerGone("r1"))
+        self.check("canary-hedge")
