--- a/src/oriolegate/quarantine/core.py
+++ b/src/oriolegate/quarantine/core.py
@@ -257,6 +257,9 @@
                     now_ms, vm, fingerprint, set(upstreams)
                 )
             case messages.ProbationGrant(fingerprint, remaining_ms):
+                if self.evidence.is_proven(now_ms, fingerprint):
+                    # Leave asked for twice; the first send cleared it.
+                    return NO_EFFECTS
                 suspect = self.evidence.make_suspect(now_ms, fingerprint)
                 suspect.granted_until_ms = now_ms + remaining_ms
                 return (Recheck(fingerprint),)
