Join the quarantine with peers and forwarding

Cause: the quarantine's gate dropped its messages until links existed. It now sends to peers and to all members over the mesh, and learns the members.

--- a/src/oriolegate/quarantine/core.py
+++ b/src/oriolegate/quarantine/core.py
@@ -215,6 +215,13 @@
             self.evidence.doubt(counts, upstream)
         return effects
 
+    def connect_failed(self, now_ms: float, upstream: str) -> None:
+        """Note that an upstream can't be reached.
+
+        Nothing was sent there, so no request is suspected for it.
+        """
+        self.evidence.lost(now_ms, upstream)
+
     def may_retry(self, now_ms: float, fingerprint: int) -> bool:
         """Return whether a lost sub-request may be sent to another leaf.
 
@@ -250,6 +257,9 @@
                     now_ms, vm, fingerprint, set(upstreams)
                 )
             case messages.ProbationGrant(fingerprint, remaining_ms):
+                if self.evidence.is_proven(now_ms, fingerprint):
+                    # Leave asked for twice; the first send cleared it.
+                    return NO_EFFECTS
                 suspect = self.evidence.make_suspect(now_ms, fingerprint)
                 suspect.granted_until_ms = now_ms + remaining_ms
                 return (Recheck(fingerprint),)
--- a/src/oriolegate/runtime/composition.py
+++ b/src/oriolegate/runtime/composition.py
@@ -27,6 +27,8 @@
 from oriolegate.network.platform_api import Platform
 from oriolegate.network.upstream_client import UpstreamClient
 from oriolegate.quarantine import messages as quarantine_messages
+from oriolegate.quarantine.core import Quarantine
+from oriolegate.quarantine.settings import QuarantineSettings
 from oriolegate.runtime.admin_routes import AdminRoutes
 from oriolegate.runtime.claim_gate import StoreClaimGate
 from oriolegate.runtime.document_runner import DocumentRunner
@@ -35,6 +37,7 @@
 from oriolegate.runtime.peer_runner import PeerRunner
 from oriolegate.runtime.process import Process
 from oriolegate.runtime.process import ProcessParts
+from oriolegate.runtime.quarantine_gate import QuarantineGate
 from oriolegate.runtime.query_runner import QueryRunner
 from oriolegate.runtime.query_tier import QueryTier
 from oriolegate.runtime.request_flow import RequestFlow
@@ -101,6 +104,13 @@
         surroundings.reactor, clock, process, runner, own.host
     )
     runner.sender = client
+    runner.quarantine = QuarantineGate(
+        Quarantine(own.vm, QuarantineSettings(settings.canary)),
+        clock,
+        surroundings.call_later,
+        events,
+        runner.feed,
+    )
     flow = RequestFlow(
         process=process,
         clock=clock,
--- a/src/oriolegate/runtime/process.py
+++ b/src/oriolegate/runtime/process.py
@@ -10,10 +10,12 @@
 from oriolegate.claims import messages as claims_messages
 from oriolegate.logging_setup import get_logger
 from oriolegate.network.claim_store import ClaimStore
+from oriolegate.quarantine import messages as quarantine_messages
 from oriolegate.runtime.document_runner import DocumentRunner
 from oriolegate.runtime.forward_runner import ForwardRunner
 from oriolegate.runtime.leaf_news_runner import LeafNewsRunner
 from oriolegate.runtime.peer_runner import PeerRunner
+from oriolegate.runtime.quarantine_gate import QuarantineGate
 from oriolegate.runtime.query_tier import QueryTier
 from oriolegate.runtime.share_runner import ShareRunner
 from oriolegate.runtime.stop_runner import StopRunner
@@ -112,6 +114,22 @@
         parts.peers.on_members.append(self._owners_changed)
         for message_type in (row[1] for row in claims_messages.PEER_MESSAGES):
             parts.peers.handlers[message_type] = parts.claim_store.peer_message
+        gate = parts.tier.runner.quarantine
+        if gate is not None:
+            self._connect_quarantine(gate)
+
+    def _connect_quarantine(self, gate: QuarantineGate) -> None:
+        peers = self.parts.peers
+
+        def broadcast(message: object) -> None:
+            for member in peers.members():
+                if member.vm != peers.membership.own.vm:
+                    peers.mesh.send(member.vm, message)
+
+        gate.send_to_peer = peers.mesh.send
+        gate.broadcast = broadcast
+        for row in quarantine_messages.PEER_MESSAGES:
+            peers.handlers[row[1]] = gate.peer_message
 
     def start(self) -> None:
         """Listen, look for peers, and follow the platform's store."""
@@ -152,6 +170,8 @@
     def _owners_changed(self) -> None:
         vms = sorted(member.vm for member in self.parts.peers.members())
         self.parts.claim_store.owners_changed(tuple(vms))
+        if self.parts.tier.runner.quarantine is not None:
+            self.parts.tier.runner.quarantine.members_changed(tuple(vms))
 
     def _superseded(self) -> None:
         log.error("A newer process of this VM runs; this one ends.")
--- a/src/oriolegate/upstreams/leaf_table.py
+++ b/src/oriolegate/upstreams/leaf_table.py
@@ -244,6 +244,16 @@
             for names in topology.versions[topology.current].shards
         )
 
+    def any_usable(
+        self, replicas: Iterable[str], avoid: Mapping[str, object] | set[str]
+    ) -> bool:
+        """Return whether some replica accepts work once a slot is free."""
+        for name in replicas:
+            state = self.leafs.get(name)
+            if state is not None and state.limit > 0 and name not in avoid:
+                return True
+        return False
+
     def any_recoverable(
         self, replicas: Iterable[str], avoid: Mapping[str, object] | set[str]
     ) -> bool:
