--- a/src/oriolegate/rules/admin_view.py
+++ b/src/oriolegate/rules/admin_view.py
@@ -6,11 +6,12 @@
 """
 
 from collections.abc import Iterable
+from collections.abc import Mapping
 from collections.abc import Sequence
 import http
-import json
 from typing import Any
 
+import attrs
 from expression import Error
 from expression import Ok
 from expression import Result
@@ -19,26 +20,23 @@
 from oriolegate.rules.diff import changes_between
 from oriolegate.rules.diff import write_changes
 from oriolegate.rules.merge import write_conflicts
+from oriolegate.rules.model import AcceptedRules
 from oriolegate.rules.parser import parse
 from oriolegate.rules.stored_rules import StoredRules
 
 
-def read_edit(body: bytes, edit_id: str) -> Result[messages.RulesEdit, str]:
-    """Read the body of `POST /rules`.
+def read_edit(
+    fields: Mapping[str, Any], edit_id: str
+) -> Result[messages.RulesEdit, str]:
+    """Read the decoded body of `POST /rules`.
 
     Args:
-        body: As received.
+        fields: The JSON object.
         edit_id: A new unique id for this edit.
 
     Returns:
         The edit, or what is wrong with the body.
     """
-    try:
-        fields = json.loads(body)
-    except ValueError:
-        return Error("the body is not JSON")
-    if not isinstance(fields, dict):
-        return Error("the body is not a JSON object")
     base, text = fields.get("base"), fields.get("text")
     dry_run = fields.get("dry_run", False)
     if type(base) is not int or base < 0:
@@ -105,13 +103,15 @@
     result: messages.AcceptanceResult,
     in_force_on: Sequence[str] = (),
     pending_on: Sequence[str] = (),
+    unreachable_on: Sequence[str] = (),
 ) -> dict[str, Any]:
     """Return the answer to `POST /rules`.
 
     Args:
         result: What came of the edit.
         in_force_on: VMs that have confirmed the version.
-        pending_on: VMs that have not.
+        pending_on: VMs that have not, the unreachable ones included.
+        unreachable_on: Those of them that can't be asked.
     """
     return {
         "version": None,
@@ -122,19 +122,22 @@
         **_result_fields(result),
         "in_force_on": list(in_force_on),
         "pending_on": list(pending_on),
+        "unreachable_on": list(unreachable_on),
     }
 
 
 def rules_view(
-    stored: StoredRules,
+    rules: AcceptedRules,
     in_force_on: Sequence[str] = (),
     pending_on: Sequence[str] = (),
+    unreachable_on: Sequence[str] = (),
 ) -> dict[str, Any]:
     """Return the answer to `GET /rules`."""
     return {
-        **stored.to_value(),
+        **attrs.asdict(rules),
         "in_force_on": list(in_force_on),
         "pending_on": list(pending_on),
+        "unreachable_on": list(unreachable_on),
     }
 
 
--- a/src/oriolegate/runtime/admin_routes.py
+++ b/src/oriolegate/runtime/admin_routes.py
@@ -13,6 +13,7 @@
 from oriolegate.network.admin import AdminRequest
 from oriolegate.network.admin import Route
 from oriolegate.runtime.process import ProcessParts
+from oriolegate.runtime.rules_routes import RulesRoutes
 from oriolegate.settings.serve import ServeSettings
 from oriolegate.timeline import events_json
 
@@ -35,6 +36,7 @@
         self.tier = parts.tier
         self.metrics = metrics
         self.events = parts.events
+        self.rules = RulesRoutes(parts.rules)
 
     def open_routes(self) -> Mapping[tuple[str, str], Route]:
         """Return routes that need no key."""
@@ -49,7 +51,7 @@
             ("GET", "/status"): self._status,
             ("GET", "/metrics"): self._metrics,
             ("GET", "/events"): self._events,
-            ("GET", "/rules"): self._rules,
+            **self.rules.routes(),
         }
 
     def _health(self, _: AdminRequest) -> AdminAnswer:
@@ -117,9 +119,3 @@
             if wanted is None or event.request_id == wanted
         ]
         return AdminAnswer(rows)
-
-    def _rules(self, _: AdminRequest) -> AdminAnswer:
-        accepted = self.tier.accepted
-        if accepted is None:
-            return AdminAnswer({"version": None, "text": ""})
-        return AdminAnswer(attrs.asdict(accepted))
--- a/src/oriolegate/runtime/composition.py
+++ b/src/oriolegate/runtime/composition.py
@@ -37,6 +37,7 @@
 from oriolegate.runtime.query_runner import QueryRunner
 from oriolegate.runtime.query_tier import QueryTier
 from oriolegate.runtime.request_flow import RequestFlow
+from oriolegate.runtime.rules_service import RulesService
 from oriolegate.runtime.share_runner import ShareRunner
 from oriolegate.settings.serve import ServeSettings
 from oriolegate.shares import messages as shares_messages
@@ -184,8 +185,19 @@
     forwards = ForwardRunner(peers, shares, tier, clock, call_later, events)
     tier.flow.forwarder = forwards
     news = LeafNewsRunner(peers, shares, tier, clock, call_later)
+    rules = RulesService(
+        own.vm, surroundings.platform, documents, clock, call_later
+    )
     parts = ProcessParts(
-        tier, peers, documents, shares, forwards, news, claim_store, events
+        tier=tier,
+        peers=peers,
+        documents=documents,
+        rules=rules,
+        shares=shares,
+        forwards=forwards,
+        news=news,
+        claim_store=claim_store,
+        events=events,
     )
     routes = AdminRoutes(settings, clock, parts, metrics)
     return Process(
--- /dev/null
+++ b/src/oriolegate/runtime/edit_runner.py
@@ -0,0 +1,164 @@
+"""Runs the acceptance of one edit on the platform and the loop's timers."""
+
+from collections.abc import Callable
+from typing import Any
+
+from twisted.internet import defer
+
+from oriolegate.clock import Clock
+from oriolegate.exceptions import OriolegateError
+from oriolegate.logging_setup import get_logger
+from oriolegate.network.platform_api import Platform
+from oriolegate.network.platform_api import StoredObject
+from oriolegate.result_codes import ResultCode
+from oriolegate.rules import acceptance_messages as messages
+from oriolegate.rules.acceptance import RulesAcceptor
+from oriolegate.rules.model import AcceptedRules
+
+# Two clocks may differ by a little; a wake-up that comes early is set again.
+_MIN_DELAY_MS = 1.0
+
+log = get_logger("rules")
+
+
+class EditRunner:
+    """Carries out what one `RulesAcceptor` decides.
+
+    Attributes:
+        result: Fires with the first report; later ones are only logged.
+        on_end: Called once nothing is left to do.
+    """
+
+    def __init__(
+        self,
+        acceptor: RulesAcceptor,
+        platform: Platform,
+        clock: Clock,
+        call_later: Callable[..., Any],
+        spread: Callable[[AcceptedRules], None],
+        on_end: Callable[["EditRunner"], None],
+    ) -> None:
+        self.acceptor = acceptor
+        self.platform = platform
+        self.clock = clock
+        self.call_later = call_later
+        self.spread = spread
+        self.on_end = on_end
+        self.result: defer.Deferred[messages.AcceptanceResult] = (
+            defer.Deferred()
+        )
+        self.timers: set[Any] = set()
+        self.ended = False
+
+    def start(self) -> "defer.Deferred[messages.AcceptanceResult]":
+        """Begin; returns what is told to the operator."""
+        self._step(messages.EditStarted())
+        return self.result
+
+    def stop(self) -> None:
+        """Do nothing more; a write under way may still take effect."""
+        if self.ended:
+            return
+        self.ended = True
+        for timer in self.timers:
+            timer.cancel()
+        self.timers.clear()
+        self.on_end(self)
+
+    def _step(self, event: messages.AcceptanceEvent) -> None:
+        if self.ended:
+            return
+        for effect in self.acceptor.step(self.clock.now_ms(), event):
+            self._carry_out(effect)
+        if self.acceptor.finished:
+            self.stop()
+
+    def _carry_out(self, effect: messages.AcceptanceEffect) -> None:
+        match effect:
+            case messages.ReadObject():
+                self._read(effect)
+            case messages.WriteObject():
+                self._write(effect)
+            case messages.DeleteObject(path, expected_version):
+                deleted = self.platform.delete(
+                    path.kind, path.name, expected_version
+                )
+                deleted.addErrback(lambda _: None)
+            case messages.WakeAt(at_ms):
+                self._wake_at(at_ms)
+            case messages.SpreadRules(rules):
+                self.spread(rules)
+            case messages.Report(result):
+                self._report(result)
+
+    def _report(self, result: messages.AcceptanceResult) -> None:
+        edit_id = self.acceptor.edit.edit_id
+        log.info("Edit {}: {}.", edit_id, type(result).__name__.lower())
+        if not self.result.called:
+            self.result.callback(result)
+
+    def _wake_at(self, at_ms: float) -> None:
+        delay_ms = max(_MIN_DELAY_MS, at_ms - self.clock.now_ms())
+
+        def wake() -> None:
+            self.timers.discard(timer)
+            if self.clock.now_ms() < at_ms:
+                self._wake_at(at_ms)
+                return
+            self._step(messages.Woken())
+
+        timer = self.call_later(delay_ms / 1_000.0, wake)
+        self.timers.add(timer)
+
+    def _read(self, effect: messages.ReadObject) -> None:
+        call_id = effect.call_id
+
+        def found(item: StoredObject) -> None:
+            self._step(messages.ObjectFound(call_id, item.version, item.value))
+
+        def failed(reason: Any) -> None:
+            if _code_of(reason) is ResultCode.PLATFORM_NOT_FOUND:
+                self._step(messages.ObjectAbsent(call_id))
+            else:
+                self._step(messages.CallFailed(call_id))
+
+        self._watch(
+            self.platform.get(effect.path.kind, effect.path.name), found, failed
+        )
+
+    def _write(self, effect: messages.WriteObject) -> None:
+        call_id = effect.call_id
+
+        def done(version: int) -> None:
+            self._step(messages.WriteDone(call_id, version))
+
+        def failed(reason: Any) -> None:
+            if _code_of(reason) is ResultCode.PLATFORM_CONFLICT:
+                self._step(messages.WriteRejected(call_id))
+            else:
+                self._step(messages.CallFailed(call_id))
+
+        written = self.platform.put(
+            effect.path.kind,
+            effect.path.name,
+            effect.value,
+            effect.expected_version,
+        )
+        self._watch(written, done, failed)
+
+    def _watch(
+        self,
+        call: "defer.Deferred[Any]",
+        done: Callable[[Any], None],
+        failed: Callable[[Any], None],
+    ) -> None:
+        call.addCallbacks(done, failed)
+        call.addErrback(
+            lambda reason: log.error("An edit broke: {}", reason.getTraceback())
+        )
+
+
+def _code_of(reason: Any) -> ResultCode | None:
+    if isinstance(reason.value, OriolegateError):
+        return reason.value.code
+    return None
--- a/src/oriolegate/runtime/process.py
+++ b/src/oriolegate/runtime/process.py
@@ -15,6 +15,7 @@
 from oriolegate.runtime.leaf_news_runner import LeafNewsRunner
 from oriolegate.runtime.peer_runner import PeerRunner
 from oriolegate.runtime.query_tier import QueryTier
+from oriolegate.runtime.rules_service import RulesService
 from oriolegate.runtime.share_runner import ShareRunner
 from oriolegate.runtime.stop_runner import StopRunner
 from oriolegate.runtime.stop_sequence import ConnectionsClosed
@@ -43,6 +44,7 @@
     tier: QueryTier
     peers: PeerRunner
     documents: DocumentRunner
+    rules: RulesService
     shares: ShareRunner
     forwards: ForwardRunner
     news: LeafNewsRunner
@@ -206,6 +208,7 @@
         self.timer.cancel()
         self.timer = None
         for part in (
+            self.parts.rules,
             self.parts.documents,
             self.parts.shares,
             self.parts.forwards,
--- a/src/oriolegate/runtime/query_tier.py
+++ b/src/oriolegate/runtime/query_tier.py
@@ -93,6 +93,7 @@
         wall_ms = self.clock.wall_ms()
         self.accepted = accepted
         self.flow.state.rules = compile_rules(parsed.ok, wall_ms)
+        self.flow.trials.rules_changed(parsed.ok)
         self._apply_take_outs()
         self.runner.coordinator.state.events.record(
             self.clock.now_ms(), EventKind.RULES_ACCEPTED, "", accepted.version
--- a/src/oriolegate/runtime/request_flow.py
+++ b/src/oriolegate/runtime/request_flow.py
@@ -27,6 +27,7 @@
 from oriolegate.rules.evaluation import ActiveRules
 from oriolegate.runtime.claim_gate import ClaimGate
 from oriolegate.runtime.query_runner import QueryRunner
+from oriolegate.runtime.trial_runner import TrialRunner
 from oriolegate.timeline.events import EventBuffer
 from oriolegate.timeline.events import EventKind
 
@@ -116,6 +117,7 @@
         self.active: dict[str, float] = {}
         self.numbers = itertools.count(1)
         self.forwarder: RequestForwarder = NoForwarding()
+        self.trials = TrialRunner(runner, clock, metrics)
         self.on_change: Callable[[int], None] = lambda _: None
 
     @property
@@ -178,9 +180,8 @@
         self.on_change(len(self.active))
         if self.forwarder.must_forward(decision.service):
             return self._forward(request, decision, may_forward)
-        if request.idempotent:
-            return self._run(request, decision)
-        return self._claim_and_run(request, decision)
+        run = self._run if request.idempotent else self._claim_and_run
+        return self.trials.follow(request, decision, run(request, decision))
 
     def _forward(
         self,
--- /dev/null
+++ b/src/oriolegate/runtime/rules_routes.py
@@ -0,0 +1,90 @@
+"""Admin routes of the rules: edits, history, confirmations and trials."""
+
+from collections.abc import Mapping
+
+import attrs
+from twisted.internet import defer
+
+from oriolegate.exceptions import CallerInputError
+from oriolegate.network.admin import AdminAnswer
+from oriolegate.network.admin import AdminRequest
+from oriolegate.network.admin import Route
+from oriolegate.rules import admin_view
+from oriolegate.rules.trial_report import write_report
+from oriolegate.runtime.rules_service import EditAnswer
+from oriolegate.runtime.rules_service import HISTORY_SHOWN
+from oriolegate.runtime.rules_service import RulesService
+
+
+class RulesRoutes:
+    """Answers operators about the rules."""
+
+    def __init__(self, service: RulesService) -> None:
+        self.service = service
+
+    def routes(self) -> Mapping[tuple[str, str], Route]:
+        """Return the routes; all need the admin key."""
+        return {
+            ("GET", "/rules"): self._rules,
+            ("POST", "/rules"): self._apply,
+            ("GET", "/rules/history"): self._history,
+            ("GET", "/rules/in-force"): self._in_force,
+            ("GET", "/trials"): self._trials,
+        }
+
+    def _rules(self, _: AdminRequest) -> AdminAnswer:
+        accepted = self.service.accepted
+        if accepted is None:
+            message = "this VM has no rules yet; ask again or ask another"
+            return AdminAnswer(
+                {"version": None, "text": "", "message": message}
+            )
+        confirmed = self.service.confirmed_on(accepted.version)
+        return AdminAnswer(
+            admin_view.rules_view(
+                accepted,
+                confirmed.in_force_on,
+                confirmed.pending_on,
+                confirmed.unreachable_on,
+            )
+        )
+
+    def _apply(self, asked: AdminRequest) -> "defer.Deferred[AdminAnswer]":
+        return self.service.apply(asked.body).addCallback(_edit_answer)
+
+    def _history(self, _: AdminRequest) -> "defer.Deferred[AdminAnswer]":
+        read = defer.Deferred.fromCoroutine(self.service.history())
+        return read.addCallback(
+            lambda versions: AdminAnswer(
+                admin_view.history_view(versions, HISTORY_SHOWN)
+            )
+        )
+
+    def _in_force(self, asked: AdminRequest) -> AdminAnswer:
+        accepted = self.service.accepted
+        present = 0 if accepted is None else accepted.version
+        text = asked.arguments.get("version", str(present))
+        if not (text.isascii() and text.isdigit()):
+            raise CallerInputError("version must be the number of a version")
+        confirmed = self.service.confirmed_on(int(text))
+        return AdminAnswer(
+            {
+                **attrs.asdict(confirmed),
+                "everywhere": not confirmed.pending_on,
+                "present_version": present,
+            }
+        )
+
+    def _trials(self, _: AdminRequest) -> AdminAnswer:
+        return AdminAnswer(write_report(self.service.report))
+
+
+def _edit_answer(answer: EditAnswer) -> AdminAnswer:
+    confirmed = answer.confirmed
+    view = admin_view.result_view(
+        answer.result,
+        confirmed.in_force_on,
+        confirmed.pending_on,
+        confirmed.unreachable_on,
+    )
+    return AdminAnswer(view, int(admin_view.http_status(answer.result)))
--- /dev/null
+++ b/src/oriolegate/runtime/trial_runner.py
@@ -0,0 +1,158 @@
+"""Follows requests that are part of a trial, and runs copies for mirrors.
+
+Outcomes of both sides go into one `TrialReport`. A copy is started after its
+request, under the lowest priority; nobody waits for it, and its outcome goes
+into the report only. A mirror stands in the report as `mirror NAME`, its
+copies as the trial side and the requests they were copied from as the other.
+"""
+
+from collections.abc import Callable
+import itertools
+
+import attrs
+from twisted.internet import defer
+
+from oriolegate.clock import Clock
+from oriolegate.coordinator.messages import QueryArrived
+from oriolegate.metrics import MetricsRegistry
+from oriolegate.models.answer import Answer
+from oriolegate.models.answer import Outcome
+from oriolegate.models.answer import Refusal
+from oriolegate.models.policy import Priority
+from oriolegate.models.request import CallerRequest
+from oriolegate.rules.decision import MirrorTarget
+from oriolegate.rules.decision import RoutingDecision
+from oriolegate.rules.model import MirrorRule
+from oriolegate.rules.model import RuleSet
+from oriolegate.rules.model import TrialRule
+from oriolegate.rules.trial_report import TrialReport
+from oriolegate.runtime.query_runner import QueryRunner
+
+MAX_COPIES = 8
+
+
+def _mirror_name(name: str) -> str:
+    """Return a mirror's name in the report; trials may have the same."""
+    return f"mirror {name}"
+
+
+class TrialRunner:
+    """Records both sides of trials and mirrors in one process.
+
+    Attributes:
+        report: What came of requests and copies.
+        copies: Ids of the copies that run.
+        max_copies: How many may run at once; further ones are not made.
+    """
+
+    def __init__(
+        self,
+        runner: QueryRunner,
+        clock: Clock,
+        metrics: MetricsRegistry,
+        max_copies: int = MAX_COPIES,
+    ) -> None:
+        self.runner = runner
+        self.clock = clock
+        self.metrics = metrics
+        self.max_copies = max_copies
+        self.report = TrialReport()
+        self.copies: set[str] = set()
+        self.numbers = itertools.count(1)
+
+    def rules_changed(self, rule_set: RuleSet) -> None:
+        """Drop the outcomes of trials and mirrors that were removed."""
+        kept = [
+            rule.name for rule in rule_set.rules if isinstance(rule, TrialRule)
+        ]
+        kept += [
+            _mirror_name(rule.name)
+            for rule in rule_set.rules
+            if isinstance(rule, MirrorRule)
+        ]
+        self.report.keep_only(kept)
+
+    def follow(
+        self,
+        request: CallerRequest,
+        decision: RoutingDecision,
+        outcome: "defer.Deferred[Outcome]",
+    ) -> "defer.Deferred[Outcome]":
+        """Record a request that was started, and copy it if a mirror says so.
+
+        Returns:
+            The same outcome, unchanged.
+        """
+        mirror = decision.mirror
+        sides = [decision] if decision.trial or decision.trial_control else []
+        if mirror is not None and self._copy(request, decision, mirror):
+            name = _mirror_name(mirror.mirror)
+            sides.append(attrs.evolve(decision, trial=None, trial_control=name))
+        if not sides:
+            return outcome
+        started_ms = self.clock.now_ms()
+
+        def ended(result: Outcome) -> Outcome:
+            for side in sides:
+                self._record(side, result, started_ms)
+            return result
+
+        return outcome.addCallback(ended)
+
+    def _copy(
+        self,
+        request: CallerRequest,
+        decision: RoutingDecision,
+        mirror: MirrorTarget,
+    ) -> bool:
+        """Run a copy; return False if too many run already."""
+        if len(self.copies) >= self.max_copies:
+            self.metrics.counter("mirror_copies_skipped").add()
+            return False
+        self.metrics.counter("mirror_copies").add()
+        copy = attrs.evolve(
+            request,
+            request_id=f"{request.request_id}-copy-{next(self.numbers)}",
+            priority=Priority.BULK,
+        )
+        self.copies.add(copy.request_id)
+        side = attrs.evolve(
+            decision,
+            trial=_mirror_name(mirror.mirror),
+            trial_control=None,
+        )
+        self.runner.receivers[copy.request_id] = self._receiver(copy, side)
+        self.runner.feed(
+            QueryArrived(
+                copy,
+                decision.service,
+                mirror.policy,
+                mirror.index_version,
+                mirror.preferred_upstream,
+            )
+        )
+        return True
+
+    def _receiver(
+        self, copy: CallerRequest, side: RoutingDecision
+    ) -> Callable[[Answer | Refusal], None]:
+        started_ms = self.clock.now_ms()
+
+        def receive(outcome: Answer | Refusal) -> None:
+            self.copies.discard(copy.request_id)
+            self._record(side, outcome, started_ms)
+
+        return receive
+
+    def _record(
+        self, side: RoutingDecision, outcome: Outcome, started_ms: float
+    ) -> None:
+        if not isinstance(outcome, Answer):
+            self.report.record_error(side)
+            return
+        self.report.record_answer(
+            side,
+            self.clock.now_ms() - started_ms,
+            outcome.coverage.shards_total,
+            outcome.coverage.shards_answered,
+        )
--- a/tools/fleet.py
+++ b/tools/fleet.py
@@ -119,7 +119,13 @@
     def start(self, rules_text: str) -> None:
         """Start the emulator, put the first rules, start all VMs."""
         self.start_emulator()
-        value = {"text": rules_text, "edit_id": "first"}
+        value = {
+            "version": 1,
+            "text": rules_text,
+            "asked_by": "fleet",
+            "edit_id": "first",
+            "base": 0,
+        }
         self.platform("PUT", "/objects/rules/accepted", value)
         self.list_vms()
         for vm in self.vms:
