--- /dev/null
+++ b/tests/runtime/test_trial_runner.py
@@ -0,0 +1,139 @@
+"""Tests that trials are recorded and that copies touch no answer."""
+
+import unittest
+
+import attrs
+from twisted.internet import defer
+
+from oriolegate.clock import FakeClock
+from oriolegate.metrics import MetricsRegistry
+from oriolegate.models.answer import Answer
+from oriolegate.models.answer import Coverage
+from oriolegate.models.answer import Refusal
+from oriolegate.models.policy import Priority
+from oriolegate.models.policy import ServicePolicy
+from oriolegate.models.request import CallerRequest
+from oriolegate.result_codes import ResultCode
+from oriolegate.result_codes import RunState
+from oriolegate.rules.decision import MirrorTarget
+from oriolegate.rules.decision import RoutingDecision
+from oriolegate.rules.parser import parse_rule_set
+from oriolegate.rules.trial_report import TrialSide
+from oriolegate.runtime.trial_runner import TrialRunner
+
+REQUEST = CallerRequest("req-1", "studio-1", "forecast", b"", 500.0)
+COPY_POLICY = ServicePolicy(deadline_ms=123.0)
+MIRRORED = RoutingDecision(
+    "desk",
+    ServicePolicy(),
+    Priority.URGENT,
+    trial="t",
+    mirror=MirrorTarget("m", COPY_POLICY, 8, "up-2"),
+)
+
+
+@attrs.define
+class RecordingRunner:
+    """Keeps queries; the test ends them."""
+
+    receivers: dict = attrs.field(factory=dict)
+    fed: list = attrs.field(factory=list)
+
+    def feed(self, event):
+        self.fed.append(event)
+
+
+def answer_of(request_id, answered=3):
+    return Answer(request_id, "desk", 1, Coverage(3, answered), [])
+
+
+def refusal_of(request_id):
+    return Refusal(request_id, ResultCode.NOT_RUN, RunState.NOT_RUN, "late")
+
+
+class TrialRunnerTest(unittest.TestCase):
+    def setUp(self):
+        self.clock = FakeClock()
+        self.runner = RecordingRunner()
+        self.trials = TrialRunner(
+            self.runner, self.clock, MetricsRegistry(), max_copies=2
+        )
+
+    def follow(self, decision=MIRRORED):
+        outcome = defer.Deferred()
+        results = []
+        self.trials.follow(REQUEST, decision, outcome)
+        outcome.addCallback(results.append)
+        return outcome, results
+
+    def side(self, name, side):
+        return self.trials.report.outcomes[name][side]
+
+    def test_a_copy_runs_under_the_mirror_with_low_priority(self):
+        self.follow()
+        (arrived,) = self.runner.fed
+        self.assertNotEqual(arrived.request.request_id, "req-1")
+        self.assertIs(arrived.request.priority, Priority.BULK)
+        self.assertIs(arrived.policy, COPY_POLICY)
+        self.assertEqual(arrived.index_version, 8)
+        self.assertEqual(arrived.preferred_upstream, "up-2")
+
+    def test_an_answer_neither_waits_for_its_copy_nor_is_touched(self):
+        outcome, results = self.follow()
+        answer = answer_of("req-1")
+        outcome.callback(answer)
+        self.assertIs(results[0], answer)
+        ((copy_id, receive),) = self.runner.receivers.items()
+        receive(refusal_of(copy_id))
+        self.assertEqual(len(results), 1)
+        self.assertIs(results[0], answer)
+
+    def test_both_sides_of_a_mirror_are_recorded(self):
+        outcome, _ = self.follow()
+        ((copy_id, receive),) = self.runner.receivers.items()
+        self.clock.advance(10.0)
+        outcome.callback(answer_of("req-1"))
+        self.clock.advance(20.0)
+        receive(answer_of(copy_id, answered=2))
+        copy = self.side("mirror m", TrialSide.TRIAL)
+        original = self.side("mirror m", TrialSide.CONTROL)
+        self.assertEqual((copy.requests, original.requests), (1, 1))
+        self.assertAlmostEqual(copy.latency_ms(50), 30.0, delta=0.5)
+        self.assertAlmostEqual(original.latency_ms(50), 10.0, delta=0.5)
+        self.assertEqual(copy.shards_answered, 2)
+        self.assertEqual(self.side("t", TrialSide.TRIAL).requests, 1)
+
+    def test_both_sides_of_a_trial_are_recorded_with_errors(self):
+        trial = attrs.evolve(MIRRORED, mirror=None)
+        control = attrs.evolve(trial, trial=None, trial_control="t")
+        for decision, result in (
+            (trial, refusal_of("req-1")),
+            (control, answer_of("req-1")),
+        ):
+            outcome, _ = self.follow(decision)
+            outcome.callback(result)
+        self.assertEqual(self.side("t", TrialSide.TRIAL).errors, 1)
+        self.assertEqual(self.side("t", TrialSide.CONTROL).errors, 0)
+        self.assertEqual(self.side("t", TrialSide.CONTROL).requests, 1)
+        self.assertEqual(self.runner.fed, [])
+
+    def test_copies_are_bounded_and_make_room_when_they_end(self):
+        for _ in range(3):
+            self.follow()
+        self.assertEqual(len(self.runner.fed), 2)
+        copy_id, receive = next(iter(self.runner.receivers.items()))
+        receive(refusal_of(copy_id))
+        self.follow()
+        self.assertEqual(len(self.runner.fed), 3)
+
+    def test_removed_trials_are_dropped_from_the_report(self):
+        outcome, _ = self.follow()
+        outcome.callback(answer_of("req-1"))
+        rules = parse_rule_set(
+            2,
+            "route forecast to desk  # asked-by: M\n"
+            'mirror m 10% of caller "*" on service desk to index 8'
+            "  # asked-by: M\n",
+        ).ok
+        self.trials.rules_changed(rules)
+        self.assertEqual(list(self.trials.report.outcomes), ["mirror m"])
--- a/tools/fleet.py
+++ b/tools/fleet.py
@@ -17,8 +17,7 @@
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 KEY = "key-of-the-fleet-on-loopback-0123456789"
-PLATFORM = ("127.0.0.1", 7400)
-FIRST_LEAF_PORT = 7500
+PLATFORM_HOST = "127.0.0.1"
 CALLER_PORT = 8080
 ADMIN_PORT = 8081
 PEER_PORT = 8082
@@ -41,13 +40,28 @@
     data_centre: str
 
 
-def vms(layout: str, count: int) -> list[Vm]:
+@attrs.frozen
+class FleetAddresses:
+    """Where a fleet listens; two at a time need different ones.
+
+    Attributes:
+        platform_port: Of the emulator's platform and control.
+        first_leaf_port: Of the first leaf; the next ones count up.
+        vm_network: First three numbers of the VMs' loopback addresses.
+    """
+
+    platform_port: int = 7400
+    first_leaf_port: int = 7500
+    vm_network: str = "127.0.0"
+
+
+def vms(layout: str, count: int, network: str = "127.0.0") -> list[Vm]:
     """Return VMs in turn over the layout's data centres."""
     names = DATA_CENTRES[layout]
     return [
         Vm(
             f"vm-{number + 1}",
-            f"127.0.0.{number % 3 + 1}{number // 3 + 1}",
+            f"{network}.{number % 3 + 1}{number // 3 + 1}",
             names[number % 3],
         )
         for number in range(count)
@@ -89,9 +103,11 @@
         count: int,
         log_folder: pathlib.Path,
         program: list[str] | None = None,
+        addresses: FleetAddresses | None = None,
     ) -> None:
         self.layout = layout
-        self.vms = vms(layout, count)
+        self.addresses = addresses or FleetAddresses()
+        self.vms = vms(layout, count, self.addresses.vm_network)
         self.log_folder = log_folder
         self.program = program or [sys.executable, "-m", "oriolegate"]
         self.running: dict[str, subprocess.Popen[bytes]] = {}
@@ -140,8 +156,8 @@
             [
                 "emulate",
                 f"--layout={self.layout}",
-                f"--platform-port={PLATFORM[1]}",
-                f"--first-leaf-port={FIRST_LEAF_PORT}",
+                f"--platform-port={self.addresses.platform_port}",
+                f"--first-leaf-port={self.addresses.first_leaf_port}",
             ],
         )
         self._wait(lambda: self.platform("GET", "/vms")[0] == 200, "emulator")
@@ -150,7 +166,9 @@
         self, method: str, path: str, body: Any = None
     ) -> tuple[int, Any]:
         """Call the platform or the emulator's control."""
-        connection = http.client.HTTPConnection(*PLATFORM, timeout=10.0)
+        connection = http.client.HTTPConnection(
+            PLATFORM_HOST, self.addresses.platform_port, timeout=10.0
+        )
         data = None if body is None else json.dumps(body).encode()
         headers = {"If-None-Match": "*"} if method == "PUT" else {}
         try:
@@ -187,7 +205,8 @@
                 f"--caller-port={CALLER_PORT}",
                 f"--admin-port={ADMIN_PORT}",
                 f"--peer-port={PEER_PORT}",
-                f"--platform-urls=http://{PLATFORM[0]}:{PLATFORM[1]}",
+                f"--platform-urls=http://{PLATFORM_HOST}"
+                f":{self.addresses.platform_port}",
                 "--balancer-notice-ms=1000",
                 "--stop-limit-ms=20000",
             ],
--- /dev/null
+++ b/tools/measure_in_force.py
@@ -0,0 +1,211 @@
+"""Measures how soon accepted edits are in force on every VM of a fleet.
+
+    python tools/measure_in_force.py --layout anga-pamoja --vms 8
+
+Each edit is asked of another VM in turn. A time begins as the edit is sent,
+before it is accepted, so it is an upper bound. It ends for `held` once each
+VM has answered that it has the version or a newer one, and for `confirmed`
+once the VM that took the edit has answered that all VMs have confirmed it.
+With the store going down, the outage begins as soon as a read of the store
+shows the version.
+"""
+
+import argparse
+from collections.abc import Callable
+import contextlib
+import math
+import pathlib
+import sys
+import threading
+import time
+from typing import Any
+
+import attrs
+import fleet
+
+EDITS = 100
+OUTAGE_EDITS = 20
+POLL_S = 0.005
+EDIT_TIMEOUT_S = 30.0
+SETTLE_S = 2.0
+BAR_MS = 2_000.0
+ROUTES = {
+    "anga-pamoja": "route forecast to studio-desk",
+    "consortium": "route levies to cobro-core",
+}
+ADDRESSES = fleet.FleetAddresses(7900, 8500, "127.0.1")
+
+
+@attrs.frozen
+class EditTimes:
+    """Times of one edit, in milliseconds from when it was sent."""
+
+    answered_ms: float
+    held_ms: float
+    confirmed_ms: float
+
+
+class EditCall:
+    """One `POST /rules` on a thread of its own.
+
+    Attributes:
+        status: HTTP status, 0 until it has answered.
+        body: The answer.
+        answered_ms: When it answered, from when it was sent.
+    """
+
+    def __init__(
+        self, site: fleet.Fleet, vm: fleet.Vm, base: int, text: str
+    ) -> None:
+        self.site = site
+        self.vm = vm
+        self.fields = {"base": base, "text": text}
+        self.status = 0
+        self.body: Any = None
+        self.answered_ms = math.inf
+        self.started_s = time.monotonic()
+        self.thread = threading.Thread(target=self._run)
+        self.thread.start()
+
+    def elapsed_ms(self) -> float:
+        """Return the time since the edit was sent."""
+        return (time.monotonic() - self.started_s) * 1_000.0
+
+    def _run(self) -> None:
+        self.status, self.body = self.site.admin(
+            self.vm, "/rules", "POST", self.fields
+        )
+        self.answered_ms = self.elapsed_ms()
+
+
+def text_of(layout: str, number: int) -> str:
+    """Return the rules of an edit; each differs from the one before."""
+    lines = [f"{ROUTES[layout]}  # asked-by: measurement\n"]
+    if number:
+        name = f"caller-{number}-*"
+        lines.append(
+            f'priority caller "{name}" bulk  # asked-by: measurement\n'
+        )
+    return "".join(lines)
+
+
+def wait_until(condition: Callable[[], bool], call: EditCall) -> float:
+    """Return when a condition came true, from when the edit was sent."""
+    while not condition():
+        if call.elapsed_ms() > EDIT_TIMEOUT_S * 1_000.0:
+            raise TimeoutError(f"edit of base {call.fields['base']} is late")
+        time.sleep(POLL_S)
+    return call.elapsed_ms()
+
+
+def in_force(site: fleet.Fleet, vm: fleet.Vm, version: int) -> Any:
+    """Return what a VM says of a version."""
+    return site.admin(vm, f"/rules/in-force?version={version}")[1]
+
+
+def apply_edit(
+    site: fleet.Fleet, number: int, base: int, outage: bool
+) -> EditTimes:
+    """Make one edit and wait until it is in force everywhere."""
+    version = base + 1
+    vm = site.vms[number % len(site.vms)]
+    call = EditCall(site, vm, base, text_of(site.layout, number))
+    if outage:
+        wait_until(
+            lambda: (
+                site.platform("GET", "/objects/rules/accepted")[1]["version"]
+                >= version
+            ),
+            call,
+        )
+        site.platform("POST", "/control", {"outage": True})
+    waiting = list(site.vms)
+
+    def held() -> bool:
+        while waiting:
+            present = in_force(site, waiting[0], version)["present_version"]
+            if present < version:
+                return False
+            waiting.pop(0)
+        return True
+
+    held_ms = wait_until(held, call)
+    confirmed_ms = wait_until(
+        lambda: in_force(site, vm, version)["everywhere"], call
+    )
+    call.thread.join()
+    if outage:
+        site.platform("POST", "/control", {"outage": False})
+        time.sleep(SETTLE_S)
+    if call.status != 200 or call.body["version"] != version:
+        raise RuntimeError(f"edit {number}: {call.status} {call.body}")
+    return EditTimes(call.answered_ms, held_ms, confirmed_ms)
+
+
+def percentile(values: list[float], share: float) -> float:
+    """Return the smallest value that this share of values doesn't exceed."""
+    ranked = sorted(values)
+    return ranked[max(0, math.ceil(share * len(ranked)) - 1)]
+
+
+def report(title: str, rows: list[EditTimes]) -> float:
+    """Print the figures; return the 99th percentile of `held`."""
+    print(f"{title}: {len(rows)} edits, ms from sending")
+    for name in ("held", "confirmed", "answered"):
+        values = [getattr(row, f"{name}_ms") for row in rows]
+        print(
+            f"  {name:<10} p50 {percentile(values, 0.5):8.1f}  "
+            f"p99 {percentile(values, 0.99):8.1f}  max {max(values):8.1f}"
+        )
+    return percentile([row.held_ms for row in rows], 0.99)
+
+
+def wait_linked(site: fleet.Fleet) -> None:
+    """Wait until the first VM's census is complete and confirmed."""
+    limit_s = time.monotonic() + EDIT_TIMEOUT_S
+    while time.monotonic() < limit_s:
+        answer = in_force(site, site.vms[0], 1)
+        if len(answer["in_force_on"]) == len(site.vms):
+            return
+        time.sleep(POLL_S)
+    raise TimeoutError("the VMs did not all confirm the first rules")
+
+
+def measure(site: fleet.Fleet, edits: int, outage_edits: int) -> bool:
+    """Make all edits; return whether both figures meet the bar."""
+    site.start(text_of(site.layout, 0))
+    wait_linked(site)
+    rows = [
+        apply_edit(site, number, number, outage=False)
+        for number in range(1, edits + 1)
+    ]
+    meets = report("store up", rows) <= BAR_MS
+    rows = [
+        apply_edit(site, number, number, outage=True)
+        for number in range(edits + 1, edits + outage_edits + 1)
+    ]
+    return report("store down after the write", rows) <= BAR_MS and meets
+
+
+def main() -> int:
+    """Run the measurement; 1 if the bar is missed."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument(
+        "--layout", choices=sorted(ROUTES), default="anga-pamoja"
+    )
+    parser.add_argument("--vms", type=int, default=8)
+    parser.add_argument("--edits", type=int, default=EDITS)
+    parser.add_argument("--outage-edits", type=int, default=OUTAGE_EDITS)
+    parser.add_argument("--logs", type=pathlib.Path, required=True)
+    options = parser.parse_args()
+    site = fleet.Fleet(
+        options.layout, options.vms, options.logs, addresses=ADDRESSES
+    )
+    with contextlib.closing(site):
+        meets = measure(site, options.edits, options.outage_edits)
+    print(f"p99 of held at most {BAR_MS:.0f} ms: {'yes' if meets else 'NO'}")
+    return 0 if meets else 1
+
+
+if __name__ == "__main__":
+    sys.exit(main())
