--- a/src/oriolegate/runtime/trial_runner.py
+++ b/src/oriolegate/runtime/trial_runner.py
@@ -36,6 +36,16 @@
     return f"mirror {name}"
 
 
+def _other_index(side: RoutingDecision, answer: Answer) -> bool:
+    """Return whether an answer is from another index than was asked for.
+
+    A query for an index that is not there runs on the current one, which
+    says nothing of the index under trial.
+    """
+    wanted = side.index_version
+    return wanted is not None and wanted != answer.index_version
+
+
 class TrialRunner:
     """Records both sides of trials and mirrors in one process.
 
@@ -118,6 +128,7 @@
         self.copies.add(copy.request_id)
         side = attrs.evolve(
             decision,
+            index_version=mirror.index_version,
             trial=_mirror_name(mirror.mirror),
             trial_control=None,
         )
@@ -147,7 +158,7 @@
     def _record(
         self, side: RoutingDecision, outcome: Outcome, started_ms: float
     ) -> None:
-        if not isinstance(outcome, Answer):
+        if not isinstance(outcome, Answer) or _other_index(side, outcome):
             self.report.record_error(side)
             return
         self.report.record_answer(
--- a/tests/runtime/test_trial_runner.py
+++ b/tests/runtime/test_trial_runner.py
@@ -43,8 +43,8 @@
         self.fed.append(event)
 
 
-def answer_of(request_id, answered=3):
-    return Answer(request_id, "desk", 1, Coverage(3, answered), [])
+def answer_of(request_id, answered=3, index_version=1):
+    return Answer(request_id, "desk", index_version, Coverage(3, answered), [])
 
 
 def refusal_of(request_id):
@@ -94,7 +94,7 @@
         self.clock.advance(10.0)
         outcome.callback(answer_of("req-1"))
         self.clock.advance(20.0)
-        receive(answer_of(copy_id, answered=2))
+        receive(answer_of(copy_id, answered=2, index_version=8))
         copy = self.side("mirror m", TrialSide.TRIAL)
         original = self.side("mirror m", TrialSide.CONTROL)
         self.assertEqual((copy.requests, original.requests), (1, 1))
@@ -103,6 +103,12 @@
         self.assertEqual(copy.shards_answered, 2)
         self.assertEqual(self.side("t", TrialSide.TRIAL).requests, 1)
 
+    def test_an_answer_from_another_index_counts_as_an_error(self):
+        self.follow()
+        ((copy_id, receive),) = self.runner.receivers.items()
+        receive(answer_of(copy_id, index_version=1))
+        self.assertEqual(self.side("mirror m", TrialSide.TRIAL).errors, 1)
+
     def test_both_sides_of_a_trial_are_recorded_with_errors(self):
         trial = attrs.evolve(MIRRORED, mirror=None)
         control = attrs.evolve(trial, trial=None, trial_control="t")
--- a/tools/measure_in_force.py
+++ b/tools/measure_in_force.py
@@ -21,6 +21,7 @@
 from typing import Any
 
 import attrs
+
 import fleet
 
 EDITS = 100
