--- a/src/oriolegate/coordinator/dispatch.py
+++ b/src/oriolegate/coordinator/dispatch.py
@@ -93,7 +93,7 @@
     if shard.waiting:
         return
     shard.waiting = True
-    state.services[query.arrived.service].waiting += 1
+    state.services[query.arrived.budget_name].waiting += 1
     priority = query.arrived.request.priority
     for name in shard.replicas:
         if name not in shard.tried:
@@ -110,7 +110,7 @@
     """Take a shard out of the count of waiting sub-requests."""
     if shard.waiting:
         shard.waiting = False
-        state.services[query.arrived.service].waiting -= 1
+        state.services[query.arrived.budget_name].waiting -= 1
 
 
 def give_up(query: QueryState, shard: ShardState, reason: ResultCode) -> None:
@@ -178,7 +178,7 @@
     """
     if not shard.in_flight:
         return
-    service = state.services[query.arrived.service]
+    service = state.services[query.arrived.budget_name]
     for number, attempt in shard.in_flight.items():
         sub = SubRequestId(query.number, shard.shard, number)
         state.effects.append(CancelSub(sub, attempt.leaf.leaf.name))
@@ -201,7 +201,7 @@
 
 def hedge(state: CoordinatorState, now_ms: float, query: QueryState) -> None:
     """Send second attempts for shards that take longer than the quantile."""
-    service = state.services[query.arrived.service]
+    service = state.services[query.arrived.budget_name]
     delay_ms = hedge_delay_ms(state, query)
     if delay_ms is None:
         return
@@ -245,7 +245,9 @@
     policy = query.arrived.policy.hedge
     if not policy.enabled or not query.arrived.request.idempotent:
         return None
-    threshold_ms = state.services[query.arrived.service].latency.threshold_ms
+    threshold_ms = state.services[
+        query.arrived.budget_name
+    ].latency.threshold_ms
     if threshold_ms is None:
         return None
     return max(policy.min_delay_ms, threshold_ms)
--- a/src/oriolegate/coordinator/machine.py
+++ b/src/oriolegate/coordinator/machine.py
@@ -87,7 +87,7 @@
         state = self.state
         state.counters.queries += 1
         request = event.request
-        service = state.service(event.service, event.policy)
+        service = state.service(event.budget_name, event.policy)
         query = _new_query(state.next_query, now_ms, event)
         state.next_query += 1
         topology = state.leafs.topologies.get(event.service)
@@ -125,7 +125,7 @@
             shard = ShardState(number, replicas, attempts=query.first_attempt)
             query.shards[number] = shard
         query.open_shards = len(query.shards)
-        service = state.services[query.arrived.service]
+        service = state.services[query.arrived.budget_name]
         service.hedges.earn(query.open_shards)
         service.retries.earn(query.open_shards)
         state.counters.needed += query.open_shards
--- a/src/oriolegate/coordinator/messages.py
+++ b/src/oriolegate/coordinator/messages.py
@@ -30,6 +30,7 @@
         policy: The policy that holds for it.
         index_version: Pinned by a trial, or None for the current one.
         preferred_upstream: Preferred by a trial, or None.
+        is_copy: Whether it is a mirror's copy, which no caller waits for.
     """
 
     request: CallerRequest
@@ -37,6 +38,17 @@
     policy: ServicePolicy
     index_version: int | None = None
     preferred_upstream: str | None = None
+    # Not in the representation, where the request's id names a copy.
+    is_copy: bool = attrs.field(default=False, repr=False)
+
+    @property
+    def budget_name(self) -> str:
+        """Whose budgets, latencies and queue length the query counts in.
+
+        Copies have their own, so that they neither spend what callers'
+        requests may nor make the service look overloaded.
+        """
+        return f"{self.service} copies" if self.is_copy else self.service
 
 
 @attrs.frozen
--- a/src/oriolegate/coordinator/replies.py
+++ b/src/oriolegate/coordinator/replies.py
@@ -88,7 +88,7 @@
     query, shard, attempt = match
     latency_ms = now_ms - attempt.sent_ms
     state.leafs.note_success(now_ms, attempt.leaf, latency_ms)
-    service = state.services[query.arrived.service]
+    service = state.services[query.arrived.budget_name]
     service.latency.record(latency_ms)
     _count_completion(service, now_ms)
     if event.index_version != query.index_version:
@@ -235,7 +235,7 @@
     if shard.done or shard.in_flight:
         return
     policy = query.arrived.policy
-    service = state.services[query.arrived.service]
+    service = state.services[query.arrived.budget_name]
     attempts = shard.attempts - query.first_attempt
     if attempts >= policy.max_attempts or not service.retries.spend():
         dispatch.give_up(query, shard, shard.missing)
--- a/src/oriolegate/runtime/query_runner.py
+++ b/src/oriolegate/runtime/query_runner.py
@@ -131,6 +131,11 @@
         """Take what came of a sub-request."""
         self.feed(event)
 
+    def has_waiting(self, service: str) -> bool:
+        """Return whether callers' sub-requests wait for slots."""
+        state = self.coordinator.state.services.get(service)
+        return state is not None and state.waiting > 0
+
     def connection_limit(self, leaf: str) -> int:
         """Return this process's part of a leaf's connections."""
         state = self.coordinator.state.leafs.leafs.get(leaf)
--- a/src/oriolegate/runtime/trial_runner.py
+++ b/src/oriolegate/runtime/trial_runner.py
@@ -115,8 +115,9 @@
         decision: RoutingDecision,
         mirror: MirrorTarget,
     ) -> bool:
-        """Run a copy; return False if too many run already."""
-        if len(self.copies) >= self.max_copies:
+        """Run a copy; return False if there is no room for it."""
+        full = len(self.copies) >= self.max_copies
+        if full or self.runner.has_waiting(decision.service):
             self.metrics.counter("mirror_copies_skipped").add()
             return False
         self.metrics.counter("mirror_copies").add()
@@ -140,6 +141,7 @@
                 mirror.policy,
                 mirror.index_version,
                 mirror.preferred_upstream,
+                is_copy=True,
             )
         )
         return True
--- a/tests/runtime/test_trial_runner.py
+++ b/tests/runtime/test_trial_runner.py
@@ -38,6 +38,10 @@
 
     receivers: dict = attrs.field(factory=dict)
     fed: list = attrs.field(factory=list)
+    waiting: bool = False
+
+    def has_waiting(self, service):
+        return self.waiting
 
     def feed(self, event):
         self.fed.append(event)
@@ -132,6 +136,18 @@
         self.follow()
         self.assertEqual(len(self.runner.fed), 3)
 
+    def test_no_copy_is_made_while_callers_wait_for_slots(self):
+        self.runner.waiting = True
+        self.follow()
+        self.assertEqual(self.runner.fed, [])
+
+    def test_a_copy_counts_in_budgets_of_its_own(self):
+        self.follow()
+        (arrived,) = self.runner.fed
+        original = attrs.evolve(arrived, is_copy=False)
+        self.assertEqual(original.budget_name, original.service)
+        self.assertNotEqual(arrived.budget_name, original.budget_name)
+
     def test_removed_trials_are_dropped_from_the_report(self):
         outcome, _ = self.follow()
         outcome.callback(answer_of("req-1"))
