Join accepting of rules, trials and mirrors with the running process

Cause: rules were accepted by cores that no process served. They are now. Kept from both sides: budgets of a mirror's copies, and held queries. A copy is asked of the quarantine as any request is; the test's runner takes it by the same name now. Also: SIGTERM before the loop runs no longer ends the process at once, and a request whose X-Request-Id still runs gets an id of its own. It was refused, and the refusal took the running request out of those that a stop waits for.

--- a/src/oriolegate/commands/serve.py
+++ b/src/oriolegate/commands/serve.py
@@ -34,6 +34,7 @@
     """
     settings = load_serve_settings(vars(arguments), os.environ)
     logging_setup.setup_logging(settings.log_format, settings.verbose)
+    logging_setup.forward_twisted_logs()
     reactor: Any = default_reactor
     platform = PlatformClient(
         reactor, PlatformClientSettings(settings.platform_urls[0])
@@ -42,15 +43,15 @@
         settings,
         Surroundings(reactor, SystemClock(), platform, random.Random()),
     )
-    try:
-        process.start()
-    except error.CannotListenError as taken:
-        raise SettingsError(f"choose other ports: {taken}") from taken
     for number in (signal.SIGTERM, signal.SIGINT):
         signal.signal(
             number, lambda *_: reactor.callFromThread(process.plan_stop)
         )
     process.on_exit = reactor.stop
+    try:
+        process.start()
+    except error.CannotListenError as taken:
+        raise SettingsError(f"choose other ports: {taken}") from taken
     # Twisted's own handlers would stop the reactor at once.
     reactor.run(installSignalHandlers=False)
     return process.exit_status
--- a/src/oriolegate/coordinator/messages.py
+++ b/src/oriolegate/coordinator/messages.py
@@ -42,6 +42,7 @@
         preferred_upstream: Preferred by a trial, or None.
         fingerprint: Tells the request to the quarantine; 0 without one.
         held: Whether the quarantine is asked before anything is sent.
+        is_copy: Whether it is a mirror's copy, which no caller waits for.
     """
 
     request: CallerRequest
@@ -51,6 +52,17 @@
     preferred_upstream: str | None = None
     fingerprint: int = attrs.field(default=0, repr=False)
     held: bool = attrs.field(default=False, repr=False)
+    # Not in the representation, where the request's id names a copy.
+    is_copy: bool = attrs.field(default=False, repr=False)
+
+    @property
+    def budget_name(self) -> str:
+        """Whose budgets, latencies and queue length the query counts in.
+
+        Copies have their own, so that they neither spend what callers'
+        requests may nor make the service look overloaded.
+        """
+        return f"{self.service} copies" if self.is_copy else self.service
 
 
 @attrs.frozen
--- a/src/oriolegate/coordinator/replies.py
+++ b/src/oriolegate/coordinator/replies.py
@@ -74,7 +74,7 @@
     query, shard, attempt = match
     latency_ms = now_ms - attempt.sent_ms
     state.leafs.note_success(now_ms, attempt.leaf, latency_ms)
-    service = state.services[query.arrived.service]
+    service = state.services[query.arrived.budget_name]
     service.latency.record(latency_ms)
     service.mean_ms += MEAN_WEIGHT * (latency_ms - service.mean_ms)
     if event.index_version != query.index_version:
--- a/src/oriolegate/measurement/caller.py
+++ b/src/oriolegate/measurement/caller.py
@@ -11,6 +11,10 @@
 from twisted.web import iweb
 from zope.interface import implementer
 
+from oriolegate.network.ip_endpoints import IpEndpointFactory
+
+CONNECT_TIMEOUT_S = 10.0
+
 
 @attrs.frozen
 class CallerAnswer:
@@ -52,7 +56,9 @@
         self.pool = client.HTTPConnectionPool(reactor, persistent=True)
         self.pool.maxPersistentPerHost = 256
         self.pool.retryAutomatically = False
-        self.agent = client.Agent(reactor, pool=self.pool)
+        self.agent = client.Agent.usingEndpointFactory(
+            reactor, IpEndpointFactory(reactor, CONNECT_TIMEOUT_S), self.pool
+        )
 
     async def ask(
         self, path: str, body: bytes, headers: Mapping[str, str] | None = None
--- a/src/oriolegate/network/front.py
+++ b/src/oriolegate/network/front.py
@@ -4,6 +4,7 @@
 import math
 from typing import Protocol
 
+import attrs
 from twisted.internet import defer
 from twisted.web import resource
 from twisted.web import server
@@ -44,6 +45,10 @@
         """Return a request id that no other request has."""
         ...
 
+    def unique_request_id(self, wanted: str) -> str:
+        """Return `wanted`, or a like id if a request of that id runs."""
+        ...
+
 
 def limited_request(max_body_bytes: int) -> Callable[..., server.Request]:
     """Return a request factory that bounds the bodies of requests."""
@@ -107,13 +112,13 @@
                 "the body is larger than this service allows",
                 ResultCode.BODY_TOO_LARGE,
             )
+        fresh_id = self.handler.fresh_request_id()
         path = [part.decode("utf-8", "replace") for part in request.postpath]
-        return caller_wire.read_request(
-            path,
-            request.getHeader,
-            request.content.read(),
-            self.handler.fresh_request_id(),
+        found = caller_wire.read_request(
+            path, request.getHeader, request.content.read(), fresh_id
         )
+        unique_id = self.handler.unique_request_id(found.request_id)
+        return attrs.evolve(found, request_id=unique_id)
 
     def _serve(
         self, request: server.Request, caller_request: CallerRequest
--- a/src/oriolegate/runtime/forward_runner.py
+++ b/src/oriolegate/runtime/forward_runner.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 from typing import Any
 
+import attrs
 from twisted.internet import defer
 
 from oriolegate.clock import Clock
@@ -139,13 +140,18 @@
 
     def _run(self, vm: str, message: ForwardedQuery) -> None:
         key = (vm, message.number)
-        self.running[key] = message.request.request_id
+        flow = self.tier.flow
+        request = attrs.evolve(
+            message.request,
+            request_id=flow.unique_request_id(message.request.request_id),
+        )
+        self.running[key] = request.request_id
 
         def finished(outcome: Outcome) -> None:
             if self.running.pop(key, None) is not None:
                 self.peers.mesh.send(vm, _result(message.number, outcome))
 
-        self.tier.flow.handle_forwarded(message.request).addCallback(finished)
+        flow.handle_forwarded(request).addCallback(finished)
 
     def _cancel(self, vm: str, message: ForwardCancelled) -> None:
         request_id = self.running.pop((vm, message.number), None)
--- a/src/oriolegate/runtime/request_flow.py
+++ b/src/oriolegate/runtime/request_flow.py
@@ -27,6 +27,7 @@
 from oriolegate.rules.evaluation import ActiveRules
 from oriolegate.runtime.claim_gate import ClaimGate
 from oriolegate.runtime.query_runner import QueryRunner
+from oriolegate.runtime.trial_runner import TrialRunner
 from oriolegate.timeline.events import EventBuffer
 from oriolegate.timeline.events import EventKind
 
@@ -116,6 +117,7 @@
         self.active: dict[str, float] = {}
         self.numbers = itertools.count(1)
         self.forwarder: RequestForwarder = NoForwarding()
+        self.trials = TrialRunner(runner, clock, metrics)
         self.on_change: Callable[[int], None] = lambda _: None
 
     @property
@@ -127,6 +129,16 @@
         """Return a request id that no other request has."""
         return f"{self.process}-{next(self.numbers)}"
 
+    def unique_request_id(self, wanted: str) -> str:
+        """Return an id that no running request has, by preference `wanted`.
+
+        A caller that sends again may use the id of a request that still
+        runs; its own answer must not be mixed up with that one's.
+        """
+        if wanted in self.active:
+            return f"{wanted}~{next(self.numbers)}"
+        return wanted
+
     def caller_gone(self, request_id: str) -> None:
         """Take that the caller of a request closed its connection."""
         self.runner.feed(CallerGone(request_id))
@@ -178,9 +190,8 @@
         self.on_change(len(self.active))
         if self.forwarder.must_forward(decision.service):
             return self._forward(request, decision, may_forward)
-        if request.idempotent:
-            return self._run(request, decision)
-        return self._claim_and_run(request, decision)
+        run = self._run if request.idempotent else self._claim_and_run
+        return self.trials.follow(request, decision, run(request, decision))
 
     def _forward(
         self,
@@ -216,12 +227,6 @@
             return _refuse(
                 request, ResultCode.OVERLOADED, "this VM has no room; ask again"
             )
-        if request.request_id in self.active:
-            return _refuse(
-                request,
-                ResultCode.BAD_REQUEST,
-                "a request with this X-Request-Id is running here",
-            )
         return None
 
     def _claim_and_run(
