Measure control cost against processes, leafs and members

Cause: docs/CAPACITY.md needs slopes from a script, and a process did not show what its peer links and platform calls cost.

--- a/src/oriolegate/runtime/admin_routes.py
+++ b/src/oriolegate/runtime/admin_routes.py
@@ -12,6 +12,7 @@
 from oriolegate.network.admin import AdminAnswer
 from oriolegate.network.admin import AdminRequest
 from oriolegate.network.admin import Route
+from oriolegate.network.platform_client import PlatformClient
 from oriolegate.runtime.process import ProcessParts
 from oriolegate.settings.serve import ServeSettings
 from oriolegate.timeline import events_json
@@ -81,6 +82,8 @@
                 for member in self.parts.peers.membership.census()
             },
             "links": sorted(self.parts.peers.mesh.linked_vms()),
+            "peer_messages": attrs.asdict(self.parts.peers.mesh.counters),
+            "platform_calls": self._platform_calls(),
             "forwarded": self.parts.forwards.core.forwarded,
             "requests_active": len(tier.flow.active),
             "services": {
@@ -90,6 +93,12 @@
         }
         return AdminAnswer(value)
 
+    def _platform_calls(self) -> dict[str, int]:
+        platform = self.parts.peers.platform
+        if isinstance(platform, PlatformClient):
+            return dict(platform.counts)
+        return {}
+
     def _service(self, name: str) -> dict[str, Any]:
         table = self.tier.table
         topology = table.topologies[name]
--- /dev/null
+++ b/tools/capacity_cores.py
@@ -0,0 +1,278 @@
+"""Cost of single cores at sizes that need no processes.
+
+Figures are processor time of this thread, memory that `tracemalloc` traces,
+and bytes of messages by the codec. The sockets are left out.
+"""
+
+from collections.abc import Callable
+import random
+import time
+import tracemalloc
+from typing import Any
+
+from tools.capacity_fit import fit
+from tools.capacity_sizes import INCARNATION
+from tools.capacity_sizes import make_member
+from tools.capacity_sizes import make_topology
+from tools.capacity_sizes import SERVICE_LEAFS
+
+from oriolegate.configuration import effects as document_effects
+from oriolegate.configuration.messages import Confirmation
+from oriolegate.configuration.messages import Confirmations
+from oriolegate.configuration.spreader import DocumentSpreader
+from oriolegate.membership import effects as membership_effects
+from oriolegate.membership.core import Membership
+from oriolegate.membership.messages import Heartbeat
+from oriolegate.membership.messages import Member
+from oriolegate.membership.messages import MemberDelta
+from oriolegate.membership.messages import MemberState
+from oriolegate.runtime.composition import peer_codec
+from oriolegate.shares.homes import choose_homes
+from oriolegate.shares.homes import forwarding_order
+from oriolegate.shares.share_object import Amounts
+from oriolegate.timeline.events import EventBuffer
+from oriolegate.upstreams.leaf_state import Grant
+from oriolegate.upstreams.leaf_state import ReportedState
+from oriolegate.upstreams.leaf_table import LeafTable
+from oriolegate.upstreams.messages import LeafNews
+from oriolegate.upstreams.messages import LeafNewsList
+
+MEMBER_COUNTS = (275, 550, 1_100, 2_200)
+LEAF_COUNTS = (1_000, 4_000, 16_000)
+PEERS = 11
+QUIET_S = 20
+CHANGES = 20
+SERVICES = 20
+TICK_MS = 250.0
+MS_PER_S = 1_000.0
+KIB = 1_024
+LIMITS = Amounts(4, 35, 1)
+
+
+def _kib(build: Callable[..., Any], *arguments: Any) -> tuple[Any, float]:
+    """Build something; return it with the memory that it holds."""
+    tracemalloc.start()
+    built = build(*arguments)
+    size, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    return built, size / KIB
+
+
+def _cpu_ms(work: Callable[..., object], *arguments: Any) -> float:
+    started_s = time.thread_time()
+    work(*arguments)
+    return (time.thread_time() - started_s) * MS_PER_S
+
+
+def _size(message: object) -> int:
+    return len(peer_codec().encode(message, 1_000_000))
+
+
+def _joined(members: list[Member]) -> Membership:
+    core = Membership(members[0], random.Random(1))
+    delta = MemberDelta(tuple(members[1:]))
+    core.step(1.0, membership_effects.Received(members[1].vm, delta))
+    core.step(2.0, membership_effects.Tick())
+    return core
+
+
+def _quiet(core: Membership, peers: list[str], start_ms: float) -> float:
+    """Return the last time after quiet seconds with heartbeats."""
+    now_ms = start_ms
+    for _ in range(int(QUIET_S * MS_PER_S / TICK_MS)):
+        now_ms += TICK_MS
+        core.step(now_ms, membership_effects.Tick())
+        if now_ms % MS_PER_S:
+            continue
+        beat = Heartbeat(core.table.table_hash(), ())
+        for vm in peers:
+            core.step(now_ms, membership_effects.Received(vm, beat))
+    return now_ms
+
+
+def _change(core: Membership, members: list[Member], now_ms: float) -> None:
+    """Let members change one after the other, each before a tick."""
+    for number in range(CHANGES):
+        now_ms += TICK_MS
+        known = core.table.members[members[10 + number].vm]
+        news = Member(
+            known.vm,
+            known.host,
+            known.peer_port,
+            known.data_centre,
+            known.incarnation,
+            known.refutation + 1,
+            MemberState.LIVE,
+        )
+        delta = MemberDelta((news,))
+        core.step(now_ms, membership_effects.Received(members[1].vm, delta))
+        core.step(now_ms, membership_effects.Tick())
+
+
+def measure_membership() -> None:
+    """Print what the member table costs."""
+    print("members     KiB  join-ms  quiet-ms/s  change-ms")
+    rows = []
+    for count in MEMBER_COUNTS:
+        members = [make_member(number) for number in range(count)]
+        core, size_kib = _kib(_joined, members)
+        join_ms = _cpu_ms(_joined, members)
+        peers = [member.vm for member in members[1 : PEERS + 1]]
+        for vm in peers:
+            core.step(1_000.0, membership_effects.LinkUp(vm))
+        quiet_ms = _cpu_ms(_quiet, core, peers, 1_000.0) / QUIET_S
+        now_ms = 1_000.0 + QUIET_S * MS_PER_S
+        change_ms = _cpu_ms(_change, core, members, now_ms) / CHANGES
+        rows.append((size_kib, join_ms, quiet_ms, change_ms))
+        print(
+            f"{count:7d} {size_kib:7.0f} {join_ms:8.1f} {quiet_ms:11.2f}"
+            f" {change_ms:10.2f}"
+        )
+    _print_lines(MEMBER_COUNTS, rows, ("KiB", "join", "quiet", "change"))
+    print(f"bytes: member {_size(MemberDelta((make_member(1),)))}")
+
+
+def _print_lines(
+    sizes: tuple[int, ...], rows: list[tuple[float, ...]], names: Any
+) -> None:
+    for position, name in enumerate(names):
+        line = fit(sizes, [row[position] for row in rows])
+        print(f"  {name}: {line.intercept:.4g} + {line.slope:.4g} x size")
+
+
+def _census(members: list[Member]) -> document_effects.CensusTaken:
+    return document_effects.CensusTaken(
+        tuple(
+            document_effects.CensusEntry(
+                member.vm, member.data_centre, member.incarnation, True
+            )
+            for member in members
+        )
+    )
+
+
+def _confirmed(members: list[Member], version: int) -> Confirmations:
+    return Confirmations(
+        tuple(
+            Confirmation(member.vm, member.incarnation, version)
+            for member in members
+        )
+    )
+
+
+def _spreader(members: list[Member]) -> DocumentSpreader:
+    own = members[0]
+    core = DocumentSpreader(own.vm, own.incarnation, own.data_centre)
+    core.step(0.0, _census(members))
+    for member in members[1 : PEERS + 1]:
+        core.step(0.0, document_effects.PeerLinked(member.vm))
+    core.step(
+        0.0,
+        document_effects.Received(members[1].vm, _confirmed(members[1:], 1)),
+    )
+    return core
+
+
+def _spread(
+    core: DocumentSpreader, members: list[Member], version: int
+) -> tuple[int, int]:
+    """Confirm one version in batches of 64; return messages and bytes."""
+    codec = peer_codec()
+    messages = size = 0
+    now_ms = version * 10_000.0
+    for start in range(1, len(members), 64):
+        now_ms += TICK_MS
+        batch = _confirmed(members[start : start + 64], version)
+        source = members[1 + start // 64 % PEERS].vm
+        core.step(now_ms, document_effects.Received(source, batch))
+        for effect in core.step(now_ms, document_effects.Tick()):
+            message = getattr(effect, "message", None)
+            if isinstance(message, Confirmations):
+                messages += 1
+                size += len(codec.encode(message, 1_000_000))
+    return messages, size
+
+
+def measure_confirmations() -> None:
+    """Print what confirmations of one rules version cost."""
+    print("members     KiB  census-ms  version-ms  messages  sent-KiB")
+    rows = []
+    for count in MEMBER_COUNTS:
+        members = [make_member(number) for number in range(count)]
+        core, size_kib = _kib(_spreader, members)
+        census_ms = _cpu_ms(core.step, 0.0, _census(members))
+        started_s = time.thread_time()
+        messages, size = _spread(core, members, 2)
+        version_ms = (time.thread_time() - started_s) * MS_PER_S
+        sent_kib = size / KIB
+        rows.append((size_kib, census_ms, version_ms, sent_kib))
+        print(
+            f"{count:7d} {size_kib:7.0f} {census_ms:10.2f} {version_ms:11.2f}"
+            f" {messages:9d} {sent_kib:9.1f}"
+        )
+    names = ("KiB", "census", "version", "sent KiB")
+    _print_lines(MEMBER_COUNTS, rows, names)
+
+
+def _choose(members: list[Member]) -> list[list[str]]:
+    return [
+        choose_homes(f"service-{number}", LIMITS, members)
+        for number in range(SERVICES)
+    ]
+
+
+def _order(homes: list[list[str]], members: list[Member]) -> None:
+    for names in homes:
+        forwarding_order(names, members, "dc-0")
+
+
+def measure_homes() -> None:
+    """Print what homes cost for each service, against the members."""
+    print("members  choose-ms/service  order-ms/service")
+    rows = []
+    for count in MEMBER_COUNTS:
+        members = [make_member(number) for number in range(count)]
+        choose_ms = _cpu_ms(_choose, members) / SERVICES
+        order_ms = _cpu_ms(_order, _choose(members), members) / SERVICES
+        rows.append((choose_ms, order_ms))
+        print(f"{count:7d} {choose_ms:18.3f} {order_ms:17.4f}")
+    _print_lines(MEMBER_COUNTS, rows, ("choose", "order"))
+
+
+def _table(leafs: int) -> LeafTable:
+    table = LeafTable("dc-0", EventBuffer("vm-1", 0.0))
+    for number in range(leafs // SERVICE_LEAFS):
+        table.set_topology(0.0, make_topology(number))
+    return table
+
+
+def measure_leafs() -> None:
+    """Print what the leaf table costs."""
+    print("leafs        KiB  take-ms  grant-ms  take-outs-ms")
+    rows = []
+    for count in LEAF_COUNTS:
+        table, size_kib = _kib(_table, count)
+        take_ms = _cpu_ms(_table, count)
+        grant = Grant(1, 9, 1)
+        grant_ms = _cpu_ms(table.set_grant, 0.0, "service-0", grant)
+        outs = frozenset({"dc-1"})
+        out_ms = _cpu_ms(table.set_taken_out, outs, frozenset())
+        rows.append((size_kib, take_ms, grant_ms, out_ms))
+        print(
+            f"{count:6d} {size_kib:9.0f} {take_ms:8.1f} {grant_ms:9.2f}"
+            f" {out_ms:13.2f}"
+        )
+    _print_lines(LEAF_COUNTS, rows, ("KiB", "take", "grant", "take-outs"))
+    news = tuple(
+        LeafNews(f"service-0-leaf-{index}", ReportedState.WARM, INCARNATION)
+        for index in range(SERVICE_LEAFS)
+    )
+    print(f"bytes: news of a service {_size(LeafNewsList(news))}")
+
+
+def measure() -> None:
+    """Print the figures of all cores."""
+    measure_membership()
+    measure_confirmations()
+    measure_homes()
+    measure_leafs()
--- /dev/null
+++ b/tools/capacity_homes.py
@@ -0,0 +1,177 @@
+"""Processor time of homes and forwarding in a process without sockets.
+
+The runners are the program's own; links, store and query path are stubs.
+"""
+
+import random
+import time
+import types
+from typing import Any
+
+import attrs
+from tools.capacity_fit import fit
+from tools.capacity_sizes import make_member
+from tools.capacity_sizes import make_topology
+
+from oriolegate.clock import SystemClock
+from oriolegate.membership.messages import Member
+from oriolegate.membership.messages import MemberState
+from oriolegate.runtime.forward_runner import ForwardRunner
+from oriolegate.runtime.share_runner import ShareRunner
+from oriolegate.shares import effects
+from oriolegate.shares.core import Shares
+from oriolegate.shares.service_share import ShareOwner
+
+MEMBERS = 2_200
+SERVICE_COUNTS = (33, 133, 533)
+FORWARD_PASSES_PER_S = 4
+SHARE_TICKS_PER_S = 10
+MS_PER_S = 1_000.0
+
+
+class StubPeers:
+    """Stands for the peer runner: a list of members and no links."""
+
+    def __init__(self, members: list[Member]) -> None:
+        self.table = {member.vm: member for member in members}
+        self.membership = types.SimpleNamespace(own=members[0])
+        self.mesh = types.SimpleNamespace(
+            open_link=self._open, linked_vms=list, send=self._send
+        )
+        self.handlers: dict[type, Any] = {}
+        self.on_members: list[Any] = []
+        self.on_paused: list[Any] = []
+        self.on_lost: list[Any] = []
+        self.on_ended: Any = None
+        self.opened: set[str] = set()
+
+    def _open(self, vm: str) -> None:
+        self.opened.add(vm)
+
+    def _send(self, *_: object) -> bool:
+        return True
+
+    def members(self) -> list[Member]:
+        """Return the members that may get work."""
+        return [
+            member
+            for member in self.table.values()
+            if member.state is not MemberState.DEAD
+        ]
+
+    def change(self, position: int, state: MemberState) -> None:
+        """Put a member in another state and tell the listeners."""
+        vm = list(self.table)[position]
+        self.table[vm] = attrs.evolve(self.table[vm], state=state)
+        for listener in self.on_members:
+            listener()
+
+
+class _Waiting:
+    """A platform call that is never answered."""
+
+    def addCallbacks(self, *_: object) -> None:  # noqa: N802 (twisted's name)
+        """Forget the callbacks."""
+
+
+@attrs.frozen
+class Costs:
+    """Processor time at one number of services.
+
+    Attributes:
+        suspicion_ms: A member is suspected, which moves no home.
+        death_ms: A member dies.
+        join_ms: A member joins.
+        topology_ms: One service's topology changes.
+        forward_ms_per_s: What the forward runner does each second.
+        shares_ms_per_s: What the share runner does each second.
+        links: Links that are kept to homes without any query.
+    """
+
+    suspicion_ms: float
+    death_ms: float
+    join_ms: float
+    topology_ms: float
+    forward_ms_per_s: float
+    shares_ms_per_s: float
+    links: int
+
+
+def _cpu_ms(work: Any, *arguments: Any) -> float:
+    started_s = time.thread_time()
+    work(*arguments)
+    return (time.thread_time() - started_s) * MS_PER_S
+
+
+def _runners(
+    peers: StubPeers, services: int
+) -> tuple[ShareRunner, ForwardRunner, dict[str, Any]]:
+    topologies = {
+        f"service-{number}": make_topology(number) for number in range(services)
+    }
+    tier: Any = types.SimpleNamespace(
+        table=types.SimpleNamespace(topologies=topologies),
+        can_run=lambda _: False,
+        fits_grant=lambda _: True,
+        take_grant=lambda *_: None,
+    )
+    platform: Any = types.SimpleNamespace(get=lambda *_: _Waiting())
+    own = peers.membership.own
+    clock = SystemClock()
+    owner = ShareOwner(own.vm, own.incarnation, f"{own.host}:{own.peer_port}")
+    typed: Any = peers
+
+    def call_later(*_: object) -> Any:
+        return types.SimpleNamespace(cancel=lambda: None)
+
+    shares = ShareRunner(
+        Shares(owner, random.Random(1)),
+        typed,
+        platform,
+        tier,
+        clock,
+        call_later,
+    )
+    events: Any = None
+    forwards = ForwardRunner(typed, shares, tier, clock, call_later, events)
+    return shares, forwards, topologies
+
+
+def measure_services(services: int) -> Costs:
+    """Return the costs at one number of services and 2,200 members."""
+    members = [make_member(number) for number in range(MEMBERS)]
+    peers = StubPeers(members)
+    shares, forwards, topologies = _runners(peers, services)
+    shares.choose_homes()
+    suspicion_ms = _cpu_ms(peers.change, 700, MemberState.SUSPECT)
+    death_ms = _cpu_ms(peers.change, 700, MemberState.DEAD)
+    join_ms = _cpu_ms(peers.change, 700, MemberState.LIVE)
+    topology = topologies["service-0"]
+    topologies["service-0"] = attrs.evolve(topology, generation=2)
+    topology_ms = _cpu_ms(shares.choose_homes)
+    forward_ms = _cpu_ms(forwards.start)
+    shares_ms = _cpu_ms(shares.step, effects.Tick())
+    return Costs(
+        suspicion_ms,
+        death_ms,
+        join_ms,
+        topology_ms,
+        forward_ms * FORWARD_PASSES_PER_S,
+        shares_ms * SHARE_TICKS_PER_S,
+        len(peers.opened),
+    )
+
+
+def measure() -> None:
+    """Print the costs and their slopes over services."""
+    names = [field.name for field in attrs.fields(Costs)]
+    print("services  " + "  ".join(names))
+    rows = []
+    for services in SERVICE_COUNTS:
+        costs = attrs.astuple(measure_services(services))
+        rows.append(costs)
+        figures = "  ".join(f"{value:.2f}" for value in costs)
+        print(f"{services:8d}  {figures}", flush=True)
+    for position, name in enumerate(names):
+        line = fit(SERVICE_COUNTS, [row[position] for row in rows])
+        print(f"  {name}: {line.intercept:.4g} + {line.slope:.4g} x services")
--- a/tools/fleet.py
+++ b/tools/fleet.py
@@ -89,9 +89,14 @@
         count: int,
         log_folder: pathlib.Path,
         program: list[str] | None = None,
+        vm_list: list[Vm] | None = None,
+        platform_address: tuple[str, int] = PLATFORM,
+        first_leaf_port: int = FIRST_LEAF_PORT,
     ) -> None:
         self.layout = layout
-        self.vms = vms(layout, count)
+        self.vms = vm_list or vms(layout, count)
+        self.platform_address = platform_address
+        self.first_leaf_port = first_leaf_port
         self.log_folder = log_folder
         self.program = program or [sys.executable, "-m", "oriolegate"]
         self.running: dict[str, subprocess.Popen[bytes]] = {}
@@ -134,19 +139,37 @@
             [
                 "emulate",
                 f"--layout={self.layout}",
-                f"--platform-port={PLATFORM[1]}",
-                f"--first-leaf-port={FIRST_LEAF_PORT}",
+                f"--host={self.platform_address[0]}",
+                f"--platform-port={self.platform_address[1]}",
+                f"--first-leaf-port={self.first_leaf_port}",
             ],
         )
         self._wait(lambda: self.platform("GET", "/vms")[0] == 200, "emulator")
 
     def platform(
-        self, method: str, path: str, body: Any = None
+        self,
+        method: str,
+        path: str,
+        body: Any = None,
+        version: int = 0,
     ) -> tuple[int, Any]:
-        """Call the platform or the emulator's control."""
-        connection = http.client.HTTPConnection(*PLATFORM, timeout=10.0)
+        """Call the platform or the emulator's control.
+
+        Args:
+            method: Of HTTP.
+            path: Of the call.
+            body: Sent as JSON.
+            version: A PUT expects the object at this version; 0 is absent.
+        """
+        connection = http.client.HTTPConnection(
+            *self.platform_address, timeout=10.0
+        )
         data = None if body is None else json.dumps(body).encode()
-        headers = {"If-None-Match": "*"} if method == "PUT" else {}
+        headers = {}
+        if method == "PUT":
+            headers = {"If-None-Match": "*"}
+            if version:
+                headers = {"If-Match": str(version)}
         try:
             connection.request(method, path, data, headers)
             response = connection.getresponse()
@@ -171,6 +194,7 @@
 
     def start_vm(self, vm: Vm) -> None:
         """Start one VM's process."""
+        host, port = self.platform_address
         self.running[vm.name] = self._spawn(
             vm.name,
             [
@@ -181,7 +205,7 @@
                 f"--caller-port={CALLER_PORT}",
                 f"--admin-port={ADMIN_PORT}",
                 f"--peer-port={PEER_PORT}",
-                f"--platform-urls=http://{PLATFORM[0]}:{PLATFORM[1]}",
+                f"--platform-urls=http://{host}:{port}",
                 "--balancer-notice-ms=1000",
                 "--stop-limit-ms=20000",
             ],
