Measure start, held services and the list of VMs; split the scripts

Cause: leafs and held services rose together in one figure, and a poll of the platform's list was not counted.

--- a/tools/capacity_cores.py
+++ b/tools/capacity_cores.py
@@ -4,17 +4,17 @@
 and bytes of messages by the codec. The sockets are left out.
 """
 
-from collections.abc import Callable
+import json
 import random
 import time
-import tracemalloc
-from typing import Any
 
-from tools.capacity_fit import fit
-from tools.capacity_sizes import INCARNATION
+from tools.capacity_meter import allocated_kib
+from tools.capacity_meter import encoded_bytes
+from tools.capacity_meter import KIB
+from tools.capacity_meter import MS_PER_S
+from tools.capacity_meter import print_lines
+from tools.capacity_meter import processor_ms
 from tools.capacity_sizes import make_member
-from tools.capacity_sizes import make_topology
-from tools.capacity_sizes import SERVICE_LEAFS
 
 from oriolegate.configuration import effects as document_effects
 from oriolegate.configuration.messages import Confirmation
@@ -30,44 +30,17 @@
 from oriolegate.shares.homes import choose_homes
 from oriolegate.shares.homes import forwarding_order
 from oriolegate.shares.share_object import Amounts
-from oriolegate.timeline.events import EventBuffer
-from oriolegate.upstreams.leaf_state import Grant
-from oriolegate.upstreams.leaf_state import ReportedState
-from oriolegate.upstreams.leaf_table import LeafTable
-from oriolegate.upstreams.messages import LeafNews
-from oriolegate.upstreams.messages import LeafNewsList
+from tools import capacity_leafs
 
 MEMBER_COUNTS = (275, 550, 1_100, 2_200)
-LEAF_COUNTS = (1_000, 4_000, 16_000)
 PEERS = 11
 QUIET_S = 20
 CHANGES = 20
 SERVICES = 20
 TICK_MS = 250.0
-MS_PER_S = 1_000.0
-KIB = 1_024
 LIMITS = Amounts(4, 35, 1)
 
 
-def _kib(build: Callable[..., Any], *arguments: Any) -> tuple[Any, float]:
-    """Build something; return it with the memory that it holds."""
-    tracemalloc.start()
-    built = build(*arguments)
-    size, _ = tracemalloc.get_traced_memory()
-    tracemalloc.stop()
-    return built, size / KIB
-
-
-def _cpu_ms(work: Callable[..., object], *arguments: Any) -> float:
-    started_s = time.thread_time()
-    work(*arguments)
-    return (time.thread_time() - started_s) * MS_PER_S
-
-
-def _size(message: object) -> int:
-    return len(peer_codec().encode(message, 1_000_000))
-
-
 def _joined(members: list[Member]) -> Membership:
     core = Membership(members[0], random.Random(1))
     delta = MemberDelta(tuple(members[1:]))
@@ -76,6 +49,11 @@
     return core
 
 
+def _joined_fresh(count: int) -> Membership:
+    """Join with members of its own, so that they count as memory."""
+    return _joined([make_member(number) for number in range(count)])
+
+
 def _quiet(core: Membership, peers: list[str], start_ms: float) -> float:
     """Return the last time after quiet seconds with heartbeats."""
     now_ms = start_ms
@@ -115,29 +93,59 @@
     rows = []
     for count in MEMBER_COUNTS:
         members = [make_member(number) for number in range(count)]
-        core, size_kib = _kib(_joined, members)
-        join_ms = _cpu_ms(_joined, members)
+        core, size_kib = allocated_kib(_joined_fresh, count)
+        join_ms = processor_ms(_joined, members)
         peers = [member.vm for member in members[1 : PEERS + 1]]
         for vm in peers:
             core.step(1_000.0, membership_effects.LinkUp(vm))
-        quiet_ms = _cpu_ms(_quiet, core, peers, 1_000.0) / QUIET_S
+        quiet_ms = processor_ms(_quiet, core, peers, 1_000.0) / QUIET_S
         now_ms = 1_000.0 + QUIET_S * MS_PER_S
-        change_ms = _cpu_ms(_change, core, members, now_ms) / CHANGES
+        change_ms = processor_ms(_change, core, members, now_ms) / CHANGES
         rows.append((size_kib, join_ms, quiet_ms, change_ms))
         print(
             f"{count:7d} {size_kib:7.0f} {join_ms:8.1f} {quiet_ms:11.2f}"
             f" {change_ms:10.2f}"
         )
-    _print_lines(MEMBER_COUNTS, rows, ("KiB", "join", "quiet", "change"))
-    print(f"bytes: member {_size(MemberDelta((make_member(1),)))}")
+    print_lines(MEMBER_COUNTS, rows, ("KiB", "join", "quiet", "change"))
+    print(f"bytes: member {encoded_bytes(MemberDelta((make_member(1),)))}")
+
+
+def _list_body(members: list[Member]) -> bytes:
+    rows = [
+        {
+            "vm": member.vm,
+            "host": member.host,
+            "peer_port": member.peer_port,
+            "data_centre": member.data_centre,
+            "state": "live",
+        }
+        for member in members
+    ]
+    return json.dumps({"vms": rows}).encode()
+
+
+def _take_list(core: Membership, body: bytes) -> None:
+    rows = tuple(
+        membership_effects.ListedVm(
+            row["vm"], row["host"], row["peer_port"], row["data_centre"]
+        )
+        for row in json.loads(body)["vms"]
+    )
+    core.step(3.0, membership_effects.VmsListed(rows))
 
 
-def _print_lines(
-    sizes: tuple[int, ...], rows: list[tuple[float, ...]], names: Any
-) -> None:
-    for position, name in enumerate(names):
-        line = fit(sizes, [row[position] for row in rows])
-        print(f"  {name}: {line.intercept:.4g} + {line.slope:.4g} x size")
+def measure_listing() -> None:
+    """Print what one poll of the platform's list of VMs costs."""
+    print("members  list-KiB  take-ms")
+    rows = []
+    for count in MEMBER_COUNTS:
+        members = [make_member(number) for number in range(count)]
+        core = _joined(members)
+        body = _list_body(members)
+        take_ms = processor_ms(_take_list, core, body)
+        rows.append((len(body) / KIB, take_ms))
+        print(f"{count:7d} {len(body) / KIB:9.1f} {take_ms:8.2f}")
+    print_lines(MEMBER_COUNTS, rows, ("list KiB", "take"))
 
 
 def _census(members: list[Member]) -> document_effects.CensusTaken:
@@ -173,6 +181,11 @@
     return core
 
 
+def _fresh_spreader(count: int) -> DocumentSpreader:
+    """Build a spreader with names of its own, so that they count."""
+    return _spreader([make_member(number) for number in range(count)])
+
+
 def _spread(
     core: DocumentSpreader, members: list[Member], version: int
 ) -> tuple[int, int]:
@@ -199,8 +212,8 @@
     rows = []
     for count in MEMBER_COUNTS:
         members = [make_member(number) for number in range(count)]
-        core, size_kib = _kib(_spreader, members)
-        census_ms = _cpu_ms(core.step, 0.0, _census(members))
+        core, size_kib = allocated_kib(_fresh_spreader, count)
+        census_ms = processor_ms(core.step, 0.0, _census(members))
         started_s = time.thread_time()
         messages, size = _spread(core, members, 2)
         version_ms = (time.thread_time() - started_s) * MS_PER_S
@@ -211,7 +224,7 @@
             f" {messages:9d} {sent_kib:9.1f}"
         )
     names = ("KiB", "census", "version", "sent KiB")
-    _print_lines(MEMBER_COUNTS, rows, names)
+    print_lines(MEMBER_COUNTS, rows, names)
 
 
 def _choose(members: list[Member]) -> list[list[str]]:
@@ -232,47 +245,17 @@
     rows = []
     for count in MEMBER_COUNTS:
         members = [make_member(number) for number in range(count)]
-        choose_ms = _cpu_ms(_choose, members) / SERVICES
-        order_ms = _cpu_ms(_order, _choose(members), members) / SERVICES
+        choose_ms = processor_ms(_choose, members) / SERVICES
+        order_ms = processor_ms(_order, _choose(members), members) / SERVICES
         rows.append((choose_ms, order_ms))
         print(f"{count:7d} {choose_ms:18.3f} {order_ms:17.4f}")
-    _print_lines(MEMBER_COUNTS, rows, ("choose", "order"))
-
-
-def _table(leafs: int) -> LeafTable:
-    table = LeafTable("dc-0", EventBuffer("vm-1", 0.0))
-    for number in range(leafs // SERVICE_LEAFS):
-        table.set_topology(0.0, make_topology(number))
-    return table
-
-
-def measure_leafs() -> None:
-    """Print what the leaf table costs."""
-    print("leafs        KiB  take-ms  grant-ms  take-outs-ms")
-    rows = []
-    for count in LEAF_COUNTS:
-        table, size_kib = _kib(_table, count)
-        take_ms = _cpu_ms(_table, count)
-        grant = Grant(1, 9, 1)
-        grant_ms = _cpu_ms(table.set_grant, 0.0, "service-0", grant)
-        outs = frozenset({"dc-1"})
-        out_ms = _cpu_ms(table.set_taken_out, outs, frozenset())
-        rows.append((size_kib, take_ms, grant_ms, out_ms))
-        print(
-            f"{count:6d} {size_kib:9.0f} {take_ms:8.1f} {grant_ms:9.2f}"
-            f" {out_ms:13.2f}"
-        )
-    _print_lines(LEAF_COUNTS, rows, ("KiB", "take", "grant", "take-outs"))
-    news = tuple(
-        LeafNews(f"service-0-leaf-{index}", ReportedState.WARM, INCARNATION)
-        for index in range(SERVICE_LEAFS)
-    )
-    print(f"bytes: news of a service {_size(LeafNewsList(news))}")
+    print_lines(MEMBER_COUNTS, rows, ("choose", "order"))
 
 
 def measure() -> None:
     """Print the figures of all cores."""
     measure_membership()
+    measure_listing()
     measure_confirmations()
     measure_homes()
-    measure_leafs()
+    capacity_leafs.measure()
--- a/tools/capacity_fleet.py
+++ b/tools/capacity_fleet.py
@@ -31,6 +31,7 @@
     """Means over the processes of a fleet.
 
     Attributes:
+        start_s: Processor time until the measurement begins.
         core_percent: Processor time over wall time.
         rss_mib: Resident memory at the end.
         sent_bytes_per_s: Payload of peer messages, without framing.
@@ -41,6 +42,7 @@
         bytes_by_number: Sent bytes a second, by message number.
     """
 
+    start_s: float
     core_percent: float
     rss_mib: float
     sent_bytes_per_s: float
@@ -176,6 +178,7 @@
     size_rates = rates("size_bytes")
     pids = [process.pid for process in running.running.values()]
     return Cost(
+        start_s=sum(row.processor_s for row in before) / count,
         core_percent=sum(cores) / count,
         rss_mib=sum(rss_mib(pid) for pid in pids) / count,
         sent_bytes_per_s=sum(size_rates.values()) / count,
--- a/tools/capacity_homes.py
+++ b/tools/capacity_homes.py
@@ -4,12 +4,12 @@
 """
 
 import random
-import time
 import types
 from typing import Any
 
 import attrs
-from tools.capacity_fit import fit
+from tools.capacity_meter import print_lines
+from tools.capacity_meter import processor_ms
 from tools.capacity_sizes import make_member
 from tools.capacity_sizes import make_topology
 
@@ -26,7 +26,6 @@
 SERVICE_COUNTS = (33, 133, 533)
 FORWARD_PASSES_PER_S = 4
 SHARE_TICKS_PER_S = 10
-MS_PER_S = 1_000.0
 
 
 class StubPeers:
@@ -97,12 +96,6 @@
     links: int
 
 
-def _cpu_ms(work: Any, *arguments: Any) -> float:
-    started_s = time.thread_time()
-    work(*arguments)
-    return (time.thread_time() - started_s) * MS_PER_S
-
-
 def _runners(
     peers: StubPeers, services: int
 ) -> tuple[ShareRunner, ForwardRunner, dict[str, Any]]:
@@ -143,14 +136,14 @@
     peers = StubPeers(members)
     shares, forwards, topologies = _runners(peers, services)
     shares.choose_homes()
-    suspicion_ms = _cpu_ms(peers.change, 700, MemberState.SUSPECT)
-    death_ms = _cpu_ms(peers.change, 700, MemberState.DEAD)
-    join_ms = _cpu_ms(peers.change, 700, MemberState.LIVE)
+    suspicion_ms = processor_ms(peers.change, 700, MemberState.SUSPECT)
+    death_ms = processor_ms(peers.change, 700, MemberState.DEAD)
+    join_ms = processor_ms(peers.change, 700, MemberState.LIVE)
     topology = topologies["service-0"]
     topologies["service-0"] = attrs.evolve(topology, generation=2)
-    topology_ms = _cpu_ms(shares.choose_homes)
-    forward_ms = _cpu_ms(forwards.start)
-    shares_ms = _cpu_ms(shares.step, effects.Tick())
+    topology_ms = processor_ms(shares.choose_homes)
+    forward_ms = processor_ms(forwards.start)
+    shares_ms = processor_ms(shares.step, effects.Tick())
     return Costs(
         suspicion_ms,
         death_ms,
@@ -172,6 +165,4 @@
         rows.append(costs)
         figures = "  ".join(f"{value:.2f}" for value in costs)
         print(f"{services:8d}  {figures}", flush=True)
-    for position, name in enumerate(names):
-        line = fit(SERVICE_COUNTS, [row[position] for row in rows])
-        print(f"  {name}: {line.intercept:.4g} + {line.slope:.4g} x services")
+    print_lines(SERVICE_COUNTS, rows, names)
--- a/tools/measure_capacity.py
+++ b/tools/measure_capacity.py
@@ -2,6 +2,7 @@
 
     python tools/measure_capacity.py vms
     python tools/measure_capacity.py leafs
+    python tools/measure_capacity.py held
     python tools/measure_capacity.py changes
     python tools/measure_capacity.py cores
     python tools/measure_capacity.py homes
@@ -31,11 +32,12 @@
 VM_COUNTS = (3, 8, 16, 24, 48)
 LEAF_COUNTS = (30, 300, 1_200, 3_000)
 CHANGE_COUNTS = (0, 5, 20)
+HOLDER_COUNTS = (8, 24)
 FEW_VMS = 8
 CHANGE_VMS = 24
 FEW_LEAFS = 30
 HEADER = (
-    "     size  core%  busiest  rss-MiB  links  sent-B/s  sent-msg/s"
+    "     size  start-s  core%  busiest  rss-MiB  links  sent-B/s  sent-msg/s"
     "  platform calls/s of the fleet; sent B/s by message number"
 )
 
@@ -44,7 +46,8 @@
     calls = {name: round(rate, 3) for name, rate in cost.calls_per_s.items()}
     sizes = {name: round(rate) for name, rate in cost.bytes_by_number.items()}
     print(
-        f"{size:9d} {cost.core_percent:6.2f} {cost.largest_core_percent:8.2f}"
+        f"{size:9d} {cost.start_s:8.2f} {cost.core_percent:6.2f}"
+        f" {cost.largest_core_percent:8.2f}"
         f" {cost.rss_mib:8.1f} {cost.links:6.1f} {cost.sent_bytes_per_s:9.0f}"
         f" {cost.sent_messages_per_s:11.1f}  {calls} {sizes}",
         flush=True,
@@ -85,6 +88,17 @@
     _print_lines(LEAF_COUNTS, costs)
 
 
+def measure_held(network: int) -> None:
+    """Print the cost of 3,000 leafs against the number of processes.
+
+    A service has 4 homes: with more processes each holds fewer services.
+    """
+    print(HEADER)
+    for count in HOLDER_COUNTS:
+        cost, _ = capacity_fleet.measure(count, LEAF_COUNTS[-1], network)
+        _print_cost(count, cost)
+
+
 def measure_changes(network: int) -> None:
     """Print the cost against rules versions written in 20 s."""
     print(HEADER)
@@ -105,6 +119,7 @@
     parts = {
         "vms": measure_vms,
         "leafs": measure_leafs,
+        "held": measure_held,
         "changes": measure_changes,
         "cores": lambda _: capacity_cores.measure(),
         "homes": lambda _: capacity_homes.measure(),
