--- a/tools/fleet.py
+++ b/tools/fleet.py
@@ -17,7 +17,6 @@
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 KEY = "key-of-the-fleet-on-loopback-0123456789"
-PLATFORM_HOST = "127.0.0.1"
 CALLER_PORT = 8080
 ADMIN_PORT = 8081
 PEER_PORT = 8082
@@ -45,11 +44,13 @@
     """Where a fleet listens; two at a time need different ones.
 
     Attributes:
+        platform_host: IP number of the emulator.
         platform_port: Of the emulator's platform and control.
         first_leaf_port: Of the first leaf; the next ones count up.
         vm_network: First three numbers of the VMs' loopback addresses.
     """
 
+    platform_host: str = "127.0.0.1"
     platform_port: int = 7400
     first_leaf_port: int = 7500
     vm_network: str = "127.0.0"
@@ -104,10 +105,11 @@
         log_folder: pathlib.Path,
         program: list[str] | None = None,
         addresses: FleetAddresses | None = None,
+        vm_list: list[Vm] | None = None,
     ) -> None:
         self.layout = layout
         self.addresses = addresses or FleetAddresses()
-        self.vms = vms(layout, count, self.addresses.vm_network)
+        self.vms = vm_list or vms(layout, count, self.addresses.vm_network)
         self.log_folder = log_folder
         self.program = program or [sys.executable, "-m", "oriolegate"]
         self.running: dict[str, subprocess.Popen[bytes]] = {}
@@ -156,6 +158,7 @@
             [
                 "emulate",
                 f"--layout={self.layout}",
+                f"--host={self.addresses.platform_host}",
                 f"--platform-port={self.addresses.platform_port}",
                 f"--first-leaf-port={self.addresses.first_leaf_port}",
             ],
@@ -163,14 +166,31 @@
         self._wait(lambda: self.platform("GET", "/vms")[0] == 200, "emulator")
 
     def platform(
-        self, method: str, path: str, body: Any = None
+        self,
+        method: str,
+        path: str,
+        body: Any = None,
+        version: int = 0,
     ) -> tuple[int, Any]:
-        """Call the platform or the emulator's control."""
+        """Call the platform or the emulator's control.
+
+        Args:
+            method: Of HTTP.
+            path: Of the call.
+            body: Sent as JSON.
+            version: A PUT expects the object at this version; 0 is absent.
+        """
         connection = http.client.HTTPConnection(
-            PLATFORM_HOST, self.addresses.platform_port, timeout=10.0
+            self.addresses.platform_host,
+            self.addresses.platform_port,
+            timeout=10.0,
         )
         data = None if body is None else json.dumps(body).encode()
-        headers = {"If-None-Match": "*"} if method == "PUT" else {}
+        headers = {}
+        if method == "PUT":
+            headers = {"If-None-Match": "*"}
+            if version:
+                headers = {"If-Match": str(version)}
         try:
             connection.request(method, path, data, headers)
             response = connection.getresponse()
@@ -205,7 +225,7 @@
                 f"--caller-port={CALLER_PORT}",
                 f"--admin-port={ADMIN_PORT}",
                 f"--peer-port={PEER_PORT}",
-                f"--platform-urls=http://{PLATFORM_HOST}"
+                f"--platform-urls=http://{self.addresses.platform_host}"
                 f":{self.addresses.platform_port}",
                 f"--seed-peers={self._seeds()}",
                 "--balancer-notice-ms=1000",
