Measure scenarios in virtual time on a site of fakes

Cause: the policy had no figures beside a baseline; real sockets allow too few queries a second on one core to show a tail.

Change: `measurement` gets a reactor on a heap, leafs and connections without sockets under the product's own pools, entry VMs wired as in the composition root, an open-loop load, and a judge that reads the leafs' own record.

--- a/src/oriolegate/measurement/cost.py
+++ b/src/oriolegate/measurement/cost.py
@@ -193,7 +193,7 @@
         leafs = CannedLeafs(shards)
         leafs.start()
         tier = build_tier(reactor, leafs.ports)
-        runs = {
+        runs: dict[str, Callable[[], Awaitable[None]]] = {
             "policy": functools.partial(_policy_query, tier),
             "baseline": _agent_query(reactor, leafs.ports),
         }
--- /dev/null
+++ b/src/oriolegate/measurement/open_loop.py
@@ -0,0 +1,206 @@
+"""Open-loop load in virtual time, and the figures of a run."""
+
+from collections.abc import Callable
+import random
+from typing import Any
+
+import attrs
+from hdrh.histogram import HdrHistogram
+
+from oriolegate.measurement.judging import Judge
+from oriolegate.measurement.judging import Outcome
+from oriolegate.measurement.judging import SentRequest
+from oriolegate.measurement.virtual_site import VirtualSite
+from oriolegate.measurement.virtual_time import MS_PER_S
+from oriolegate.measurement.virtual_vm import VirtualVm
+from oriolegate.models.answer import Answer
+from oriolegate.models.answer import Refusal
+from oriolegate.models.request import CallerRequest
+from oriolegate.result_codes import RunState
+
+ROUTE = "search"
+US_PER_MS = 1_000.0
+HIGHEST_US = 120_000_000
+SIGNIFICANT_DIGITS = 3
+KEY_RANDOM_DIGITS = 20
+
+
+@attrs.frozen
+class Load:
+    """What the load generator sends.
+
+    Attributes:
+        rate_per_s: Requests a second, Poisson arrivals.
+        keyed_ratio: Share of requests that are not idempotent, 0 to 1.
+        sends: Times that each of these is sent, to VMs in turn, at once.
+    """
+
+    rate_per_s: float
+    keyed_ratio: float = 0.0
+    sends: int = 1
+
+
+class OpenLoop:
+    """Sends requests at random times, whatever becomes of earlier ones.
+
+    Attributes:
+        sent: All requests sent.
+        keys: Keys of the requests that are not idempotent, by request id.
+    """
+
+    def __init__(self, site: VirtualSite, load: Load, seed: int) -> None:
+        self.site = site
+        self.load = load
+        self.rng = random.Random(seed)
+        self.sent: list[SentRequest] = []
+        self.keys: dict[str, str] = {}
+        self.turn = 0
+        self.measure_from_ms = 0.0
+        self.end_ms = 0.0
+
+    def start(self, measure_from_ms: float, end_ms: float) -> None:
+        """Send from now on.
+
+        Args:
+            measure_from_ms: Requests sent before it are not measured.
+            end_ms: Nothing is sent after it.
+        """
+        self.measure_from_ms = measure_from_ms
+        self.end_ms = end_ms
+        self._schedule()
+
+    def _schedule(self) -> None:
+        pause_s = self.rng.expovariate(self.load.rate_per_s)
+        reactor = self.site.reactor
+        if reactor.now_ms() + pause_s * MS_PER_S < self.end_ms:
+            reactor.callLater(pause_s, self._arrive)
+
+    def _arrive(self) -> None:
+        self._schedule()
+        if self.rng.random() >= self.load.keyed_ratio:
+            self._send(self._next_vm(), None)
+            return
+        digits = f"{self.rng.getrandbits(64):0{KEY_RANDOM_DIGITS}d}"
+        key = f"{self.site.reactor.wall_ms()}-{digits}"
+        for _ in range(self.load.sends):
+            self._send(self._next_vm(), key)
+
+    def _next_vm(self) -> VirtualVm:
+        vms = [vm for vm in self.site.vms if not vm.timers.dead]
+        self.turn += 1
+        return vms[self.turn % len(vms)]
+
+    def _send(self, vm: VirtualVm, key: str | None) -> None:
+        now_ms = self.site.reactor.now_ms()
+        sent = SentRequest(
+            f"r{len(self.sent)}", now_ms, now_ms >= self.measure_from_ms
+        )
+        self.sent.append(sent)
+        if key is not None:
+            self.keys[sent.request_id] = key
+        request = CallerRequest(
+            request_id=sent.request_id,
+            caller="load",
+            route=ROUTE,
+            body=sent.request_id.encode(),
+            idempotent=key is None,
+            idempotency_key=key,
+        )
+
+        def done(outcome: Outcome) -> None:
+            sent.outcome = outcome
+            sent.done_ms = self.site.reactor.now_ms()
+
+        vm.timers.callLater(
+            0.0, lambda: vm.flow.handle(request).addCallback(done)
+        )
+
+
+def new_histogram() -> Any:
+    """Return an empty histogram of microseconds."""
+    return HdrHistogram(1, HIGHEST_US, SIGNIFICANT_DIGITS)
+
+
+def quantile_ms(histogram: Any, quantile: float) -> float:
+    """Return a quantile of a histogram of microseconds."""
+    found = histogram.get_value_at_percentile(quantile * 100.0)
+    return round(found / US_PER_MS, 3)
+
+
+def _ended_late_or_answered(sent: SentRequest) -> bool:
+    """Return whether a request counts for latency.
+
+    A refusal "not run" comes early, or tells the caller to go elsewhere; it
+    counts against goodput.
+    """
+    match sent.outcome:
+        case None | Refusal(run_state=RunState.NOT_RUN):
+            return False
+        case _:
+            return True
+
+
+def _answered_elsewhere(loop: OpenLoop) -> set[str]:
+    """Return the refused sends whose key another send got an answer for."""
+    answered = {
+        loop.keys[sent.request_id]
+        for sent in loop.sent
+        if sent.request_id in loop.keys and isinstance(sent.outcome, Answer)
+    }
+    return {
+        sent.request_id
+        for sent in loop.sent
+        if loop.keys.get(sent.request_id) in answered
+        and not isinstance(sent.outcome, Answer)
+    }
+
+
+def figures(
+    judge: Judge,
+    loop: OpenLoop,
+    new_work_after_ms: float | None,
+    on_request: Callable[[SentRequest, float], None] | None = None,
+) -> dict[str, Any]:
+    """Judge all requests of a run and work out its figures.
+
+    Args:
+        judge: Holds the far side's record.
+        loop: The requests.
+        new_work_after_ms: How long after the sign new work still came.
+        on_request: Told of each measured request and its coverage.
+    """
+    latencies = new_histogram()
+    coverages = []
+    whole = 0
+    elsewhere = _answered_elsewhere(loop)
+    for sent in loop.sent:
+        coverage = judge.judge(sent, sent.request_id in loop.keys)
+        if not sent.measured or sent.request_id in elsewhere:
+            continue
+        if on_request is not None:
+            on_request(sent, coverage)
+        if _ended_late_or_answered(sent):
+            latency_us = (sent.done_ms - sent.sent_ms) * US_PER_MS
+            latencies.record_value(max(1, int(latency_us)))
+            coverages.append(coverage)
+            whole += isinstance(sent.outcome, Answer) and coverage == 1.0
+    for leaf in loop.site.site.leafs.values():
+        judge.add_leaf(leaf.model.counts)
+    judge.add_doubled_runs()
+    seconds = (loop.end_ms - loop.measure_from_ms) / MS_PER_S
+    far_side = judge.far_side
+    return {
+        "queries": sum(sent.measured for sent in loop.sent),
+        "p50_ms": quantile_ms(latencies, 0.5),
+        "p99_ms": quantile_ms(latencies, 0.99),
+        "p999_ms": quantile_ms(latencies, 0.999),
+        "coverage": round(sum(coverages) / max(1, len(coverages)), 6),
+        "extra_load": round(
+            far_side.sub_requests / max(1, far_side.needed) - 1.0, 6
+        ),
+        "goodput_per_s": round(whole / seconds, 3),
+        "new_work_after_s": None
+        if new_work_after_ms is None
+        else round(new_work_after_ms / MS_PER_S, 4),
+        "violations": attrs.asdict(judge.violations),
+    }
--- a/src/oriolegate/measurement/registry.py
+++ b/src/oriolegate/measurement/registry.py
@@ -8,6 +8,9 @@
 
 from oriolegate.measurement.cost import cost_scenario
 from oriolegate.measurement.report import ScenarioResult
+from oriolegate.measurement.scenario import run_plan
+from oriolegate.measurement.scenario import ScenarioPlan
+from oriolegate.measurement.scenarios import PLANS
 
 
 @attrs.frozen
@@ -27,6 +30,15 @@
 
 Scenario = Callable[[ScenarioRun], Awaitable[ScenarioResult]]
 
+
+def _in_virtual_time(plan: Callable[[], ScenarioPlan]) -> Scenario:
+    async def measure(run: ScenarioRun) -> ScenarioResult:
+        return run_plan(plan(), run.seconds, run.seed)
+
+    return measure
+
+
 SCENARIOS: dict[str, Scenario] = {
+    **{name: _in_virtual_time(plan) for name, plan in PLANS.items()},
     "cost": lambda run: cost_scenario(run.reactor, run.seconds, run.seed),
 }
--- /dev/null
+++ b/src/oriolegate/measurement/virtual_site.py
@@ -0,0 +1,238 @@
+"""A whole site in virtual time: leafs, platform and entry VMs.
+
+It is a set of fakes at the product's interfaces: the network has latencies
+and connection costs, and loses nothing but what a fault takes away.
+"""
+
+from collections.abc import Callable
+import functools
+from typing import Any
+
+import attrs
+
+from oriolegate.measurement.far_side import FarSide
+from oriolegate.measurement.virtual_time import MS_PER_S
+from oriolegate.measurement.virtual_time import VirtualReactor
+from oriolegate.measurement.virtual_upstreams import VirtualLeaf
+from oriolegate.measurement.virtual_vm import VirtualVm
+from oriolegate.models.topology import Leaf
+from oriolegate.standins.layout import Layout
+from oriolegate.standins.platform_store import PlatformStore
+from oriolegate.standins.site import Site
+from oriolegate.standins.site_control import SiteControl
+from oriolegate.upstreams.leaf_state import Grant
+from oriolegate.upstreams.leaf_state import LeafPhase
+from oriolegate.upstreams.leaf_state import ReportedState
+
+FIRST_PORT = 10_000
+RULES_KIND = "rules"
+ACCEPTED_NAME = "accepted"
+WARMTH_RELAY_S = 0.02
+
+# (number of the VM, number of VMs, a leaf of the service) -> grant
+GrantPolicy = Callable[[int, int, Leaf], Grant]
+
+
+def even_split(vm: int, vms: int, leaf: Leaf) -> Grant:
+    """Divide slots and connections evenly; the first VM holds the cold share.
+
+    Args:
+        vm: Number of the VM, from 0.
+        vms: Number of VMs.
+        leaf: A leaf of the service.
+    """
+    cold = leaf.cold_slots if vm == 0 else 0
+    return Grant(leaf.slots // vms, leaf.connections // vms, cold)
+
+
+def without_warm_up(vm: int, vms: int, leaf: Leaf) -> Grant:
+    """Divide evenly, and let a cold leaf have as much as a warm one."""
+    slots = leaf.slots // vms
+    return Grant(slots, leaf.connections // vms, slots)
+
+
+def without_slots(vm: int, vms: int, leaf: Leaf) -> Grant:
+    """Divide connections evenly, and let each carry a request at any time."""
+    connections = leaf.connections // vms
+    return Grant(connections, connections, connections)
+
+
+class VirtualSite:
+    """A site and its entry VMs.
+
+    Attributes:
+        reactor: The time of all.
+        store: The platform's store.
+        site: The leaf models and what is published of them.
+        control: Faults of the leafs.
+        far_side: What arrived and ran at the leafs.
+        vms: The entry VMs.
+        shards_of_version: Shards of each version ever published.
+    """
+
+    def __init__(
+        self,
+        layout: Layout,
+        vm_data_centres: tuple[str, ...],
+        rules_text: str,
+        grants: GrantPolicy,
+        seed: int,
+    ) -> None:
+        self.reactor = VirtualReactor()
+        self.store = PlatformStore()
+        self.site = Site(layout, self.store, FIRST_PORT, seed)
+        self.control = SiteControl(self.site)
+        self.far_side = FarSide()
+        self.site.ledger = self.far_side
+        self.grants = grants
+        self.shards_of_version: dict[int, int] = {}
+        self.note_versions()
+        self.put_rules(rules_text)
+        leafs = self._virtual_leafs()
+        self.vms = [
+            self._vm(number, data_centre, leafs, seed)
+            for number, data_centre in enumerate(vm_data_centres)
+        ]
+
+    @property
+    def service(self) -> str:
+        """The service that is measured: the first of the layout."""
+        return self.site.layout.services[0].name
+
+    def _virtual_leafs(self) -> dict[int, VirtualLeaf]:
+        leafs = {}
+        servers: dict[str, Any] = self.site.servers
+        for name, row in self.site.leafs.items():
+            row.model.ledger = self.far_side
+            leaf = VirtualLeaf(
+                row.model, row.data_centre, self.reactor, self.far_side
+            )
+            servers[name] = leaf
+            leafs[row.port] = leaf
+        return leafs
+
+    def _vm(
+        self,
+        number: int,
+        data_centre: str,
+        leafs: dict[int, VirtualLeaf],
+        seed: int,
+    ) -> VirtualVm:
+        layout = self.site.layout
+        latencies_ms = {
+            there: layout.latency_ms(data_centre, there)
+            for there in layout.regions
+        }
+        vm = VirtualVm(
+            f"vm-{number + 1}",
+            data_centre,
+            self.reactor,
+            self.store,
+            leafs,
+            latencies_ms,
+            seed + number,
+        )
+        vm.on_topology = functools.partial(self._grant, vm, number)
+        return vm
+
+    def _grant(self, vm: VirtualVm, number: int, service: str) -> None:
+        topology = vm.tier.table.topologies[service]
+        leaf = next(iter(topology.leafs.values()))
+        grant = self.grants(number, len(self.vms), leaf)
+        if vm.tier.table.grants.get(service) != grant:
+            vm.tier.take_grant(service, grant)
+
+    def start(self) -> None:
+        """Start all VMs."""
+        for vm in self.vms:
+            vm.start()
+        if len(self.vms) > 1:
+            self.reactor.callLater(WARMTH_RELAY_S, self._relay_warmth)
+
+    def _relay_warmth(self) -> None:
+        """Tell all VMs which leafs the holder of the cold share found warm.
+
+        It stands for the peers' messages: a VM without a cold share can't
+        find out by itself.
+        """
+        self.reactor.callLater(WARMTH_RELAY_S, self._relay_warmth)
+        holder = self.vms[0]
+        if holder.timers.paused:
+            return
+        warm = {
+            name: state.incarnation
+            for name, state in holder.tier.table.leafs.items()
+            if state.phase is LeafPhase.WARM
+        }
+        for vm in self.vms[1:]:
+            vm.timers.callLater(WARMTH_RELAY_S, _take_warmth, vm, warm)
+
+    def note_versions(self) -> None:
+        """Remember the shards of each version of the measured service."""
+        state = self.site.services[self.service]
+        for version, shard_map in state.shard_maps.items():
+            self.shards_of_version[version] = len(shard_map)
+
+    def publish(self, version: int, shards: int) -> None:
+        """Publish an index version of the measured service."""
+        self.site.publish(self.service, version, shards)
+        self.note_versions()
+
+    def put_rules(self, text: str) -> None:
+        """Write a version of the rules to the store."""
+        version = self.store.version_of(RULES_KIND, ACCEPTED_NAME)
+        self.store.put(RULES_KIND, ACCEPTED_NAME, {"text": text}, version)
+
+    def order(self, action: str, **fields: Any) -> None:
+        """Carry out an action of `SiteControl` on leafs."""
+        order = {"action": action, **fields}
+        self.control.act_on_leafs(self.reactor.now_ms(), order)
+
+    def later(self, at_ms: float, call: Callable[..., Any], *args: Any) -> None:
+        """Make a call at a time."""
+        delay_ms = at_ms - self.reactor.now_ms()
+        self.reactor.callLater(delay_ms / MS_PER_S, call, *args)
+
+    def last_arrival_ms(self, **named: Any) -> float:
+        """Return when the last sub-request reached the named leafs."""
+        seen = self.far_side.last_arrival_ms
+        return max(
+            (
+                seen.get(leaf.model.settings.name, 0.0)
+                for leaf in self.site.leafs_of(**named)
+            ),
+            default=0.0,
+        )
+
+
+def _take_warmth(vm: VirtualVm, warm: dict[str, int]) -> None:
+    table = vm.tier.table
+    changed = False
+    for name, incarnation in warm.items():
+        state = table.leafs.get(name)
+        if (
+            state is not None
+            and state.phase is LeafPhase.COLD
+            and incarnation >= state.incarnation
+        ):
+            table.note_state(
+                vm.reactor.now_ms(), name, ReportedState.WARM, incarnation
+            )
+            changed = True
+    if changed:
+        # The public way to have waiting sub-requests looked at again.
+        service = next(iter(table.grants))
+        vm.tier.take_grant(service, table.grants[service])
+
+
+@attrs.frozen
+class Side:
+    """How one side of a scenario runs: the policy, or the baseline.
+
+    Attributes:
+        rules: Text of the rules.
+        grants: How the leafs' limits are divided.
+    """
+
+    rules: str
+    grants: GrantPolicy = even_split
--- /dev/null
+++ b/src/oriolegate/measurement/virtual_vm.py
@@ -0,0 +1,170 @@
+"""One entry VM in virtual time: the product's parts on fake surroundings.
+
+The parts are wired as in `runtime.composition`, without listening ports.
+"""
+
+import random
+from typing import Any
+from typing import TypeVar
+
+from twisted.internet import defer
+
+from oriolegate.claims.core import ClaimsCore
+from oriolegate.claims.settings import ClaimsSettings
+from oriolegate.coordinator.machine import Coordinator
+from oriolegate.measurement.virtual_time import MS_PER_S
+from oriolegate.measurement.virtual_time import VirtualReactor
+from oriolegate.measurement.virtual_time import VmTimers
+from oriolegate.measurement.virtual_time import WALL_START_MS
+from oriolegate.measurement.virtual_upstreams import VirtualClient
+from oriolegate.measurement.virtual_upstreams import VirtualDialer
+from oriolegate.measurement.virtual_upstreams import VirtualLeaf
+from oriolegate.metrics import MetricsRegistry
+from oriolegate.network import topology_wire
+from oriolegate.network.claim_store import ClaimStore
+from oriolegate.network.platform_api import StoredObject
+from oriolegate.rules.model import AcceptedRules
+from oriolegate.runtime.claim_gate import StoreClaimGate
+from oriolegate.runtime.query_runner import QueryRunner
+from oriolegate.runtime.query_tier import QueryTier
+from oriolegate.runtime.request_flow import RequestFlow
+from oriolegate.runtime.store_feed import StoreFeed
+from oriolegate.standins.in_memory_platform import InMemoryPlatform
+from oriolegate.standins.platform_store import PlatformStore
+from oriolegate.timeline.events import EventBuffer
+from oriolegate.upstreams.leaf_table import LeafTable
+
+PLATFORM_ONE_WAY_MS = 1.0
+TICK_S = 0.5
+MAX_CONCURRENT = 100_000
+TIMELINE_CAPACITY = 2_000
+
+T = TypeVar("T")
+
+
+class DistantPlatform:
+    """The platform as a VM reaches it: some milliseconds away.
+
+    Answers come to the VM by its own timers, so they wait while it pauses.
+    """
+
+    def __init__(
+        self, store: PlatformStore, reactor: VirtualReactor, timers: VmTimers
+    ) -> None:
+        self.inner: Any = InMemoryPlatform(store, reactor)
+        self.reactor = reactor
+        self.timers = timers
+
+    def __getattr__(self, call: str) -> Any:
+        """Return a platform call that takes its time both ways."""
+        one_way_s = PLATFORM_ONE_WAY_MS / MS_PER_S
+
+        def ask(*arguments: Any) -> "defer.Deferred[Any]":
+            answer: defer.Deferred[Any] = defer.Deferred()
+
+            def carry() -> None:
+                inner = getattr(self.inner, call)(*arguments)
+                inner.addBoth(
+                    lambda result: (
+                        self.timers.callLater(
+                            one_way_s, answer.callback, result
+                        )
+                        and None
+                    )
+                )
+
+            self.reactor.callLater(one_way_s, carry)
+            return answer
+
+        return ask
+
+
+class VirtualVm:
+    """One entry VM.
+
+    Attributes:
+        name: The VM.
+        data_centre: Where it is.
+        timers: Its timers; they pause with it.
+        tier: The query path.
+        flow: Takes callers' requests.
+        on_topology: Called with each service whose topology was taken over.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        data_centre: str,
+        reactor: VirtualReactor,
+        store: PlatformStore,
+        leafs: dict[int, VirtualLeaf],
+        latencies_ms: dict[str, float],
+        seed: int,
+    ) -> None:
+        self.name = name
+        self.data_centre = data_centre
+        self.reactor = reactor
+        self.timers = VmTimers(reactor)
+        self.platform: Any = DistantPlatform(store, reactor, self.timers)
+        self.rng = random.Random(seed)
+        events = EventBuffer(name, WALL_START_MS, TIMELINE_CAPACITY)
+        table = LeafTable(data_centre, events)
+        runner = QueryRunner(
+            Coordinator(table, events), reactor, self.timers.callLater
+        )
+        process = f"{name}.1"
+        dialer = VirtualDialer(process, self.timers, leafs, latencies_ms)
+        client = VirtualClient(dialer, reactor, process, runner)
+        runner.sender = client
+        self.claim_store = ClaimStore(
+            self.platform,
+            reactor,
+            self.timers,
+            ClaimsCore(name, "1", ClaimsSettings()),
+        )
+        self.flow = RequestFlow(
+            process=process,
+            clock=reactor,
+            runner=runner,
+            claims=StoreClaimGate(self.claim_store, reactor),
+            events=events,
+            metrics=MetricsRegistry(),
+            max_concurrent=MAX_CONCURRENT,
+        )
+        self.tier = QueryTier(reactor, table, runner, client, self.flow)
+        self.feeds = [
+            self._feed(topology_wire.KIND, self._got_topology),
+            self._feed("rules", self._got_rules),
+        ]
+        self.on_topology: Any = lambda service: None
+
+    def _feed(self, kind: str, receive: Any) -> StoreFeed:
+        feed = StoreFeed(
+            self.platform, kind, receive, self.timers.callLater, self.rng
+        )
+        feed.on_listed = self._check_ready
+        return feed
+
+    def start(self) -> None:
+        """Follow the platform's store, as a starting process does."""
+        for feed in self.feeds:
+            feed.start()
+        self.timers.callLater(TICK_S, self._tick)
+
+    def _tick(self) -> None:
+        self.tier.tick()
+        self.timers.callLater(TICK_S, self._tick)
+
+    def _got_topology(self, item: StoredObject) -> None:
+        self.tier.take_topology(
+            topology_wire.read_topology(item.name, item.version, item.value)
+        )
+        self.on_topology(item.name)
+
+    def _got_rules(self, item: StoredObject) -> None:
+        self.tier.take_rules(
+            AcceptedRules(item.version, str(item.value["text"]), "")
+        )
+
+    def _check_ready(self) -> None:
+        self.flow.state.ready = all(feed.listed for feed in self.feeds)
