Measure faults and planned changes in virtual time

Cause: only steady load, stragglers and overload were measured.

Change: scenarios cold-start, silent-cold, upstream-leave, replica-loss, index-change, repartition, shed, resend, data-centre-out-and-back, two-faults and paused-vm; rules and layouts that they share are in `sides`.

--- a/src/oriolegate/measurement/registry.py
+++ b/src/oriolegate/measurement/registry.py
@@ -31,9 +31,9 @@
 Scenario = Callable[[ScenarioRun], Awaitable[ScenarioResult]]
 
 
-def _in_virtual_time(plan: Callable[[], ScenarioPlan]) -> Scenario:
+def _in_virtual_time(plan: ScenarioPlan) -> Scenario:
     async def measure(run: ScenarioRun) -> ScenarioResult:
-        return run_plan(plan(), run.seconds, run.seed)
+        return run_plan(plan, run.seconds, run.seed)
 
     return measure
 
--- a/src/oriolegate/measurement/scenarios.py
+++ b/src/oriolegate/measurement/scenarios.py
@@ -1,101 +1,80 @@
-"""The scenarios in virtual time; docs/design/15-measurement.md tells of them.
+"""The table of scenarios in virtual time, and those without faults.
 
-Each names its load, its faults, and what is off in its baseline.
+docs/design/15-measurement.md tells what each does and what is off in its
+baseline.
 """
 
-from collections.abc import Callable
-import functools
-
-import attrs
+from collections.abc import Mapping
 
+from oriolegate.measurement import sides
 from oriolegate.measurement import virtual_site
+from oriolegate.measurement.fault_scenarios import FAULT_PLANS
 from oriolegate.measurement.open_loop import Load
-from oriolegate.measurement.open_loop import ROUTE
 from oriolegate.measurement.scenario import ScenarioPlan
-from oriolegate.measurement.virtual_site import Side
-from oriolegate.standins.layout import Layout
 from oriolegate.standins.layout import measurement_layout
-from oriolegate.standins.named_layouts import ANGA_PAMOJA
-
-POLICY_RULES = """\
-route {route} to {service}  # asked-by: Otieno: measurement
-service {service} deadline 1s result-limit 10000  # asked-by: Otieno
-"""
-# Hedging is off; each failed attempt is sent again at once, without a budget.
-BASELINE_RULES = (
-    POLICY_RULES
-    + """\
-service {service} hedge off  # asked-by: Otieno: baseline
-service {service} retry 100% attempts 3  # asked-by: Otieno: baseline
-service {service} limit waiting 1000000  # asked-by: Otieno: baseline
-"""
-)
 
-STUDIO_DESK = attrs.evolve(ANGA_PAMOJA, services=ANGA_PAMOJA.services[:1])
-ONE_VM = ("nairobi-a",)
+STEADY_RATE_PER_S = 100.0
 STRAGGLER_SHARDS = 130
-
-
-def _side(
-    layout: Layout,
-    rules: str,
-    grants: virtual_site.GrantPolicy = virtual_site.even_split,
-) -> Side:
-    service = layout.services[0].name
-    return Side(rules.format(route=ROUTE, service=service), grants)
+STRAGGLER_RATE_PER_S = 60.0
+OVERLOAD_SHARDS = 4
+OVERLOAD_SLOTS = 2
+OVERLOAD_REPLICAS = 2
+# Mean of the stand-ins' run times: log-normal, with stragglers.
+MEAN_RUN_MS = 4.66
+MEASUREMENT_VMS = ("dc-0",)
+STRAGGLER_LAYOUT = measurement_layout(STRAGGLER_SHARDS, replicas=2)
+OVERLOAD_LAYOUT = measurement_layout(
+    OVERLOAD_SHARDS, OVERLOAD_REPLICAS, slots=OVERLOAD_SLOTS
+)
+CAPACITY_PER_S = OVERLOAD_SLOTS * OVERLOAD_REPLICAS / MEAN_RUN_MS * 1_000.0
 
 
 def _steady() -> ScenarioPlan:
     return ScenarioPlan(
         name="steady",
-        layout=STUDIO_DESK,
-        load=Load(100.0),
-        policy=_side(STUDIO_DESK, POLICY_RULES),
-        baseline=_side(STUDIO_DESK, BASELINE_RULES),
-        vm_data_centres=ONE_VM,
+        layout=sides.STUDIO_DESK,
+        load=Load(STEADY_RATE_PER_S),
+        policy=sides.policy_side(sides.STUDIO_DESK),
+        baseline=sides.baseline_side(sides.STUDIO_DESK),
+        vm_data_centres=sides.ONE_VM,
     )
 
 
 def _straggler() -> ScenarioPlan:
-    layout = measurement_layout(STRAGGLER_SHARDS, replicas=2)
     return ScenarioPlan(
         name="straggler",
-        layout=layout,
-        load=Load(60.0),
-        policy=_side(layout, POLICY_RULES),
-        baseline=_side(layout, BASELINE_RULES),
-        vm_data_centres=("dc-0",),
+        layout=STRAGGLER_LAYOUT,
+        load=Load(STRAGGLER_RATE_PER_S),
+        policy=sides.policy_side(STRAGGLER_LAYOUT),
+        baseline=sides.baseline_side(STRAGGLER_LAYOUT),
+        vm_data_centres=MEASUREMENT_VMS,
     )
 
 
-OVERLOAD_SHARDS = 4
-OVERLOAD_SLOTS = 2
-OVERLOAD_REPLICAS = 2
-MEAN_RUN_MS = 4.66
-
-
 def _overload(name: str, factor: float) -> ScenarioPlan:
-    layout = measurement_layout(
-        OVERLOAD_SHARDS, OVERLOAD_REPLICAS, slots=OVERLOAD_SLOTS
-    )
-    slots = OVERLOAD_SLOTS * OVERLOAD_REPLICAS
-    capacity_per_s = slots / MEAN_RUN_MS * 1_000.0
     return ScenarioPlan(
         name=name,
-        layout=layout,
-        load=Load(factor * capacity_per_s),
-        policy=_side(layout, POLICY_RULES),
-        baseline=_side(layout, BASELINE_RULES, virtual_site.without_slots),
-        vm_data_centres=("dc-0",),
+        layout=OVERLOAD_LAYOUT,
+        load=Load(factor * CAPACITY_PER_S),
+        policy=sides.policy_side(OVERLOAD_LAYOUT),
+        baseline=sides.baseline_side(
+            OVERLOAD_LAYOUT, virtual_site.without_slots
+        ),
+        vm_data_centres=MEASUREMENT_VMS,
         time_factor=0.4,
     )
 
 
-PLANS: dict[str, Callable[[], ScenarioPlan]] = {
-    "steady": _steady,
-    "straggler": _straggler,
-    "overload-0.5x": functools.partial(_overload, "overload-0.5x", 0.5),
-    "overload-1x": functools.partial(_overload, "overload-1x", 1.0),
-    "overload-1.5x": functools.partial(_overload, "overload-1.5x", 1.5),
-    "overload": functools.partial(_overload, "overload", 2.5),
-}
+def _table() -> dict[str, ScenarioPlan]:
+    plans = [
+        _steady(),
+        _straggler(),
+        _overload("overload-0.5x", 0.5),
+        _overload("overload-1x", 1.0),
+        _overload("overload-1.5x", 1.5),
+        _overload("overload", 2.5),
+    ]
+    return {plan.name: plan for plan in plans} | FAULT_PLANS
+
+
+PLANS: Mapping[str, ScenarioPlan] = _table()
