Write measured figures to a page, draw plots, and test the counters

Cause: figures had no page, and a counter that can't fire proves nothing.

No figure is on the page yet.

--- a/Makefile
+++ b/Makefile
@@ -1,9 +1,10 @@
 PYTHON ?= python3
 VENV ?= .venv
+SECONDS_EACH ?= 12
 BIN := $(VENV)/bin
 export PYTHONPATH := $(CURDIR)/src
 
-.PHONY: test demo lint format types unit binary measure clean
+.PHONY: test demo lint format types unit binary measure measure-seeds clean
 
 $(VENV)/.installed: pyproject.toml
 	$(PYTHON) -m venv $(VENV)
@@ -33,5 +34,15 @@
 	$(BIN)/python tools/build_binary.py
 	$(BIN)/python tools/check_binary.py
 
+measure: $(VENV)/.installed
+	mkdir -p build
+	$(BIN)/python -m oriolegate measure --seconds $(SECONDS_EACH) \
+		--json build/measurements.json
+	$(BIN)/python -m oriolegate.measurement.pages \
+		--seconds $(SECONDS_EACH) --figures build/measurements.json
+
+measure-seeds: $(VENV)/.installed
+	$(BIN)/python -m oriolegate.measurement.pages --seconds 4 --seeds 5
+
 clean:
 	rm -rf $(VENV) build dist
--- /dev/null
+++ b/src/oriolegate/measurement/pages.py
@@ -0,0 +1,245 @@
+"""Writes measured figures into docs/measurements.md and draws its plots.
+
+`make measure` and `make measure-seeds` call it; see `main`.
+"""
+
+import argparse
+from collections.abc import Iterable
+from collections.abc import Mapping
+import json
+import pathlib
+import random
+from typing import Any
+
+from oriolegate.measurement import open_loop
+from oriolegate.measurement import plots
+from oriolegate.measurement import scenario
+from oriolegate.measurement.scenarios import PLANS
+from oriolegate.measurement.scenarios import STRAGGLER_SHARDS
+from oriolegate.measurement.virtual_time import MS_PER_S
+from oriolegate.standins.leaf_messages import ServiceTime
+
+PAGE = "measurements.md"
+PLOTS = "plots"
+TIMELINE_SCENARIO = "data-centre-out-and-back"
+LIMIT_QUERIES = 4_000
+COLUMNS = (
+    "queries",
+    "p50_ms",
+    "p99_ms",
+    "p999_ms",
+    "coverage",
+    "extra_load",
+    "goodput_per_s",
+    "new_work_after_s",
+)
+
+
+def second_choice_limit_ms(seed: int, quantile: float = 0.99) -> float:
+    """Return the straggler scenario's latency with perfect second choices.
+
+    Each straggling run is known at once and the shard's other replica asked
+    in its place; a query takes as long as its slowest shard. No tier can do
+    better without more replicas.
+    """
+    times = ServiceTime()
+    rng = random.Random(seed)
+
+    def run_ms() -> float:
+        run = times.median_ms * rng.lognormvariate(0.0, times.sigma)
+        if rng.random() < times.straggler_ratio:
+            run *= times.straggler_factor
+        return run
+
+    def shard_ms() -> float:
+        first = run_ms()
+        slow = first > times.median_ms * times.straggler_factor / 4
+        return min(first, run_ms()) if slow else first
+
+    histogram = open_loop.new_histogram()
+    for _ in range(LIMIT_QUERIES):
+        slowest = max(shard_ms() for _ in range(STRAGGLER_SHARDS))
+        histogram.record_value(int(slowest * open_loop.US_PER_MS))
+    return open_loop.quantile_ms(histogram, quantile)
+
+
+def _cell(value: Any) -> str:
+    if value is None:
+        return "-"
+    return f"{value:.4g}" if isinstance(value, float) else str(value)
+
+
+def violations_text(violations: Mapping[str, int]) -> str:
+    """Name the violations that are not 0."""
+    found = [f"{name} {count}" for name, count in violations.items() if count]
+    return ", ".join(found) or "none"
+
+
+def _with_latencies(value: Mapping[str, Any]) -> list[Mapping[str, Any]]:
+    rows: list[Mapping[str, Any]] = value["scenarios"]
+    return [row for row in rows if "p99_ms" in row["policy"]]
+
+
+def figures_table(value: Mapping[str, Any]) -> str:
+    """Return a table of the figures, two rows for each scenario."""
+    lines = [
+        "| scenario | side | " + " | ".join(COLUMNS) + " | violations |",
+        "|---|---|" + "---|" * (len(COLUMNS) + 1),
+    ]
+    for row in _with_latencies(value):
+        for side in ("policy", "baseline"):
+            figures = row[side]
+            cells = [_cell(figures[name]) for name in COLUMNS]
+            cells.append(violations_text(figures["violations"]))
+            lines.append(f"| {row['name']} | {side} | {' | '.join(cells)} |")
+    return "\n".join(lines) + "\n"
+
+
+def replace_section(page: str, name: str, text: str) -> str:
+    """Replace what stands between a section's two markers."""
+    begin, end = f"<!-- {name}: begin -->", f"<!-- {name}: end -->"
+    before, found, rest = page.partition(begin)
+    _, also_found, after = rest.partition(end)
+    if not found or not also_found:
+        raise ValueError(f"put the markers of {name} into the page first")
+    return f"{before}{begin}\n\n{text}\n{end}{after}"
+
+
+def _timeline(seed: int, seconds: float) -> str:
+    plan = PLANS[TIMELINE_SCENARIO]
+    points = {
+        "policy": scenario.run_side(plan, plan.policy, seconds, seed).timeline,
+        "baseline": scenario.run_side(
+            plan, plan.baseline, seconds, seed
+        ).timeline,
+    }
+    end_ms = seconds * plan.time_factor * MS_PER_S
+    return plots.timeline_plot(points, end_ms / 3, end_ms * 2 / 3, end_ms)
+
+
+def _straggler_text(value: Mapping[str, Any]) -> str:
+    for row in value["scenarios"]:
+        if row["name"] == "straggler":
+            limit_ms = second_choice_limit_ms(value["seed"])
+            p99_ms = row["policy"]["p99_ms"]
+            ratio = p99_ms / row["baseline"]["p99_ms"]
+            return (
+                f"Straggler: p99 is {ratio:.3f} of the baseline's. With"
+                f" perfect second choices p99 would be {limit_ms:.2f} ms; the"
+                f" policy takes {p99_ms / limit_ms:.2f} times that.\n"
+            )
+    return ""
+
+
+def _overload_text(value: Mapping[str, Any]) -> str:
+    rows = {row["name"]: row for row in value["scenarios"]}
+    if "overload" not in rows or "overload-1x" not in rows:
+        return ""
+    parts = []
+    for side in ("policy", "baseline"):
+        at_most = rows["overload"][side]["goodput_per_s"]
+        at_capacity = rows["overload-1x"][side]["goodput_per_s"]
+        parts.append(f"{at_most / max(at_capacity, 1e-9):.3f} ({side})")
+    return (
+        "Overload: goodput at 2.5 times capacity over goodput at capacity:"
+        f" {', '.join(parts)}.\n"
+    )
+
+
+def write_figures(
+    value: Mapping[str, Any], seconds: float, docs: pathlib.Path
+) -> None:
+    """Write the table of figures and draw the plots."""
+    text = (
+        f"Seed {value['seed']}, {seconds:g} s for each scenario.\n\n"
+        f"{figures_table(value)}\n"
+        f"{_straggler_text(value)}\n{_overload_text(value)}"
+    )
+    _write_section(docs, "figures", text)
+    folder = docs / PLOTS
+    folder.mkdir(exist_ok=True)
+    (folder / "latency.svg").write_text(
+        plots.latency_plot(_with_latencies(value))
+    )
+    (folder / f"{TIMELINE_SCENARIO}.svg").write_text(
+        _timeline(value["seed"], seconds)
+    )
+
+
+def _write_section(docs: pathlib.Path, name: str, text: str) -> None:
+    page = docs / PAGE
+    page.write_text(replace_section(page.read_text(), name, text))
+
+
+def write_seeds(
+    seeds: Iterable[int], seconds: float, docs: pathlib.Path
+) -> int:
+    """Run all scenarios over several seeds and write their violations.
+
+    Returns:
+        Violations of the policy's side.
+    """
+    numbers = list(seeds)
+    lines = [
+        f"Seeds {numbers}, {seconds:g} s for each scenario and seed.\n",
+        "| scenario | p99 ms, policy | p99 ms, baseline"
+        " | violations, policy | violations, baseline |",
+        "|---|---|---|---|---|",
+    ]
+    total = 0
+    for name, plan in PLANS.items():
+        results = [
+            scenario.run_plan(plan, seconds, number) for number in numbers
+        ]
+        cells = []
+        sides = {
+            "policy": [result.policy for result in results],
+            "baseline": [result.baseline for result in results],
+        }
+        for rows in sides.values():
+            spread = [row["p99_ms"] for row in rows]
+            cells.append(f"{min(spread):.1f} to {max(spread):.1f}")
+        for side, rows in sides.items():
+            summed = _sum([row["violations"] for row in rows])
+            cells.append(violations_text(summed))
+            total += sum(summed.values()) if side == "policy" else 0
+        lines.append(f"| {name} | {' | '.join(cells)} |")
+        print(lines[-1], flush=True)
+    _write_section(docs, "seeds", "\n".join(lines) + "\n")
+    return total
+
+
+def _sum(rows: list[Mapping[str, int]]) -> dict[str, int]:
+    return {name: sum(row[name] for row in rows) for name in rows[0]}
+
+
+def main() -> int:
+    """Write one part of the page.
+
+    Returns:
+        The exit status: 1 if the policy's side has violations.
+    """
+    parser = argparse.ArgumentParser(description=main.__doc__)
+    parser.add_argument("--docs", type=pathlib.Path, default="docs")
+    parser.add_argument("--seconds", type=float, required=True)
+    parser.add_argument("--figures", type=pathlib.Path, help="JSON to read")
+    parser.add_argument("--seeds", type=int, help="run seeds from 1 to this")
+    arguments = parser.parse_args()
+    violations = 0
+    if arguments.figures:
+        value = json.loads(arguments.figures.read_text())
+        write_figures(value, arguments.seconds, arguments.docs)
+        violations += sum(
+            sum(row["policy"]["violations"].values())
+            for row in _with_latencies(value)
+        )
+    if arguments.seeds:
+        violations += write_seeds(
+            range(1, arguments.seeds + 1), arguments.seconds, arguments.docs
+        )
+    print(f"violations of the policy's side: {violations}")
+    return 1 if violations else 0
+
+
+if __name__ == "__main__":
+    raise SystemExit(main())
--- /dev/null
+++ b/tests/measurement/test_scenarios.py
@@ -0,0 +1,123 @@
+"""Whole scenarios in virtual time: determinism, and the shape of figures."""
+
+import json
+import unittest
+
+import attrs
+
+from oriolegate.measurement import report
+from oriolegate.measurement import scenario
+from oriolegate.measurement import sides
+from oriolegate.measurement import virtual_site
+from oriolegate.measurement.fault_scenarios import FAULT_PLANS
+from oriolegate.measurement.open_loop import Load
+from oriolegate.measurement.scenario import ScenarioPlan
+from oriolegate.standins.layout import measurement_layout
+
+FIGURES = {
+    "queries",
+    "p50_ms",
+    "p99_ms",
+    "p999_ms",
+    "coverage",
+    "extra_load",
+    "goodput_per_s",
+    "new_work_after_s",
+    "violations",
+}
+VIOLATIONS = {
+    "cold_over_limit",
+    "connections_over_limit",
+    "cut",
+    "doubled",
+    "lost",
+    "false_not_run",
+    "mixed_snapshots",
+    "untrue_coverage",
+}
+SECONDS = 0.8
+SEED = 3
+
+
+def small_plan(faults=lambda stage: None, baseline_grants=None):
+    layout = measurement_layout(6, replicas=2, connection_ms=1.0)
+    grants = baseline_grants or virtual_site.even_split
+    return ScenarioPlan(
+        name="small",
+        layout=layout,
+        load=Load(80.0),
+        policy=sides.policy_side(layout),
+        baseline=sides.baseline_side(layout, grants),
+        vm_data_centres=("dc-0",),
+        faults=faults,
+    )
+
+
+def run_policy(plan, seed=SEED):
+    return scenario.run_side(plan, plan.policy, SECONDS, seed)
+
+
+class ScenarioTest(unittest.TestCase):
+    def test_the_same_seed_gives_the_same_figures(self):
+        plan = FAULT_PLANS["paused-vm"]
+        once = run_policy(plan)
+        self.assertEqual(once, run_policy(plan))
+        self.assertNotEqual(once, run_policy(plan, SEED + 1))
+
+    def test_figures_have_the_stated_fields_in_json(self):
+        result = scenario.run_plan(small_plan(), SECONDS, SEED)
+        text = json.dumps(report.to_plain(SEED, [result]))
+        value = json.loads(text)
+        self.assertEqual(value["seed"], SEED)
+        (row,) = value["scenarios"]
+        self.assertEqual(set(row), {"name", "policy", "baseline"})
+        for side in ("policy", "baseline"):
+            self.assertEqual(set(row[side]), FIGURES)
+            self.assertEqual(set(row[side]["violations"]), VIOLATIONS)
+            self.assertGreater(row[side]["queries"], 0)
+            self.assertIsNone(row[side]["new_work_after_s"])
+
+    def test_a_steady_run_is_whole_and_without_violations(self):
+        figures = run_policy(small_plan()).figures
+        self.assertEqual(figures["coverage"], 1.0)
+        self.assertEqual(sum(figures["violations"].values()), 0)
+
+    def test_cold_leafs_without_warm_up_are_counted_over_limit(self):
+        plan = small_plan(
+            lambda stage: stage.order_at(0.1, "turn-cold", data_centre="dc-0"),
+            virtual_site.without_warm_up,
+        )
+        plan = attrs.evolve(plan, load=Load(400.0))
+        baseline = scenario.run_side(plan, plan.baseline, SECONDS, SEED)
+        self.assertGreater(baseline.figures["violations"]["cold_over_limit"], 0)
+        policy = run_policy(plan)
+        self.assertEqual(policy.figures["violations"]["cold_over_limit"], 0)
+
+    def test_more_connections_than_granted_are_counted(self):
+        def too_many(vm, vms, leaf):
+            return attrs.evolve(
+                virtual_site.without_slots(vm, vms, leaf),
+                slots=leaf.connections + 40,
+                connections=leaf.connections + 40,
+            )
+
+        plan = attrs.evolve(small_plan(), load=Load(3_000.0))
+        plan = attrs.evolve(
+            plan, policy=attrs.evolve(plan.policy, grants=too_many)
+        )
+        found = scenario.run_side(plan, plan.policy, 0.1, SEED).figures
+        self.assertGreater(found["violations"]["connections_over_limit"], 0)
+
+    def test_a_request_that_gets_no_outcome_is_counted_as_cut(self):
+        def kill(stage):
+            timers = stage.site.vms[0].timers
+            stage.at(0.9, lambda: setattr(timers, "dead", True))
+
+        plan = attrs.evolve(small_plan(kill), load=Load(300.0))
+        plan = attrs.evolve(plan, vm_data_centres=("dc-0", "dc-0"))
+        self.assertGreater(run_policy(plan).figures["violations"]["cut"], 0)
+
+    def test_new_work_after_a_take_out_is_timed(self):
+        found = run_policy(FAULT_PLANS["data-centre-out-and-back"]).figures
+        self.assertIsNotNone(found["new_work_after_s"])
+        self.assertLessEqual(found["new_work_after_s"], 5.0)
