--- a/src/oriolegate/measurement/fault_scenarios.py
+++ b/src/oriolegate/measurement/fault_scenarios.py
@@ -18,7 +18,7 @@
 
 RATE_PER_S = 60.0
 SHARDS = STUDIO_DESK.services[0].shards
-# What one VM's leafs in other regions can bear, with a margin.
+# What the leafs in other regions can bear, with a margin.
 REMOTE_RATE_PER_S = 25.0
 PUBLICATIONS = 8
 TAKE_OUT = "take-out data-centre {}  # asked-by: Otieno: power works\n"
@@ -161,6 +161,7 @@
             "data-centre-out-and-back",
             _out_and_back,
             Load(REMOTE_RATE_PER_S),
+            TWO_VMS,
             time_factor=2.0,
         ),
         _plan("two-faults", _two_faults, load),
