Measure resends against a tier without claims

Cause: both sides of resend and paused-vm claimed keys, so the baseline showed nothing of what claims are for.

Change: a side may run without claims; grants and sides are one module.

--- a/src/oriolegate/measurement/fault_scenarios.py
+++ b/src/oriolegate/measurement/fault_scenarios.py
@@ -7,14 +7,13 @@
 import functools
 
 from oriolegate.measurement import sides
-from oriolegate.measurement import virtual_site
 from oriolegate.measurement.open_loop import Load
 from oriolegate.measurement.scenario import ScenarioPlan
 from oriolegate.measurement.scenario import Stage
+from oriolegate.measurement.sides import GrantPolicy
 from oriolegate.measurement.sides import ONE_VM
 from oriolegate.measurement.sides import STUDIO_DESK
 from oriolegate.measurement.sides import TWO_VMS
-from oriolegate.measurement.virtual_site import GrantPolicy
 
 RATE_PER_S = 60.0
 SHARDS = STUDIO_DESK.services[0].shards
@@ -129,7 +128,8 @@
     faults: Callable[[Stage], None],
     load: Load,
     vm_data_centres: tuple[str, ...] = ONE_VM,
-    baseline_grants: GrantPolicy = virtual_site.even_split,
+    baseline_grants: GrantPolicy = sides.even_split,
+    baseline_claims: bool = True,
     time_factor: float = 1.0,
 ) -> ScenarioPlan:
     return ScenarioPlan(
@@ -137,7 +137,9 @@
         layout=STUDIO_DESK,
         load=load,
         policy=sides.policy_side(STUDIO_DESK),
-        baseline=sides.baseline_side(STUDIO_DESK, baseline_grants),
+        baseline=sides.baseline_side(
+            STUDIO_DESK, baseline_grants, baseline_claims
+        ),
         vm_data_centres=vm_data_centres,
         faults=faults,
         time_factor=time_factor,
@@ -147,7 +149,7 @@
 def _plans() -> dict[str, ScenarioPlan]:
     load = Load(RATE_PER_S)
     keyed = Load(RATE_PER_S / 2, keyed_ratio=0.4, sends=2)
-    no_warm_up = virtual_site.without_warm_up
+    no_warm_up = sides.without_warm_up
     plans = [
         _plan("cold-start", _cold_start, load, baseline_grants=no_warm_up),
         _plan("silent-cold", _silent_cold, load, baseline_grants=no_warm_up),
@@ -156,7 +158,13 @@
         _plan("index-change", _index_change, load),
         _plan("repartition", _repartition, load),
         _plan("shed", _shed, load),
-        _plan("resend", lambda stage: None, keyed, TWO_VMS),
+        _plan(
+            "resend",
+            lambda stage: None,
+            keyed,
+            TWO_VMS,
+            baseline_claims=False,
+        ),
         _plan(
             "data-centre-out-and-back",
             _out_and_back,
@@ -165,7 +173,7 @@
             time_factor=2.0,
         ),
         _plan("two-faults", _two_faults, load),
-        _plan("paused-vm", _paused_vm, keyed, TWO_VMS),
+        _plan("paused-vm", _paused_vm, keyed, TWO_VMS, baseline_claims=False),
     ]
     return {plan.name: plan for plan in plans}
 
--- a/src/oriolegate/measurement/open_loop.py
+++ b/src/oriolegate/measurement/open_loop.py
@@ -10,6 +10,7 @@
 from oriolegate.measurement.judging import Judge
 from oriolegate.measurement.judging import Outcome
 from oriolegate.measurement.judging import SentRequest
+from oriolegate.measurement.sides import ROUTE
 from oriolegate.measurement.virtual_site import VirtualSite
 from oriolegate.measurement.virtual_time import MS_PER_S
 from oriolegate.measurement.virtual_vm import VirtualVm
@@ -18,7 +19,6 @@
 from oriolegate.models.request import CallerRequest
 from oriolegate.result_codes import RunState
 
-ROUTE = "search"
 US_PER_MS = 1_000.0
 HIGHEST_US = 120_000_000
 SIGNIFICANT_DIGITS = 3
--- a/src/oriolegate/measurement/scenario.py
+++ b/src/oriolegate/measurement/scenario.py
@@ -11,7 +11,7 @@
 from oriolegate.measurement.open_loop import Load
 from oriolegate.measurement.open_loop import OpenLoop
 from oriolegate.measurement.report import ScenarioResult
-from oriolegate.measurement.virtual_site import Side
+from oriolegate.measurement.sides import Side
 from oriolegate.measurement.virtual_site import VirtualSite
 from oriolegate.measurement.virtual_time import MS_PER_S
 from oriolegate.standins.layout import Layout
@@ -143,9 +143,7 @@
         seconds: Virtual time that is measured.
         seed: Seed of all randomness.
     """
-    site = VirtualSite(
-        plan.layout, plan.vm_data_centres, side.rules, side.grants, seed
-    )
+    site = VirtualSite(plan.layout, plan.vm_data_centres, side, seed)
     reactor = site.reactor
     site.start()
     reactor.run_until(SETTLE_MS)
--- a/src/oriolegate/measurement/scenarios.py
+++ b/src/oriolegate/measurement/scenarios.py
@@ -7,7 +7,6 @@
 from collections.abc import Mapping
 
 from oriolegate.measurement import sides
-from oriolegate.measurement import virtual_site
 from oriolegate.measurement.fault_scenarios import FAULT_PLANS
 from oriolegate.measurement.open_loop import Load
 from oriolegate.measurement.scenario import ScenarioPlan
@@ -57,9 +56,7 @@
         layout=OVERLOAD_LAYOUT,
         load=Load(factor * CAPACITY_PER_S),
         policy=sides.policy_side(OVERLOAD_LAYOUT),
-        baseline=sides.baseline_side(
-            OVERLOAD_LAYOUT, virtual_site.without_slots
-        ),
+        baseline=sides.baseline_side(OVERLOAD_LAYOUT, sides.without_slots),
         vm_data_centres=MEASUREMENT_VMS,
         time_factor=0.4,
     )
--- a/src/oriolegate/measurement/virtual_site.py
+++ b/src/oriolegate/measurement/virtual_site.py
@@ -8,19 +8,17 @@
 import functools
 from typing import Any
 
-import attrs
-
 from oriolegate.measurement.far_side import FarSide
+from oriolegate.measurement.sides import Side
 from oriolegate.measurement.virtual_time import MS_PER_S
 from oriolegate.measurement.virtual_time import VirtualReactor
 from oriolegate.measurement.virtual_upstreams import VirtualLeaf
+from oriolegate.measurement.virtual_vm import UnclaimedGate
 from oriolegate.measurement.virtual_vm import VirtualVm
-from oriolegate.models.topology import Leaf
 from oriolegate.standins.layout import Layout
 from oriolegate.standins.platform_store import PlatformStore
 from oriolegate.standins.site import Site
 from oriolegate.standins.site_control import SiteControl
-from oriolegate.upstreams.leaf_state import Grant
 from oriolegate.upstreams.leaf_state import LeafPhase
 from oriolegate.upstreams.leaf_state import ReportedState
 
@@ -29,33 +27,6 @@
 ACCEPTED_NAME = "accepted"
 WARMTH_RELAY_S = 0.02
 
-# (number of the VM, number of VMs, a leaf of the service) -> grant
-GrantPolicy = Callable[[int, int, Leaf], Grant]
-
-
-def even_split(vm: int, vms: int, leaf: Leaf) -> Grant:
-    """Divide slots and connections evenly; the first VM holds the cold share.
-
-    Args:
-        vm: Number of the VM, from 0.
-        vms: Number of VMs.
-        leaf: A leaf of the service.
-    """
-    cold = leaf.cold_slots if vm == 0 else 0
-    return Grant(leaf.slots // vms, leaf.connections // vms, cold)
-
-
-def without_warm_up(vm: int, vms: int, leaf: Leaf) -> Grant:
-    """Divide evenly, and let a cold leaf have as much as a warm one."""
-    slots = leaf.slots // vms
-    return Grant(slots, leaf.connections // vms, slots)
-
-
-def without_slots(vm: int, vms: int, leaf: Leaf) -> Grant:
-    """Divide connections evenly, and let each carry a request at any time."""
-    connections = leaf.connections // vms
-    return Grant(connections, connections, connections)
-
 
 class VirtualSite:
     """A site and its entry VMs.
@@ -74,8 +45,7 @@
         self,
         layout: Layout,
         vm_data_centres: tuple[str, ...],
-        rules_text: str,
-        grants: GrantPolicy,
+        side: Side,
         seed: int,
     ) -> None:
         self.reactor = VirtualReactor()
@@ -84,10 +54,10 @@
         self.control = SiteControl(self.site)
         self.far_side = FarSide()
         self.site.ledger = self.far_side
-        self.grants = grants
+        self.side = side
         self.shards_of_version: dict[int, int] = {}
         self.note_versions()
-        self.put_rules(rules_text)
+        self.put_rules(side.rules)
         leafs = self._virtual_leafs()
         self.vms = [
             self._vm(number, data_centre, leafs, seed)
@@ -132,13 +102,15 @@
             latencies_ms,
             seed + number,
         )
+        if not self.side.claims:
+            vm.flow.claims = UnclaimedGate()
         vm.on_topology = functools.partial(self._grant, vm, number)
         return vm
 
     def _grant(self, vm: VirtualVm, number: int, service: str) -> None:
         topology = vm.tier.table.topologies[service]
         leaf = next(iter(topology.leafs.values()))
-        grant = self.grants(number, len(self.vms), leaf)
+        grant = self.side.grants(number, len(self.vms), leaf)
         if vm.tier.table.grants.get(service) != grant:
             vm.tier.take_grant(service, grant)
 
@@ -223,16 +195,3 @@
         # The public way to have waiting sub-requests looked at again.
         service = next(iter(table.grants))
         vm.tier.take_grant(service, table.grants[service])
-
-
-@attrs.frozen
-class Side:
-    """How one side of a scenario runs: the policy, or the baseline.
-
-    Attributes:
-        rules: Text of the rules.
-        grants: How the leafs' limits are divided.
-    """
-
-    rules: str
-    grants: GrantPolicy = even_split
--- a/src/oriolegate/measurement/virtual_vm.py
+++ b/src/oriolegate/measurement/virtual_vm.py
@@ -20,6 +20,9 @@
 from oriolegate.measurement.virtual_upstreams import VirtualDialer
 from oriolegate.measurement.virtual_upstreams import VirtualLeaf
 from oriolegate.metrics import MetricsRegistry
+from oriolegate.models.answer import Answer
+from oriolegate.models.answer import Refusal
+from oriolegate.models.request import CallerRequest
 from oriolegate.network import topology_wire
 from oriolegate.network.claim_store import ClaimStore
 from oriolegate.network.platform_api import StoredObject
@@ -79,6 +82,19 @@
         return ask
 
 
+class UnclaimedGate:
+    """Lets each request run without a claim, as a tier without claims does."""
+
+    def claim(
+        self, request: CallerRequest, limit_ms: float
+    ) -> "defer.Deferred[Refusal | None]":
+        """Let the request run."""
+        return defer.succeed(None)
+
+    def ended(self, request: CallerRequest, outcome: Answer | Refusal) -> None:
+        """Take the outcome; nothing is recorded."""
+
+
 class VirtualVm:
     """One entry VM.
 
--- a/tests/measurement/test_scenarios.py
+++ b/tests/measurement/test_scenarios.py
@@ -8,7 +8,6 @@
 from oriolegate.measurement import report
 from oriolegate.measurement import scenario
 from oriolegate.measurement import sides
-from oriolegate.measurement import virtual_site
 from oriolegate.measurement.fault_scenarios import FAULT_PLANS
 from oriolegate.measurement.open_loop import Load
 from oriolegate.measurement.scenario import ScenarioPlan
@@ -41,7 +40,7 @@
 
 def small_plan(faults=lambda stage: None, baseline_grants=None):
     layout = measurement_layout(6, replicas=2, connection_ms=1.0)
-    grants = baseline_grants or virtual_site.even_split
+    grants = baseline_grants or sides.even_split
     return ScenarioPlan(
         name="small",
         layout=layout,
@@ -85,7 +84,7 @@
     def test_cold_leafs_without_warm_up_are_counted_over_limit(self):
         plan = small_plan(
             lambda stage: stage.order_at(0.1, "turn-cold", data_centre="dc-0"),
-            virtual_site.without_warm_up,
+            sides.without_warm_up,
         )
         plan = attrs.evolve(plan, load=Load(400.0))
         baseline = scenario.run_side(plan, plan.baseline, SECONDS, SEED)
@@ -96,7 +95,7 @@
     def test_more_connections_than_granted_are_counted(self):
         def too_many(vm, vms, leaf):
             return attrs.evolve(
-                virtual_site.without_slots(vm, vms, leaf),
+                sides.without_slots(vm, vms, leaf),
                 slots=leaf.connections + 40,
                 connections=leaf.connections + 40,
             )
@@ -117,6 +116,13 @@
         plan = attrs.evolve(plan, vm_data_centres=("dc-0", "dc-0"))
         self.assertGreater(run_policy(plan).figures["violations"]["cut"], 0)
 
+    def test_keys_that_run_twice_without_claims_are_counted(self):
+        plan = FAULT_PLANS["resend"]
+        baseline = scenario.run_side(plan, plan.baseline, SECONDS, SEED)
+        self.assertGreater(baseline.figures["violations"]["doubled"], 0)
+        policy = run_policy(plan)
+        self.assertEqual(policy.figures["violations"]["doubled"], 0)
+
     def test_new_work_after_a_take_out_is_timed(self):
         found = run_policy(FAULT_PLANS["data-centre-out-and-back"]).figures
         self.assertIsNotNone(found["new_work_after_s"])
