--- a/src/oriolegate/measurement/scenario.py
+++ b/src/oriolegate/measurement/scenario.py
@@ -30,6 +30,7 @@
     Attributes:
         site: The site.
         rules: Text of the rules of this side.
+        seed: Seed of the run.
         start_ms: When measuring starts.
         end_ms: When the last request is sent.
         new_work_after_ms: How long after the sign new work still came, where
@@ -38,6 +39,7 @@
 
     site: VirtualSite
     rules: str
+    seed: int
     start_ms: float
     end_ms: float
     new_work_after_ms: float | None = None
@@ -151,7 +153,7 @@
     end_ms = start_ms + seconds * plan.time_factor * MS_PER_S
     loop = OpenLoop(site, plan.load, seed)
     loop.start(start_ms, end_ms)
-    stage = Stage(site, side.rules, start_ms, end_ms)
+    stage = Stage(site, side.rules, seed, start_ms, end_ms)
     plan.faults(stage)
     reactor.run_until(end_ms + AFTERMATH_MS)
     timeline = Timeline(start_ms)
