--- a/src/oriolegate/measurement/open_loop.py
+++ b/src/oriolegate/measurement/open_loop.py
@@ -23,6 +23,7 @@
 HIGHEST_US = 120_000_000
 SIGNIFICANT_DIGITS = 3
 KEY_RANDOM_DIGITS = 20
+EARLY_REFUSAL_MS = 50.0
 
 
 @attrs.frozen
@@ -127,15 +128,17 @@
     return round(found / US_PER_MS, 3)
 
 
-def _ended_late_or_answered(sent: SentRequest) -> bool:
-    """Return whether a request counts for latency.
+def _counts_for_latency(sent: SentRequest) -> bool:
+    """Return whether a request counts for latency and coverage.
 
-    A refusal "not run" comes early, or tells the caller to go elsewhere; it
-    counts against goodput.
+    An early refusal "not run" lets the caller ask elsewhere in time; it
+    counts against goodput alone. A late one is as bad as no answer.
     """
     match sent.outcome:
-        case None | Refusal(run_state=RunState.NOT_RUN):
+        case None:
             return False
+        case Refusal(run_state=RunState.NOT_RUN):
+            return sent.done_ms - sent.sent_ms > EARLY_REFUSAL_MS
         case _:
             return True
 
@@ -179,7 +182,7 @@
             continue
         if on_request is not None:
             on_request(sent, coverage)
-        if _ended_late_or_answered(sent):
+        if _counts_for_latency(sent):
             latency_us = (sent.done_ms - sent.sent_ms) * US_PER_MS
             latencies.record_value(max(1, int(latency_us)))
             coverages.append(coverage)
