--- /dev/null
+++ b/src/oriolegate/measurement/scenarios.py
@@ -0,0 +1,80 @@
+"""The table of scenarios in virtual time, and those without faults.
+
+docs/design/15-measurement.md tells what each does and what is off in its
+baseline.
+"""
+
+from collections.abc import Mapping
+
+from oriolegate.measurement import sides
+from oriolegate.measurement.fault_scenarios import FAULT_PLANS
+from oriolegate.measurement.open_loop import Load
+from oriolegate.measurement.random_faults import RANDOM_PLANS
+from oriolegate.measurement.scenario import ScenarioPlan
+from oriolegate.standins.layout import measurement_layout
+
+STEADY_RATE_PER_S = 100.0
+STRAGGLER_SHARDS = 130
+STRAGGLER_RATE_PER_S = 60.0
+OVERLOAD_SHARDS = 4
+OVERLOAD_SLOTS = 2
+OVERLOAD_REPLICAS = 2
+# Mean of the stand-ins' run times: log-normal, with stragglers.
+MEAN_RUN_MS = 4.66
+MEASUREMENT_VMS = ("dc-0",)
+STRAGGLER_LAYOUT = measurement_layout(STRAGGLER_SHARDS, replicas=2)
+OVERLOAD_LAYOUT = measurement_layout(
+    OVERLOAD_SHARDS, OVERLOAD_REPLICAS, slots=OVERLOAD_SLOTS
+)
+CAPACITY_PER_S = OVERLOAD_SLOTS * OVERLOAD_REPLICAS / MEAN_RUN_MS * 1_000.0
+
+
+def _steady() -> ScenarioPlan:
+    return ScenarioPlan(
+        name="steady",
+        layout=sides.STUDIO_DESK,
+        load=Load(STEADY_RATE_PER_S),
+        policy=sides.policy_side(sides.STUDIO_DESK),
+        baseline=sides.baseline_side(sides.STUDIO_DESK),
+        vm_data_centres=sides.ONE_VM,
+    )
+
+
+def _straggler() -> ScenarioPlan:
+    return ScenarioPlan(
+        name="straggler",
+        layout=STRAGGLER_LAYOUT,
+        load=Load(STRAGGLER_RATE_PER_S),
+        policy=sides.policy_side(STRAGGLER_LAYOUT),
+        baseline=sides.baseline_side(STRAGGLER_LAYOUT),
+        vm_data_centres=MEASUREMENT_VMS,
+    )
+
+
+def _overload(name: str, factor: float) -> ScenarioPlan:
+    return ScenarioPlan(
+        name=name,
+        layout=OVERLOAD_LAYOUT,
+        load=Load(factor * CAPACITY_PER_S),
+        policy=sides.policy_side(OVERLOAD_LAYOUT),
+        baseline=sides.baseline_side(OVERLOAD_LAYOUT, sides.without_slots),
+        vm_data_centres=MEASUREMENT_VMS,
+        time_factor=0.4,
+    )
+
+
+def _table() -> dict[str, ScenarioPlan]:
+    plans = [
+        _steady(),
+        _straggler(),
+        _overload("overload-0.5x", 0.5),
+        _overload("overload-1x", 1.0),
+        _overload("overload-1.5x", 1.5),
+        _overload("overload", 2.5),
+        *FAULT_PLANS.values(),
+        *RANDOM_PLANS,
+    ]
+    return {plan.name: plan for plan in plans}
+
+
+PLANS: Mapping[str, ScenarioPlan] = _table()
