--- a/src/oriolegate/measurement/judging.py
+++ b/src/oriolegate/measurement/judging.py
@@ -9,8 +9,8 @@
 from oriolegate.models.answer import Answer
 from oriolegate.models.answer import Refusal
 from oriolegate.result_codes import RunState
+from oriolegate.standins.leaf_counts import LeafCounts
 from oriolegate.standins.leaf_documents import DOCUMENTS_PER_SHARD
-from oriolegate.standins.leaf_model import LeafCounts
 
 DOCUMENT_ID = re.compile(r"v(\d+)-s(\d+)-d(\d+)")
 
--- a/src/oriolegate/measurement/virtual_vm.py
+++ b/src/oriolegate/measurement/virtual_vm.py
@@ -3,6 +3,7 @@
 The parts are wired as in `runtime.composition`, without listening ports.
 """
 
+from collections.abc import Callable
 import random
 from typing import Any
 from typing import TypeVar
@@ -20,11 +21,12 @@
 from oriolegate.measurement.virtual_upstreams import VirtualDialer
 from oriolegate.measurement.virtual_upstreams import VirtualLeaf
 from oriolegate.metrics import MetricsRegistry
-from oriolegate.models.answer import Answer
+from oriolegate.models.answer import Outcome
 from oriolegate.models.answer import Refusal
 from oriolegate.models.request import CallerRequest
 from oriolegate.network import topology_wire
 from oriolegate.network.claim_store import ClaimStore
+from oriolegate.network.platform_api import ObjectList
 from oriolegate.network.platform_api import StoredObject
 from oriolegate.rules.model import AcceptedRules
 from oriolegate.runtime.claim_gate import StoreClaimGate
@@ -91,7 +93,7 @@
         """Let the request run."""
         return defer.succeed(None)
 
-    def ended(self, request: CallerRequest, outcome: Answer | Refusal) -> None:
+    def ended(self, request: CallerRequest, outcome: Outcome) -> None:
         """Take the outcome; nothing is recorded."""
 
 
@@ -148,18 +150,26 @@
             max_concurrent=MAX_CONCURRENT,
         )
         self.tier = QueryTier(reactor, table, runner, client, self.flow)
+        self.listed: set[str] = set()
         self.feeds = [
             self._feed(topology_wire.KIND, self._got_topology),
             self._feed("rules", self._got_rules),
         ]
         self.on_topology: Any = lambda service: None
 
-    def _feed(self, kind: str, receive: Any) -> StoreFeed:
-        feed = StoreFeed(
-            self.platform, kind, receive, self.timers.callLater, self.rng
+    def _feed(
+        self, kind: str, receive: Callable[[StoredObject], None]
+    ) -> StoreFeed:
+        def received(found: ObjectList, complete: bool) -> None:
+            for item in found.items:
+                receive(item)
+            if complete:
+                self.listed.add(kind)
+                self.flow.state.ready = len(self.listed) == len(self.feeds)
+
+        return StoreFeed(
+            self.platform, kind, received, self.timers.callLater, self.rng
         )
-        feed.on_listed = self._check_ready
-        return feed
 
     def start(self) -> None:
         """Follow the platform's store, as a starting process does."""
@@ -168,6 +178,7 @@
         self.timers.callLater(TICK_S, self._tick)
 
     def _tick(self) -> None:
+        self.tier.runner.check_pause()
         self.tier.tick()
         self.timers.callLater(TICK_S, self._tick)
 
@@ -181,6 +192,3 @@
         self.tier.take_rules(
             AcceptedRules(item.version, str(item.value["text"]), "")
         )
-
-    def _check_ready(self) -> None:
-        self.flow.state.ready = all(feed.listed for feed in self.feeds)
