Test copies in the coordinator, races in the store and the stop

Cause: of ten faults put into a scratch copy (a trial), three passed the tests: rejected writes taken as other failures, outcomes of removed trials kept, edits not stopped with the process.

--- a/tests/runtime/test_rules_commands.py
+++ b/tests/runtime/test_rules_commands.py
@@ -96,6 +96,8 @@
         self.assertRegex(rows[1], r"^ +2 +1 +Otieno ")
         self.assertIn("trial halves", rows[2])
         self.assertIn("embedded site", history.stdout)
+        self.site.process.stop()
+        self.assertTrue(self.service.stopped)
 
     @on_reactor
     async def test_a_conflict_has_its_exit_status(self):
@@ -161,3 +163,5 @@
         self.assertEqual(copies.requests, old[TrialSide.CONTROL].requests)
         self.assertEqual(copies.errors, 0)
         self.assertEqual(copies.coverage, 1.0)
+        self.site.put_rules(ROUTE)
+        await self.until(lambda: not trials.report.outcomes)
--- a/tests/runtime/test_rules_service.py
+++ b/tests/runtime/test_rules_service.py
@@ -136,6 +136,16 @@
         self.assertIn(LATER_ROUTE, self.stored()["text"])
         self.assertIn(OTHER, self.stored()["text"])
 
+    def test_edits_that_race_in_the_store_are_both_accepted(self):
+        self.store.faults.slow_ms = 10.0
+        first = self.apply(1, ROUTE + OTHER)
+        second = self.apply(1, LATER_ROUTE)
+        # Seven calls for the edit that loses the race, and no wait for retries.
+        self.advance(7 * STEP_MS)
+        self.assertEqual(first[0].value["state"], "accepted")
+        self.assertEqual(second[0].value["state"], "merged")
+        self.assertEqual(self.documents.spread, [2, 3])
+
     def test_a_conflict_is_refused_with_its_difference(self):
         self.applied(1, LATER_ROUTE)
         before = self.stored()
