--- a/tests/runtime/test_rules_service.py
+++ b/tests/runtime/test_rules_service.py
@@ -127,6 +127,13 @@
         self.advance(STEP_MS)
         self.assertEqual(answers[0].value["pending_on"], ["vm-2"])
 
+    def test_the_first_edit_of_all_is_version_one(self):
+        self.store.delete("rules", "accepted", 1)
+        answer = self.applied(0, OTHER)
+        self.assertEqual(answer.value["state"], "accepted")
+        self.assertEqual(self.stored()["text"], OTHER)
+        self.assertEqual(self.documents.spread, [1])
+
     def test_edits_of_different_rules_merge(self):
         self.applied(1, ROUTE + OTHER)
         answer = self.applied(1, LATER_ROUTE)
--- a/tools/fleet.py
+++ b/tools/fleet.py
@@ -17,7 +17,8 @@
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 KEY = "key-of-the-fleet-on-loopback-0123456789"
-PLATFORM_HOST = "127.0.0.1"
+PLATFORM = ("127.0.0.1", 7400)
+FIRST_LEAF_PORT = 7500
 CALLER_PORT = 8080
 ADMIN_PORT = 8081
 PEER_PORT = 8082
@@ -50,8 +51,8 @@
         vm_network: First three numbers of the VMs' loopback addresses.
     """
 
-    platform_port: int = 7400
-    first_leaf_port: int = 7500
+    platform_port: int = PLATFORM[1]
+    first_leaf_port: int = FIRST_LEAF_PORT
     vm_network: str = "127.0.0"
 
 
@@ -167,7 +168,7 @@
     ) -> tuple[int, Any]:
         """Call the platform or the emulator's control."""
         connection = http.client.HTTPConnection(
-            PLATFORM_HOST, self.addresses.platform_port, timeout=10.0
+            PLATFORM[0], self.addresses.platform_port, timeout=10.0
         )
         data = None if body is None else json.dumps(body).encode()
         headers = {"If-None-Match": "*"} if method == "PUT" else {}
@@ -205,7 +206,7 @@
                 f"--caller-port={CALLER_PORT}",
                 f"--admin-port={ADMIN_PORT}",
                 f"--peer-port={PEER_PORT}",
-                f"--platform-urls=http://{PLATFORM_HOST}"
+                f"--platform-urls=http://{PLATFORM[0]}"
                 f":{self.addresses.platform_port}",
                 "--balancer-notice-ms=1000",
                 "--stop-limit-ms=20000",
