--- a/tools/measure_in_force.py
+++ b/tools/measure_in_force.py
@@ -104,33 +104,42 @@
     return site.admin(vm, f"/rules/in-force?version={version}")[1]
 
 
-def apply_edit(
-    site: fleet.Fleet, number: int, base: int, outage: bool
-) -> EditTimes:
-    """Make one edit and wait until it is in force everywhere."""
-    version = base + 1
-    vm = site.vms[number % len(site.vms)]
-    call = EditCall(site, vm, base, text_of(site.layout, number))
-    if outage:
-        wait_until(
-            lambda: (
-                site.platform("GET", "/objects/rules/accepted")[1]["version"]
-                >= version
-            ),
-            call,
-        )
-        site.platform("POST", "/control", {"outage": True})
+def bring_store_down(site: fleet.Fleet, call: EditCall, version: int) -> None:
+    """Begin an outage as soon as the store holds the version."""
+
+    def written() -> bool:
+        stored = site.platform("GET", "/objects/rules/accepted")[1]
+        return bool(stored["version"] >= version)
+
+    wait_until(written, call)
+    site.platform("POST", "/control", {"outage": True})
+
+
+def wait_held(site: fleet.Fleet, call: EditCall, version: int) -> float:
+    """Return when every VM has answered that it has the version."""
     waiting = list(site.vms)
 
     def held() -> bool:
         while waiting:
-            present = in_force(site, waiting[0], version)["present_version"]
-            if present < version:
+            answer = in_force(site, waiting[0], version)
+            if answer["present_version"] < version:
                 return False
             waiting.pop(0)
         return True
 
-    held_ms = wait_until(held, call)
+    return wait_until(held, call)
+
+
+def apply_edit(
+    site: fleet.Fleet, number: int, base: int, outage: bool
+) -> EditTimes:
+    """Make one edit and wait until it is in force everywhere."""
+    version = base + 1
+    vm = site.vms[number % len(site.vms)]
+    call = EditCall(site, vm, base, text_of(site.layout, number))
+    if outage:
+        bring_store_down(site, call, version)
+    held_ms = wait_held(site, call, version)
     confirmed_ms = wait_until(
         lambda: in_force(site, vm, version)["everywhere"], call
     )
