--- a/src/oriolegate/coordinator/admission.py
+++ b/src/oriolegate/coordinator/admission.py
@@ -8,6 +8,9 @@
 from oriolegate.result_codes import RunState
 from oriolegate.upstreams.leaf_table import LeafTable
 
+# A query is answered when its last shard is; queues of its leafs differ, so
+# the expected wait must stay well below the deadline.
+MAX_WAIT_SHARE = 0.15
 MIN_RETRY_AFTER_MS = 50
 MAX_RETRY_AFTER_MS = 5_000
 
@@ -54,7 +57,8 @@
     policy = query.arrived.policy
     wait_ms = expected_wait_ms(service, topology, leafs)
     remaining_ms = query.hard_deadline_ms - now_ms
-    if service.waiting >= policy.max_waiting or wait_ms > remaining_ms:
+    limit_ms = MAX_WAIT_SHARE * remaining_ms
+    if service.waiting >= policy.max_waiting or wait_ms > limit_ms:
         retry_ms = min(
             max(int(wait_ms), MIN_RETRY_AFTER_MS), MAX_RETRY_AFTER_MS
         )
--- a/tests/runtime/test_rules_service.py
+++ b/tests/runtime/test_rules_service.py
@@ -127,6 +127,13 @@
         self.advance(STEP_MS)
         self.assertEqual(answers[0].value["pending_on"], ["vm-2"])
 
+    def test_the_first_edit_of_all_is_version_one(self):
+        self.store.delete("rules", "accepted", 1)
+        answer = self.applied(0, OTHER)
+        self.assertEqual(answer.value["state"], "accepted")
+        self.assertEqual(self.stored()["text"], OTHER)
+        self.assertEqual(self.documents.spread, [1])
+
     def test_edits_of_different_rules_merge(self):
         self.applied(1, ROUTE + OTHER)
         answer = self.applied(1, LATER_ROUTE)
@@ -136,6 +143,16 @@
         self.assertIn(LATER_ROUTE, self.stored()["text"])
         self.assertIn(OTHER, self.stored()["text"])
 
+    def test_edits_that_race_in_the_store_are_both_accepted(self):
+        self.store.faults.slow_ms = 10.0
+        first = self.apply(1, ROUTE + OTHER)
+        second = self.apply(1, LATER_ROUTE)
+        # Seven calls for the edit that loses the race, and no wait for retries.
+        self.advance(7 * STEP_MS)
+        self.assertEqual(first[0].value["state"], "accepted")
+        self.assertEqual(second[0].value["state"], "merged")
+        self.assertEqual(self.documents.spread, [2, 3])
+
     def test_a_conflict_is_refused_with_its_difference(self):
         self.applied(1, LATER_ROUTE)
         before = self.stored()
