--- a/src/oriolegate/coordinator/admission.py
+++ b/src/oriolegate/coordinator/admission.py
@@ -10,7 +10,7 @@
 
 # A query is answered when its last shard is; queues of its leafs differ, so
 # the expected wait must stay well below the deadline.
-MAX_WAIT_SHARE = 0.15
+MAX_WAIT_SHARE = 0.3
 MIN_RETRY_AFTER_MS = 50
 MAX_RETRY_AFTER_MS = 5_000
 
