--- a/tools/measure_fleet.py
+++ b/tools/measure_fleet.py
@@ -28,6 +28,7 @@
 PAUSE_S = 0.15
 SUBMIT_SHARE = 0.1
 WARM_UP_S = 6.0
+POLL_S = 0.1
 ROUTES = {
     "anga-pamoja": ["forecast", "observations", "archive", "members"],
     "consortium": ["charges", "fleets", "receipts", "audit"],
@@ -81,11 +82,68 @@
     return {"new_vm_answered": joined, "stop_status": status}
 
 
+def data_centre_out(fleet: Fleet, seconds: float) -> dict[str, Any]:
+    """Take a data centre out by the rules, and bring it back."""
+    name = fleet.vms[0].data_centre
+    rules = fleet.admin(fleet.vms[0], "/rules")[1]
+    line = f"take-out data-centre {name}  # asked-by: operations: works\n"
+    found: dict[str, Any] = {"data_centre": name}
+    for what, text in (("out", rules["text"] + line), ("back", rules["text"])):
+        time.sleep(seconds / 4)
+        edit = {"base": rules["version"], "text": text, "dry_run": False}
+        accepted = fleet.admin(fleet.vms[0], "/rules", "POST", edit)[1]
+        found[f"{what}_state"] = accepted["state"]
+        rules["version"] = accepted["version"]
+        started_s = time.monotonic()
+        if what == "out":
+            found["new_work_after_s"] = _last_new_work_s(
+                fleet, name, started_s, seconds / 4
+            )
+    time.sleep(seconds / 4)
+    return found
+
+
+def _queries_at(fleet: Fleet, data_centre: str) -> int:
+    records = fleet.platform("GET", "/control/records")[1]
+    leafs = _leafs_of(fleet, data_centre)
+    return sum(
+        row["queries"]
+        for leaf, row in records["leafs"].items()
+        if leaf in leafs
+    )
+
+
+def _leafs_of(fleet: Fleet, data_centre: str) -> set[str]:
+    listed = fleet.platform("GET", "/objects/topology")[1]["items"]
+    return {
+        name
+        for item in listed
+        for name, leaf in item["value"]["leafs"].items()
+        if leaf["data_centre"] == data_centre
+    }
+
+
+def _last_new_work_s(
+    fleet: Fleet, data_centre: str, started_s: float, seconds: float
+) -> float:
+    """Return when the data centre's leafs last got a query."""
+    last_s = 0.0
+    seen = _queries_at(fleet, data_centre)
+    while time.monotonic() - started_s < seconds:
+        time.sleep(POLL_S)
+        now = _queries_at(fleet, data_centre)
+        if now != seen:
+            seen = now
+            last_s = time.monotonic() - started_s
+    return last_s
+
+
 SCENARIOS: dict[str, Callable[[Fleet, float], dict[str, Any]]] = {
     "steady": steady,
     "rolling": rolling,
     "kill": kill,
     "store-down": store_down,
+    "data-centre-out": data_centre_out,
 }
 
 
