--- a/src/oriolegate/measurement/judging.py
+++ b/src/oriolegate/measurement/judging.py
@@ -19,7 +19,7 @@
 
 @attrs.define
 class Violations:
-    """Counts of what must never happen; see docs/design/15-measurement.md."""
+    """Counts of what must never happen; see docs/design/16-measurement.md."""
 
     cold_over_limit: int = 0
     connections_over_limit: int = 0
--- a/src/oriolegate/measurement/scenarios.py
+++ b/src/oriolegate/measurement/scenarios.py
@@ -1,6 +1,6 @@
 """The table of scenarios in virtual time, and those without faults.
 
-docs/design/15-measurement.md tells what each does and what is off in its
+docs/design/16-measurement.md tells what each does and what is off in its
 baseline.
 """
 
