--- a/src/oriolegate/measurement/virtual_upstreams.py
+++ b/src/oriolegate/measurement/virtual_upstreams.py
@@ -274,7 +274,7 @@
         """Carry out a `SendSub`."""
         pool: Any = self.pools.get(effect.leaf)
         if pool is None:
-            self.report(SubUnsent(effect.sub, effect.leaf))
+            self.observer.sub_report(SubUnsent(effect.sub, effect.leaf))
             return
         pool.send(Carried(effect.sub, effect))
 
