--- a/src/oriolegate/measurement/pages.py
+++ b/src/oriolegate/measurement/pages.py
@@ -11,6 +11,8 @@
 import random
 from typing import Any
 
+from loguru import logger
+
 from oriolegate.measurement import open_loop
 from oriolegate.measurement import plots
 from oriolegate.measurement import scenario
@@ -221,6 +223,7 @@
     parser.add_argument("--figures", type=pathlib.Path, help="JSON to read")
     parser.add_argument("--seeds", type=int, help="run seeds from 1 to this")
     arguments = parser.parse_args()
+    logger.disable("oriolegate")
     violations = 0
     if arguments.figures:
         value = json.loads(arguments.figures.read_text())
