Hold canaries to more properties

Change: the stateful test holds queries, chooses canaries, releases, aborts, takes upstreams out, changes grants and hedges; a held query may send one shard to the upstreams named, and is never forgotten. Examples 150 to 400.

It found a fault: a query held again after a loss, with no upstream for its idle shards, gave these up and never looked again at the shards in flight.

--- a/src/oriolegate/coordinator/canary.py
+++ b/src/oriolegate/coordinator/canary.py
@@ -77,11 +77,13 @@
 ) -> None:
     """Ask again later if some upstream may recover, else give up."""
     idle = query.idle_shards()
-    if any(dispatch.may_wait(state, query, shard) for shard in idle):
+    if not any(dispatch.may_wait(state, query, shard) for shard in idle):
+        for shard in idle:
+            reason = dispatch.reason_without_replica(shard)
+            dispatch.give_up(query, shard, reason)
+    # What was in flight when the query was held may yet become idle.
+    if query.open_shards:
         state.wake_at(now_ms + RECHECK_MS, WakeKind.ADMISSION, query.number)
-        return
-    for shard in idle:
-        dispatch.give_up(query, shard, dispatch.reason_without_replica(shard))
 
 
 def ask_again(
--- a/tests/coordinator/test_properties.py
+++ b/tests/coordinator/test_properties.py
@@ -8,11 +8,13 @@
 
 from oriolegate.coordinator import messages
 from oriolegate.coordinator.messages import LeafReport
+from oriolegate.coordinator.state import WakeKind
 from oriolegate.models.answer import Answer
 from oriolegate.models.answer import Refusal
 from oriolegate.models.policy import CoverageMode
 from oriolegate.models.policy import ServicePolicy
 from oriolegate.models.request import CallerRequest
+from oriolegate.result_codes import ResultCode
 from oriolegate.result_codes import RunState
 from oriolegate.upstreams.leaf_state import Grant
 from oriolegate.upstreams.leaf_state import ReportedState
@@ -26,6 +28,26 @@
     return {"id": f"v{version}-q{sub.query}-s{sub.shard}", "score": 1.0}
 
 
+UPSTREAMS = ("studio-desk-0", "studio-desk-1")
+
+
+class Hold:
+    """What a held query may send: one shard, to one upstream or two."""
+
+    def __init__(self):
+        self.allowed = []
+        self.shard = None
+
+    def check(self, effect):
+        assert self.allowed
+        first = self.shard is None
+        self.shard = effect.sub.shard if first else self.shard
+        assert effect.sub.shard == self.shard
+        # Replica n of each shard is at upstream n.
+        upstream = UPSTREAMS[int(effect.leaf[-1])]
+        assert upstream == self.allowed.pop(0)
+
+
 class CoordinatorMachine(stateful.RuleBasedStateMachine):
     """A far side that answers in any order, doubled, late or never."""
 
@@ -43,6 +65,14 @@
         self.answered = set()
         self.outcomes = {}
         self.numbers = {}
+        self.holds = {}
+        self.wanted = {}
+
+    @stateful.initialize(hedging=st.booleans())
+    def know_latencies(self, hedging):
+        service = self.core.state.service(sites.SERVICE, ServicePolicy())
+        for _ in range(100 * hedging):
+            service.latency.record(4.0)
 
     def feed(self, event):
         for effect in self.core.step(self.now_ms, event):
@@ -53,6 +83,12 @@
                     self.delivered(outcome)
                 case messages.SetTimer(at_ms):
                     assert at_ms >= 0
+                case messages.AdmissionWanted(number, _, _, upstreams):
+                    assert set(upstreams) <= set(UPSTREAMS)
+                    self.holds[number] = Hold()
+                    self.wanted[number] = upstreams
+                case messages.AdmissionDropped(number):
+                    self.wanted.pop(number, None)
 
     def sent(self, effect):
         assert effect.sub not in self.open
@@ -63,6 +99,8 @@
             assert not self.runs.get(request.request_id)
             assert all(sub.query != number for sub in self.open)
         self.open[effect.sub] = effect
+        if number in self.holds:
+            self.holds[number].check(effect)
 
     def delivered(self, outcome):
         assert outcome.request_id not in self.outcomes
@@ -116,8 +154,9 @@
         idempotent=st.booleans(),
         tail_first=st.booleans(),
         deadline_ms=st.floats(5.0, 100.0),
+        held=st.booleans(),
     )
-    def arrive(self, idempotent, tail_first, deadline_ms):
+    def arrive(self, idempotent, tail_first, deadline_ms, held):
         request_id = f"r{len(self.requests)}"
         request = CallerRequest(
             request_id=request_id,
@@ -134,7 +173,18 @@
         if tail_first:
             mode = CoverageMode.TAIL_FIRST
         policy = ServicePolicy(coverage_mode=mode, soft_deadline_ms=20.0)
-        self.feed(messages.QueryArrived(request, sites.SERVICE, policy))
+        number = self.core.state.next_query
+        if held:
+            self.holds[number] = Hold()
+        self.feed(
+            messages.QueryArrived(
+                request,
+                sites.SERVICE,
+                policy,
+                fingerprint=number,
+                held=held,
+            )
+        )
 
     @stateful.precondition(lambda self: self.open)
     @stateful.rule(data=st.data(), stale=st.booleans())
@@ -161,16 +211,62 @@
         self.feed(messages.SubNotRun(sub, self.report(effect, state), reason))
 
     @stateful.precondition(lambda self: self.open)
-    @stateful.rule(data=st.data(), lost=st.booleans())
-    def fail(self, data, lost):
+    @stateful.rule(data=st.data(), lost=st.booleans(), retry=st.booleans())
+    def fail(self, data, lost, retry):
         sub = data.draw(st.sampled_from(sorted(self.open, key=repr)))
         effect = self.open[sub]
         self.close(sub, ran=True)
         if lost:
-            self.feed(messages.SubLost(sub, effect.leaf))
+            self.lose(effect, retry)
         else:
             self.feed(messages.SubFailed(sub, self.report(effect)))
 
+    def lose(self, effect, may_retry):
+        number = effect.sub.query
+        idempotent = self.requests[self.numbers[number]].idempotent
+        newly_held = idempotent and not may_retry and number not in self.holds
+        if newly_held and self.live(effect.sub):
+            self.holds[number] = Hold()
+        self.feed(messages.SubLost(effect.sub, effect.leaf, may_retry))
+
+    @stateful.precondition(lambda self: self.wanted)
+    @stateful.rule(data=st.data(), hedged=st.booleans())
+    def choose_canary(self, data, hedged):
+        number = data.draw(st.sampled_from(sorted(self.wanted)))
+        upstreams = data.draw(st.permutations(self.wanted.pop(number)))
+        allowed = upstreams[: 2 if hedged else 1]
+        self.holds[number].allowed = list(allowed)
+        self.feed(messages.CanaryChosen(number, *allowed))
+
+    @stateful.rule(slots=st.integers(0, 2))
+    def change_grant(self, slots):
+        grant = Grant(slots, 2 * slots, min(slots, 1))
+        table = self.core.state.leafs
+        table.set_grant(self.now_ms, sites.SERVICE, grant)
+        self.feed(messages.CapacityChanged())
+
+    @stateful.precondition(lambda self: self.wanted)
+    @stateful.rule(data=st.data())
+    def release(self, data):
+        number = data.draw(st.sampled_from(sorted(self.wanted)))
+        del self.wanted[number]
+        del self.holds[number]
+        self.feed(messages.HeldReleased(number))
+
+    @stateful.precondition(lambda self: self.wanted)
+    @stateful.rule(data=st.data())
+    def abort(self, data):
+        number = data.draw(st.sampled_from(sorted(self.wanted)))
+        del self.wanted[number]
+        code = ResultCode.QUARANTINED
+        self.feed(messages.RequestAborted(number, code, 1_000))
+        assert isinstance(self.outcomes[self.numbers[number]], Refusal)
+
+    @stateful.rule(out=st.sets(st.sampled_from(UPSTREAMS)))
+    def take_out(self, out):
+        self.core.state.leafs.set_taken_out(frozenset(), frozenset(out))
+        self.feed(messages.CapacityChanged())
+
     @stateful.precondition(lambda self: self.closed)
     @stateful.rule(data=st.data())
     def doubled_answer(self, data):
@@ -220,6 +316,22 @@
             wakes = [key for _, _, _, key in self.core.state.wakeups]
             assert query.number in wakes
 
+    @stateful.invariant()
+    def no_held_query_is_forgotten(self):
+        for number, query in self.core.state.queries.items():
+            assert query.held == (number in self.holds)
+            if not query.held or number in self.wanted:
+                continue
+            shard = query.shards.get(query.canary_shard)
+            if shard is None or shard.waiting:
+                wakes = self.core.state.wakeups
+                assert any(
+                    kind is WakeKind.ADMISSION and key == number
+                    for _, _, kind, key in wakes
+                )
+            else:
+                assert shard.in_flight
+
     def teardown(self):
         self.now_ms += 1_000.0
         self.feed(messages.TimerFired())
@@ -232,7 +344,7 @@
 
 
 CoordinatorMachine.TestCase.settings = hypothesis.settings(
-    max_examples=150,
+    max_examples=400,
     stateful_step_count=40,
     deadline=None,
     derandomize=True,
