Ask for shares once most listed members are known

Cause: a process that starts knows no member, so it took itself for a home of every service, and moved shares of the whole fleet there and back. Change: it asks once the list of VMs was read and nine tenths of it are known, or after 5 s. The demo, which lists no VM, waits for nothing. Conclusion: a VM that starts while the store's list is away has no shares for 5 s; it forwards meanwhile.

--- a/src/oriolegate/runtime/peer_runner.py
+++ b/src/oriolegate/runtime/peer_runner.py
@@ -34,6 +34,7 @@
         on_lost: Called with the name of each peer whose link is gone.
         on_members: Called when a member is new or in another state.
         on_digests: Called with a peer's digests.
+        on_listed: Called when the platform's list of VMs was read.
         on_paused: Called when this process did not run for a while.
         on_ended: Called when processes of a VM have ended.
         on_superseded: Called when this process must stop.
@@ -59,6 +60,7 @@
         self.on_lost: list[Callable[[str], None]] = []
         self.on_members: list[Callable[[], None]] = []
         self.on_digests: Callable[[str, Any], None] = lambda *_: None
+        self.on_listed: list[Callable[[], None]] = []
         self.on_paused: list[Callable[[], None]] = []
         self.on_ended: Callable[[str, int], None] = lambda *_: None
         self.on_superseded: Callable[[], None] = lambda: None
@@ -189,6 +191,8 @@
                 )
             )
         )
+        for listener in self.on_listed:
+            listener()
 
     def _list_later(self) -> None:
         if self.stopped:
--- a/src/oriolegate/runtime/share_runner.py
+++ b/src/oriolegate/runtime/share_runner.py
@@ -27,6 +27,8 @@
 
 KIND = "shares"
 TICK_S = 0.1
+SETTLE_LIMIT_MS = 5_000.0  # the list may be missing, or name VMs that are gone
+MAX_MISSING_RATIO = 0.1
 
 
 class ShareRunner:
@@ -38,6 +40,8 @@
         orders: Cached forwarding orders, by service.
         wanted: What was last worked out for the core, by service.
         placed: Members, by name, that the homes were chosen among.
+        listed: Whether the platform's list of VMs was read.
+        settled: Whether enough members are known to ask for shares.
         unapplied: Lowered grants that running requests do not fit in yet.
         on_returned: Called once no share is held after `give_back`.
     """
@@ -61,6 +65,9 @@
         self.orders: dict[str, list[str]] = {}
         self.wanted: dict[str, effects.ServiceWanted] = {}
         self.placed: dict[str, Member] = {}
+        self.listed = False
+        self.settled = False
+        self.settle_by_ms: float | None = None
         self.unapplied: dict[str, Amounts] = {}
         self.on_returned: Callable[[], None] = lambda: None
         self.queue: collections.deque[effects.SharesEvent] = collections.deque()
@@ -70,11 +77,13 @@
         for message_type in (row[1] for row in messages.PEER_MESSAGES):
             peers.handlers[message_type] = self._received
         peers.on_members.append(self.choose_homes)
+        peers.on_listed.append(self._listed)
         peers.on_paused.append(self.paused)
         peers.on_ended = self._ended
 
     def start(self) -> None:
         """Begin to follow grants."""
+        self._settle()
         self.step(effects.Tick())
         self._apply_lowered()
         self.timer = self.call_later(TICK_S, self.start)
@@ -124,6 +133,7 @@
             changed = told is None or told.generation != topology.generation
             if changed or joined or left:
                 self._choose(name, topology, joined, left)
+        self._settle()
 
     def _choose(
         self,
@@ -149,11 +159,14 @@
         homes = choose_homes(name, limits, candidates)
         self.homes[name] = homes
         self.orders.pop(name, None)
+        self._tell(name, limits, topology.generation)
+
+    def _tell(self, name: str, limits: Amounts, generation: int) -> None:
+        """Tell the core whether this VM is a home, if that is news."""
         own = self.peers.membership.own.vm
-        wanted = effects.ServiceWanted(
-            name, own in homes, limits, topology.generation
-        )
-        if wanted == told:
+        is_home = self.settled and own in self.homes[name]
+        wanted = effects.ServiceWanted(name, is_home, limits, generation)
+        if wanted == self.wanted.get(name):
             return
         self.wanted[name] = wanted
         # The core walks all services that it knows at each step: it is told
@@ -161,6 +174,31 @@
         if wanted.wanted or name in self.shares.services:
             self.step(wanted)
 
+    def _listed(self) -> None:
+        self.listed = True
+        self._settle()
+
+    def _settle(self) -> None:
+        """Ask for shares once most members are known.
+
+        Who knows few members would take itself for a home of every service
+        and move shares of the whole fleet there and back.
+        """
+        if self.settled:
+            return
+        now_ms = self.clock.now_ms()
+        if self.settle_by_ms is None:
+            self.settle_by_ms = now_ms + SETTLE_LIMIT_MS
+        membership = self.peers.membership
+        listed = len(membership.listing.rows)
+        missing = len(membership.listing.missing_from(membership.table))
+        known = missing <= listed * MAX_MISSING_RATIO
+        if not (self.listed and known) and now_ms < self.settle_by_ms:
+            return
+        self.settled = True
+        for name, told in list(self.wanted.items()):
+            self._tell(name, told.limits, told.generation)
+
     def _ended(self, vm: str, incarnation: int) -> None:
         self.step(effects.ProcessEnded(vm, incarnation))
 
--- /dev/null
+++ b/tests/runtime/test_share_runner.py
@@ -0,0 +1,116 @@
+"""Tests of when a process asks for shares."""
+
+import types
+import unittest
+
+from oriolegate.membership.core import Membership
+from oriolegate.membership.effects import ListedVm
+from oriolegate.membership.messages import Member
+from oriolegate.membership.messages import MemberState
+from oriolegate.models.topology import IndexVersion
+from oriolegate.models.topology import Leaf
+from oriolegate.models.topology import ServiceTopology
+from oriolegate.runtime import share_runner
+from oriolegate.shares import effects
+
+
+def member(number):
+    return Member(f"vm-{number}", f"10.0.0.{number}", 8082, "scl-a", 1)
+
+
+class RecordingCore:
+    """Keeps the events that a runner feeds."""
+
+    def __init__(self):
+        self.services = {}
+        self.wanted = []
+
+    def step(self, now_ms, event):
+        if isinstance(event, effects.ServiceWanted):
+            self.wanted.append(event)
+        return []
+
+
+class ShareRunnerTest(unittest.TestCase):
+    def setUp(self):
+        membership = Membership(member(1), None)
+        self.table = membership.table
+        self.listing = membership.listing
+        peers = types.SimpleNamespace(
+            membership=membership,
+            members=self.table.placeable,
+            handlers={},
+            on_members=[],
+            on_listed=[],
+            on_paused=[],
+        )
+        leaf = Leaf("leaf", "10.1.0.1", 7500, "scl-a", "upstream", 4, 25)
+        version = IndexVersion(1, (("leaf",),))
+        topology = ServiceTopology("cobro", 1, {"leaf": leaf}, {1: version}, 1)
+        tier = types.SimpleNamespace(
+            table=types.SimpleNamespace(topologies={"cobro": topology})
+        )
+        self.clock = types.SimpleNamespace(now_ms=lambda: self.now_ms)
+        self.now_ms = 0.0
+        self.core = RecordingCore()
+        self.runner = share_runner.ShareRunner(
+            self.core, peers, None, tier, self.clock, lambda *_: None
+        )
+
+    def list_vms(self, count):
+        self.listing.take(
+            tuple(
+                ListedVm(row.vm, row.host, row.peer_port, row.data_centre)
+                for row in (member(n + 1) for n in range(count))
+            )
+        )
+        self.runner._listed()
+
+    def test_a_lone_process_asks_once_the_list_names_nobody_else(self):
+        self.runner.choose_homes()
+        self.runner.start()
+        self.assertEqual(self.core.wanted, [])
+        self.list_vms(1)
+        self.assertTrue(self.core.wanted[0].wanted)
+
+    def test_an_empty_list_is_no_reason_to_wait(self):
+        self.runner.choose_homes()
+        self.list_vms(0)
+        self.assertTrue(self.core.wanted[0].wanted)
+
+    def test_listed_members_are_met_before_shares_are_asked_for(self):
+        self.list_vms(9)
+        self.runner.choose_homes()
+        self.runner.start()
+        self.assertEqual(self.core.wanted, [])
+        for number in range(2, 10):
+            self.table.merge(0.0, member(number))
+        self.runner.choose_homes()
+        home = "vm-1" in self.runner.homes["cobro"]
+        self.assertEqual(
+            [row.wanted for row in self.core.wanted], [True] * home
+        )
+
+    def test_a_list_that_stays_away_delays_shares_for_a_limit(self):
+        self.runner.choose_homes()
+        self.runner.start()
+        self.now_ms = share_runner.SETTLE_LIMIT_MS - 1
+        self.runner.start()
+        self.assertEqual(self.core.wanted, [])
+        self.now_ms = share_runner.SETTLE_LIMIT_MS
+        self.runner.start()
+        self.assertTrue(self.core.wanted[0].wanted)
+
+    def test_a_member_that_ends_gives_way_to_another_home(self):
+        for number in range(2, 10):
+            self.table.merge(0.0, member(number))
+        self.runner.choose_homes()
+        gone = self.runner.homes["cobro"][0]
+        if gone == "vm-1":
+            gone = self.runner.homes["cobro"][1]
+        state = self.table.marked(gone, MemberState.DEAD)
+        self.table.merge(1.0, state)
+        self.runner.choose_homes()
+        self.assertNotIn(gone, self.runner.homes["cobro"])
+        self.assertEqual(len(self.runner.homes["cobro"]), 4)
+        self.assertNotIn(gone, self.runner.forwarding_order("cobro"))
--- a/tools/capacity_homes.py
+++ b/tools/capacity_homes.py
@@ -39,6 +39,7 @@
         )
         self.handlers: dict[type, Any] = {}
         self.on_members: list[Any] = []
+        self.on_listed: list[Any] = []
         self.on_paused: list[Any] = []
         self.on_lost: list[Any] = []
         self.on_ended: Any = None
@@ -135,6 +136,7 @@
     members = [make_member(number) for number in range(MEMBERS)]
     peers = StubPeers(members)
     shares, forwards, topologies = _runners(peers, services)
+    shares.settled = True
     shares.choose_homes()
     suspicion_ms = processor_ms(peers.change, 700, MemberState.SUSPECT)
     death_ms = processor_ms(peers.change, 700, MemberState.DEAD)
