Count one fall of a leaf once, and hold nothing after a virtual pause

Cause 1: a leaf that fell closed all its kept connections, and each counted as a loss of its own: 4 idle ones meant 800 ms of rest in place of 100 ms. Change: losses while the leaf rests belong to the same fall. Cause 2: the virtual VM did not drop its grants after a pause, as a process does.

--- a/src/oriolegate/measurement/virtual_vm.py
+++ b/src/oriolegate/measurement/virtual_vm.py
@@ -37,6 +37,7 @@
 from oriolegate.standins.in_memory_platform import InMemoryPlatform
 from oriolegate.standins.platform_store import PlatformStore
 from oriolegate.timeline.events import EventBuffer
+from oriolegate.upstreams.leaf_state import NO_GRANT
 from oriolegate.upstreams.leaf_table import LeafTable
 
 PLATFORM_ONE_WAY_MS = 1.0
@@ -155,6 +156,7 @@
             self._feed(topology_wire.KIND, self._got_topology),
             self._feed("rules", self._got_rules),
         ]
+        runner.on_pause = self._paused
         self.on_topology: Any = lambda service: None
 
     def _feed(
@@ -182,6 +184,20 @@
         self.tier.tick()
         self.timers.callLater(TICK_S, self._tick)
 
+    def _paused(self) -> None:
+        """Hold no shares until the store was read, as `ShareRunner` does."""
+        held = dict(self.tier.table.grants)
+        for service in held:
+            self.tier.take_grant(service, NO_GRANT)
+
+        def confirmed() -> None:
+            for service, grant in held.items():
+                self.tier.take_grant(service, grant)
+
+        if any(grant != NO_GRANT for grant in held.values()):
+            read_ms = 2 * PLATFORM_ONE_WAY_MS
+            self.timers.callLater(read_ms / MS_PER_S, confirmed)
+
     def _got_topology(self, item: StoredObject) -> None:
         self.tier.take_topology(
             topology_wire.read_topology(item.name, item.version, item.value)
--- a/src/oriolegate/upstreams/leaf_state.py
+++ b/src/oriolegate/upstreams/leaf_state.py
@@ -199,8 +199,11 @@
 
         Args:
             now_ms: Time of the loss; the leaf rests for a while, longer with
-                each loss in a row.
+                each loss in a row. A leaf that falls closes all of its
+                connections: losses while it rests belong to the same fall.
         """
+        if self.losses and now_ms < self.suspect_until_ms:
+            return
         self.losses += 1
         self.lost_incarnation = self.incarnation
         rest_ms = SUSPECT_BASE_MS * 2 ** min(self.losses - 1, 8)
--- a/tests/upstreams/test_leaf_state.py
+++ b/tests/upstreams/test_leaf_state.py
@@ -65,6 +65,14 @@
         state.note_loss(1_100.0)
         self.assertFalse(state.accepts(1_250.0))
 
+    def test_connections_lost_in_one_fall_count_as_one_loss(self):
+        state = leaf()
+        state.set_phase(LeafPhase.WARM)
+        for _ in range(4):
+            state.note_loss(1_000.0)
+        self.assertEqual(state.losses, 1)
+        self.assertTrue(state.accepts(1_100.0))
+
     def test_a_draining_leaf_gets_nothing_until_it_says_warm(self):
         state = leaf()
         state.set_phase(LeafPhase.WARM)
