--- a/tools/capacity_cores.py
+++ b/tools/capacity_cores.py
@@ -206,9 +206,22 @@
     return messages, size
 
 
+def _quiet_spreader(core: DocumentSpreader, members: list[Member]) -> None:
+    """Let quiet seconds pass with ticks and heartbeats' digests."""
+    now_ms = 100_000.0
+    for _ in range(int(QUIET_S * MS_PER_S / TICK_MS)):
+        now_ms += TICK_MS
+        core.step(now_ms, document_effects.Tick())
+        if now_ms % MS_PER_S:
+            continue
+        for member in members[1 : PEERS + 1]:
+            beat = document_effects.PeerDigest(member.vm, core.sent_digests)
+            core.step(now_ms, beat)
+
+
 def measure_confirmations() -> None:
     """Print what confirmations of one rules version cost."""
-    print("members     KiB  census-ms  version-ms  messages  sent-KiB")
+    print("members     KiB  census-ms  version-ms  quiet-ms/s  sent-KiB")
     rows = []
     for count in MEMBER_COUNTS:
         members = [make_member(number) for number in range(count)]
@@ -218,12 +231,14 @@
         messages, size = _spread(core, members, 2)
         version_ms = (time.thread_time() - started_s) * MS_PER_S
         sent_kib = size / KIB
-        rows.append((size_kib, census_ms, version_ms, sent_kib))
+        quiet_ms = processor_ms(_quiet_spreader, core, members) / QUIET_S
+        rows.append((size_kib, census_ms, version_ms, quiet_ms, sent_kib))
         print(
             f"{count:7d} {size_kib:7.0f} {census_ms:10.2f} {version_ms:11.2f}"
-            f" {messages:9d} {sent_kib:9.1f}"
+            f" {quiet_ms:11.2f} {sent_kib:9.1f}"
         )
-    names = ("KiB", "census", "version", "sent KiB")
+        print(f"        {messages} messages")
+    names = ("KiB", "census", "version", "quiet", "sent KiB")
     print_lines(MEMBER_COUNTS, rows, names)
 
 
