Link ahead of queries at sites of few services only

Cause: with many services all VMs would have linked to the homes of the same four, 2,200 links to each. Change: beyond four services links are kept for those used last.

--- a/src/oriolegate/runtime/forward_runner.py
+++ b/src/oriolegate/runtime/forward_runner.py
@@ -28,7 +28,8 @@
 EXPIRE_S = 0.25
 LINKED_HOMES = 2
 # A site with few services is linked before its first query. With many, links
-# to the homes of all of them would come close to a full mesh.
+# to the homes of all of them would come close to a full mesh, and links to
+# the same few services would crowd their homes.
 MAX_LINKED_SERVICES = 4
 
 
@@ -77,10 +78,9 @@
 
     def _open_links(self) -> None:
         """Keep links to homes, so that few queries wait for a dial."""
-        for service in self.tier.table.topologies:
-            if len(self.linked) >= MAX_LINKED_SERVICES:
-                break
-            self.linked.setdefault(service)
+        topologies = self.tier.table.topologies
+        if len(topologies) <= MAX_LINKED_SERVICES:
+            self.linked.update(dict.fromkeys(topologies))
         for service in self.linked:
             if not self.tier.can_run(service):
                 for vm in self.shares.forwarding_order(service)[:LINKED_HOMES]:
