Read no clock when a known request is answered

Cause: the gate cost 1.6 us for a sub-request, half of it outside the core.

Change: an answer to a request known to be harmless only counts down.

--- a/src/oriolegate/quarantine/core.py
+++ b/src/oriolegate/quarantine/core.py
@@ -162,17 +162,22 @@
             ran: Whether the leaf answered after it ran the sub-request,
                 be it with an error: it did not crash.
         """
-        counts = self.in_flight.get(leaf)
-        if counts is not None:
-            count = counts.get(fingerprint, 0)
-            if count > 1:
-                counts[fingerprint] = count - 1
-            elif count:
-                del counts[fingerprint]
+        self.count_ended(fingerprint, leaf)
         if fingerprint in self.evidence.proven:
             return NO_EFFECTS
         return self._ended(now_ms, fingerprint, ran)
 
+    def count_ended(self, fingerprint: int, leaf: str) -> None:
+        """Do what `finished` does for a request known to be harmless."""
+        counts = self.in_flight.get(leaf)
+        if counts is None:
+            return
+        count = counts.get(fingerprint, 0)
+        if count > 1:
+            counts[fingerprint] = count - 1
+        elif count:
+            del counts[fingerprint]
+
     def _ended(self, now_ms: float, fingerprint: int, ran: bool) -> Effects:
         self.canaries.pop(fingerprint, None)
         suspect = self.evidence.suspect(now_ms, fingerprint)
--- a/src/oriolegate/runtime/quarantine_gate.py
+++ b/src/oriolegate/runtime/quarantine_gate.py
@@ -200,9 +200,15 @@
         Returns:
             The report, completed for the coordinator.
         """
+        if isinstance(event, SubAnswered):
+            value, leaf = event.sub.fingerprint, event.report.leaf
+            # By far the most frequent case, so it reads no clock.
+            if value in self.core.evidence.proven:
+                self.core.count_ended(value, leaf)
+            else:
+                self._finished(event.sub, leaf, True)
+            return event
         match event:
-            case SubAnswered():
-                self._finished(event.sub, event.report.leaf, True)
             case SubNotRun():
                 self._finished(event.sub, event.report.leaf, False)
             case SubFailed():
