--- a/src/oriolegate/coordinator/canary.py
+++ b/src/oriolegate/coordinator/canary.py
@@ -8,6 +8,7 @@
 """
 
 from oriolegate.coordinator import dispatch
+from oriolegate.coordinator import hedging
 from oriolegate.coordinator.messages import AdmissionDropped
 from oriolegate.coordinator.messages import AdmissionWanted
 from oriolegate.coordinator.messages import CanaryChosen
@@ -142,7 +143,7 @@
     dispatch.start_shard(state, now_ms, query, shard, kind)
     if shard.waiting:
         state.wake_at(now_ms + RECHECK_MS, WakeKind.ADMISSION, query.number)
-    dispatch.plan_hedges(state, now_ms, query)
+    hedging.plan_hedges(state, now_ms, query)
 
 
 def _holders_at(
@@ -215,7 +216,7 @@
             dispatch.retry(state, now_ms, query, shard)
         else:
             dispatch.start_shard(state, now_ms, query, shard)
-    dispatch.plan_hedges(state, now_ms, query)
+    hedging.plan_hedges(state, now_ms, query)
 
 
 def drop(state: CoordinatorState, query: QueryState) -> None:
--- a/src/oriolegate/coordinator/machine.py
+++ b/src/oriolegate/coordinator/machine.py
@@ -11,6 +11,7 @@
 from oriolegate.coordinator import admission
 from oriolegate.coordinator import canary
 from oriolegate.coordinator import dispatch
+from oriolegate.coordinator import hedging
 from oriolegate.coordinator import outcome
 from oriolegate.coordinator import replies
 from oriolegate.coordinator.messages import CallerGone
@@ -148,7 +149,7 @@
         else:
             for shard in query.shards.values():
                 dispatch.start_shard(state, now_ms, query, shard)
-            dispatch.plan_hedges(state, now_ms, query)
+            hedging.plan_hedges(state, now_ms, query)
         self._check(now_ms, query)
 
     def _admitted(
@@ -296,7 +297,7 @@
             canary.ask_again(self.state, now_ms, query)
             return
         if kind is WakeKind.HEDGE:
-            dispatch.hedge(self.state, now_ms, query)
+            hedging.hedge(self.state, now_ms, query)
             return
         if kind is WakeKind.SOFT_DEADLINE and not any_answered(query):
             query.soft_passed = True
