Take in a leaf's state before a late report frees its slot

Cause: a report of an attempt whose query was over released its slot and sent waiting work to the leaf before the report's own state was taken in, so a leaf that had just said it was cold got one more request than it bears. The new test failed first (3 sent, 2 allowed) and passes now.

--- a/src/oriolegate/coordinator/replies.py
+++ b/src/oriolegate/coordinator/replies.py
@@ -7,6 +7,7 @@
 
 from oriolegate.coordinator import canary
 from oriolegate.coordinator import dispatch
+from oriolegate.coordinator.messages import LeafReport
 from oriolegate.coordinator.messages import SubAnswered
 from oriolegate.coordinator.messages import SubFailed
 from oriolegate.coordinator.messages import SubLost
@@ -44,6 +45,23 @@
     return query, shard, attempt
 
 
+def _take_report(
+    state: CoordinatorState,
+    now_ms: float,
+    sub: SubRequestId,
+    report: LeafReport,
+) -> _Match | None:
+    """Take in the leaf's state, then the attempt that the report belongs to.
+
+    In this order: taking a late attempt frees a slot, which must not be
+    filled again at a leaf that has just said that it is cold or leaves.
+    """
+    state.leafs.note_state(
+        now_ms, report.leaf, report.state, report.incarnation
+    )
+    return _take(state, now_ms, sub)
+
+
 def _drop_late(
     state: CoordinatorState, now_ms: float, sub: SubRequestId
 ) -> None:
@@ -65,10 +83,7 @@
 ) -> QueryState | None:
     """Take in a shard's results; return the query if it can be answered."""
     report = event.report
-    match = _take(state, now_ms, event.sub)
-    state.leafs.note_state(
-        now_ms, report.leaf, report.state, report.incarnation
-    )
+    match = _take_report(state, now_ms, event.sub, report)
     if match is None:
         return None
     query, shard, attempt = match
@@ -110,10 +125,7 @@
         at that leaf.
     """
     report = event.report
-    match = _take(state, now_ms, event.sub)
-    state.leafs.note_state(
-        now_ms, report.leaf, report.state, report.incarnation
-    )
+    match = _take_report(state, now_ms, event.sub, report)
     if match is None:
         return None, False
     query, shard, attempt = match
@@ -160,10 +172,7 @@
 ) -> QueryState | None:
     """Take in that a leaf failed a sub-request that may have run."""
     report = event.report
-    match = _take(state, now_ms, event.sub)
-    state.leafs.note_state(
-        now_ms, report.leaf, report.state, report.incarnation
-    )
+    match = _take_report(state, now_ms, event.sub, report)
     if match is None:
         return None
     return _after_failure(state, now_ms, match, ResultCode.UPSTREAM_FAILED)
