--- a/src/oriolegate/measurement/warmth_relay.py
+++ b/src/oriolegate/measurement/warmth_relay.py
@@ -14,6 +14,7 @@
 from oriolegate.measurement.virtual_vm import VirtualVm
 from oriolegate.upstreams.leaf_state import LeafPhase
 from oriolegate.upstreams.leaf_state import ReportedState
+from oriolegate.upstreams.messages import LeafNews
 
 POLL_MS = 5.0
 
@@ -67,7 +68,5 @@
     table = vm.tier.table
     if leaf not in table.leafs:
         return
-    table.note_state(vm.reactor.now_ms(), leaf, state, number)
-    # The public way to have waiting sub-requests looked at again.
-    service = table.service_of[leaf]
-    vm.tier.take_grant(service, table.grants[service])
+    table.take_news(vm.reactor.now_ms(), LeafNews(leaf, state, number))
+    vm.tier.capacity_changed()
--- a/tools/measure_fleet.py
+++ b/tools/measure_fleet.py
@@ -29,6 +29,9 @@
 SUBMIT_SHARE = 0.1
 WARM_UP_S = 6.0
 POLL_S = 0.1
+CRASH_SENDS = 50
+# The emulator's leafs crash when they run a body that holds it.
+CRASH_MARKER = "crash-upstream"
 ROUTES = {
     "anga-pamoja": ["forecast", "observations", "archive", "members"],
     "consortium": ["charges", "fleets", "receipts", "audit"],
@@ -138,12 +141,34 @@
     return last_s
 
 
+def crashing_request(fleet: Fleet, seconds: float) -> dict[str, Any]:
+    """Send a request that crashes what runs it, 50 times over all VMs."""
+    codes: collections.Counter[int] = collections.Counter()
+    path = "/v1/query/" + ROUTES[fleet.layout][0]
+    for number in range(CRASH_SENDS):
+        vm = fleet.vms[number % len(fleet.vms)]
+        answer = call(vm.host, CALLER_PORT, "POST", path, CRASH_MARKER, 15.0)
+        codes[answer[1]["code"]] += 1
+        time.sleep(seconds / CRASH_SENDS)
+    records = fleet.platform("GET", "/control/records")[1]
+    crashed = {
+        name.rpartition("-")[0]
+        for name, row in records["leafs"].items()
+        if row["incarnation"] > 1
+    }
+    return {
+        "crash_codes": dict(sorted(codes.items())),
+        "upstreams_lost": sorted(crashed),
+    }
+
+
 SCENARIOS: dict[str, Callable[[Fleet, float], dict[str, Any]]] = {
     "steady": steady,
     "rolling": rolling,
     "kill": kill,
     "store-down": store_down,
     "data-centre-out": data_centre_out,
+    "crashing-request": crashing_request,
 }
 
 
