End requests whose caller is gone, and ask homes again in rounds

Cause 1: a query whose caller closed its connection was forgotten without an outcome, so it stayed among the active requests for good: a planned stop would have waited for it until its limit, and 512 such callers would have filled the process. A forwarded request whose homes all say 'not run' is now asked again each 100 ms until its deadline.

--- a/src/oriolegate/coordinator/machine.py
+++ b/src/oriolegate/coordinator/machine.py
@@ -279,7 +279,11 @@
         # A request that is not idempotent runs on: its outcome is recorded
         # with its claim, and cancelling it would leave that unknown.
         if query.arrived.request.idempotent:
+            refusal = outcome.refusal(
+                query, ResultCode.CALLER_GONE, "the caller is gone"
+            )
             self._forget(now_ms, query)
+            self._refuse(now_ms, refusal)
 
     def _wake(self, now_ms: float) -> None:
         wakeups = self.state.wakeups
--- a/src/oriolegate/forwarding/core.py
+++ b/src/oriolegate/forwarding/core.py
@@ -19,6 +19,8 @@
 # The home answers at the deadline; its answer takes a moment to come here.
 GRACE_MS = 100.0
 RETRY_AFTER_MS = 200
+# Shares and news of warm leafs move within this time.
+NEXT_ROUND_MS = 100.0
 # A home that refuses with one of these can't serve; another may.
 NEXT_HOME_CODES = frozenset(
     (ResultCode.NOT_READY, ResultCode.STOPPING, ResultCode.NO_REPLICA)
@@ -50,16 +52,20 @@
 
     Attributes:
         request: The request as it arrived.
-        homes: Homes not yet asked, the next first.
+        homes: Homes not yet asked in this round, the next first.
+        all_homes: Homes of a whole round.
         deadline_at_ms: When its time is over.
-        vm: The home that was asked.
+        vm: The home that was asked, or an empty string between rounds.
+        next_round_ms: When the next round begins; None during a round.
         may_have_run: Whether a home that was lost may have run it.
     """
 
     request: CallerRequest
     homes: list[str]
+    all_homes: tuple[str, ...]
     deadline_at_ms: float
     vm: str = ""
+    next_round_ms: float | None = None
     may_have_run: bool = False
 
 
@@ -87,13 +93,17 @@
         number = self.next_number
         self.next_number += 1
         self.pending[number] = PendingForward(
-            request, list(homes), now_ms + limit_ms
+            request, list(homes), tuple(homes), now_ms + limit_ms
         )
         return self._ask_next(now_ms, number)
 
     def _ask_next(self, now_ms: float, number: int) -> list[ForwardingEffect]:
         pending = self.pending[number]
         left_ms = pending.deadline_at_ms - now_ms
+        if not pending.homes and self._may_wait(pending, left_ms):
+            pending.vm = ""
+            pending.next_round_ms = now_ms + NEXT_ROUND_MS
+            return []
         if not pending.homes or left_ms <= 0:
             return [self._refuse(number)]
         pending.vm = pending.homes.pop(0)
@@ -101,6 +111,14 @@
         request = attrs.evolve(pending.request, deadline_ms=left_ms)
         return [Forward(pending.vm, ForwardedQuery(number, request))]
 
+    def _may_wait(self, pending: PendingForward, left_ms: float) -> bool:
+        """Return whether another round makes sense."""
+        return (
+            bool(pending.all_homes)
+            and not pending.may_have_run
+            and left_ms > NEXT_ROUND_MS
+        )
+
     def _refuse(self, number: int) -> Finished:
         pending = self.pending.pop(number)
         request = pending.request
@@ -163,20 +181,44 @@
                 effects.append(self._refuse(number))
         return effects
 
+    def _number_of(self, request_id: str) -> int | None:
+        for number, pending in self.pending.items():
+            if pending.request.request_id == request_id:
+                return number
+        return None
+
     def caller_gone(self, request_id: str) -> list[ForwardingEffect]:
         """Cancel a forwarded query; a submit runs on."""
-        for number, pending in self.pending.items():
-            request = pending.request
-            if request.request_id == request_id and request.idempotent:
-                del self.pending[number]
-                return [Forward(pending.vm, ForwardCancelled(number))]
-        return []
+        number = self._number_of(request_id)
+        if number is None or not self.pending[number].request.idempotent:
+            return []
+        pending = self.pending[number]
+        del self.pending[number]
+        refusal = Refusal(
+            request_id,
+            ResultCode.CALLER_GONE,
+            RunState.MAY_HAVE_RUN,
+            "the caller is gone",
+        )
+        effects: list[ForwardingEffect] = [Finished(request_id, refusal)]
+        if pending.vm:
+            effects.insert(0, Forward(pending.vm, ForwardCancelled(number)))
+        return effects
 
     def expire(self, now_ms: float) -> list[ForwardingEffect]:
-        """Refuse what has had no result some time after its deadline."""
+        """Begin rounds that are due, and refuse what has had no result.
+
+        A home answers at the deadline at the latest; some time after it the
+        fate of the request is open.
+        """
         effects: list[ForwardingEffect] = []
         for number, pending in list(self.pending.items()):
-            if now_ms >= pending.deadline_at_ms + GRACE_MS:
+            if pending.next_round_ms is not None:
+                if now_ms >= pending.next_round_ms:
+                    pending.next_round_ms = None
+                    pending.homes = list(pending.all_homes)
+                    effects += self._ask_next(now_ms, number)
+            elif now_ms >= pending.deadline_at_ms + GRACE_MS:
                 pending.may_have_run = True
                 effects.append(self._refuse(number))
         return effects
--- a/src/oriolegate/runtime/forward_runner.py
+++ b/src/oriolegate/runtime/forward_runner.py
@@ -26,7 +26,8 @@
 from oriolegate.timeline.events import EventBuffer
 from oriolegate.timeline.events import EventKind
 
-EXPIRE_S = 0.25
+EXPIRE_S = 0.05
+LINK_TICKS = 5
 LINKED_HOMES = 2
 # A site with few services is linked before its first query. With many, links
 # to the homes of all of them would come close to a full mesh, and links to
@@ -66,6 +67,7 @@
         )
         self.waiting: dict[str, defer.Deferred[Outcome]] = {}
         self.timer: Any = None
+        self.ticks = 0
         peers.handlers[ForwardedQuery] = self._run
         peers.handlers[ForwardedResult] = self._result
         peers.handlers[ForwardCancelled] = self._cancel
@@ -74,7 +76,9 @@
     def start(self) -> None:
         """Begin to watch over deadlines and links."""
         self._carry_out(self.core.expire(self.clock.now_ms()))
-        self._open_links()
+        self.ticks += 1
+        if self.ticks % LINK_TICKS == 1:
+            self._open_links()
         self.timer = self.call_later(EXPIRE_S, self.start)
 
     def _open_links(self) -> None:
--- a/src/oriolegate/runtime/trial_runner.py
+++ b/src/oriolegate/runtime/trial_runner.py
@@ -20,6 +20,7 @@
 from oriolegate.models.answer import Refusal
 from oriolegate.models.policy import Priority
 from oriolegate.models.request import CallerRequest
+from oriolegate.result_codes import ResultCode
 from oriolegate.rules.decision import MirrorTarget
 from oriolegate.rules.decision import RoutingDecision
 from oriolegate.rules.model import MirrorRule
@@ -160,6 +161,12 @@
     def _record(
         self, side: RoutingDecision, outcome: Outcome, started_ms: float
     ) -> None:
+        if (
+            isinstance(outcome, Refusal)
+            and outcome.code is ResultCode.CALLER_GONE
+        ):
+            # A caller that goes says nothing about the side it was on.
+            return
         if not isinstance(outcome, Answer) or _other_index(side, outcome):
             self.report.record_error(side)
             return
--- /dev/null
+++ b/tests/functional/test_cancel.py
@@ -0,0 +1,50 @@
+"""A caller that goes leaves nothing behind in the process."""
+
+import unittest
+
+from twisted.internet import endpoints
+from twisted.internet import protocol
+from twisted.internet import reactor
+from twisted.internet import task
+
+from oriolegate.measurement.embedded_site import EmbeddedSite
+from oriolegate.standins.layout import measurement_layout
+from tests.functional.test_bad_input import post
+from tests.functional.test_bad_input import RULES
+from tests.reactor_case import on_reactor
+
+POLL_S = 0.02
+POLLS = 500
+
+
+class CancelTest(unittest.TestCase):
+    async def until(self, condition):
+        for _ in range(POLLS):
+            if condition():
+                return
+            await task.deferLater(reactor, POLL_S)
+        self.fail("the condition did not come true")
+
+    @on_reactor
+    async def test_a_query_whose_caller_goes_is_no_longer_active(self):
+        site = EmbeddedSite(reactor, measurement_layout(3), RULES, 1)
+        site.process.start()
+        flow = site.process.tier.flow
+        order = {"action": "fault", "slow_factor": 1_000.0}
+        site.control.act_on_leafs(site.now_ms(), order)
+        try:
+            await self.until(lambda: flow.state.ready)
+            endpoint = endpoints.TCP4ClientEndpoint(
+                reactor, "127.0.0.1", site.caller_port
+            )
+            client = protocol.Protocol()
+            await endpoints.connectProtocol(endpoint, client)
+            client.transport.write(
+                post("/v1/query/search", b"{}", "X-Deadline-Ms: 10000")
+            )
+            await self.until(lambda: flow.active)
+            client.transport.abortConnection()
+            await self.until(lambda: not flow.active)
+            self.assertEqual(flow.runner.receivers, {})
+        finally:
+            site.stop()
