--- a/src/oriolegate/commands/demo.py
+++ b/src/oriolegate/commands/demo.py
@@ -14,6 +14,7 @@
 from twisted.internet import task
 
 from oriolegate.cli.status_codes import ExitStatus
+from oriolegate.logging_setup import setup_logging
 from oriolegate.measurement.caller import Caller
 from oriolegate.measurement.caller import CallerAnswer
 from oriolegate.measurement.embedded_site import EmbeddedSite
@@ -215,6 +216,7 @@
     Returns:
         The exit status: not 0 if a step did not show what it should.
     """
+    setup_logging()
     reactor: Any = default_reactor
     failures: list[str] = []
 
