--- a/src/oriolegate/rules/model.py
+++ b/src/oriolegate/rules/model.py
@@ -130,8 +130,18 @@
 
 
 @attrs.frozen(kw_only=True)
-class TrialRule:
-    """Sends a share of the matching callers to a target, sticky per caller."""
+class SampleRule:
+    """What trials and mirrors share: a share of some callers, and a target.
+
+    Attributes:
+        name: Of the trial or mirror.
+        share: Share of the matching callers or requests, 0 to 1.
+        pattern: Matches names of callers.
+        service: The service that the requests go to.
+        target: Where they go instead, or as well.
+        asker: Who asked for the rule.
+        until_ms: When the rule ends, in wall time, or None.
+    """
 
     name: str
     share: float
@@ -143,16 +153,13 @@
 
 
 @attrs.frozen(kw_only=True)
-class MirrorRule:
-    """Copies a share of the matching callers' requests to a target."""
+class TrialRule(SampleRule):
+    """Sends a share of the matching callers to a target, sticky per caller."""
 
-    name: str
-    share: float
-    pattern: str
-    service: str
-    target: TrialTarget
-    asker: Asker
-    until_ms: int | None = None
+
+@attrs.frozen(kw_only=True)
+class MirrorRule(SampleRule):
+    """Copies a share of the matching callers' requests to a target."""
 
 
 Rule: TypeAlias = (
