--- a/src/oriolegate/following/follower.py
+++ b/src/oriolegate/following/follower.py
@@ -64,6 +64,10 @@
         """Take that an object is gone; `listed` if a list lacked it."""
         ...
 
+    def synchronized(self, now_ms: float) -> None:
+        """Take that a whole list was put in."""
+        ...
+
 
 class Follower:
     """The state of following one collection.
@@ -136,6 +140,7 @@
         for item in self.listed.values():
             self._put(now_ms, item)
         self.listed = {}
+        self.sink.synchronized(now_ms)
 
     def _put(self, now_ms: float, item: StoredObject) -> None:
         if item.revision > self.revisions.get(item.name, -1):
--- a/src/oriolegate/runtime/gateway.py
+++ b/src/oriolegate/runtime/gateway.py
@@ -36,6 +36,8 @@
 
 MS_PER_S = 1_000.0
 TICK_S = 0.25
+# Callers of a VM that failed all connect anew at the same moment.
+BACKLOG = 512
 # Member count assumed until the member list is in: more than ever run here.
 ASSUMED_MEMBERS = 32
 # Without word from the store for this long, the member list is not relied on.
@@ -73,7 +75,6 @@
     leaf_client: LeafClient
     store_client: StoreClient
     configuration: ConfigurationSink
-    leaf_sink: LeafSink
 
 
 def build_parts(
@@ -92,7 +93,6 @@
     leaf_client = LeafClient(reactor, clock)
     store_client = StoreClient(reactor, clock, settings.store_address)
     configuration = ConfigurationSink(directory)
-    leaf_sink = LeafSink(directory)
 
     def members_changed(members: frozenset[str]) -> None:
         directory.members = members
@@ -100,7 +100,7 @@
         budget.members = len(members)
 
     sinks: dict[Collection, CollectionSink] = {
-        Collection.LEAFS: leaf_sink,
+        Collection.LEAFS: LeafSink(directory),
         Collection.CONFIGURATION: configuration,
         Collection.EVACUATIONS: EvacuationSink(directory),
         Collection.MEMBERS: MemberSink(settings.vm, members_changed),
@@ -132,7 +132,6 @@
         leaf_client=leaf_client,
         store_client=store_client,
         configuration=configuration,
-        leaf_sink=leaf_sink,
     )
 
 
@@ -161,6 +160,7 @@
         self.on_exit: Callable[[], None] = lambda: None
         self.front = CallerFactory(parts.runner)
         self.was_ready = False
+        self.ports: list[Any] = []
         self._add_gauges()
 
     def _add_gauges(self) -> None:
@@ -188,17 +188,22 @@
     def start(self) -> None:
         """Listen and follow the store."""
         settings = self.settings
+        listen = self.reactor.listenTCP
         host, port = settings.caller_address
-        self.reactor.listenTCP(port, self.front, interface=host, backlog=512)
-        host, port = settings.ready_address
-        self.reactor.listenTCP(
-            port, PlainFactory(self._answer_ready), interface=host
-        )
-        self.reactor.listenTCP(
-            settings.internal_ports[0],
-            PlainFactory(self._answer_metrics),
-            interface=settings.host,
-        )
+        ready_host, ready_port = settings.ready_address
+        self.ports = [
+            listen(port, self.front, interface=host, backlog=BACKLOG),
+            listen(
+                ready_port,
+                PlainFactory(self._answer_ready),
+                interface=ready_host,
+            ),
+            listen(
+                settings.internal_ports[0],
+                PlainFactory(self._answer_metrics),
+                interface=settings.host,
+            ),
+        ]
         log.bind(
             vm=settings.vm,
             data_centre=settings.data_centre,
@@ -219,9 +224,6 @@
     def _tick(self) -> None:
         now_ms = self.clock.now_ms()
         parts = self.parts
-        parts.leaf_sink.synchronized = parts.followers[
-            Collection.LEAFS
-        ].complete
         for leaf_id in parts.directory.drop_lapsed(now_ms):
             parts.leaf_client.drop(leaf_id)
         members = parts.followers[Collection.MEMBERS]
--- a/src/oriolegate/runtime/site_sinks.py
+++ b/src/oriolegate/runtime/site_sinks.py
@@ -46,7 +46,7 @@
     def __init__(self, directory: LeafDirectory) -> None:
         self.directory = directory
         self.broken = BrokenEntries("leafs")
-        self.synchronized = False
+        self.is_synchronized = False
 
     def put(self, now_ms: float, item: StoredObject) -> None:
         """Take a leaf's entry."""
@@ -57,7 +57,7 @@
             self.directory.lapse(now_ms, item.name)
             return
         self.directory.put(now_ms, entry)
-        if self.synchronized:
+        if self.is_synchronized:
             log.bind(
                 leaf=item.name,
                 service=entry.service,
@@ -73,6 +73,12 @@
         self.directory.lapse(now_ms, name)
         log.bind(leaf=name, by_list=listed).info("leaf entry gone")
 
+    def synchronized(self, now_ms: float) -> None:
+        """Log changes one by one from now on."""
+        if not self.is_synchronized:
+            log.bind(leafs=len(self.directory.leafs)).info("leafs listed")
+        self.is_synchronized = True
+
 
 class ConfigurationSink:
     """Holds the newest configuration; versions only rise.
@@ -120,6 +126,9 @@
         """Keep the configuration in force: nothing replaces it."""
         log.bind(name=name).warning("configuration object gone; kept")
 
+    def synchronized(self, now_ms: float) -> None:
+        """Do nothing: every configuration was taken as it came."""
+
 
 class EvacuationSink:
     """Holds which data centres get nothing."""
@@ -139,6 +148,9 @@
         self.directory.evacuated.discard(name)
         log.bind(data_centre=name).info("data centre in use again")
 
+    def synchronized(self, now_ms: float) -> None:
+        """Do nothing: every entry was taken as it came."""
+
 
 class MemberSink:
     """Holds which VMs may run."""
@@ -151,6 +163,10 @@
         self.broken = BrokenEntries("members")
         self.names: dict[str, str] = {}
 
+    def synchronized(self, now_ms: float) -> None:
+        """Take the member list, also if it holds nobody else."""
+        self._changed()
+
     def _changed(self) -> None:
         members = frozenset({*self.names.values(), self.vm})
         log.bind(members=sorted(members)).info("members changed")
--- /dev/null
+++ b/tests/exchange/test_exchange.py
@@ -0,0 +1,228 @@
+"""Tests of one request's decisions."""
+
+import unittest
+
+from oriolegate.exchange import timing
+from oriolegate.exchange.messages import AbandonSend
+from oriolegate.exchange.messages import AnswerGathered
+from oriolegate.exchange.messages import Fate
+from oriolegate.exchange.messages import PassOn
+from oriolegate.exchange.messages import Refuse
+from oriolegate.models.site import Repeatability
+from tests import site_builders as build
+
+
+class SingleTest(unittest.TestCase):
+    def setUp(self):
+        self.shared = build.shared(
+            [build.leaf("near"), build.leaf("far", data_centre="dc-b")]
+        )
+
+    def start(self, **changes):
+        found = build.exchange(build.route(**changes), self.shared)
+        return found, found.start(0.0)
+
+    def test_the_near_leaf_gets_the_time_that_is_left(self):
+        _, effects = self.start()
+        (send,) = effects
+        self.assertEqual(send.leaf.leaf_id, "near")
+        self.assertEqual(send.time_left_ms, 1_500.0 - timing.LIMIT_MARGIN_MS)
+
+    def test_an_answer_is_passed_on_unchanged(self):
+        found, _ = self.start()
+        answer = build.answer()
+        self.assertEqual(found.answered(5.0, 1, answer), [PassOn(answer)])
+        self.assertTrue(found.finished)
+
+    def test_a_failed_leaf_is_followed_by_another_one(self):
+        found, _ = self.start()
+        (send,) = found.answered(5.0, 1, build.answer(status=500))
+        self.assertEqual(send.leaf.leaf_id, "far")
+
+    def test_the_last_failure_is_passed_on_with_its_status(self):
+        found, _ = self.start()
+        found.answered(5.0, 1, build.answer(status=500))
+        failure = build.answer(status=502)
+        self.assertEqual(found.answered(9.0, 2, failure), [PassOn(failure)])
+
+    def test_a_client_error_of_a_leaf_is_not_repeated(self):
+        found, _ = self.start()
+        answer = build.answer(status=404)
+        self.assertEqual(found.answered(5.0, 1, answer), [PassOn(answer)])
+
+    def test_no_more_leafs_than_attempts_may_run_it(self):
+        self.shared.directory.put(0.0, build.leaf("third"))
+        found, _ = self.start(attempts=2)
+        found.failed(5.0, 1, Fate.MAY_HAVE_RUN, "reset")
+        effects = found.failed(9.0, 2, Fate.MAY_HAVE_RUN, "reset")
+        self.assertEqual(effects, [Refuse(502, "the upstreams failed")])
+
+    def test_leafs_that_did_not_run_it_use_up_no_attempt(self):
+        self.shared.directory.put(0.0, build.leaf("third"))
+        found, _ = self.start(attempts=1)
+        found.failed(5.0, 1, Fate.NOT_RUN, "503")
+        (send,) = found.failed(9.0, 2, Fate.NOT_RUN, "503")
+        self.assertEqual(send.leaf.leaf_id, "far")
+
+    def test_a_refusal_promises_not_run_only_if_no_leaf_began(self):
+        found, _ = self.start()
+        found.failed(5.0, 1, Fate.NOT_RUN, "503")
+        (reply,) = found.failed(9.0, 2, Fate.UNSENT, "refused")
+        self.assertEqual(reply.status, 503)
+        self.assertGreater(reply.retry_after_ms, 0.0)
+
+    def test_a_caller_that_leaves_ends_the_work(self):
+        found, _ = self.start()
+        self.assertEqual(found.caller_gone(9.0), [AbandonSend(1)])
+        self.assertTrue(found.finished)
+        self.assertIsNone(found.next_alarm_ms(9.0))
+
+    def test_at_the_limit_the_caller_hears_that_time_is_up(self):
+        found, _ = self.start(timeout_ms=400.0)
+        found.alarm(399.0)
+        effects = found.alarm(400.0)
+        self.assertIn(Refuse(504, "no answer in time"), effects)
+        self.assertIn(AbandonSend(1), effects)
+
+    def test_with_no_leaf_it_is_refused_at_once(self):
+        self.shared = build.shared([])
+        _, effects = self.start()
+        (reply,) = effects
+        self.assertEqual((reply.status, reply.reason), (503, "no leaf"))
+
+    def test_it_waits_a_little_for_a_busy_leaf(self):
+        self.shared = build.shared([build.leaf("near")])
+        record = self.shared.directory.leafs["near"]
+        record.outstanding = dict.fromkeys(range(record.capacity), 0.0)
+        found, effects = self.start()
+        self.assertEqual(effects, [])
+        due_ms = found.next_alarm_ms(0.0)
+        self.assertEqual(due_ms, timing.RETRY_PLACING_MS)
+        record.outstanding.clear()
+        self.assertEqual(len(build.sends(found.alarm(due_ms))), 1)
+
+    def test_it_is_refused_early_if_leafs_stay_busy(self):
+        self.shared = build.shared([build.leaf("near")])
+        record = self.shared.directory.leafs["near"]
+        record.outstanding = dict.fromkeys(range(record.capacity), 0.0)
+        found, _ = self.start()
+        (reply,) = found.alarm(timing.QUEUE_PART * 200.0)
+        self.assertEqual((reply.status, reply.reason), (503, "all leafs full"))
+
+
+class NonIdempotentTest(unittest.TestCase):
+    def setUp(self):
+        self.shared = build.shared([build.leaf("one"), build.leaf("two")])
+        self.found = build.exchange(
+            build.route(repeatability=Repeatability.NON_IDEMPOTENT), self.shared
+        )
+        self.found.start(0.0)
+
+    def test_it_is_never_sent_twice_once_a_leaf_may_have_begun(self):
+        (reply,) = self.found.failed(5.0, 1, Fate.MAY_HAVE_RUN, "reset")
+        self.assertEqual(reply, Refuse(502, "the upstreams failed"))
+
+    def test_it_is_sent_again_if_a_leaf_says_it_did_not_run(self):
+        effects = self.found.failed(5.0, 1, Fate.NOT_RUN, "503")
+        self.assertEqual(len(build.sends(effects)), 1)
+
+    def test_stragglers_get_no_second_send(self):
+        due_ms = self.found.next_alarm_ms(0.0)
+        self.assertEqual(due_ms, self.found.moments.limit_ms)
+
+
+class GatherTest(unittest.TestCase):
+    def setUp(self):
+        self.services = ("s1", "s2", "s3", "s4")
+        leafs = [
+            build.leaf(f"{name}-{place}", name, f"dc-{place}")
+            for name in self.services
+            for place in "ab"
+        ]
+        self.shared = build.shared(leafs, self.services)
+
+    def start(self, **changes):
+        found_route = build.gather_route(self.services, **changes)
+        found = build.exchange(found_route, self.shared)
+        return found, build.sends(found.start(0.0))
+
+    def test_each_service_gets_it_once(self):
+        _, sends = self.start()
+        self.assertEqual(
+            [send.leaf.service for send in sends], list(self.services)
+        )
+
+    def test_the_answer_holds_the_greatest_records_of_all_parts(self):
+        found, _ = self.start()
+        effects = []
+        for number, letter in enumerate(b"adcb", 1):
+            body = bytes([letter]) * 16 + b"tail"
+            answer = build.answer(body, signature=b"sig%d" % number)
+            effects = found.answered(5.0, number, answer)
+        (reply,) = effects
+        self.assertEqual(reply.body, b"d" * 16 + b"c" * 16 + b"b" * 16)
+        self.assertEqual(reply.signatures, (b"sig1", b"sig2", b"sig3", b"sig4"))
+        self.assertEqual(reply.missing, 0)
+
+    def test_a_straggler_is_sent_to_another_leaf(self):
+        found, _ = self.start()
+        for number in (1, 2, 3):
+            found.answered(5.0, number, build.answer())
+        (send,) = build.sends(found.alarm(found.next_alarm_ms(5.0)))
+        self.assertEqual(send.leaf.leaf_id, "s4-b")
+
+    def test_a_partial_answer_is_given_at_the_target(self):
+        found, _ = self.start()
+        for number in (1, 2, 3):
+            found.answered(5.0, number, build.answer())
+        found.alarm(found.next_alarm_ms(5.0))
+        self.assertEqual(
+            found.next_alarm_ms(150.0), 200.0 - timing.TARGET_MARGIN_MS
+        )
+        effects = found.alarm(200.0 - timing.TARGET_MARGIN_MS)
+        self.assertEqual(effects[0].missing, 1)
+
+    def test_below_the_least_coverage_it_waits_beyond_the_target(self):
+        found, _ = self.start(min_coverage=0.9)
+        for number in (1, 2, 3):
+            found.answered(5.0, number, build.answer())
+        effects = found.alarm(190.0)
+        self.assertEqual(len(build.sends(effects)), len(effects))
+        (reply,) = found.answered(230.0, 4, build.answer())
+        self.assertIsInstance(reply, AnswerGathered)
+
+    def test_it_ends_once_the_least_coverage_is_out_of_reach(self):
+        found, _ = self.start(min_coverage=0.9, attempts=1)
+        effects = found.failed(5.0, 1, Fate.MAY_HAVE_RUN, "reset")
+        self.assertEqual(effects[0].status, 502)
+        self.assertEqual(effects[1:], [AbandonSend(n) for n in (2, 3, 4)])
+
+    def test_a_failed_leafs_body_is_no_part(self):
+        found, _ = self.start(attempts=1)
+        found.answered(5.0, 1, build.answer(status=500))
+        effects = []
+        for number in (2, 3, 4):
+            effects = found.answered(6.0, number, build.answer())
+        (reply,) = effects
+        self.assertEqual((len(reply.signatures), reply.missing), (3, 1))
+
+    def test_sends_left_over_are_given_up_a_while_after_the_answer(self):
+        found, _ = self.start()
+        for number in (1, 2, 3):
+            found.answered(5.0, number, build.answer())
+        found.alarm(199.0)
+        due_ms = found.next_alarm_ms(199.0)
+        self.assertEqual(due_ms, 199.0 + timing.LINGER_MS)
+        effects = found.alarm(due_ms)
+        self.assertTrue(effects)
+        self.assertTrue(all(isinstance(e, AbandonSend) for e in effects))
+        self.assertTrue(found.finished)
+
+    def test_hedges_stop_at_the_budget(self):
+        self.shared.budget.set_bounds(0.2, 10_000.0, 0.0)
+        found, _ = self.start()
+        self.assertEqual(build.sends(found.alarm(150.0)), [])
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/following/test_follower.py
@@ -0,0 +1,164 @@
+"""Tests of following a collection of the store."""
+
+import random
+import unittest
+
+from hypothesis import given
+from hypothesis import strategies
+
+from oriolegate.following import follower
+from oriolegate.following.follower import AskChanges
+from oriolegate.following.follower import AskPage
+from oriolegate.following.follower import Follower
+from oriolegate.models.stored import Change
+from oriolegate.models.stored import ChangeBatch
+from oriolegate.models.stored import Collection
+from oriolegate.models.stored import ListPage
+from oriolegate.models.stored import StoredObject
+
+
+class Sink:
+    def __init__(self):
+        self.contents = {}
+        self.lists = 0
+
+    def put(self, now_ms, item):
+        self.contents[item.name] = item.content
+
+    def remove(self, now_ms, name, listed):
+        self.contents.pop(name, None)
+
+    def synchronized(self, now_ms):
+        self.lists += 1
+
+
+def item(name, revision, content=None):
+    return StoredObject(name, revision, content or f"{name}@{revision}")
+
+
+def page(revision, *items, has_more=False):
+    return ListPage(items, has_more, revision)
+
+
+class FollowerTest(unittest.TestCase):
+    def setUp(self):
+        self.sink = Sink()
+        self.follower = Follower(Collection.LEAFS, self.sink, random.Random(1))
+        self.assertEqual(self.follower.start(), AskPage(0.0, ""))
+
+    def listed(self, *items, revision=10):
+        return self.follower.page(0.0, page(revision, *items))
+
+    def test_a_list_is_followed_by_a_watch_from_its_revision(self):
+        ask = self.listed(item("a", 3))
+        self.assertIsInstance(ask, AskChanges)
+        self.assertEqual(ask.revision, 10)
+        self.assertEqual(self.sink.contents, {"a": "a@3"})
+        self.assertEqual(self.sink.lists, 1)
+
+    def test_pages_count_once_the_last_is_in(self):
+        ask = self.follower.page(0.0, page(10, item("a", 3), has_more=True))
+        self.assertEqual(ask, AskPage(0.0, "a"))
+        self.assertFalse(self.follower.complete)
+        self.assertEqual(self.sink.contents, {})
+        ask = self.follower.page(0.0, page(12, item("b", 4)))
+        self.assertEqual(ask.revision, 10)
+        self.assertEqual(set(self.sink.contents), {"a", "b"})
+
+    def test_changes_are_taken_in_order(self):
+        self.listed(item("a", 3))
+        batch = ChangeBatch(
+            (
+                Change(item("b", 11), removed=False),
+                Change(item("a", 3), removed=True),
+            ),
+            12,
+        )
+        ask = self.follower.changes(0.0, batch)
+        self.assertEqual(self.sink.contents, {"b": "b@11"})
+        self.assertEqual(ask.revision, 12)
+        self.assertEqual(ask.delay_ms, follower.BETWEEN_WATCHES_MS)
+
+    def test_a_watch_without_changes_is_renewed_at_once(self):
+        self.listed()
+        ask = self.follower.changes(0.0, ChangeBatch((), 10))
+        self.assertEqual(ask.delay_ms, 0.0)
+
+    def test_an_older_state_of_an_object_is_not_taken(self):
+        self.listed(item("a", 9))
+        old = Change(item("a", 8), removed=False)
+        self.follower.changes(0.0, ChangeBatch((old,), 11))
+        self.assertEqual(self.sink.contents, {"a": "a@9"})
+
+    def test_after_lost_history_only_a_whole_list_removes(self):
+        self.listed(item("a", 3), item("b", 4))
+        self.assertEqual(self.follower.history_gone(0.0), AskPage(0.0, ""))
+        self.follower.page(0.0, page(20, item("a", 3), has_more=True))
+        self.assertEqual(set(self.sink.contents), {"a", "b"})
+        self.follower.page(0.0, page(20, item("c", 15)))
+        self.assertEqual(set(self.sink.contents), {"a", "c"})
+
+    def test_a_list_that_lags_is_asked_for_again(self):
+        self.listed(item("a", 9), revision=10)
+        self.follower.history_gone(0.0)
+        ask = self.follower.page(0.0, page(8))
+        self.assertIsInstance(ask, AskPage)
+        self.assertEqual(set(self.sink.contents), {"a"})
+
+    def test_a_failed_watch_goes_on_from_the_same_revision(self):
+        self.listed()
+        ask = self.follower.failed()
+        self.assertEqual(ask.revision, 10)
+
+    def test_pauses_grow_to_their_limit(self):
+        self.listed()
+        pauses = [self.follower.failed().delay_ms for _ in range(12)]
+        self.assertLess(pauses[0], follower.FIRST_RETRY_MS * 1.25 + 1)
+        self.assertLess(max(pauses), follower.LONGEST_RETRY_MS * 1.25 + 1)
+
+    def test_a_failed_page_begins_the_list_anew(self):
+        self.follower.page(0.0, page(10, item("a", 3), has_more=True))
+        self.assertEqual(self.follower.failed().after, "")
+        self.follower.page(0.0, page(11, item("b", 4)))
+        self.assertEqual(set(self.sink.contents), {"b"})
+
+
+class ModelTest(unittest.TestCase):
+    @given(
+        strategies.lists(
+            strategies.tuples(
+                strategies.sampled_from("abcd"),
+                strategies.booleans(),
+                strategies.sampled_from(["watch", "gone", "fail", "none"]),
+            ),
+            max_size=40,
+        )
+    )
+    def test_it_ends_with_what_the_store_holds(self, steps):
+        sink = Sink()
+        found = Follower(Collection.LEAFS, sink, random.Random(1))
+        found.start()
+        found.page(0.0, page(1))
+        held, log, revision = {}, [], 1
+        for name, removed, call in steps:
+            revision += 1
+            if removed:
+                if name in held:
+                    log.append((revision, Change(held.pop(name), True)))
+            else:
+                held[name] = item(name, revision)
+                log.append((revision, Change(held[name], False)))
+            if call == "watch":
+                self.watch(found, log, revision)
+            elif call == "gone":
+                found.history_gone(0.0)
+                found.page(0.0, page(revision, *held.values()))
+            elif call == "fail":
+                found.failed()
+        self.watch(found, log, revision)
+        expected = {name: kept.content for name, kept in held.items()}
+        self.assertEqual(sink.contents, expected)
+
+    def watch(self, found, log, revision):
+        changes = tuple(c for at, c in log if at > found.revision)
+        found.changes(0.0, ChangeBatch(changes, revision))
--- /dev/null
+++ b/tests/platform/stand_in_leaf.py
@@ -0,0 +1,137 @@
+"""A stand-in of a leaf whose behaviour tests choose."""
+
+from collections.abc import Callable
+from typing import Any
+
+import attrs
+import httptools
+from twisted.internet import protocol
+
+
+@attrs.define(eq=False)
+class LeafRequest:
+    """A request that reached the stand-in.
+
+    Attributes:
+        connection: Where it came from; answers are written to it.
+        method: Such as GET.
+        path: As sent.
+        headers: By name in lower case.
+        body: The whole body.
+    """
+
+    connection: Any
+    method: bytes = b""
+    path: bytes = b""
+    headers: dict[bytes, bytes] = attrs.field(factory=dict)
+    body: bytes = b""
+
+    @property
+    def attempt_id(self) -> bytes:
+        """The id that the caller gave."""
+        return self.headers.get(b"attempt-id", b"")
+
+    def answer(
+        self, body: bytes, status: int = 200, **headers: str | None
+    ) -> None:
+        """Write a signed answer; a header that is None is left out."""
+        fields: dict[str, str | None] = {
+            "Attempt-Id": self.attempt_id.decode(),
+            "Server-Seal": f"seal.{self.connection.leaf.leaf_id}",
+            "Content-Length": str(len(body)),
+        }
+        fields |= {k.replace("_", "-"): v for k, v in headers.items()}
+        lines = [f"HTTP/1.1 {status} Status"]
+        lines += [f"{k}: {v}" for k, v in fields.items() if v is not None]
+        head = "\r\n".join([*lines, "", ""]).encode()
+        self.connection.transport.write(head + body)
+
+    def reset(self) -> None:
+        """Break the connection off."""
+        self.connection.transport.abortConnection()
+
+
+class StandInLeaf:
+    """A leaf.
+
+    Attributes:
+        leaf_id: Its id; another expected id is answered 421.
+        behave: What it does with a request.
+        requests: Requests that it ran, in order.
+        lost: Connections that were closed by the other side.
+    """
+
+    def __init__(self, leaf_id: str) -> None:
+        self.leaf_id = leaf_id
+        self.behave: Callable[[LeafRequest], None] = lambda request: (
+            request.answer(f"{leaf_id:<16}".encode())
+        )
+        self.requests: list[LeafRequest] = []
+        self.lost = 0
+        self.health_cold_ms = 0
+
+    def handle(self, request: LeafRequest) -> None:
+        """Answer one request."""
+        expected = request.headers.get(b"target-instance")
+        if request.path == b"/health":
+            request.answer(
+                b"",
+                Instance_Id=self.leaf_id,
+                Warmup_Ms=str(self.health_cold_ms),
+            )
+        elif expected is not None and expected.decode() != self.leaf_id:
+            request.answer(b"", 421, Instance_Id=self.leaf_id)
+        else:
+            self.requests.append(request)
+            self.behave(request)
+
+
+class LeafProtocol(protocol.Protocol):
+    """One connection of the stand-in."""
+
+    def __init__(self, leaf: StandInLeaf) -> None:
+        self.leaf = leaf
+        self.parser = httptools.HttpRequestParser(self)
+        self.request = LeafRequest(self)
+
+    def dataReceived(self, data: bytes) -> None:  # noqa: N802
+        """Read requests."""
+        self.parser.feed_data(data)
+
+    def on_message_begin(self) -> None:
+        """Start a request."""
+        self.request = LeafRequest(self)
+
+    def on_url(self, url: bytes) -> None:
+        """Take the path."""
+        self.request.path += url
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Take a header."""
+        self.request.headers[name.lower()] = value
+
+    def on_body(self, data: bytes) -> None:
+        """Take part of the body."""
+        self.request.body += data
+
+    def on_message_complete(self) -> None:
+        """Hand the request to the leaf."""
+        self.request.method = self.parser.get_method()
+        self.leaf.handle(self.request)
+
+    def connectionLost(self, reason: Any = None) -> None:  # noqa: N802
+        """Count connections that ended."""
+        self.leaf.lost += 1
+
+
+class LeafFactory(protocol.ServerFactory):
+    """Serves a stand-in leaf."""
+
+    noisy = False
+
+    def __init__(self, leaf: StandInLeaf) -> None:
+        self.leaf = leaf
+
+    def buildProtocol(self, addr: Any) -> LeafProtocol:  # noqa: N802
+        """Make a connection."""
+        return LeafProtocol(self.leaf)
--- /dev/null
+++ b/tests/platform/stand_in_store.py
@@ -0,0 +1,148 @@
+"""A stand-in of the platform's store: lists, watches, creates, deletes."""
+
+from typing import Any
+from urllib import parse
+
+import orjson
+from twisted.internet import protocol
+from twisted.web import http
+
+PAGE_ITEMS = 3
+
+
+class StandInStore:
+    """Objects by kind, with one revision and a history.
+
+    Attributes:
+        objects: Object by name, by kind.
+        history: Changes as (revision, kind, event).
+        forgotten: Revision up to which the history is gone.
+        refuse: Status of every answer, or None while it works.
+        calls: Paths asked for, in order.
+    """
+
+    def __init__(self) -> None:
+        self.objects: dict[str, dict[str, Any]] = {}
+        self.history: list[tuple[int, str, Any]] = []
+        self.revision = 1
+        self.forgotten = 0
+        self.refuse: int | None = None
+        self.calls: list[str] = []
+        self.waiting: list[tuple[Any, str, int, Any]] = []
+
+    def put(self, kind: str, name: str, spec: Any) -> None:
+        """Create or replace an object."""
+        self.revision += 1
+        item = {"meta": {"name": name, "revision": self.revision}, "spec": spec}
+        self.objects.setdefault(kind, {})[name] = item
+        self._changed(kind, {"object": item, "deleted": False})
+
+    def delete(self, kind: str, name: str) -> None:
+        """Remove an object."""
+        item = self.objects[kind].pop(name)
+        self.revision += 1
+        self._changed(kind, {"object": item, "deleted": True})
+
+    def _changed(self, kind: str, event: Any) -> None:
+        self.history.append((self.revision, kind, event))
+        for entry in list(self.waiting):
+            if entry[1] == kind:
+                self.waiting.remove(entry)
+                self._answer_watch(*entry[:3])
+
+    def forget(self) -> None:
+        """Drop the history and cut the watches."""
+        self.forgotten = self.revision
+        self.history.clear()
+
+    def list(self, kind: str, after: str) -> Any:
+        """Return a page of a list."""
+        names = sorted(n for n in self.objects.get(kind, {}) if n > after)
+        page = names[:PAGE_ITEMS]
+        return {
+            "items": [self.objects[kind][name] for name in page],
+            "has_more": len(names) > len(page),
+            "as_of": self.revision,
+        }
+
+    def _answer_watch(self, request: Any, kind: str, revision: int) -> None:
+        events = [e for at, k, e in self.history if k == kind and at > revision]
+        request.send(200, {"events": events, "as_of": self.revision})
+
+    def watch(self, request: Any, kind: str, revision: int) -> None:
+        """Answer a watch now or when something changes."""
+        if revision < self.forgotten:
+            request.send(410, {})
+        elif any(at > revision and k == kind for at, k, _ in self.history):
+            self._answer_watch(request, kind, revision)
+        else:
+            self.waiting.append((request, kind, revision, None))
+
+    def handle(self, request: Any) -> None:
+        """Answer one call."""
+        target = request.uri.decode()
+        self.calls.append(f"{request.method.decode()} {target}")
+        if self.refuse is not None:
+            request.send(self.refuse, {})
+            return
+        path, _, query = target.partition("?")
+        fields = dict(parse.parse_qsl(query))
+        _, _, kind, *names = path.split("/")
+        match request.method:
+            case b"GET" if "watch" in fields:
+                self.watch(request, kind, int(fields["watch"]))
+            case b"GET":
+                request.send(200, self.list(kind, fields.get("after", "")))
+            case b"POST":
+                body = orjson.loads(request.content.read())
+                name = body["meta"]["name"]
+                status = 409 if name in self.objects.get(kind, {}) else 200
+                if status == 200:
+                    self.put(kind, name, body["spec"])
+                request.send(status, {})
+            case b"DELETE":
+                self.delete(kind, parse.unquote(names[0]))
+                request.send(200, {})
+
+
+class StoreRequest(http.Request):
+    """A call to the stand-in."""
+
+    store: StandInStore
+
+    def process(self) -> None:
+        """Hand the call to the store."""
+        self.store.handle(self)
+
+    def send(self, status: int, document: Any) -> None:
+        """Send an answer, unless the caller is gone."""
+        if self._disconnected:
+            return
+        body = orjson.dumps(document)
+        self.setResponseCode(status)
+        self.setHeader(b"content-length", b"%d" % len(body))
+        self.write(body)
+        self.finish()
+
+
+class StoreFactory(protocol.ServerFactory):
+    """Serves a stand-in store."""
+
+    noisy = False
+
+    def __init__(self, store: StandInStore) -> None:
+        class BoundRequest(StoreRequest):
+            pass
+
+        BoundRequest.store = store
+        self.request_class = BoundRequest
+
+    def buildProtocol(self, addr: Any) -> http.HTTPChannel:  # noqa: N802
+        """Make a channel."""
+        channel = http.HTTPChannel()
+        channel.factory = self
+        channel.requestFactory = self.request_class
+        return channel
+
+    def log(self, request: Any) -> None:
+        """Write no access log."""
--- /dev/null
+++ b/tests/platform/test_caller_protocol.py
@@ -0,0 +1,76 @@
+"""Tests of callers' requests and the answers to them."""
+
+import unittest
+
+from oriolegate.exchange.messages import AnswerGathered
+from oriolegate.exchange.messages import LeafAnswer
+from oriolegate.exchange.messages import PassOn
+from oriolegate.exchange.messages import Refuse
+from oriolegate.platform import caller_protocol
+
+HEADERS = (
+    (b"Host", b"H.example:8080"),
+    (b"Attempt-Id", b"a1"),
+    (b"Deadline-Ms", b"1500"),
+    (b"Connection", b"X-Hop"),
+    (b"X-Hop", b"1"),
+    (b"X-Kept", b"1"),
+    (b"Target-Instance", b"forged"),
+    (b"Content-Length", b"3"),
+)
+
+
+class DecodeTest(unittest.TestCase):
+    def setUp(self):
+        self.call = caller_protocol.decode_call(
+            b"POST", b"/a/b?q=/c/", HEADERS, b"abc"
+        )
+
+    def test_host_path_and_time(self):
+        self.assertEqual(self.call.host, "h.example")
+        self.assertEqual(self.call.path, "/a/b")
+        self.assertEqual(self.call.target, b"/a/b?q=/c/")
+        self.assertEqual(self.call.attempt_id, "a1")
+        self.assertEqual(self.call.time_left_ms, 1_500.0)
+
+    def test_only_headers_for_the_leaf_are_forwarded(self):
+        self.assertEqual(
+            [name for name, _ in self.call.headers],
+            [b"Host", b"Attempt-Id", b"X-Kept"],
+        )
+
+    def test_a_time_that_is_no_number_is_left_out(self):
+        for value in (b"soon", b"-4", b""):
+            call = caller_protocol.decode_call(
+                b"GET", b"/", ((b"Deadline-Ms", value),), b""
+            )
+            self.assertIsNone(call.time_left_ms)
+
+
+class EncodeTest(unittest.TestCase):
+    def test_a_leafs_answer_keeps_status_body_and_headers(self):
+        answer = LeafAnswer(
+            207, ((b"server-seal", b"x"), (b"content-length", b"9")), b"b", b"x"
+        )
+        found = caller_protocol.encode_reply(PassOn(answer), "a1")
+        self.assertEqual(
+            found,
+            caller_protocol.HttpReply(207, ((b"server-seal", b"x"),), b"b"),
+        )
+
+    def test_a_gathered_answer_names_its_parts_and_what_is_missing(self):
+        reply = AnswerGathered(b"body", (b"x", b"y"), 3)
+        found = caller_protocol.encode_reply(reply, "a1")
+        headers = dict(found.headers)
+        self.assertEqual(headers[b"Part-Seals"], b"x, y")
+        self.assertEqual(headers[b"Missing-Parts"], b"3")
+        self.assertEqual((found.status, found.body), (200, b"body"))
+
+    def test_a_refusal_says_when_to_come_back(self):
+        reply = Refuse(503, "all leafs full", 150.0)
+        found = caller_protocol.encode_reply(reply, "a1")
+        self.assertEqual(dict(found.headers)[b"Retry-After"], b"0.150")
+
+    def test_a_failure_without_a_promise_names_no_time(self):
+        found = caller_protocol.encode_reply(Refuse(502, "failed"), "a1")
+        self.assertNotIn(b"Retry-After", dict(found.headers))
--- /dev/null
+++ b/tests/platform/test_documents.py
@@ -0,0 +1,176 @@
+"""Tests of decoding objects of the store."""
+
+import copy
+import unittest
+
+from hypothesis import given
+from hypothesis import strategies
+
+from oriolegate.exceptions import MalformedEntryError
+from oriolegate.models.site import Repeatability
+from oriolegate.platform import documents
+from oriolegate.platform import member_entry
+
+LEAF = {
+    "service": "s1",
+    "address": "10.0.0.9:8080",
+    "zone": "dc-a",
+    "version": "v1",
+    "slots": 4,
+    "state": "ready",
+    "warmup_left_ms": 0,
+    "sequence": 4,
+    "born": 1_700_000_000_000,
+}
+CONFIGURATION = {
+    "version": 7,
+    "routes": [
+        {
+            "name": "g",
+            "host": "H.example",
+            "path_prefix": "/g/",
+            "type": "idempotent",
+            "timeout_ms": 1500,
+            "target_latency_ms": 161,
+            "priority": 2,
+            "gather": ["s1", "s2"],
+            "attempts": 2,
+            "top_k": 5,
+            "min_coverage": 0.75,
+            "allowed_regions": [],
+        },
+        {
+            "name": "w",
+            "host": "h.example",
+            "path_prefix": "/w/",
+            "type": "non_idempotent",
+            "timeout_ms": 1500,
+            "target_latency_ms": 161,
+            "priority": 0,
+            "traffic_split": [
+                {"service": "s1", "weight": 3},
+                {"service": "s2", "weight": 1},
+            ],
+            "attempts": 2,
+            "allowed_regions": ["north"],
+        },
+    ],
+    "services": [
+        {
+            "name": "s1",
+            "health_path": "/health",
+            "max_connections": 36,
+            "protocol": "h1",
+            "tls": False,
+            "warmup_s": 3.0,
+            "warmup_per_s": 2.5,
+        }
+    ],
+    "limits": {
+        "max_header_bytes": 16384,
+        "max_body_bytes": 1000,
+        "header_timeout_ms": 3000,
+        "idle_timeout_ms": 15000,
+    },
+}
+ANYTHING = strategies.recursive(
+    strategies.none()
+    | strategies.booleans()
+    | strategies.integers()
+    | strategies.floats()
+    | strategies.text(max_size=5),
+    lambda inner: (
+        strategies.lists(inner, max_size=3)
+        | strategies.dictionaries(
+            strategies.text(max_size=5), inner, max_size=3
+        )
+    ),
+    max_leaves=6,
+)
+
+
+class LeafEntryTest(unittest.TestCase):
+    def test_a_whole_entry_is_decoded(self):
+        found = documents.leaf_entry("i-1", LEAF)
+        self.assertEqual((found.host, found.port), ("10.0.0.9", 8080))
+        self.assertFalse(found.draining)
+        self.assertEqual(found.born_ms, LEAF["born"])
+
+    def test_an_entry_without_a_birth_is_decoded(self):
+        entry = {k: v for k, v in LEAF.items() if k != "born"}
+        self.assertEqual(documents.leaf_entry("i-1", entry).born_ms, 0)
+
+    def test_each_broken_field_names_no_leaf(self):
+        broken = {
+            "service": [None, 4, ""],
+            "address": ["x", "10.0.0.9", "10.0.0.9:x", ":80", 7],
+            "state": ["gone", None, ["ready"], 1],
+            "slots": ["4", None, True, 2.5],
+            "warmup_left_ms": ["soon", None, []],
+            "born": [1.5, "x"],
+        }
+        for name, values in broken.items():
+            for value in values:
+                with (
+                    self.subTest(name=name, value=value),
+                    self.assertRaises(MalformedEntryError),
+                ):
+                    documents.leaf_entry("i-1", LEAF | {name: value})
+
+    @given(ANYTHING, strategies.sampled_from(sorted(LEAF)))
+    def test_any_value_is_decoded_or_rejected(self, value, name):
+        for content in (value, LEAF | {name: value}):
+            try:
+                documents.leaf_entry("i-1", content)
+            except MalformedEntryError:
+                continue
+
+
+class ConfigurationTest(unittest.TestCase):
+    def test_a_gather_route(self):
+        found = documents.configuration(CONFIGURATION).routes[0]
+        self.assertEqual(found.host, "h.example")
+        self.assertEqual(found.shards, ("s1", "s2"))
+        self.assertEqual((found.top_k, found.min_coverage), (5, 0.75))
+        self.assertEqual(found.split, ())
+
+    def test_a_split_route(self):
+        found = documents.configuration(CONFIGURATION).routes[1]
+        self.assertIs(found.repeatability, Repeatability.NON_IDEMPOTENT)
+        self.assertEqual([part.weight for part in found.split], [3.0, 1.0])
+        self.assertEqual(found.home_regions, {"north"})
+
+    def test_services_and_limits(self):
+        found = documents.configuration(CONFIGURATION)
+        self.assertEqual(found.services["s1"].warmup_per_s, 2.5)
+        self.assertEqual(found.limits.body_bytes, 1000)
+
+    def test_a_broken_part_breaks_the_whole(self):
+        for change in (
+            lambda c: c.pop("version"),
+            lambda c: c.pop("routes"),
+            lambda c: c["routes"].append(4),
+            lambda c: c["routes"][0].pop("host"),
+            lambda c: c["routes"][0].update(type="once"),
+            lambda c: c["services"][0].pop("max_connections"),
+        ):
+            content = copy.deepcopy(CONFIGURATION)
+            change(content)
+            with self.assertRaises(MalformedEntryError):
+                documents.configuration(content)
+
+    @given(ANYTHING)
+    def test_any_value_is_rejected_cleanly(self, value):
+        with self.assertRaises(MalformedEntryError):
+            documents.configuration(value)
+
+
+class MemberEntryTest(unittest.TestCase):
+    def test_it_comes_back(self):
+        content = member_entry.encode("vm-1", "dc-a", 5)
+        self.assertEqual(member_entry.decode(content), "vm-1")
+
+    def test_others_are_rejected(self):
+        for content in (None, [], {}, {"vm": ""}, {"vm": 4}):
+            with self.assertRaises(MalformedEntryError):
+                member_entry.decode(content)
--- /dev/null
+++ b/tests/platform/test_gateway.py
@@ -0,0 +1,424 @@
+"""Tests of a whole gateway against stand-ins, over real sockets."""
+
+import random
+import unittest
+
+import attrs
+from twisted.internet import defer
+from twisted.internet import reactor
+from twisted.internet import task
+
+from oriolegate.clock import SystemClock
+from oriolegate.following import follower
+from oriolegate.models.site import Bounds
+from oriolegate.models.site import NodeSettings
+from oriolegate.network.http_connection import Answered
+from oriolegate.network.http_connection import Broken
+from oriolegate.network.http_connection import HttpCall
+from oriolegate.network.http_pool import HttpPool
+from oriolegate.runtime import gateway
+from tests.platform.stand_in_leaf import LeafFactory
+from tests.platform.stand_in_leaf import StandInLeaf
+from tests.platform.stand_in_store import StandInStore
+from tests.platform.stand_in_store import StoreFactory
+from tests.reactor_case import on_reactor
+
+HOST = "127.0.0.1"
+SHARDS = ("s1", "s2", "s3")
+
+
+def route(name, **changes):
+    fields = {
+        "name": name,
+        "host": "h.example",
+        "path_prefix": f"/{name}/",
+        "type": "idempotent",
+        "timeout_ms": 1500,
+        "target_latency_ms": 250,
+        "priority": 1,
+        "attempts": 2,
+    }
+    return fields | changes
+
+
+def configuration(version=1, more_routes=()):
+    return {
+        "version": version,
+        "routes": [
+            route("all", gather=list(SHARDS), top_k=10, min_coverage=0.6),
+            route("one", service="s1"),
+            route("once", service="s1", type="non_idempotent"),
+            *more_routes,
+        ],
+        "services": [
+            {
+                "name": name,
+                "health_path": "/health",
+                "max_connections": 36,
+                "warmup_s": 3.0,
+                "warmup_per_s": 0.0,
+            }
+            for name in SHARDS
+        ],
+        "limits": {"max_body_bytes": 1_000},
+    }
+
+
+def sleep(seconds):
+    return task.deferLater(reactor, seconds, lambda: None)
+
+
+@attrs.define(eq=False)
+class Site:
+    """A gateway with its stand-ins."""
+
+    store: StandInStore
+    leafs: dict[str, StandInLeaf]
+    ports: list
+    process: gateway.Gateway
+    front: HttpPool
+
+    async def ask(self, data):
+        """Send bytes as a caller; return the response or the fault."""
+        done = defer.Deferred()
+        self.front.send(HttpCall(data, done.callback, lambda response: True))
+        return await done
+
+    async def get(self, path, *, method=b"GET", body=b"", more=b""):
+        data = (
+            b"%s %s HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: a1\r\n"
+            b"Deadline-Ms: 1200\r\n%sContent-Length: %d\r\n\r\n%s"
+            % (method, path, more, len(body), body)
+        )
+        result = await self.ask(data)
+        assert isinstance(result, Answered), result
+        return result.response
+
+    async def until(self, holds, seconds=5.0):
+        for _ in range(int(seconds / 0.02)):
+            if holds():
+                return
+            await sleep(0.02)
+        raise AssertionError("it never held")
+
+    async def close(self):
+        self.front.close()
+        for pool in self.process.parts.leaf_client.pools.values():
+            pool.close()
+        self.process.parts.store.stop()
+        self.process.parts.store_client.pool.close()
+        for port in [*self.ports, *self.process.ports]:
+            await defer.maybeDeferred(port.stopListening)
+        for channel in list(self.process.front.channels):
+            channel.transport.abortConnection()
+        for call in reactor.getDelayedCalls():
+            call.cancel()
+        await sleep(0.01)
+
+
+def free_ports(count):
+    ports = [
+        reactor.listenTCP(0, LeafFactory(StandInLeaf("x")), interface=HOST)
+        for _ in range(count)
+    ]
+    numbers = [port.getHost().port for port in ports]
+    return numbers, ports
+
+
+async def start_site():
+    store = StandInStore()
+    ports = [reactor.listenTCP(0, StoreFactory(store), interface=HOST)]
+    store_port = ports[0].getHost().port
+    leafs = {}
+    for service in SHARDS:
+        for data_centre in ("dc-a", "dc-b"):
+            leaf = StandInLeaf(f"{service}-{data_centre}")
+            port = reactor.listenTCP(0, LeafFactory(leaf), interface=HOST)
+            ports.append(port)
+            leafs[leaf.leaf_id] = leaf
+            store.put("servers", leaf.leaf_id, entry(leaf, port, service))
+    store.put("servers", "i-broken", {"service": 4})
+    store.put("config", "main", configuration())
+    numbers, taken = free_ports(3)
+    for port in taken:
+        await defer.maybeDeferred(port.stopListening)
+    settings = NodeSettings(
+        vm="vm-1",
+        data_centre="dc-a",
+        regions={"dc-a": "north", "dc-b": "south"},
+        host=HOST,
+        caller_address=(HOST, numbers[0]),
+        ready_address=(HOST, numbers[1]),
+        internal_ports=(numbers[2], numbers[2]),
+        store_address=(HOST, store_port),
+        bounds=Bounds(grace_ms=800.0),
+    )
+    clock = SystemClock()
+    parts = gateway.build_parts(reactor, clock, settings, random.Random(1))
+    process = gateway.Gateway(reactor, clock, settings, parts)
+    front = HttpPool(reactor, clock, settings.caller_address)
+    site = Site(store, leafs, ports, process, front)
+    process.start()
+    await site.until(lambda: process.ready)
+    return site
+
+
+def entry(leaf, port, service):
+    return {
+        "service": service,
+        "address": f"{HOST}:{port.getHost().port}",
+        "zone": leaf.leaf_id.partition("-")[2],
+        "slots": 4,
+        "state": "ready",
+        "warmup_left_ms": 0,
+        "sequence": 1,
+    }
+
+
+def on_site(test):
+    """Run a test with a started site, and close it afterwards."""
+
+    async def run(case):
+        site = await start_site()
+        try:
+            await test(case, site)
+        finally:
+            await site.close()
+
+    run.__name__ = test.__name__
+    return on_reactor(run)
+
+
+class GatewayTest(unittest.TestCase):
+    @on_site
+    async def test_a_gathered_answer_is_whole(self, site):
+        found = await site.get(b"/all/x?q=1")
+        self.assertEqual(found.status, 200)
+        self.assertEqual(found.header(b"missing-parts"), b"0")
+        seals = found.header(b"part-seals").split(b", ")
+        self.assertEqual(len(set(seals)), 3)
+        records = [found.body[at : at + 16] for at in range(0, 48, 16)]
+        self.assertEqual(records, sorted(records, reverse=True))
+        (request,) = site.leafs["s1-dc-a"].requests
+        self.assertEqual(request.path, b"/all/x?q=1")
+        self.assertLessEqual(int(request.headers[b"deadline-ms"]), 1_200)
+
+    @on_site
+    async def test_a_single_answer_keeps_its_seal(self, site):
+        found = await site.get(b"/one/x")
+        self.assertEqual(found.header(b"server-seal"), b"seal.s1-dc-a")
+        self.assertEqual(found.body, b"s1-dc-a         ")
+
+    @on_site
+    async def test_a_body_reaches_the_leaf_unchanged(self, site):
+        body = bytes(range(256)) * 3
+        await site.get(b"/once/x", method=b"POST", body=body)
+        self.assertEqual(site.leafs["s1-dc-a"].requests[0].body, body)
+
+    @on_site
+    async def test_a_chunked_body_reaches_the_leaf_unchanged(self, site):
+        result = await site.ask(
+            b"POST /once/x HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: a1\r\n"
+            b"Transfer-Encoding: chunked\r\n\r\n"
+            b"3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n"
+        )
+        self.assertEqual(result.response.status, 200)
+        self.assertEqual(site.leafs["s1-dc-a"].requests[0].body, b"abcde")
+
+    @on_site
+    async def test_a_body_over_the_limit_is_rejected(self, site):
+        found = await site.get(b"/once/x", method=b"POST", body=b"x" * 1_001)
+        self.assertEqual(found.status, 413)
+        self.assertEqual(site.leafs["s1-dc-a"].requests, [])
+
+    @on_site
+    async def test_pipelined_requests_are_answered_in_order(self, site):
+        one = b"GET /%s/x HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: a1\r\n\r\n"
+        bodies = []
+
+        def accepts(response):
+            bodies.append(response.body)
+            return len(bodies) == 2
+
+        done = defer.Deferred()
+        data = one % b"all" + one % b"one"
+        site.front.send(HttpCall(data, done.callback, accepts))
+        await done
+        self.assertEqual(len(bodies[0]), 48)
+        self.assertEqual(bodies[1], b"s1-dc-a         ")
+
+    @on_site
+    async def test_unknown_routes_are_not_found(self, site):
+        self.assertEqual((await site.get(b"/none/x")).status, 404)
+
+    @on_site
+    async def test_a_missing_shard_is_stated(self, site):
+        for name in ("s2-dc-a", "s2-dc-b"):
+            site.leafs[name].behave = lambda request: request.reset()
+        found = await site.get(b"/all/x")
+        self.assertEqual(found.status, 200)
+        self.assertEqual(found.header(b"missing-parts"), b"1")
+        self.assertEqual(len(found.header(b"part-seals").split(b",")), 2)
+
+    @on_site
+    async def test_a_silent_leaf_is_hedged(self, site):
+        site.leafs["s1-dc-a"].behave = lambda request: None
+        found = await site.get(b"/one/x")
+        self.assertEqual(found.header(b"server-seal"), b"seal.s1-dc-b")
+
+    @on_site
+    async def test_another_leaf_at_the_address_is_not_used(self, site):
+        site.leafs["s1-dc-a"].leaf_id = "i-new"
+        found = await site.get(b"/once/x", method=b"POST")
+        self.assertEqual(found.header(b"server-seal"), b"seal.s1-dc-b")
+
+    @on_site
+    async def test_a_request_that_may_have_run_is_not_repeated(self, site):
+        site.leafs["s1-dc-a"].behave = lambda request: request.reset()
+        found = await site.get(b"/once/x", method=b"POST")
+        self.assertEqual(found.status, 502)
+        self.assertIsNone(found.header(b"retry-after"))
+        self.assertEqual(site.leafs["s1-dc-b"].requests, [])
+
+    @on_site
+    async def test_a_leaf_that_sheds_is_passed_over(self, site):
+        site.leafs["s1-dc-a"].behave = lambda request: request.answer(
+            b"", 503, Server_Seal=None, Not_Executed="1"
+        )
+        found = await site.get(b"/once/x", method=b"POST")
+        self.assertEqual(found.header(b"server-seal"), b"seal.s1-dc-b")
+
+    @on_site
+    async def test_when_all_shed_the_caller_hears_not_run(self, site):
+        for name in ("s1-dc-a", "s1-dc-b"):
+            site.leafs[name].behave = lambda request: request.answer(
+                b"", 503, Server_Seal=None, Not_Executed="1"
+            )
+        found = await site.get(b"/once/x", method=b"POST")
+        self.assertEqual(found.status, 503)
+        self.assertGreater(float(found.header(b"retry-after")), 0.0)
+
+    @on_site
+    async def test_a_late_second_answer_belongs_to_no_request(self, site):
+        leaf = site.leafs["s1-dc-a"]
+        leaf.behave = lambda request: request.answer(b"first")
+        await site.get(b"/one/x")
+
+        def late(request):
+            request.answer(b"stale", Attempt_Id="a0")
+            request.answer(b"second")
+
+        leaf.behave = late
+        found = await site.get(b"/one/x")
+        self.assertEqual(found.body, b"second")
+
+    @on_site
+    async def test_bytes_that_nobody_asked_for_close_the_connection(self, site):
+        leaf = site.leafs["s1-dc-a"]
+
+        def twice(request):
+            request.answer(b"first")
+            request.answer(b"extra")
+
+        leaf.behave = twice
+        found = await site.get(b"/one/x")
+        self.assertEqual(found.body, b"first")
+        leaf.behave = lambda request: request.answer(b"third")
+        self.assertEqual((await site.get(b"/one/x")).body, b"third")
+        self.assertEqual(len({r.connection for r in leaf.requests}), 2)
+
+    @on_site
+    async def test_an_answer_that_ends_early_is_not_passed_on(self, site):
+        def cut(request):
+            request.answer(b"short", Content_Length="100")
+            request.connection.transport.loseConnection()
+
+        site.leafs["s1-dc-a"].behave = cut
+        found = await site.get(b"/one/x")
+        self.assertEqual(found.header(b"server-seal"), b"seal.s1-dc-b")
+
+    @on_site
+    async def test_an_answer_may_end_with_its_connection(self, site):
+        def unframed(request):
+            request.answer(b"whole", Content_Length=None)
+            request.connection.transport.loseConnection()
+
+        site.leafs["s1-dc-a"].behave = unframed
+        found = await site.get(b"/one/x")
+        self.assertEqual(found.body, b"whole")
+
+    @on_site
+    async def test_a_caller_that_leaves_ends_the_leafs_work(self, site):
+        leaf = site.leafs["s1-dc-a"]
+        leaf.behave = lambda request: None
+        call = HttpCall(
+            b"GET /once/x HTTP/1.1\r\nHost: h.example\r\n"
+            b"Attempt-Id: a1\r\n\r\n",
+            lambda result: None,
+            lambda response: True,
+        )
+        site.front.send(call)
+        await site.until(lambda: len(leaf.requests) == 1)
+        site.front.cancel(call)
+        await site.until(lambda: leaf.lost == 1, seconds=0.5)
+        self.assertEqual(site.process.parts.runner.running, {})
+
+    @on_site
+    async def test_configurations_only_rise(self, site):
+        added = [route("new", service="s2")]
+        site.store.put("config", "main", configuration(3, added))
+        parts = site.process.parts
+        await site.until(
+            lambda: parts.configuration.table.configuration.version == 3
+        )
+        self.assertEqual((await site.get(b"/new/x")).status, 200)
+        site.store.put("config", "main", configuration(2))
+        await sleep(follower.BETWEEN_WATCHES_MS / 1_000 + 0.2)
+        self.assertEqual((await site.get(b"/new/x")).status, 200)
+
+    @on_site
+    async def test_lost_history_is_listed_anew(self, site):
+        site.store.forget()
+        site.store.put("servers", "s9-dc-a", {"service": 4})
+        site.store.delete("servers", "s1-dc-a")
+        directory = site.process.parts.directory
+        await site.until(lambda: "s1-dc-a" not in directory.leafs)
+
+    @on_site
+    async def test_a_store_that_refuses_leaves_the_service_as_it_is(self, site):
+        site.store.refuse = 503
+        site.store.put("servers", "nobody", {})
+        await sleep(0.3)
+        self.assertEqual((await site.get(b"/all/x")).status, 200)
+        self.assertTrue(site.process.ready)
+
+    @on_site
+    async def test_a_broken_entry_names_no_leaf(self, site):
+        self.assertNotIn("i-broken", site.process.parts.directory.leafs)
+
+    @on_site
+    async def test_a_stop_serves_on_and_then_ends(self, site):
+        ended = defer.Deferred()
+        site.process.on_exit = lambda: ended.callback(None)
+        members = site.store.objects["oriolegate-members"]
+        await site.until(lambda: "vm-1" in members)
+        self.assertEqual((await site.get(b"/one/x")).status, 200)
+        site.process.plan_stop()
+        self.assertFalse(site.process.ready)
+        found = await site.get(b"/one/x")
+        self.assertEqual(found.status, 200)
+        self.assertFalse(found.keep_alive)
+        await ended
+        self.assertNotIn("vm-1", members)
+
+    @on_site
+    async def test_a_hopeless_request_line_is_rejected(self, site):
+        result = await site.ask(b"nonsense\r\n\r\n")
+        is_rejected = (
+            isinstance(result, Answered) and result.response.status == 400
+        )
+        self.assertTrue(is_rejected or isinstance(result, Broken))
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/platform/test_leaf_protocol.py
@@ -0,0 +1,104 @@
+"""Tests of requests to leafs and of their responses."""
+
+import unittest
+
+import attrs
+
+from oriolegate.exchange.messages import Fate
+from oriolegate.exchange.messages import LeafAnswer
+from oriolegate.network.http_reader import HttpResponse
+from oriolegate.platform import leaf_protocol
+from tests import site_builders as build
+
+SEALED = [(b"server-seal", b"x.1"), (b"x-other", b"kept")]
+
+
+def response(status=200, headers=(), body=b"body"):
+    return HttpResponse(status, list(headers), body)
+
+
+class RequestTest(unittest.TestCase):
+    def test_the_bytes_name_the_leaf_and_the_time_left(self):
+        call = build.call()
+        head = leaf_protocol.request_head(call)
+        data = leaf_protocol.request_bytes(head, b"", build.leaf("i-1"), 99.7)
+        self.assertEqual(
+            data,
+            b"GET /a/x HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: a1\r\n"
+            b"Deadline-Ms: 99\r\nTarget-Instance: i-1\r\n\r\n",
+        )
+
+    def test_a_body_is_counted(self):
+        call = attrs.evolve(build.call(), method=b"POST", body=b"12345")
+        head = leaf_protocol.request_head(call)
+        self.assertIn(b"Content-Length: 5", head)
+        data = leaf_protocol.request_bytes(
+            head, call.body, build.leaf("i-1"), 0.2
+        )
+        self.assertTrue(
+            data.endswith(
+                b"Deadline-Ms: 1\r\nTarget-Instance: i-1\r\n\r\n12345"
+            )
+        )
+
+
+class ResponseTest(unittest.TestCase):
+    def test_a_sealed_answer_keeps_its_headers(self):
+        found = leaf_protocol.interpret(response(headers=SEALED))
+        self.assertEqual(found, LeafAnswer(200, tuple(SEALED), b"body", b"x.1"))
+
+    def test_headers_of_one_connection_are_dropped(self):
+        headers = [
+            *SEALED,
+            (b"connection", b"close, X-Hop"),
+            (b"x-hop", b"1"),
+            (b"keep-alive", b"timeout=5"),
+            (b"transfer-encoding", b"chunked"),
+        ]
+        found = leaf_protocol.interpret(response(headers=headers))
+        self.assertEqual(found.headers, tuple(SEALED))
+
+    def test_a_success_without_a_seal_is_no_answer(self):
+        found = leaf_protocol.interpret(response())
+        self.assertIs(found.fate, Fate.MAY_HAVE_RUN)
+
+    def test_an_encoded_body_is_no_answer(self):
+        headers = [*SEALED, (b"content-encoding", b"gzip")]
+        found = leaf_protocol.interpret(response(headers=headers))
+        self.assertIs(found.fate, Fate.MAY_HAVE_RUN)
+
+    def test_only_the_header_says_that_it_did_not_run(self):
+        found = leaf_protocol.interpret(
+            response(503, [(b"not-executed", b"1")])
+        )
+        self.assertIs(found.fate, Fate.NOT_RUN)
+        found = leaf_protocol.interpret(response(503, SEALED))
+        self.assertEqual(found.status, 503)
+
+    def test_another_leaf_at_the_address(self):
+        found = leaf_protocol.interpret(
+            response(421, [(b"instance-id", b"i-2")])
+        )
+        self.assertIs(found.fate, Fate.WRONG_LEAF)
+
+    def test_an_answer_to_another_attempt_is_told_apart(self):
+        self.assertTrue(leaf_protocol.belongs(response(), "a1"))
+        for echoed, own in ((b"a1", True), (b"a2", False)):
+            found = response(headers=[(b"attempt-id", echoed)])
+            self.assertIs(leaf_protocol.belongs(found, "a1"), own)
+
+
+class HealthTest(unittest.TestCase):
+    def test_a_report_is_decoded(self):
+        found = leaf_protocol.health_report(
+            response(200, [(b"instance-id", b"i-1"), (b"warmup-ms", b"1500")])
+        )
+        self.assertEqual(
+            found, leaf_protocol.HealthReport("i-1", True, 1_500.0)
+        )
+
+    def test_a_leaf_that_is_not_well_or_unclear(self):
+        found = leaf_protocol.health_report(
+            response(503, [(b"warmup-ms", b"soon")])
+        )
+        self.assertEqual(found, leaf_protocol.HealthReport("", False, 0.0))
--- /dev/null
+++ b/tests/platform/test_node_settings.py
@@ -0,0 +1,77 @@
+"""Tests of reading the settings of a VM."""
+
+import pathlib
+import tempfile
+import unittest
+
+from oriolegate.exceptions import SettingsError
+from oriolegate.platform import node_settings
+
+TEXT = """node_name=edge-1
+zone=dc-a
+region=north
+zones.dc-a=north
+zones.dc-b=south
+ip=10.1.0.39
+listen.front=10.1.0.39:8226
+listen.ready=10.1.0.39:8227
+internal_ports=7740,7755
+new.field=whatever
+bounds.drain_ms=5000
+bounds.grace_s=6
+bounds.retry_budget_ratio=0.3
+bounds.budget_window_s=8
+platform.address=10.200.1.7:8229
+"""
+
+
+class NodeSettingsTest(unittest.TestCase):
+    def test_fields_are_decoded_with_their_units(self):
+        found = node_settings.decode(TEXT)
+        self.assertEqual(found.caller_address, ("10.1.0.39", 8226))
+        self.assertEqual(found.regions, {"dc-a": "north", "dc-b": "south"})
+        self.assertEqual(found.region, "north")
+        self.assertEqual(found.internal_ports, (7740, 7755))
+        self.assertEqual(found.bounds.grace_ms, 6_000.0)
+        self.assertEqual(found.bounds.retry_window_ms, 8_000.0)
+        self.assertEqual(found.bounds.retry_ratio, 0.3)
+
+    def test_bounds_that_are_not_named_keep_their_default(self):
+        self.assertEqual(node_settings.decode(TEXT).bounds.warmup_slack, 5.0)
+
+    def test_each_required_field_is_asked_for(self):
+        for name in (
+            "node_name",
+            "zone",
+            "ip",
+            "listen.front",
+            "listen.ready",
+            "internal_ports",
+            "platform.address",
+        ):
+            lines = [
+                line
+                for line in TEXT.splitlines()
+                if not line.startswith(f"{name}=")
+            ]
+            with self.subTest(name=name), self.assertRaises(SettingsError):
+                node_settings.decode("\n".join(lines))
+
+    def test_values_that_make_no_sense_are_rejected(self):
+        for line in (
+            "bounds.drain_ms=soon",
+            "listen.front=10.1.0.39",
+            "internal_ports=7740",
+        ):
+            with self.subTest(line=line), self.assertRaises(SettingsError):
+                node_settings.decode(TEXT + line)
+
+    def test_a_file_is_read(self):
+        with tempfile.TemporaryDirectory() as folder:
+            path = pathlib.Path(folder, "node.conf")
+            path.write_text(TEXT)
+            self.assertEqual(node_settings.read(str(path)).vm, "edge-1")
+
+    def test_a_missing_file_is_named_with_its_variable(self):
+        with self.assertRaisesRegex(SettingsError, "ORIOLEGATE_BOOT"):
+            node_settings.read("/nowhere/node.conf")
--- /dev/null
+++ b/tests/platform/test_store_calls.py
@@ -0,0 +1,59 @@
+"""Tests of calls to the store and their answers."""
+
+import unittest
+
+from hypothesis import given
+from hypothesis import strategies
+import orjson
+
+from oriolegate.exceptions import MalformedEntryError
+from oriolegate.models.stored import Collection
+from oriolegate.models.stored import StoredObject
+from oriolegate.platform import store_calls
+
+OBJECT = {"meta": {"name": "a", "revision": 3}, "spec": {"x": 1}}
+
+
+class CallTest(unittest.TestCase):
+    def test_pages_and_watches(self):
+        found = store_calls.list_call(Collection.LEAFS, "a/b")
+        self.assertEqual(found.target, "/objects/servers?after=a%2Fb")
+        found = store_calls.watch_call(Collection.CONFIGURATION, 7, 500)
+        self.assertEqual(found.target, "/objects/config?watch=7&wait_ms=500")
+
+    def test_our_own_objects(self):
+        found = store_calls.create_call(Collection.MEMBERS, "vm", {"vm": "vm"})
+        self.assertEqual(found.method, "POST")
+        self.assertEqual(orjson.loads(found.body)["meta"], {"name": "vm"})
+        found = store_calls.delete_call(Collection.MEMBERS, "vm/1")
+        self.assertTrue(found.target.endswith("/vm%2F1"))
+
+
+class AnswerTest(unittest.TestCase):
+    def test_a_page(self):
+        body = {"items": [OBJECT], "has_more": True, "as_of": 9}
+        found = store_calls.decode_page(orjson.dumps(body))
+        self.assertEqual(found.items, (StoredObject("a", 3, {"x": 1}),))
+        self.assertTrue(found.has_more)
+        self.assertEqual(found.revision, 9)
+
+    def test_changes(self):
+        events = [
+            {"object": OBJECT, "deleted": False},
+            {"object": OBJECT, "deleted": True},
+        ]
+        body = {"events": events, "as_of": 9}
+        found = store_calls.decode_changes(orjson.dumps(body))
+        self.assertEqual([c.removed for c in found.changes], [False, True])
+
+    def test_objects_without_a_name_are_left_out(self):
+        items = [4, {}, {"meta": {"name": 4, "revision": 1}}, OBJECT]
+        body = {"items": items, "has_more": False, "as_of": 9}
+        found = store_calls.decode_page(orjson.dumps(body))
+        self.assertEqual([item.name for item in found.items], ["a"])
+
+    @given(strategies.binary(max_size=40))
+    def test_other_bytes_are_rejected(self, body):
+        for decode in (store_calls.decode_page, store_calls.decode_changes):
+            with self.assertRaises(MalformedEntryError):
+                decode(body)
--- /dev/null
+++ b/tests/routing/test_route_table.py
@@ -0,0 +1,69 @@
+"""Tests of finding routes."""
+
+import collections
+import unittest
+
+from hypothesis import given
+from hypothesis import strategies
+
+from oriolegate.models.site import CallerLimits
+from oriolegate.models.site import Configuration
+from oriolegate.models.site import WeightedService
+from oriolegate.routing.route_table import RouteTable
+from oriolegate.routing.route_table import WeightedTurns
+from tests import site_builders as build
+
+
+def table(*routes):
+    return RouteTable(Configuration(1, routes, {}, CallerLimits()))
+
+
+class RouteTableTest(unittest.TestCase):
+    def setUp(self):
+        self.table = table(
+            build.route(name="root", path_prefix="/"),
+            build.route(name="a", path_prefix="/a/"),
+            build.route(name="ab", path_prefix="/a/b/"),
+            build.route(name="other", host="o.example", path_prefix="/x/"),
+        )
+
+    def name(self, host, path):
+        found = self.table.match(host, path)
+        return found.name if found else None
+
+    def test_the_longest_prefix_wins(self):
+        self.assertEqual(self.name("h.example", "/a/b/c"), "ab")
+        self.assertEqual(self.name("h.example", "/a/bc"), "a")
+        self.assertEqual(self.name("h.example", "/ab"), "root")
+
+    def test_hosts_are_compared_without_case(self):
+        self.assertEqual(self.name("H.Example", "/a/"), "a")
+
+    def test_other_hosts_and_paths_have_no_route(self):
+        self.assertIsNone(self.name("n.example", "/a/"))
+        self.assertIsNone(self.name("o.example", "/y/"))
+        self.assertIsNone(self.name("o.example", ""))
+
+    @given(strategies.text(alphabet="/ab", max_size=12))
+    def test_it_agrees_with_trying_every_prefix(self, path):
+        routes = self.table.by_host["h.example"].values()
+        fitting = [r for r in routes if path.startswith(r.path_prefix)]
+        best = max(fitting, key=lambda r: len(r.path_prefix), default=None)
+        self.assertIs(self.table.match("h.example", path), best)
+
+
+class WeightedTurnsTest(unittest.TestCase):
+    @given(
+        strategies.lists(strategies.integers(1, 9), min_size=1, max_size=4),
+        strategies.integers(1, 100),
+    )
+    def test_counts_stay_near_the_weights(self, weights, count):
+        split = tuple(
+            WeightedService(f"s{index}", float(weight))
+            for index, weight in enumerate(weights)
+        )
+        turns = WeightedTurns(build.route(split=split))
+        counts = collections.Counter(turns.next_service() for _ in range(count))
+        for part in split:
+            due = count * part.weight / sum(weights)
+            self.assertLess(abs(counts[part.service] - due), len(weights))
--- /dev/null
+++ b/tests/runtime/test_line_writer.py
@@ -0,0 +1,43 @@
+"""Tests of the bounded log sink."""
+
+import os
+import unittest
+
+from oriolegate.clock import FakeClock
+from oriolegate.runtime import line_writer
+from oriolegate.runtime.line_writer import LineWriter
+
+
+class LineWriterTest(unittest.TestCase):
+    def setUp(self):
+        self.read_end, self.write_end = os.pipe()
+        self.addCleanup(os.close, self.read_end)
+        self.addCleanup(os.close, self.write_end)
+        self.clock = FakeClock()
+        self.writer = LineWriter(self.write_end, self.clock)
+
+    def test_lines_are_written_whole(self):
+        self.writer.write("a\n")
+        self.writer.write("b\n")
+        self.assertEqual(os.read(self.read_end, 100), b"a\nb\n")
+
+    def test_a_reader_that_stops_never_blocks_it(self):
+        line = "x" * 999 + "\n"
+        for _ in range(int(line_writer.BURST_LINES)):
+            self.writer.write(line)
+        self.assertGreater(self.writer.dropped, 0)
+        self.assertLessEqual(
+            len(self.writer.waiting), line_writer.MAX_WAITING_BYTES
+        )
+
+    def test_lines_beyond_the_rate_are_counted_and_told(self):
+        for _ in range(int(line_writer.BURST_LINES) + 7):
+            self.writer.write("\n")
+        self.assertEqual(self.writer.dropped, 7)
+        self.clock.advance(1_000.0)
+        os.read(self.read_end, 100_000)
+        self.writer.write("last\n")
+        found = os.read(self.read_end, 1_000).decode()
+        self.assertEqual(
+            found, '{"event":"log lines dropped","count":7}\nlast\n'
+        )
--- /dev/null
+++ b/tests/site_builders.py
@@ -0,0 +1,105 @@
+"""Short ways to build records of a site for tests."""
+
+from oriolegate.exchange.exchange import Exchange
+from oriolegate.exchange.exchange import Shared
+from oriolegate.exchange.messages import CallerCall
+from oriolegate.exchange.messages import LeafAnswer
+from oriolegate.exchange.messages import SendToLeaf
+from oriolegate.models.site import Bounds
+from oriolegate.models.site import LeafEntry
+from oriolegate.models.site import Repeatability
+from oriolegate.models.site import Route
+from oriolegate.models.site import Service
+from oriolegate.models.site import WeightedService
+from oriolegate.placement.leaf_directory import LeafDirectory
+from oriolegate.placement.route_pace import PaceBook
+from oriolegate.retries.retry_budget import RetryBudget
+
+REGIONS = {"dc-a": "north", "dc-b": "south", "dc-c": "west"}
+BOUNDS = Bounds()
+
+
+def leaf(leaf_id, service="s", data_centre="dc-a", **changes):
+    fields = {
+        "leaf_id": leaf_id,
+        "service": service,
+        "host": "10.0.0.1",
+        "port": 8080,
+        "data_centre": data_centre,
+        "slots": 4,
+        "draining": False,
+        "warmup_left_ms": 0.0,
+    }
+    return LeafEntry(**(fields | changes))
+
+
+def route(**changes):
+    fields = {
+        "name": "r",
+        "host": "h.example",
+        "path_prefix": "/a/",
+        "repeatability": Repeatability.IDEMPOTENT,
+        "timeout_ms": 2_000.0,
+        "target_ms": 200.0,
+        "priority": 1,
+        "attempts": 2,
+        "split": (WeightedService("s", 1.0),),
+    }
+    return Route(**(fields | changes))
+
+
+def gather_route(shards, **changes):
+    fields = {"split": (), "shards": shards, "top_k": 3, "min_coverage": 0.5}
+    return route(**(fields | changes))
+
+
+def service(name="s", **changes):
+    fields = {
+        "name": name,
+        "health_path": "/health",
+        "max_connections": 36,
+        "warmup_per_s": 0.0,
+    }
+    return Service(**(fields | changes))
+
+
+def directory(leafs=(), services=("s",), vm="vm-1"):
+    found = LeafDirectory(vm, "dc-a", REGIONS, BOUNDS)
+    found.services = {name: service(name) for name in services}
+    for entry in leafs:
+        found.put(0.0, entry)
+    return found
+
+
+def shared(leafs=(), services=("s",), slack=50.0):
+    return Shared(
+        directory(leafs, services),
+        RetryBudget(0.2, 10_000.0, slack),
+        PaceBook(),
+    )
+
+
+def call(time_left_ms=1_500.0):
+    return CallerCall(
+        attempt_id="a1",
+        method=b"GET",
+        target=b"/a/x",
+        host="h.example",
+        path="/a/x",
+        headers=((b"Host", b"h.example"), (b"Attempt-Id", b"a1")),
+        body=b"",
+        time_left_ms=time_left_ms,
+    )
+
+
+def exchange(found_route, parts, now_ms=0.0, time_left_ms=1_500.0):
+    services = found_route.shards or (found_route.split[0].service,)
+    return Exchange(call(time_left_ms), found_route, services, 7, parts, now_ms)
+
+
+def answer(body=b"x" * 16, status=200, signature=b"sig"):
+    return LeafAnswer(status, (), body, signature)
+
+
+def sends(effects):
+    return [effect for effect in effects if isinstance(effect, SendToLeaf)]
