Notice silent connections to the store before a bound is over

Cause, from the logs of all VMs: the store went silent from 5.7 to 9.2 s; the watches that hung then were taken for dead only after their 10 s and 1.5 s, at 17.8 s. Leafs that left at 16.08 s were heard of at 18.09 s and then used for another 2 s as lapsed entries. Ruled out: draining entries being chosen (the entries were removed without that state), the configuration (in force since 10.0 s); kernel probes don't see a store that is only mute.

Watches of leafs last 4 s now, of configuration and evacuations 6 s, of members 25 s; the limit of a call is 1.2 s. A test adds the times up against the bounds.

--- a/src/oriolegate/following/follower.py
+++ b/src/oriolegate/following/follower.py
@@ -18,8 +18,16 @@
 
 # Gathers changes into one priced call; a fifth of the shortest bound, 4 s.
 BETWEEN_WATCHES_MS = 800.0
-# How long the store may hold a watch without a change.
-WATCH_MS = 10_000
+# How long the store may hold a watch without a change. A connection may fall
+# silent unnoticed until then: with the call's limit, what was missed must be
+# known before a bound of 4 s, counted from 5 s after the silence, is over.
+# Removed leafs are used for 2 s more. Members have no such bound.
+WATCH_MS = {
+    Collection.LEAFS: 4_000,
+    Collection.CONFIGURATION: 6_000,
+    Collection.EVACUATIONS: 6_000,
+    Collection.MEMBERS: 25_000,
+}
 # First and longest pause after a failed call: prompt after a lost answer,
 # cheap during an outage, and well under the 5 s after which bounds hold.
 FIRST_RETRY_MS = 300.0
@@ -88,6 +96,7 @@
         chance: random.Random,
     ) -> None:
         self.collection = collection
+        self.watch_ms = WATCH_MS[collection]
         self.sink = sink
         self.chance = chance
         self.revisions: dict[str, int] = {}
@@ -129,7 +138,7 @@
         self.revision = self.list_revision
         self.complete = True
         self.mode = Mode.WATCHING
-        return AskChanges(BETWEEN_WATCHES_MS, self.revision, WATCH_MS)
+        return AskChanges(BETWEEN_WATCHES_MS, self.revision, self.watch_ms)
 
     def _take_list(self, now_ms: float) -> None:
         for name in [
@@ -159,7 +168,7 @@
                 self.sink.remove(now_ms, name, listed=False)
         self.revision = max(self.revision, batch.revision)
         delay_ms = BETWEEN_WATCHES_MS if batch.changes else 0.0
-        return AskChanges(delay_ms, self.revision, WATCH_MS)
+        return AskChanges(delay_ms, self.revision, self.watch_ms)
 
     def history_gone(self, now_ms: float) -> Ask:
         """Take that the store no longer has changes from our revision."""
@@ -175,7 +184,7 @@
         """Take that a call was refused or not answered."""
         self.failures += 1
         if self.mode is Mode.WATCHING:
-            return AskChanges(self._pause_ms(), self.revision, WATCH_MS)
+            return AskChanges(self._pause_ms(), self.revision, self.watch_ms)
         return self._list_anew(self._pause_ms())
 
     def _pause_ms(self) -> float:
--- a/src/oriolegate/runtime/gateway.py
+++ b/src/oriolegate/runtime/gateway.py
@@ -41,7 +41,7 @@
 # Member count assumed until the member list is in: more than ever run here.
 ASSUMED_MEMBERS = 32
 # Without word from the store for this long, the member list is not relied on.
-MEMBERS_TRUSTED_MS = 14_000.0
+MEMBERS_TRUSTED_MS = 8_000.0
 # How long callers are still served after SIGTERM before idle connections are
 # closed: the balancer takes two checks, a second apart, to stop sending.
 NOTICE_PART = 0.45
@@ -226,10 +226,9 @@
         parts = self.parts
         for leaf_id in parts.directory.drop_lapsed(now_ms):
             parts.leaf_client.drop(leaf_id)
-        members = parts.followers[Collection.MEMBERS]
         parts.directory.members_known = (
-            members.complete
-            and now_ms - members.confirmed_ms < MEMBERS_TRUSTED_MS
+            parts.followers[Collection.MEMBERS].complete
+            and now_ms - self._store_heard_ms() < MEMBERS_TRUSTED_MS
         )
         if self.ready != self.was_ready:
             self.was_ready = self.ready
@@ -238,6 +237,11 @@
             self._continue_stop(now_ms - self.stopping_since_ms)
         self.reactor.callLater(TICK_S, self._tick)
 
+    def _store_heard_ms(self) -> float:
+        """Return when the store last answered any follower."""
+        followers = self.parts.followers.values()
+        return max(follower.confirmed_ms for follower in followers)
+
     def reload(self, settings: NodeSettings) -> None:
         """Take changed settings; addresses stay as they are."""
         if settings == self.settings:
--- a/src/oriolegate/runtime/store_runner.py
+++ b/src/oriolegate/runtime/store_runner.py
@@ -18,7 +18,7 @@
 MS_PER_S = 1_000.0
 # A call that takes longer is on a dead connection: a slow store answers
 # within 300 ms.
-CALL_LIMIT_MS = 1_500.0
+CALL_LIMIT_MS = 1_200.0
 
 
 class StoreRunner:
--- a/tests/following/test_follower.py
+++ b/tests/following/test_follower.py
@@ -15,6 +15,12 @@
 from oriolegate.models.stored import Collection
 from oriolegate.models.stored import ListPage
 from oriolegate.models.stored import StoredObject
+from oriolegate.placement import leaf_directory
+from oriolegate.runtime import store_runner
+from tests import site_builders
+
+# Time between the choice of a leaf and the arrival there, at most.
+GIVEN_TO_REQUESTS_MS = 500.0
 
 
 class Sink:
@@ -123,6 +129,31 @@
         self.assertEqual(set(self.sink.contents), {"b"})
 
 
+class SilenceTest(unittest.TestCase):
+    """A connection that falls silent is noticed before a bound is over."""
+
+    # Views must hold again this long after a disturbance of the store.
+    contact_ms = 5_000.0
+    bounds = site_builders.BOUNDS
+
+    def noticed_ms(self, collection):
+        pauses_ms = follower.FIRST_RETRY_MS * 1.25
+        watch_ms = follower.WATCH_MS[collection]
+        return watch_ms + store_runner.CALL_LIMIT_MS + pauses_ms
+
+    def test_leafs_that_left_are_dropped_in_time(self):
+        dropped_ms = (
+            self.noticed_ms(Collection.LEAFS) + leaf_directory.LAPSED_USE_MS
+        )
+        allowed_ms = self.contact_ms + self.bounds.drain_ms
+        self.assertLess(dropped_ms + GIVEN_TO_REQUESTS_MS, allowed_ms)
+
+    def test_configurations_are_in_force_in_time(self):
+        allowed_ms = self.contact_ms + self.bounds.config_apply_ms
+        for collection in (Collection.CONFIGURATION, Collection.EVACUATIONS):
+            self.assertLess(self.noticed_ms(collection), allowed_ms)
+
+
 class ModelTest(unittest.TestCase):
     @given(
         strategies.lists(
