--- a/src/oriolegate/following/follower.py
+++ b/src/oriolegate/following/follower.py
@@ -72,8 +72,8 @@
         """Take that an object is gone; `listed` if a list lacked it."""
         ...
 
-    def synchronized(self, now_ms: float) -> None:
-        """Take that a whole list was put in."""
+    def settled(self, now_ms: float) -> None:
+        """Take that a whole list or batch of changes was put in."""
         ...
 
 
@@ -149,7 +149,7 @@
         for item in self.listed.values():
             self._put(now_ms, item)
         self.listed = {}
-        self.sink.synchronized(now_ms)
+        self.sink.settled(now_ms)
 
     def _put(self, now_ms: float, item: StoredObject) -> None:
         if item.revision > self.revisions.get(item.name, -1):
@@ -166,6 +166,8 @@
             elif change.item.revision >= self.revisions.get(name, 0):
                 self.revisions.pop(name, None)
                 self.sink.remove(now_ms, name, listed=False)
+        if batch.changes:
+            self.sink.settled(now_ms)
         self.revision = max(self.revision, batch.revision)
         delay_ms = BETWEEN_WATCHES_MS if batch.changes else 0.0
         return AskChanges(delay_ms, self.revision, self.watch_ms)
--- a/src/oriolegate/runtime/site_sinks.py
+++ b/src/oriolegate/runtime/site_sinks.py
@@ -73,7 +73,7 @@
         self.directory.lapse(now_ms, name)
         log.bind(leaf=name, by_list=listed).info("leaf entry gone")
 
-    def synchronized(self, now_ms: float) -> None:
+    def settled(self, now_ms: float) -> None:
         """Log changes one by one from now on."""
         if not self.is_synchronized:
             log.bind(leafs=len(self.directory.leafs)).info("leafs listed")
@@ -126,7 +126,7 @@
         """Keep the configuration in force: nothing replaces it."""
         log.bind(name=name).warning("configuration object gone; kept")
 
-    def synchronized(self, now_ms: float) -> None:
+    def settled(self, now_ms: float) -> None:
         """Do nothing: every configuration was taken as it came."""
 
 
@@ -148,7 +148,7 @@
         self.directory.evacuated.discard(name)
         log.bind(data_centre=name).info("data centre in use again")
 
-    def synchronized(self, now_ms: float) -> None:
+    def settled(self, now_ms: float) -> None:
         """Do nothing: every entry was taken as it came."""
 
 
@@ -163,13 +163,10 @@
         self.broken = BrokenEntries("members")
         self.names: dict[str, str] = {}
 
-    def synchronized(self, now_ms: float) -> None:
+    def settled(self, now_ms: float) -> None:
         """Take the member list, also if it holds nobody else."""
-        self._changed()
-
-    def _changed(self) -> None:
         members = frozenset({*self.names.values(), self.vm})
-        log.bind(members=sorted(members)).info("members changed")
+        log.bind(count=len(members)).info("members changed")
         self.on_change(members)
 
     def put(self, now_ms: float, item: StoredObject) -> None:
@@ -178,10 +175,7 @@
             self.names[item.name] = member_entry.decode(item.content)
         except MalformedEntryError as fault:
             self.broken.note(item, fault)
-            return
-        self._changed()
 
     def remove(self, now_ms: float, name: str, listed: bool) -> None:
         """Take that a VM left."""
-        if self.names.pop(name, None) is not None:
-            self._changed()
+        self.names.pop(name, None)
--- a/src/oriolegate/runtime/store_runner.py
+++ b/src/oriolegate/runtime/store_runner.py
@@ -111,12 +111,15 @@
         return following
 
     def _failed(self, follower: Follower, reason: str) -> Ask:
-        if follower.failures == 0:
-            age_ms = self.clock.now_ms() - follower.confirmed_ms
-            log.bind(
-                collection=follower.collection.name,
-                reason=reason,
-                view_age_ms=round(min(age_ms, 1e9)),
-                revision=follower.revision,
-            ).warning("store lost")
-        return follower.failed()
+        following = follower.failed()
+        age_ms = self.clock.now_ms() - follower.confirmed_ms
+        is_first = follower.failures == 1
+        log.bind(
+            collection=follower.collection.name,
+            reason=reason,
+            failures=follower.failures,
+            view_age_ms=round(min(age_ms, 1e9)),
+            revision=follower.revision,
+            next_ms=round(following.delay_ms),
+        ).warning("store lost" if is_first else "store still lost")
+        return following
--- a/tests/following/test_follower.py
+++ b/tests/following/test_follower.py
@@ -34,7 +34,7 @@
     def remove(self, now_ms, name, listed):
         self.contents.pop(name, None)
 
-    def synchronized(self, now_ms):
+    def settled(self, now_ms):
         self.lists += 1
 
 
