Let one VM of each data centre watch the store and the others follow it

A VM follows a VM of its data centre that ranks above it by a hash of the names; only if none of two answers it asks the store. The order makes circles impossible whatever two VMs believe (property test). A VM serves its view only while the store confirms it. After a failed call the next watch is a short one. Lists may lag (a tenth of the price): the watch from their revision brings what they lack; after lost history the list is a fresh one.

--- a/src/oriolegate/following/follower.py
+++ b/src/oriolegate/following/follower.py
@@ -28,6 +28,9 @@
     Collection.EVACUATIONS: 6_000,
     Collection.MEMBERS: 25_000,
 }
+# How long the first watch after a failed call lasts: on a connection that is
+# silent it costs no more than the limit of a call.
+TRIAL_WATCH_MS = 100
 # First and longest pause after a failed call: prompt after a lost answer,
 # cheap during an outage, and well under the 5 s after which bounds hold.
 FIRST_RETRY_MS = 300.0
@@ -36,10 +39,18 @@
 
 @attrs.frozen
 class AskPage:
-    """Ask for a page of the list after this pause."""
+    """Ask for a page of the list after this pause.
+
+    Attributes:
+        delay_ms: The pause.
+        after: The name that the page follows, or an empty text.
+        may_lag: Whether a page that is seconds old will do; it costs a tenth,
+            and the watch from its revision brings what it lacks.
+    """
 
     delay_ms: float
     after: str
+    may_lag: bool
 
 
 @attrs.frozen
@@ -72,7 +83,7 @@
         """Take that an object is gone; `listed` if a list lacked it."""
         ...
 
-    def settled(self, now_ms: float) -> None:
+    def settled(self, now_ms: float, revision: int) -> None:
         """Take that a whole list or batch of changes was put in."""
         ...
 
@@ -107,16 +118,25 @@
         self.mode = Mode.LISTING
         self.listed: dict[str, StoredObject] = {}
         self.list_revision: int | None = None
+        self.list_may_lag = True
 
     def start(self) -> Ask:
         """Return the first call."""
         return self._list_anew(0.0)
 
-    def _list_anew(self, delay_ms: float) -> Ask:
+    def resume(self) -> Ask:
+        """Return the call to go on with after a time without calls."""
+        if not self.complete:
+            return self._list_anew(0.0)
+        self.mode = Mode.WATCHING
+        return AskChanges(0.0, self.revision, TRIAL_WATCH_MS)
+
+    def _list_anew(self, delay_ms: float, *, may_lag: bool = True) -> Ask:
         self.mode = Mode.LISTING
         self.listed = {}
         self.list_revision = None
-        return AskPage(delay_ms, "")
+        self.list_may_lag = may_lag
+        return AskPage(delay_ms, "", may_lag)
 
     def _succeeded(self, now_ms: float) -> None:
         self.failures = 0
@@ -130,12 +150,12 @@
         for item in page.items:
             self.listed[item.name] = item
         if page.has_more and page.items:
-            return AskPage(0.0, page.items[-1].name)
+            return AskPage(0.0, page.items[-1].name, self.list_may_lag)
         if self.list_revision < self.revision:
             # A copy that lags: what is known already is newer.
-            return self._list_anew(BETWEEN_WATCHES_MS)
-        self._take_list(now_ms)
+            return self._list_anew(FIRST_RETRY_MS, may_lag=False)
         self.revision = self.list_revision
+        self._take_list(now_ms)
         self.complete = True
         self.mode = Mode.WATCHING
         return AskChanges(BETWEEN_WATCHES_MS, self.revision, self.watch_ms)
@@ -149,7 +169,7 @@
         for item in self.listed.values():
             self._put(now_ms, item)
         self.listed = {}
-        self.sink.settled(now_ms)
+        self.sink.settled(now_ms, self.revision)
 
     def _put(self, now_ms: float, item: StoredObject) -> None:
         if item.revision > self.revisions.get(item.name, -1):
@@ -166,16 +186,31 @@
             elif change.item.revision >= self.revisions.get(name, 0):
                 self.revisions.pop(name, None)
                 self.sink.remove(now_ms, name, listed=False)
-        if batch.changes:
-            self.sink.settled(now_ms)
         self.revision = max(self.revision, batch.revision)
+        if batch.changes:
+            self.sink.settled(now_ms, self.revision)
         delay_ms = BETWEEN_WATCHES_MS if batch.changes else 0.0
         return AskChanges(delay_ms, self.revision, self.watch_ms)
 
+    def whole(self, now_ms: float, page: ListPage) -> None:
+        """Take a list that a peer holds as a whole, if it is news."""
+        self._succeeded(now_ms)
+        if page.revision <= self.revision and self.complete:
+            return
+        self.listed = {item.name: item for item in page.items}
+        self.list_revision = None
+        self.revision = page.revision
+        self.complete = True
+        self._take_list(now_ms)
+
+    def confirm(self, now_ms: float) -> None:
+        """Take that nothing has changed."""
+        self._succeeded(now_ms)
+
     def history_gone(self, now_ms: float) -> Ask:
         """Take that the store no longer has changes from our revision."""
         self._succeeded(now_ms)
-        return self._list_anew(0.0)
+        return self._list_anew(0.0, may_lag=False)
 
     def unreadable(self) -> Ask:
         """Take that an answer made no sense: list anew, after a pause."""
@@ -186,7 +221,7 @@
         """Take that a call was refused or not answered."""
         self.failures += 1
         if self.mode is Mode.WATCHING:
-            return AskChanges(self._pause_ms(), self.revision, self.watch_ms)
+            return AskChanges(self._pause_ms(), self.revision, TRIAL_WATCH_MS)
         return self._list_anew(self._pause_ms())
 
     def _pause_ms(self) -> float:
--- a/src/oriolegate/models/site.py
+++ b/src/oriolegate/models/site.py
@@ -132,6 +132,25 @@
     born_ms: int = 0
 
 
+@attrs.frozen
+class MemberEntry:
+    """What a VM of the tier says of itself.
+
+    Attributes:
+        vm: Its name.
+        data_centre: Where it runs.
+        host: Its IP number.
+        port: Its internal port.
+        renewed_wall_ms: Unix time in ms at which it last wrote the entry.
+    """
+
+    vm: str
+    data_centre: str
+    host: str
+    port: int
+    renewed_wall_ms: int
+
+
 @attrs.frozen
 class Bounds:
     """Figures of the users' rules that this role needs.
@@ -170,6 +189,7 @@
         ready_address: Where the balancer asks for readiness.
         internal_ports: First and last port for the tier's own use.
         store_address: The platform's store.
+        first_start: True only when the whole tier starts for the first time.
         bounds: Figures of the rules.
     """
 
@@ -181,6 +201,7 @@
     ready_address: tuple[str, int]
     internal_ports: tuple[int, int]
     store_address: tuple[str, int]
+    first_start: bool
     bounds: Bounds
 
     @property
--- a/src/oriolegate/network/caller_front.py
+++ b/src/oriolegate/network/caller_front.py
@@ -185,14 +185,23 @@
         return len(self.channels)
 
 
+Respond = Callable[[int, bytes], None]
+Handle = Callable[[bytes, Respond], None]
+
+
 class PlainRequest(http.Request):
-    """A request of the balancer or of a metrics reader."""
+    """A request of the balancer, a metrics reader or another VM."""
 
-    respond: Callable[[bytes], tuple[int, bytes]]
+    handle: Handle
 
     def process(self) -> None:
-        """Answer at once."""
-        status, body = type(self).respond(self.path)
+        """Hand it over; its answer may come later."""
+        type(self).handle(self.uri, self.respond)
+
+    def respond(self, status: int, body: bytes) -> None:
+        """Send the answer, unless the connection is gone."""
+        if self._disconnected:
+            return
         self.setResponseCode(status)
         self.setHeader(b"content-length", b"%d" % len(body))
         self.write(body)
@@ -200,21 +209,22 @@
 
 
 class PlainFactory(protocol.ServerFactory):
-    """A server that answers every path by a function."""
+    """A server that hands every request to a function."""
 
     noisy = False
 
-    def __init__(self, respond: Callable[[bytes], tuple[int, bytes]]) -> None:
+    def __init__(self, handle: Handle) -> None:
         """Make a server.
 
         Args:
-            respond: Takes the path, returns status and body.
+            handle: Takes path and query, and a function that takes status
+                and body of the answer.
         """
 
         class BoundRequest(PlainRequest):
-            """A request that knows its answer."""
+            """A request that knows who handles it."""
 
-        BoundRequest.respond = staticmethod(respond)
+        BoundRequest.handle = staticmethod(handle)
         self.request_class = BoundRequest
 
     def buildProtocol(self, addr: Any) -> http.HTTPChannel:  # noqa: N802
--- a/src/oriolegate/platform/member_entry.py
+++ b/src/oriolegate/platform/member_entry.py
@@ -3,24 +3,39 @@
 from typing import Any
 
 from oriolegate.exceptions import MalformedEntryError
+from oriolegate.models.site import MemberEntry
 
 
-def encode(vm: str, data_centre: str, started_wall_ms: int) -> dict[str, Any]:
+def encode(entry: MemberEntry) -> dict[str, Any]:
     """Return the content of a VM's entry."""
     return {
-        "vm": vm,
-        "data_centre": data_centre,
-        "started_wall_ms": started_wall_ms,
+        "vm": entry.vm,
+        "data_centre": entry.data_centre,
+        "host": entry.host,
+        "port": entry.port,
+        "renewed_wall_ms": entry.renewed_wall_ms,
     }
 
 
-def decode(content: Any) -> str:
-    """Return the VM that an entry names.
+def _field(content: dict[str, Any], name: str, kind: type) -> Any:
+    value = content.get(name)
+    if type(value) is not kind or value == "":
+        raise MalformedEntryError(f"`{name}` is missing or of another type")
+    return value
+
+
+def decode(content: Any) -> MemberEntry:
+    """Return what an entry says.
 
     Raises:
-        MalformedEntryError: If it names none.
+        MalformedEntryError: If it names no VM.
     """
-    vm = content.get("vm") if isinstance(content, dict) else None
-    if not isinstance(vm, str) or not vm:
-        raise MalformedEntryError("the entry names no VM")
-    return vm
+    if not isinstance(content, dict):
+        raise MalformedEntryError("the entry is not an object")
+    return MemberEntry(
+        vm=_field(content, "vm", str),
+        data_centre=_field(content, "data_centre", str),
+        host=_field(content, "host", str),
+        port=_field(content, "port", int),
+        renewed_wall_ms=_field(content, "renewed_wall_ms", int),
+    )
--- a/src/oriolegate/platform/node_settings.py
+++ b/src/oriolegate/platform/node_settings.py
@@ -95,6 +95,7 @@
         ready_address=_address(fields, "listen.ready"),
         internal_ports=_ports(fields),
         store_address=_address(fields, "platform.address"),
+        first_start=fields.get("bootstrap") == "true",
         bounds=_bounds(fields),
     )
 
--- a/src/oriolegate/platform/store_calls.py
+++ b/src/oriolegate/platform/store_calls.py
@@ -32,11 +32,24 @@
     body: bytes = b""
 
 
-def list_call(collection: Collection, after: str) -> StoreCall:
-    """Ask for the page of a list that follows a name, or for the first."""
-    target = PATHS[collection]
+def list_call(
+    collection: Collection, after: str, *, may_lag: bool
+) -> StoreCall:
+    """Ask for a page of a list.
+
+    Args:
+        collection: What is listed.
+        after: The name that the page follows, or an empty text.
+        may_lag: Whether an answer that is seconds old will do.
+    """
+    fields: dict[str, str | int] = {}
     if after:
-        target += "?" + urllib.parse.urlencode({"after": after})
+        fields["after"] = after
+    if may_lag:
+        fields["allow_stale"] = 1
+    target = PATHS[collection]
+    if fields:
+        target += "?" + urllib.parse.urlencode(fields)
     return StoreCall("GET", target)
 
 
@@ -55,10 +68,19 @@
     return StoreCall("POST", PATHS[collection], body)
 
 
+def replace_call(collection: Collection, name: str, content: Any) -> StoreCall:
+    """Replace the content of an object of our own."""
+    body = orjson.dumps({"meta": {"name": name}, "spec": content})
+    return StoreCall("PUT", _object_path(collection, name), body)
+
+
 def delete_call(collection: Collection, name: str) -> StoreCall:
     """Remove an object of our own."""
-    target = f"{PATHS[collection]}/{urllib.parse.quote(name, safe='')}"
-    return StoreCall("DELETE", target)
+    return StoreCall("DELETE", _object_path(collection, name))
+
+
+def _object_path(collection: Collection, name: str) -> str:
+    return f"{PATHS[collection]}/{urllib.parse.quote(name, safe='')}"
 
 
 def _document(body: bytes) -> dict[str, Any]:
--- a/src/oriolegate/runtime/gateway.py
+++ b/src/oriolegate/runtime/gateway.py
@@ -13,11 +13,17 @@
 from oriolegate.exchange.exchange import Shared
 from oriolegate.following.follower import CollectionSink
 from oriolegate.following.follower import Follower
+from oriolegate.following.source_choice import Peer
+from oriolegate.following.source_choice import SourceChoice
+from oriolegate.following.view_cache import ViewCache
 from oriolegate.metrics import MetricsRegistry
+from oriolegate.models.site import MemberEntry
 from oriolegate.models.site import NodeSettings
 from oriolegate.models.stored import Collection
+from oriolegate.network import view_wire
 from oriolegate.network.caller_front import CallerFactory
 from oriolegate.network.caller_front import PlainFactory
+from oriolegate.network.caller_front import Respond
 from oriolegate.network.leaf_client import LeafClient
 from oriolegate.network.store_client import StoreClient
 from oriolegate.placement.leaf_directory import LeafDirectory
@@ -26,16 +32,21 @@
 from oriolegate.runtime.exchange_runner import ExchangeRunner
 from oriolegate.runtime.leaf_checker import LeafChecker
 from oriolegate.runtime.member_keeper import MemberKeeper
+from oriolegate.runtime.peer_feed import PeerFeed
 from oriolegate.runtime.site_sinks import ConfigurationSink
 from oriolegate.runtime.site_sinks import EvacuationSink
 from oriolegate.runtime.site_sinks import LeafSink
 from oriolegate.runtime.site_sinks import MemberSink
 from oriolegate.runtime.store_runner import StoreRunner
+from oriolegate.runtime.view_server import ViewServer
 
 log = logging_setup.get_logger("gateway")
 
 MS_PER_S = 1_000.0
 TICK_S = 0.25
+# At the first start of all VMs the member list is read once all have written
+# their entries; they start within 0.3 s of each other.
+FIRST_LISTS_S = 0.5
 # Callers of a VM that failed all connect anew at the same moment.
 BACKLOG = 512
 # Member count assumed until the member list is in: more than ever run here.
@@ -57,6 +68,8 @@
         directory: All leafs.
         runner: Open requests.
         store: What follows the store.
+        feed: What follows a peer in place of the store.
+        views: Tells peers what the store holds.
         members: This VM's own entry.
         followers: One for each collection.
         metrics: Counters and latencies.
@@ -68,6 +81,8 @@
     directory: LeafDirectory
     runner: ExchangeRunner
     store: StoreRunner
+    feed: PeerFeed
+    views: ViewServer
     members: MemberKeeper
     followers: dict[Collection, Follower]
     metrics: MetricsRegistry
@@ -94,10 +109,24 @@
     store_client = StoreClient(reactor, clock, settings.store_address)
     configuration = ConfigurationSink(directory)
 
-    def members_changed(members: frozenset[str]) -> None:
-        directory.members = members
+    members = MemberKeeper(reactor, clock, store_client, settings, chance)
+    choice = SourceChoice(settings.vm)
+
+    def members_changed(entries: tuple[MemberEntry, ...]) -> None:
+        directory.members = frozenset(
+            {*(entry.vm for entry in entries), settings.vm}
+        )
         directory.refresh_capacities()
-        budget.members = len(members)
+        budget.members = len(directory.members)
+        choice.set_peers(
+            {
+                entry.vm: Peer(entry.vm, entry.host, entry.port)
+                for entry in entries
+                if entry.data_centre == settings.data_centre
+                and entry.vm != settings.vm
+            }
+        )
+        members.listed(entries)
 
     sinks: dict[Collection, CollectionSink] = {
         Collection.LEAFS: LeafSink(directory),
@@ -105,10 +134,21 @@
         Collection.EVACUATIONS: EvacuationSink(directory),
         Collection.MEMBERS: MemberSink(settings.vm, members_changed),
     }
+    caches = {collection: ViewCache(sink) for collection, sink in sinks.items()}
     followers = {
-        collection: Follower(collection, sink, chance)
-        for collection, sink in sinks.items()
+        collection: Follower(collection, cache, chance)
+        for collection, cache in caches.items()
     }
+    store = StoreRunner(reactor, clock, store_client, followers)
+    views = ViewServer(
+        reactor,
+        caches,
+        # A VM that stops hands its peers over before it is gone.
+        lambda: store.is_confirmed and not members.leaving,
+    )
+    store.on_step = views.changed
+    feed = PeerFeed(reactor, clock, choice, followers, store)
+    feed.on_step = views.changed
     checker = LeafChecker(reactor, clock, leaf_client, directory)
     runner = ExchangeRunner(
         reactor,
@@ -122,10 +162,10 @@
     return GatewayParts(
         directory=directory,
         runner=runner,
-        store=StoreRunner(
-            reactor, clock, store_client, list(followers.values())
-        ),
-        members=MemberKeeper(reactor, clock, store_client, settings),
+        store=store,
+        feed=feed,
+        views=views,
+        members=members,
         followers=followers,
         metrics=registry,
         budget=budget,
@@ -200,7 +240,7 @@
             ),
             listen(
                 settings.internal_ports[0],
-                PlainFactory(self._answer_metrics),
+                PlainFactory(self._answer_inside),
                 interface=settings.host,
             ),
         ]
@@ -210,16 +250,26 @@
             region=settings.region,
             pid=os.getpid(),
         ).info("started")
-        self.parts.store.start()
         self.parts.members.start()
+        self.reactor.callLater(
+            FIRST_LISTS_S if settings.first_start else 0.0,
+            self.parts.store.start,
+        )
+        self.parts.feed.start()
         self._tick()
 
-    def _answer_ready(self, path: bytes) -> tuple[int, bytes]:
-        return (200, b"ready\n") if self.ready else (503, b"not ready\n")
+    def _answer_ready(self, target: bytes, respond: Respond) -> None:
+        if self.ready:
+            respond(200, b"ready\n")
+        else:
+            respond(503, b"not ready\n")
 
-    def _answer_metrics(self, path: bytes) -> tuple[int, bytes]:
+    def _answer_inside(self, target: bytes, respond: Respond) -> None:
+        if target.startswith(view_wire.PATH):
+            self.parts.views.handle(target, respond)
+            return
         text = metrics_module.render_text(self.parts.metrics.snapshot())
-        return 200, text.encode()
+        respond(200, text.encode())
 
     def _tick(self) -> None:
         now_ms = self.clock.now_ms()
@@ -262,6 +312,7 @@
         self.stopping_since_ms = self.clock.now_ms()
         self.parts.runner.leaving = True
         self.parts.members.leave()
+        self.parts.views.changed()
         log.bind(open=len(self.parts.runner.running)).info("stopping")
 
     def _continue_stop(self, since_ms: float) -> None:
@@ -277,5 +328,6 @@
             connections=connections,
             after_ms=round(since_ms),
         ).info("stopped")
-        self.parts.store.stop()
+        self.parts.feed.stop()
+        self.parts.store.pause()
         self.on_exit()
--- /dev/null
+++ b/src/oriolegate/runtime/peer_feed.py
@@ -0,0 +1,155 @@
+"""Follows a VM of the same data centre in place of the store."""
+
+from collections.abc import Callable
+from typing import Any
+
+from oriolegate import logging_setup
+from oriolegate.clock import Clock
+from oriolegate.exceptions import PeerMessageError
+from oriolegate.following.follower import Follower
+from oriolegate.following.source_choice import Peer
+from oriolegate.following.source_choice import SourceChoice
+from oriolegate.models.stored import ChangeBatch
+from oriolegate.models.stored import Collection
+from oriolegate.network import view_wire
+from oriolegate.network.http_caller import HttpCaller
+from oriolegate.network.http_reader import HttpResponse
+from oriolegate.runtime.store_runner import StoreRunner
+
+log = logging_setup.get_logger("feed")
+
+MS_PER_S = 1_000.0
+# How long a peer may hold a request without news, and how much longer its
+# answer may take: a peer that stands still is left within 1.5 s.
+WAIT_MS = 1_000
+ANSWER_MS = 400.0
+# Pause between two requests; the peer gathers changes already.
+PAUSE_MS = 20.0
+# How often a VM that follows the store itself looks for a peer.
+LOOK_MS = 250.0
+STATUS_OK = 200
+
+
+class PeerFeed:
+    """Asks peers for news, and lets the store be asked while none tells it.
+
+    Attributes:
+        choice: Which peers may be asked.
+        peer: The peer that tells the news, or None.
+        on_step: Called after each answer with news.
+    """
+
+    def __init__(
+        self,
+        reactor: Any,
+        clock: Clock,
+        choice: SourceChoice,
+        followers: dict[Collection, Follower],
+        store: StoreRunner,
+    ) -> None:
+        self.reactor = reactor
+        self.clock = clock
+        self.choice = choice
+        self.followers = followers
+        self.store = store
+        self.peer: Peer | None = None
+        self.callers: dict[str, HttpCaller] = {}
+        self.on_step: Callable[[], None] = lambda: None
+        self.stopped = False
+
+    def start(self) -> None:
+        """Begin to look for peers."""
+        self._later(LOOK_MS)
+
+    def stop(self) -> None:
+        """Ask nobody any more."""
+        self.stopped = True
+        for caller in self.callers.values():
+            caller.pool.close()
+
+    def _later(self, delay_ms: float) -> None:
+        if not self.stopped:
+            self.reactor.callLater(delay_ms / MS_PER_S, self._step)
+
+    def _step(self) -> None:
+        if self.stopped:
+            return
+        is_listed = all(f.complete for f in self.followers.values())
+        peer = self.choice.choose(self.clock.now_ms()) if is_listed else None
+        if peer is None:
+            self.store.resume()
+            self._later(LOOK_MS)
+            return
+        self._ask(peer)
+
+    def _ask(self, peer: Peer) -> None:
+        revisions = {
+            collection: follower.revision
+            for collection, follower in self.followers.items()
+        }
+        # The first request tells at once whether the peer can be followed.
+        wait_ms = WAIT_MS if peer == self.peer else 0
+        data = view_wire.request_bytes(peer.host, peer.port, revisions, wait_ms)
+
+        def done(outcome: HttpResponse | str) -> None:
+            self._take(peer, outcome)
+
+        self._caller(peer).send(data, wait_ms + ANSWER_MS, done)
+
+    def _caller(self, peer: Peer) -> HttpCaller:
+        caller = self.callers.get(peer.vm)
+        if caller is None or caller.pool.address != (peer.host, peer.port):
+            caller = HttpCaller(
+                self.reactor, self.clock, (peer.host, peer.port)
+            )
+            self.callers[peer.vm] = caller
+        return caller
+
+    def _take(self, peer: Peer, outcome: HttpResponse | str) -> None:
+        if self.stopped:
+            return
+        try:
+            self._read(peer, outcome)
+        except PeerMessageError as fault:
+            self.choice.failed(self.clock.now_ms(), peer.vm)
+            log.bind(peer=peer.vm, reason=fault.message).info(
+                "peer tells no news"
+            )
+            if peer == self.peer:
+                self._leave(fault.message)
+            self._later(0.0)
+            return
+        self.choice.answered(peer.vm)
+        self._follow(peer)
+        self.on_step()
+        self._later(PAUSE_MS)
+
+    def _read(self, peer: Peer, outcome: HttpResponse | str) -> None:
+        if isinstance(outcome, str):
+            raise PeerMessageError(outcome)
+        if outcome.status != STATUS_OK:
+            raise PeerMessageError(f"status {outcome.status}")
+        news = view_wire.decode_news(outcome.body)
+        now_ms = self.clock.now_ms()
+        for collection, follower in self.followers.items():
+            found = news.get(collection)
+            if found is None:
+                follower.confirm(now_ms)
+            elif isinstance(found, ChangeBatch):
+                follower.changes(now_ms, found)
+            else:
+                follower.whole(now_ms, found)
+
+    def _follow(self, peer: Peer) -> None:
+        if self.peer == peer:
+            return
+        self.peer = peer
+        self.store.pause()
+        log.bind(peer=peer.vm).info("following a peer")
+
+    def _leave(self, reason: str) -> None:
+        """Give a peer up; the next in rank is asked before the store."""
+        log.bind(peer=self.peer and self.peer.vm, reason=reason).info(
+            "peer left"
+        )
+        self.peer = None
--- a/src/oriolegate/runtime/site_sinks.py
+++ b/src/oriolegate/runtime/site_sinks.py
@@ -5,6 +5,7 @@
 from oriolegate import logging_setup
 from oriolegate.exceptions import MalformedEntryError
 from oriolegate.models.site import Configuration
+from oriolegate.models.site import MemberEntry
 from oriolegate.models.stored import StoredObject
 from oriolegate.placement.leaf_directory import LeafDirectory
 from oriolegate.platform import documents
@@ -73,7 +74,7 @@
         self.directory.lapse(now_ms, name)
         log.bind(leaf=name, by_list=listed).info("leaf entry gone")
 
-    def settled(self, now_ms: float) -> None:
+    def settled(self, now_ms: float, revision: int) -> None:
         """Log changes one by one from now on."""
         if not self.is_synchronized:
             log.bind(leafs=len(self.directory.leafs)).info("leafs listed")
@@ -126,7 +127,7 @@
         """Keep the configuration in force: nothing replaces it."""
         log.bind(name=name).warning("configuration object gone; kept")
 
-    def settled(self, now_ms: float) -> None:
+    def settled(self, now_ms: float, revision: int) -> None:
         """Do nothing: every configuration was taken as it came."""
 
 
@@ -148,7 +149,7 @@
         self.directory.evacuated.discard(name)
         log.bind(data_centre=name).info("data centre in use again")
 
-    def settled(self, now_ms: float) -> None:
+    def settled(self, now_ms: float, revision: int) -> None:
         """Do nothing: every entry was taken as it came."""
 
 
@@ -156,26 +157,29 @@
     """Holds which VMs may run."""
 
     def __init__(
-        self, vm: str, on_change: Callable[[frozenset[str]], None]
+        self, vm: str, on_change: Callable[[tuple[MemberEntry, ...]], None]
     ) -> None:
         self.vm = vm
         self.on_change = on_change
         self.broken = BrokenEntries("members")
-        self.names: dict[str, str] = {}
+        self.entries: dict[str, MemberEntry] = {}
 
-    def settled(self, now_ms: float) -> None:
+    def settled(self, now_ms: float, revision: int) -> None:
         """Take the member list, also if it holds nobody else."""
-        members = frozenset({*self.names.values(), self.vm})
-        log.bind(count=len(members)).info("members changed")
-        self.on_change(members)
+        log.bind(count=len(self.entries), revision=revision).info(
+            "members changed"
+        )
+        self.on_change(tuple(self.entries.values()))
 
     def put(self, now_ms: float, item: StoredObject) -> None:
         """Take a VM's entry."""
         try:
-            self.names[item.name] = member_entry.decode(item.content)
+            entry = member_entry.decode(item.content)
         except MalformedEntryError as fault:
             self.broken.note(item, fault)
+            return
+        self.entries[item.name] = entry
 
     def remove(self, now_ms: float, name: str, listed: bool) -> None:
         """Take that a VM left."""
-        self.names.pop(name, None)
+        self.entries.pop(name, None)
--- a/src/oriolegate/runtime/store_runner.py
+++ b/src/oriolegate/runtime/store_runner.py
@@ -1,5 +1,7 @@
-"""Asks the store what the followers want to know."""
+"""Keeps this VM's view of the store current, from a peer or from the store."""
 
+from collections.abc import Callable
+from collections.abc import Mapping
 from typing import Any
 
 from oriolegate import logging_setup
@@ -9,6 +11,8 @@
 from oriolegate.following.follower import AskChanges
 from oriolegate.following.follower import AskPage
 from oriolegate.following.follower import Follower
+from oriolegate.models.stored import Collection
+from oriolegate.network.http_caller import CancelCall
 from oriolegate.network.http_reader import HttpResponse
 from oriolegate.network.store_client import StoreClient
 from oriolegate.platform import store_calls
@@ -22,11 +26,12 @@
 
 
 class StoreRunner:
-    """Runs all followers.
+    """Runs all followers against the store.
 
     Attributes:
         followers: What is followed.
-        unreachable: Collections whose last call failed.
+        on_step: Called after each answer and failure.
+        paused: True while a peer tells the news instead.
     """
 
     def __init__(
@@ -34,49 +39,73 @@
         reactor: Any,
         clock: Clock,
         client: StoreClient,
-        followers: list[Follower],
+        followers: Mapping[Collection, Follower],
     ) -> None:
         self.reactor = reactor
         self.clock = clock
         self.client = client
         self.followers = followers
-        self.stopped = False
+        self.on_step: Callable[[], None] = lambda: None
+        self.paused = False
+        self.timers: dict[Collection, Any] = {}
+        self.calls: dict[Collection, CancelCall] = {}
+
+    @property
+    def is_confirmed(self) -> bool:
+        """Whether all lists are in and no last call has failed."""
+        return all(
+            follower.complete and follower.failures == 0
+            for follower in self.followers.values()
+        )
 
     def start(self) -> None:
         """Begin to follow."""
-        for follower in self.followers:
+        for follower in self.followers.values():
             self._schedule(follower, follower.start())
 
-    def stop(self) -> None:
-        """Ask nothing more."""
-        self.stopped = True
+    def pause(self) -> None:
+        """Ask nothing until `resume`."""
+        self.paused = True
+        for timer in self.timers.values():
+            if timer.active():
+                timer.cancel()
+        for cancel in self.calls.values():
+            cancel()
+        self.timers.clear()
+        self.calls.clear()
+
+    def resume(self) -> None:
+        """Ask again, from where the views are."""
+        if not self.paused:
+            return
+        self.paused = False
+        for follower in self.followers.values():
+            self._schedule(follower, follower.resume())
 
     def _schedule(self, follower: Follower, ask: Ask) -> None:
-        if ask.delay_ms > 0.0:
-            self.reactor.callLater(
-                ask.delay_ms / MS_PER_S, self._ask, follower, ask
-            )
-        else:
-            self._ask(follower, ask)
+        if self.paused:
+            return
+        self.timers[follower.collection] = self.reactor.callLater(
+            ask.delay_ms / MS_PER_S, self._ask, follower, ask
+        )
 
     def _ask(self, follower: Follower, ask: Ask) -> None:
-        if self.stopped:
-            return
+        collection = follower.collection
         match ask:
-            case AskPage(_, after):
-                call = store_calls.list_call(follower.collection, after)
+            case AskPage(_, after, may_lag):
+                call = store_calls.list_call(collection, after, may_lag=may_lag)
                 limit_ms = CALL_LIMIT_MS
             case AskChanges(_, revision, wait_ms):
-                call = store_calls.watch_call(
-                    follower.collection, revision, wait_ms
-                )
+                call = store_calls.watch_call(collection, revision, wait_ms)
                 limit_ms = wait_ms + CALL_LIMIT_MS
 
         def done(outcome: HttpResponse | str) -> None:
-            if not self.stopped:
-                self._schedule(follower, self._take(follower, ask, outcome))
+            self.calls.pop(collection, None)
+            following = self._take(follower, ask, outcome)
+            self._schedule(follower, following)
+            self.on_step()
 
-        self.client.call(call, limit_ms, done)
+        self.calls[collection] = self.client.call(call, limit_ms, done)
 
     def _take(
         self, follower: Follower, ask: Ask, outcome: HttpResponse | str
@@ -93,12 +122,7 @@
             return self._failed(follower, f"status {outcome.status}")
         failures = follower.failures
         try:
-            if isinstance(ask, AskPage):
-                page = store_calls.decode_page(outcome.body)
-                following = follower.page(now_ms, page)
-            else:
-                batch = store_calls.decode_changes(outcome.body)
-                following = follower.changes(now_ms, batch)
+            following = self._read(follower, ask, outcome.body)
         except MalformedEntryError as fault:
             log.bind(
                 collection=follower.collection.name, reason=fault.message
@@ -110,6 +134,12 @@
             ).info("store regained")
         return following
 
+    def _read(self, follower: Follower, ask: Ask, body: bytes) -> Ask:
+        now_ms = self.clock.now_ms()
+        if isinstance(ask, AskPage):
+            return follower.page(now_ms, store_calls.decode_page(body))
+        return follower.changes(now_ms, store_calls.decode_changes(body))
+
     def _failed(self, follower: Follower, reason: str) -> Ask:
         following = follower.failed()
         age_ms = self.clock.now_ms() - follower.confirmed_ms
--- a/tests/following/test_follower.py
+++ b/tests/following/test_follower.py
@@ -34,7 +34,7 @@
     def remove(self, now_ms, name, listed):
         self.contents.pop(name, None)
 
-    def settled(self, now_ms):
+    def settled(self, now_ms, revision):
         self.lists += 1
 
 
@@ -50,7 +50,7 @@
     def setUp(self):
         self.sink = Sink()
         self.follower = Follower(Collection.LEAFS, self.sink, random.Random(1))
-        self.assertEqual(self.follower.start(), AskPage(0.0, ""))
+        self.assertEqual(self.follower.start(), AskPage(0.0, "", True))
 
     def listed(self, *items, revision=10):
         return self.follower.page(0.0, page(revision, *items))
@@ -64,7 +64,7 @@
 
     def test_pages_count_once_the_last_is_in(self):
         ask = self.follower.page(0.0, page(10, item("a", 3), has_more=True))
-        self.assertEqual(ask, AskPage(0.0, "a"))
+        self.assertEqual(ask, AskPage(0.0, "a", True))
         self.assertFalse(self.follower.complete)
         self.assertEqual(self.sink.contents, {})
         ask = self.follower.page(0.0, page(12, item("b", 4)))
@@ -98,7 +98,8 @@
 
     def test_after_lost_history_only_a_whole_list_removes(self):
         self.listed(item("a", 3), item("b", 4))
-        self.assertEqual(self.follower.history_gone(0.0), AskPage(0.0, ""))
+        ask = self.follower.history_gone(0.0)
+        self.assertEqual(ask, AskPage(0.0, "", may_lag=False))
         self.follower.page(0.0, page(20, item("a", 3), has_more=True))
         self.assertEqual(set(self.sink.contents), {"a", "b"})
         self.follower.page(0.0, page(20, item("c", 15)))
@@ -108,7 +109,7 @@
         self.listed(item("a", 9), revision=10)
         self.follower.history_gone(0.0)
         ask = self.follower.page(0.0, page(8))
-        self.assertIsInstance(ask, AskPage)
+        self.assertFalse(ask.may_lag)
         self.assertEqual(set(self.sink.contents), {"a"})
 
     def test_a_failed_watch_goes_on_from_the_same_revision(self):
@@ -116,6 +117,23 @@
         ask = self.follower.failed()
         self.assertEqual(ask.revision, 10)
 
+    def test_after_a_failure_a_short_watch_tries_the_connection(self):
+        self.listed()
+        self.assertEqual(self.follower.failed().wait_ms, 100)
+        ask = self.follower.changes(0.0, ChangeBatch((), 10))
+        self.assertEqual(ask.wait_ms, follower.WATCH_MS[Collection.LEAFS])
+
+    def test_a_list_that_a_peer_holds_replaces_all(self):
+        self.listed(item("a", 3), item("b", 4))
+        self.follower.whole(0.0, page(20, item("b", 15)))
+        self.assertEqual(self.sink.contents, {"b": "b@15"})
+        self.follower.whole(0.0, page(19, item("a", 3)))
+        self.assertEqual(self.sink.contents, {"b": "b@15"})
+
+    def test_it_goes_on_from_where_the_view_is(self):
+        self.listed()
+        self.assertEqual(self.follower.resume().revision, 10)
+
     def test_pauses_grow_to_their_limit(self):
         self.listed()
         pauses = [self.follower.failed().delay_ms for _ in range(12)]
--- /dev/null
+++ b/tests/following/test_source_choice.py
@@ -0,0 +1,78 @@
+"""Tests of choosing whom to follow."""
+
+import unittest
+
+from hypothesis import given
+from hypothesis import strategies
+
+from oriolegate.following import source_choice
+from oriolegate.following.source_choice import Peer
+from oriolegate.following.source_choice import SourceChoice
+
+NAMES = [f"vm-{number}" for number in range(6)]
+
+
+def peers(names, own):
+    return {name: Peer(name, name, 1) for name in names if name != own}
+
+
+def choices(names):
+    found = {}
+    for name in names:
+        found[name] = SourceChoice(name)
+        found[name].set_peers(peers(names, name))
+    return found
+
+
+class SourceChoiceTest(unittest.TestCase):
+    def test_one_vm_watches_the_store_and_the_others_follow_it(self):
+        chosen = {
+            name: choice.choose(0.0) for name, choice in choices(NAMES).items()
+        }
+        (reader,) = [name for name, peer in chosen.items() if peer is None]
+        others = {peer.vm for peer in chosen.values() if peer is not None}
+        self.assertEqual(others, {reader})
+
+    def test_a_peer_that_fails_is_left_alone_for_a_while(self):
+        choice = choices(NAMES)[self.last()]
+        first, second = choice.above
+        choice.failed(0.0, first.vm)
+        self.assertEqual(choice.choose(1.0), second)
+        choice.failed(1.0, second.vm)
+        self.assertIsNone(choice.choose(2.0))
+        self.assertEqual(choice.choose(source_choice.FIRST_REST_MS), first)
+
+    def test_the_rest_grows_and_ends_with_an_answer(self):
+        choice = choices(NAMES)[self.last()]
+        vm = choice.above[0].vm
+        for _ in range(20):
+            choice.failed(0.0, vm)
+        rest = choice.rests[vm]
+        self.assertEqual(rest.length_ms, source_choice.LONGEST_REST_MS)
+        choice.answered(vm)
+        self.assertEqual(choice.choose(0.0).vm, vm)
+
+    def last(self):
+        found = choices(NAMES)
+        return max(found, key=lambda name: len(found[name].above))
+
+    @given(
+        strategies.lists(
+            strategies.sets(strategies.sampled_from(NAMES)),
+            min_size=len(NAMES),
+            max_size=len(NAMES),
+        )
+    )
+    def test_vms_never_wait_for_each_other_in_a_circle(self, views):
+        follows = {}
+        for name, view in zip(NAMES, views, strict=True):
+            choice = SourceChoice(name)
+            choice.set_peers(peers(view, name))
+            peer = choice.choose(0.0)
+            follows[name] = peer.vm if peer else None
+        for name in NAMES:
+            seen = set()
+            while name is not None:
+                self.assertNotIn(name, seen)
+                seen.add(name)
+                name = follows[name]
--- /dev/null
+++ b/tests/following/test_view_cache.py
@@ -0,0 +1,103 @@
+"""Tests of keeping a view that peers can follow."""
+
+import random
+import unittest
+
+from hypothesis import given
+from hypothesis import strategies
+
+from oriolegate.following import view_cache
+from oriolegate.following.follower import Follower
+from oriolegate.following.view_cache import ViewCache
+from oriolegate.models.stored import Change
+from oriolegate.models.stored import ChangeBatch
+from oriolegate.models.stored import Collection
+from oriolegate.models.stored import ListPage
+from oriolegate.models.stored import StoredObject
+from tests.following.test_follower import Sink
+
+STEPS = strategies.lists(
+    strategies.tuples(
+        strategies.sampled_from("abcd"),
+        strategies.booleans(),
+        strategies.sampled_from(["none", "settle", "peer", "list"]),
+    ),
+    max_size=60,
+)
+
+
+def item(name, revision):
+    return StoredObject(name, revision, f"{name}@{revision}")
+
+
+class ViewCacheTest(unittest.TestCase):
+    def setUp(self):
+        self.cache = ViewCache(Sink())
+        self.cache.put(0.0, item("a", 3))
+        self.cache.settled(0.0, 10)
+
+    def test_a_peer_without_a_view_gets_all(self):
+        found = self.cache.since(0)
+        self.assertEqual(found, ListPage((item("a", 3),), False, 10))
+
+    def test_a_peer_that_lags_gets_the_changes(self):
+        self.cache.put(0.0, item("b", 11))
+        self.cache.remove(0.0, "a", listed=False)
+        self.cache.settled(0.0, 12)
+        found = self.cache.since(10)
+        self.assertEqual(
+            found.changes,
+            (
+                Change(item("b", 11), removed=False),
+                Change(item("a", 3), removed=True),
+            ),
+        )
+        self.assertEqual(self.cache.since(12).changes, ())
+
+    def test_changes_are_kept_up_to_a_limit(self):
+        for revision in range(11, 20 + view_cache.MAX_CHANGES):
+            self.cache.put(0.0, item("b", revision))
+            self.cache.settled(0.0, revision)
+        self.assertEqual(len(self.cache.changes), view_cache.MAX_CHANGES)
+        self.assertIsInstance(self.cache.since(10), ListPage)
+
+
+class ChainTest(unittest.TestCase):
+    @given(STEPS)
+    def test_a_peer_ends_with_what_the_first_vm_knows(self, steps):
+        cache = ViewCache(Sink())
+        reader = Follower(Collection.LEAFS, cache, random.Random(1))
+        reader.start()
+        reader.page(0.0, ListPage((), False, 1))
+        sink = Sink()
+        peer = Follower(Collection.LEAFS, sink, random.Random(1))
+        held, pending, revision = {}, [], 1
+        for name, removed, step in steps:
+            revision += 1
+            if not removed:
+                held[name] = item(name, revision)
+                pending.append(Change(held[name], removed=False))
+            elif name in held:
+                pending.append(Change(held.pop(name), removed=True))
+            if step == "settle":
+                reader.changes(0.0, ChangeBatch(tuple(pending), revision))
+                pending = []
+            elif step == "list":
+                reader.history_gone(0.0)
+                page = ListPage(tuple(held.values()), False, revision)
+                reader.page(0.0, page)
+                pending = []
+            elif step == "peer":
+                self.tell(cache, peer)
+        reader.changes(0.0, ChangeBatch(tuple(pending), revision))
+        self.tell(cache, peer)
+        expected = {name: kept.content for name, kept in held.items()}
+        self.assertEqual(cache.sink.contents, expected)
+        self.assertEqual(sink.contents, expected)
+
+    def tell(self, cache, peer):
+        found = cache.since(peer.revision)
+        if isinstance(found, ChangeBatch):
+            peer.changes(0.0, found)
+        else:
+            peer.whole(0.0, found)
--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -7,6 +7,7 @@
 from hypothesis import strategies
 
 from oriolegate.exceptions import MalformedEntryError
+from oriolegate.models.site import MemberEntry
 from oriolegate.models.site import Repeatability
 from oriolegate.platform import documents
 from oriolegate.platform import member_entry
@@ -167,8 +168,12 @@
 
 class MemberEntryTest(unittest.TestCase):
     def test_it_comes_back(self):
-        content = member_entry.encode("vm-1", "dc-a", 5)
-        self.assertEqual(member_entry.decode(content), "vm-1")
+        entry = MemberEntry("vm-1", "dc-a", "10.0.0.1", 7740, 5)
+        content = member_entry.encode(entry)
+        self.assertEqual(member_entry.decode(content), entry)
+        for name in content:
+            with self.assertRaises(MalformedEntryError):
+                member_entry.decode(content | {name: None})
 
     def test_others_are_rejected(self):
         for content in (None, [], {}, {"vm": ""}, {"vm": 4}):
--- a/tests/platform/test_gateway.py
+++ b/tests/platform/test_gateway.py
@@ -105,8 +105,9 @@
         self.front.close()
         for pool in self.process.parts.leaf_client.pools.values():
             pool.close()
-        self.process.parts.store.stop()
-        self.process.parts.store_client.pool.close()
+        self.process.parts.store.pause()
+        self.process.parts.feed.stop()
+        self.process.parts.store_client.caller.pool.close()
         for port in [*self.ports, *self.process.ports]:
             await defer.maybeDeferred(port.stopListening)
         for channel in list(self.process.front.channels):
@@ -151,6 +152,7 @@
         ready_address=(HOST, numbers[1]),
         internal_ports=(numbers[2], numbers[2]),
         store_address=(HOST, store_port),
+        first_start=False,
         bounds=Bounds(grace_ms=800.0),
     )
     clock = SystemClock()
--- a/tests/platform/test_store_calls.py
+++ b/tests/platform/test_store_calls.py
@@ -16,8 +16,10 @@
 
 class CallTest(unittest.TestCase):
     def test_pages_and_watches(self):
-        found = store_calls.list_call(Collection.LEAFS, "a/b")
+        found = store_calls.list_call(Collection.LEAFS, "a/b", may_lag=False)
         self.assertEqual(found.target, "/objects/servers?after=a%2Fb")
+        found = store_calls.list_call(Collection.LEAFS, "", may_lag=True)
+        self.assertEqual(found.target, "/objects/servers?allow_stale=1")
         found = store_calls.watch_call(Collection.CONFIGURATION, 7, 500)
         self.assertEqual(found.target, "/objects/config?watch=7&wait_ms=500")
 
