--- a/src/oriolegate/cli/registry.py
+++ b/src/oriolegate/cli/registry.py
@@ -41,6 +41,9 @@
         "oriolegate.commands.timeline",
         "show the events of running processes in order",
     ),
+    "explain": CommandEntry(
+        "oriolegate.commands.explain", "show from logs what became of a request"
+    ),
     "check": CommandEntry(
         "oriolegate.commands.check", "report every error of a rules file"
     ),
--- a/src/oriolegate/commands/explain.py
+++ b/src/oriolegate/commands/explain.py
@@ -117,9 +117,9 @@
         f"{fields['time']} {line.source} {fields.get('part', '')}: "
         f"{fields.get('message', '')} {rest}".rstrip()
     ]
-    for after_ms, kind, service, leaf, detail in fields.get("decisions", ()):
-        target = " ".join(name for name in (service, leaf) if name)
-        text.append(f"    +{after_ms} ms {kind} {target} {detail}".rstrip())
+    for after_ms, *words in fields.get("decisions", ()):
+        said = " ".join(word for word in words if word)
+        text.append(f"    +{after_ms} ms {said}")
     return text
 
 
