--- a/src/oriolegate/commands/gateway.py
+++ b/src/oriolegate/commands/gateway.py
@@ -6,14 +6,14 @@
 import signal
 from typing import Any
 
-from oriolegate import logging_setup
+from oriolegate import structured_log
 from oriolegate.clock import SystemClock
 from oriolegate.exceptions import SettingsError
 from oriolegate.platform import node_settings
 from oriolegate.runtime import gateway
 from oriolegate.runtime.line_writer import LineWriter
 
-log = logging_setup.get_logger("gateway")
+log = structured_log.get_logger("gateway")
 
 STANDARD_OUTPUT = 1
 # The settings file may change without a signal; it is a few hundred bytes.
@@ -66,10 +66,9 @@
     reactor: Any = default_reactor
     clock = SystemClock()
     settings = node_settings.read(arguments.settings)
-    logging_setup.setup_line_logging(
+    structured_log.begin(
         LineWriter(STANDARD_OUTPUT, clock).write, arguments.verbose
     )
-    logging_setup.forward_twisted_logs()
     parts = gateway.build_parts(reactor, clock, settings, random.Random())
     process = gateway.Gateway(reactor, clock, settings, parts)
     process.on_exit = reactor.stop
--- a/src/oriolegate/exchange/exchange.py
+++ b/src/oriolegate/exchange/exchange.py
@@ -321,9 +321,11 @@
             return
         chosen = self._choose(now_ms, part)
         if isinstance(chosen, NoLeaf):
-            return
-        if self.shared.budget.take(part.service, now_ms, hedge=True):
+            self._note(now_ms, "no hedge", part.service, "", chosen.value)
+        elif self.shared.budget.take(part.service, now_ms, hedge=True):
             self._send(now_ms, part, chosen, effects, hedge=True, extra=True)
+        else:
+            self._note(now_ms, "no hedge", part.service, "", "no budget")
 
     def _try_again(
         self, now_ms: float, part: Part, effects: list[Effect]
--- a/src/oriolegate/logging_setup.py
+++ b/src/oriolegate/logging_setup.py
@@ -4,7 +4,6 @@
 through here.
 """
 
-from collections.abc import Callable
 import datetime
 import sys
 import traceback
@@ -103,29 +102,6 @@
     )
 
 
-def setup_line_logging(
-    write_line: Callable[[str], None], verbose: int = 0
-) -> None:
-    """Send the logs of all parts as JSON lines to one function.
-
-    Args:
-        write_line: Takes a line; must never block.
-        verbose: 0 logs from INFO on, 1 from DEBUG, 2 from TRACE.
-    """
-
-    def write(message: "loguru.Message") -> None:
-        write_line(json_line(message.record))  # type: ignore[arg-type]
-
-    logger.remove()
-    logger.add(
-        write,
-        level=LEVELS[min(verbose, len(LEVELS) - 1)],
-        format="{message}",
-        diagnose=False,
-        backtrace=False,
-    )
-
-
 def log_twisted_event(event: dict[str, Any]) -> None:
     """Log what Twisted reports, such as an error that nobody handled."""
     from twisted import logger as twisted_logger
--- a/src/oriolegate/runtime/exchange_runner.py
+++ b/src/oriolegate/runtime/exchange_runner.py
@@ -4,7 +4,7 @@
 
 import attrs
 
-from oriolegate import logging_setup
+from oriolegate import structured_log
 from oriolegate.clock import Clock
 from oriolegate.exchange.exchange import Exchange
 from oriolegate.exchange.exchange import Shared
@@ -29,7 +29,7 @@
 from oriolegate.runtime.leaf_checker import LeafChecker
 from oriolegate.runtime.site_sinks import ConfigurationSink
 
-log = logging_setup.get_logger("requests")
+log = structured_log.get_logger("requests")
 
 MS_PER_S = 1_000.0
 STATUS_NOT_FOUND = 404
--- a/src/oriolegate/runtime/gateway.py
+++ b/src/oriolegate/runtime/gateway.py
@@ -7,8 +7,8 @@
 
 import attrs
 
-from oriolegate import logging_setup
 from oriolegate import metrics as metrics_module
+from oriolegate import structured_log
 from oriolegate.clock import Clock
 from oriolegate.exchange.exchange import Shared
 from oriolegate.following.follower import CollectionSink
@@ -40,7 +40,7 @@
 from oriolegate.runtime.store_runner import StoreRunner
 from oriolegate.runtime.view_server import ViewServer
 
-log = logging_setup.get_logger("gateway")
+log = structured_log.get_logger("gateway")
 
 MS_PER_S = 1_000.0
 TICK_S = 0.25
--- a/src/oriolegate/runtime/leaf_checker.py
+++ b/src/oriolegate/runtime/leaf_checker.py
@@ -2,7 +2,7 @@
 
 from typing import Any
 
-from oriolegate import logging_setup
+from oriolegate import structured_log
 from oriolegate.clock import Clock
 from oriolegate.network.leaf_client import LeafClient
 from oriolegate.network.leaf_client import OpenSend
@@ -10,7 +10,7 @@
 from oriolegate.placement.leaf_record import LeafRecord
 from oriolegate.platform.leaf_protocol import HealthReport
 
-log = logging_setup.get_logger("leafs")
+log = structured_log.get_logger("leafs")
 
 MS_PER_S = 1_000.0
 # Time limit of a check; a healthy leaf answers within tens of ms.
--- a/src/oriolegate/runtime/member_keeper.py
+++ b/src/oriolegate/runtime/member_keeper.py
@@ -3,7 +3,7 @@
 import random
 from typing import Any
 
-from oriolegate import logging_setup
+from oriolegate import structured_log
 from oriolegate.clock import Clock
 from oriolegate.models.site import MemberEntry
 from oriolegate.models.site import NodeSettings
@@ -14,7 +14,7 @@
 from oriolegate.platform import store_calls
 from oriolegate.platform.store_calls import StoreCall
 
-log = logging_setup.get_logger("members")
+log = structured_log.get_logger("members")
 
 MS_PER_S = 1_000.0
 CALL_LIMIT_MS = 1_500.0
--- a/src/oriolegate/runtime/peer_feed.py
+++ b/src/oriolegate/runtime/peer_feed.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable
 from typing import Any
 
-from oriolegate import logging_setup
+from oriolegate import structured_log
 from oriolegate.clock import Clock
 from oriolegate.exceptions import PeerMessageError
 from oriolegate.following.follower import Follower
@@ -16,7 +16,7 @@
 from oriolegate.network.http_reader import HttpResponse
 from oriolegate.runtime.store_runner import StoreRunner
 
-log = logging_setup.get_logger("feed")
+log = structured_log.get_logger("feed")
 
 MS_PER_S = 1_000.0
 # How long a peer may hold a request without news, and how much longer its
--- a/src/oriolegate/runtime/site_sinks.py
+++ b/src/oriolegate/runtime/site_sinks.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Callable
 
-from oriolegate import logging_setup
+from oriolegate import structured_log
 from oriolegate.exceptions import MalformedEntryError
 from oriolegate.models.site import Configuration
 from oriolegate.models.site import MemberEntry
@@ -12,7 +12,7 @@
 from oriolegate.platform import member_entry
 from oriolegate.routing.route_table import RouteTable
 
-log = logging_setup.get_logger("site")
+log = structured_log.get_logger("site")
 
 CONFIGURATION_NAME = "main"
 # Broken entries are logged once each; beyond this many names, not at all.
--- a/src/oriolegate/runtime/store_runner.py
+++ b/src/oriolegate/runtime/store_runner.py
@@ -4,7 +4,7 @@
 from collections.abc import Mapping
 from typing import Any
 
-from oriolegate import logging_setup
+from oriolegate import structured_log
 from oriolegate.clock import Clock
 from oriolegate.exceptions import MalformedEntryError
 from oriolegate.following.follower import Ask
@@ -17,7 +17,7 @@
 from oriolegate.network.store_client import StoreClient
 from oriolegate.platform import store_calls
 
-log = logging_setup.get_logger("store")
+log = structured_log.get_logger("store")
 
 MS_PER_S = 1_000.0
 # A call that takes longer is on a dead connection: a slow store answers
--- a/src/oriolegate/runtime/view_server.py
+++ b/src/oriolegate/runtime/view_server.py
@@ -6,13 +6,13 @@
 
 import attrs
 
-from oriolegate import logging_setup
+from oriolegate import structured_log
 from oriolegate.exceptions import PeerMessageError
 from oriolegate.following.view_cache import ViewCache
 from oriolegate.models.stored import Collection
 from oriolegate.network import view_wire
 
-log = logging_setup.get_logger("views")
+log = structured_log.get_logger("views")
 
 MS_PER_S = 1_000.0
 STATUS_OK = 200
