--- a/Makefile
+++ b/Makefile
@@ -1,10 +1,12 @@
 PYTHON ?= python3
 VENV ?= .venv
 SECONDS_EACH ?= 12
+SEEDS ?= 1-3
 BIN := $(VENV)/bin
 export PYTHONPATH := $(CURDIR)/src
 
-.PHONY: test demo lint format types unit binary measure measure-seeds clean
+.PHONY: test demo lint format types unit binary measure measure-seeds soak \
+	gateway clean
 
 $(VENV)/.installed: pyproject.toml
 	$(PYTHON) -m venv $(VENV)
@@ -44,5 +46,11 @@
 measure-seeds: $(VENV)/.installed
 	$(BIN)/python -m oriolegate.measurement.pages --seconds 4 --seeds 5
 
+soak: $(VENV)/.installed
+	$(BIN)/python -m tools.soak --seeds $(SEEDS)
+
+gateway: $(VENV)/.installed
+	$(BIN)/python tools/build_gateway.py
+
 clean:
-	rm -rf $(VENV) build dist
+	rm -rf $(VENV) build dist target
--- a/src/oriolegate/runtime/store_runner.py
+++ b/src/oriolegate/runtime/store_runner.py
@@ -4,6 +4,8 @@
 from collections.abc import Mapping
 from typing import Any
 
+import attrs
+
 from oriolegate import structured_log
 from oriolegate.clock import Clock
 from oriolegate.exceptions import MalformedEntryError
@@ -104,6 +106,16 @@
             for other in self.followers.values()
         )
 
+    def _hand_on(self, follower: Follower, ask: Ask) -> None:
+        """Let another collection try next: only one of them may be cut."""
+        first = next(iter(self.parked))
+        other, other_ask = self.parked.pop(first)
+        self.parked[follower.collection] = (
+            follower,
+            attrs.evolve(ask, delay_ms=0.0),
+        )
+        self._schedule(other, attrs.evolve(other_ask, delay_ms=ask.delay_ms))
+
     def _release(self) -> None:
         """Make the parked calls, now that the store answers."""
         parked = self.parked
@@ -130,8 +142,10 @@
         def done(outcome: HttpResponse | str) -> None:
             self.calls.pop(collection, None)
             following = self._take(follower, ask, outcome)
-            self._schedule(follower, following)
-            if follower.failures == 0 and self.parked:
+            if follower.failures and self.parked:
+                self._hand_on(follower, following)
+            else:
+                self._schedule(follower, following)
                 self._release()
             self.on_step()
 
--- a/tests/platform/stand_in_store.py
+++ b/tests/platform/stand_in_store.py
@@ -5,6 +5,7 @@
 
 import orjson
 from twisted.internet import protocol
+from twisted.internet import reactor
 from twisted.web import http
 
 PAGE_ITEMS = 3
@@ -69,14 +70,30 @@
         events = [e for at, k, e in self.history if k == kind and at > revision]
         request.send(200, {"events": events, "as_of": self.revision})
 
-    def watch(self, request: Any, kind: str, revision: int) -> None:
-        """Answer a watch now or when something changes."""
+    def _end_watch(self, entry: tuple[Any, str, int, Any]) -> None:
+        if entry in self.waiting:
+            self.waiting.remove(entry)
+            self._answer_watch(*entry[:3])
+
+    def watch(
+        self, request: Any, kind: str, revision: int, wait_ms: int
+    ) -> None:
+        """Answer a watch now, when something changes, or after a time."""
         if revision < self.forgotten:
             request.send(410, {})
         elif any(at > revision and k == kind for at, k, _ in self.history):
             self._answer_watch(request, kind, revision)
         else:
-            self.waiting.append((request, kind, revision, None))
+            entry = (request, kind, revision, object())
+            self.waiting.append(entry)
+            timer = reactor.callLater(wait_ms / 1_000, self._end_watch, entry)
+            request.notifyFinish().addErrback(lambda _: self._cut(entry, timer))
+
+    def _cut(self, entry: tuple[Any, str, int, Any], timer: Any) -> None:
+        if entry in self.waiting:
+            self.waiting.remove(entry)
+        if timer.active():
+            timer.cancel()
 
     def handle(self, request: Any) -> None:
         """Answer one call."""
@@ -90,7 +107,12 @@
         _, _, kind, *names = path.split("/")
         match request.method:
             case b"GET" if "watch" in fields:
-                self.watch(request, kind, int(fields["watch"]))
+                self.watch(
+                    request,
+                    kind,
+                    int(fields["watch"]),
+                    int(fields["wait_ms"]),
+                )
             case b"GET":
                 request.send(200, self.list(kind, fields.get("after", "")))
             case b"POST":
--- a/tests/runtime/test_store_runner.py
+++ b/tests/runtime/test_store_runner.py
@@ -93,6 +93,21 @@
         self.assertTrue(self.runner.is_confirmed)
         self.assertEqual(self.runner.parked, {})
 
+    def test_a_collection_that_stays_cut_holds_up_no_other(self):
+        self.list_all()
+
+        def partly(call):
+            return "silent" if "evacuations" in call.target else answer(call)
+
+        self.store.answer_all("refused")
+        for _ in range(80):
+            self.advance(0.1)
+            self.store.answer_all(partly)
+        failing = [f for f in self.followers.values() if f.failures]
+        self.assertEqual(
+            [f.collection for f in failing], [Collection.EVACUATIONS]
+        )
+
     def test_nothing_is_asked_while_a_peer_tells_the_news(self):
         self.list_all()
         self.runner.pause()
--- /dev/null
+++ b/tools/soak/__init__.py
@@ -0,0 +1,1 @@
+"""A randomized fault soak: real gateway processes, faults from outside."""
