Promise 'not run' only where the leaf does, send nothing without time, blame hung leafs

Found by reading, each with a test seen failing first: a leaf's 408, 429 or 503 without the header that states 'not run' was passed on and so promised it; a request with no time left was sent and given up at once; a draining leaf's connections were kept after its entry had gone; a leaf that hangs was blamed only while it held a request, since a send that is given up had no outcome.

--- a/src/oriolegate/exchange/exchange.py
+++ b/src/oriolegate/exchange/exchange.py
@@ -42,6 +42,9 @@
 HEDGED_PART = 0.15
 # How long the stragglers beyond them wait.
 HEDGE_PAUSE_MS = 12.0
+# A leaf that is given up after this time has hung: leafs pause for up to 300 ms
+# and are at their best just afterwards.
+HUNG_MS = 450.0
 # A caller follows a Retry-After up to this part of the time that it has left.
 RETRY_AFTER_PART = 1.0 / 3.0
 # Longest useful Retry-After: leafs that crashed are back after seconds.
@@ -113,6 +116,10 @@
     def start(self, now_ms: float) -> list[Effect]:
         """Send all parts."""
         effects: list[Effect] = []
+        if self.moments.limit_ms <= now_ms:
+            self.reply = Refuse(STATUS_GATEWAY_TIMEOUT, "no time left")
+            self.finished = True
+            return [self.reply]
         for part in self.parts:
             self.shared.budget.count_request(part.service, now_ms)
             self._place(now_ms, part, effects)
@@ -176,7 +183,7 @@
         effects: list[Effect] = []
         if self.reply is not None:
             if now_ms >= self.replied_at_ms + timing.LINGER_MS:
-                self._abandon_all(effects)
+                self._abandon_all(now_ms, effects)
             return effects
         late = []
         for part in self.parts:
@@ -199,7 +206,7 @@
             self._note(now_ms, "caller gone", "", "", "")
             self.reply = Refuse(0, "caller gone")
             self.replied_at_ms = now_ms
-        self._abandon_all(effects)
+        self._abandon_all(now_ms, effects)
         return effects
 
     def _alarm_by(self, moment_ms: float) -> None:
@@ -350,10 +357,12 @@
     def _check_finished(self) -> None:
         self.finished = self.reply is not None and not self.sends
 
-    def _abandon_all(self, effects: list[Effect]) -> None:
-        for number in list(self.sends):
+    def _abandon_all(self, now_ms: float, effects: list[Effect]) -> None:
+        for number, send in list(self.sends.items()):
             effects.append(AbandonSend(number))
             self._close_send(number)
+            if now_ms - send.started_ms > HUNG_MS:
+                send.leaf.failed(now_ms)
         self._check_finished()
 
     # The answer
@@ -413,7 +422,7 @@
         effects.append(self.reply)
         is_success = isinstance(self.reply, AnswerGathered | PassOn)
         if not is_success:
-            self._abandon_all(effects)
+            self._abandon_all(now_ms, effects)
         self.alarm_ms = now_ms + timing.LINGER_MS
         self._check_finished()
 
--- a/src/oriolegate/placement/leaf_directory.py
+++ b/src/oriolegate/placement/leaf_directory.py
@@ -142,7 +142,7 @@
         if record is None:
             return
         if record.entry.draining:
-            self._drop(leaf_id)
+            record.lapsed_at_ms = now_ms - LAPSED_USE_MS
         elif record.lapsed_at_ms is None:
             record.lapsed_at_ms = now_ms
 
--- a/src/oriolegate/platform/leaf_protocol.py
+++ b/src/oriolegate/platform/leaf_protocol.py
@@ -31,6 +31,9 @@
     names.EXPECTED_LEAF,
 }
 STATUS_OTHER_LEAF = 421
+# By these a caller is promised that its request never runs; a leaf's answer
+# may say so only together with the header that states it.
+PROMISING_STATUSES = (408, 429, 503)
 BODY_METHODS = (b"POST", b"PUT", b"PATCH")
 
 
@@ -133,6 +136,10 @@
         return NoAnswer(Fate.WRONG_LEAF, "another leaf has the address")
     if response.header(names.NOT_RUN) is not None:
         return NoAnswer(Fate.NOT_RUN, f"status {response.status}")
+    if response.status in PROMISING_STATUSES:
+        return NoAnswer(
+            Fate.MAY_HAVE_RUN, f"status {response.status} without a promise"
+        )
     signature = response.header(names.SIGNATURE)
     if response.header(b"content-encoding") is not None:
         return NoAnswer(Fate.MAY_HAVE_RUN, "the body is encoded")
--- a/tests/exchange/test_exchange.py
+++ b/tests/exchange/test_exchange.py
@@ -89,6 +89,25 @@
         (reply,) = effects
         self.assertEqual((reply.status, reply.reason), (503, "no leaf"))
 
+    def test_without_time_for_an_answer_nothing_is_sent(self):
+        found = build.exchange(
+            build.route(), self.shared, time_left_ms=timing.LIMIT_MARGIN_MS
+        )
+        self.assertEqual(found.start(0.0), [Refuse(504, "no time left")])
+        self.assertTrue(found.finished)
+
+    def test_a_leaf_that_never_answers_counts_as_failing(self):
+        found, _ = self.start(timeout_ms=600.0)
+        near = self.shared.directory.leafs["near"]
+        found.alarm(600.0)
+        self.assertGreater(near.failure_rate, 0.0)
+
+    def test_a_leaf_is_not_blamed_for_a_caller_that_leaves_early(self):
+        found, _ = self.start()
+        near = self.shared.directory.leafs["near"]
+        found.caller_gone(9.0)
+        self.assertEqual(near.failure_rate, 0.0)
+
     def test_it_waits_a_little_for_a_busy_leaf(self):
         self.shared = build.shared([build.leaf("near")])
         record = self.shared.directory.leafs["near"]
--- a/tests/placement/test_leaf_directory.py
+++ b/tests/placement/test_leaf_directory.py
@@ -95,6 +95,12 @@
             chosen(self.directory, later_ms, tried=("far",)), NoLeaf.NONE_LEFT
         )
 
+    def test_a_draining_leaf_whose_entry_goes_is_told_as_gone(self):
+        self.directory.put(0.0, build.leaf("near", draining=True))
+        self.directory.lapse(5.0, "near")
+        self.assertEqual(self.directory.drop_lapsed(5.0), ["near"])
+        self.assertNotIn("near", self.directory.leafs)
+
     def test_an_entry_that_comes_back_is_used_again(self):
         self.directory.lapse(0.0, "near")
         self.directory.put(100.0, build.leaf("near"))
--- a/tests/platform/test_leaf_protocol.py
+++ b/tests/platform/test_leaf_protocol.py
@@ -72,8 +72,13 @@
             response(503, [(b"not-executed", b"1")])
         )
         self.assertIs(found.fate, Fate.NOT_RUN)
-        found = leaf_protocol.interpret(response(503, SEALED))
-        self.assertEqual(found.status, 503)
+
+    def test_a_status_that_promises_is_not_passed_on_without_the_promise(self):
+        for status in (408, 429, 503):
+            found = leaf_protocol.interpret(response(status, SEALED))
+            self.assertIs(found.fate, Fate.MAY_HAVE_RUN)
+        found = leaf_protocol.interpret(response(500, SEALED))
+        self.assertEqual(found.status, 500)
 
     def test_another_leaf_at_the_address(self):
         found = leaf_protocol.interpret(
