Let a VM that starts while the store is away ask a seed for its view

Settings name seeds; a VM that has no list and a failing store asks them for what they last heard, unconfirmed.

--- a/src/oriolegate/following/follower.py
+++ b/src/oriolegate/following/follower.py
@@ -197,6 +197,18 @@
         self._succeeded(now_ms)
         if page.revision <= self.revision and self.complete:
             return
+        self._put_whole(now_ms, page)
+
+    def adopt(self, now_ms: float, page: ListPage) -> None:
+        """Take a list that nobody could confirm, while there is none.
+
+        A VM that starts during an outage of the store knows nothing; what
+        another VM last heard is seconds old and better than that.
+        """
+        if not self.complete:
+            self._put_whole(now_ms, page)
+
+    def _put_whole(self, now_ms: float, page: ListPage) -> None:
         self.listed = {item.name: item for item in page.items}
         self.list_revision = None
         self.revision = page.revision
--- a/src/oriolegate/models/site.py
+++ b/src/oriolegate/models/site.py
@@ -189,6 +189,7 @@
         ready_address: Where the balancer asks for readiness.
         internal_ports: First and last port for the tier's own use.
         store_address: The platform's store.
+        seeds: IP numbers of a few VMs that may run, or may not.
         first_start: True only when the whole tier starts for the first time.
         bounds: Figures of the rules.
     """
@@ -201,6 +202,7 @@
     ready_address: tuple[str, int]
     internal_ports: tuple[int, int]
     store_address: tuple[str, int]
+    seeds: tuple[str, ...]
     first_start: bool
     bounds: Bounds
 
--- a/src/oriolegate/network/view_wire.py
+++ b/src/oriolegate/network/view_wire.py
@@ -9,6 +9,7 @@
 from typing import Any
 import urllib.parse
 
+import attrs
 import orjson
 
 from oriolegate.exceptions import PeerMessageError
@@ -20,36 +21,54 @@
 
 PATH = b"/view"
 WAIT_FIELD = "wait_ms"
+# Asks for what is known even if the store can't confirm it now.
+UNCONFIRMED_FIELD = "unconfirmed"
+
+
+@attrs.frozen
+class NewsRequest:
+    """What a VM asks of another.
+
+    Attributes:
+        revisions: What the asking VM has, by collection.
+        wait_ms: How long the answer may wait for news.
+        unconfirmed: Whether a view that the store can't confirm will do.
+    """
+
+    revisions: Mapping[Collection, int]
+    wait_ms: int
+    unconfirmed: bool = False
+
 
 News = Mapping[Collection, ChangeBatch | ListPage]
 
 
-def request_bytes(
-    host: str, port: int, revisions: Mapping[Collection, int], wait_ms: int
-) -> bytes:
+def request_bytes(host: str, port: int, wanted: NewsRequest) -> bytes:
     """Return the bytes of a request.
 
     Args:
         host: Whom it goes to.
         port: At which port.
-        revisions: What the asking VM has, by collection.
-        wait_ms: How long the answer may wait for news.
+        wanted: What is asked.
     """
     fields: dict[str, int] = {
-        collection.name: revision for collection, revision in revisions.items()
+        collection.name: revision
+        for collection, revision in wanted.revisions.items()
     }
-    fields[WAIT_FIELD] = wait_ms
+    fields[WAIT_FIELD] = wanted.wait_ms
+    if wanted.unconfirmed:
+        fields[UNCONFIRMED_FIELD] = 1
     query = urllib.parse.urlencode(fields)
     return (
         f"GET {PATH.decode()}?{query} HTTP/1.1\r\nHost: {host}:{port}\r\n\r\n"
     ).encode()
 
 
-def decode_request(target: bytes) -> tuple[dict[Collection, int], int]:
-    """Return the revisions and the wait in ms that a request names.
+def decode_request(target: bytes) -> NewsRequest:
+    """Return what a request asks.
 
     Raises:
-        PeerMessageError: If it names none.
+        PeerMessageError: If it is another one.
     """
     query = target.partition(b"?")[2].decode("latin-1")
     try:
@@ -57,9 +76,11 @@
             name: int(value) for name, value in urllib.parse.parse_qsl(query)
         }
         wait_ms = fields.pop(WAIT_FIELD)
-        return {Collection[n]: v for n, v in fields.items()}, wait_ms
+        unconfirmed = bool(fields.pop(UNCONFIRMED_FIELD, 0))
+        revisions = {Collection[n]: v for n, v in fields.items()}
     except (KeyError, ValueError) as error:
         raise PeerMessageError(f"not a request for news: {error}") from error
+    return NewsRequest(revisions, wait_ms, unconfirmed)
 
 
 def _encode_object(item: StoredObject) -> list[Any]:
--- a/src/oriolegate/platform/node_settings.py
+++ b/src/oriolegate/platform/node_settings.py
@@ -53,6 +53,15 @@
     return int(parts[0]), int(parts[1])
 
 
+def _seeds(fields: Mapping[str, str]) -> tuple[str, ...]:
+    # The ports are those of a call that nobody makes here; the internal ports
+    # are the same on all VMs.
+    hosts = (
+        seed.rpartition(":")[0] for seed in fields.get("seeds", "").split(",")
+    )
+    return tuple(host for host in hosts if host)
+
+
 def _bounds(fields: Mapping[str, str]) -> Bounds:
     default = Bounds()
 
@@ -95,6 +104,7 @@
         ready_address=_address(fields, "listen.ready"),
         internal_ports=_ports(fields),
         store_address=_address(fields, "platform.address"),
+        seeds=_seeds(fields),
         first_start=fields.get("bootstrap") == "true",
         bounds=_bounds(fields),
     )
--- a/src/oriolegate/runtime/gateway.py
+++ b/src/oriolegate/runtime/gateway.py
@@ -153,7 +153,12 @@
         # A VM that stops hands its peers over before it is gone.
         lambda: store.is_confirmed and not members.leaving,
     )
-    feed = PeerFeed(reactor, clock, choice, followers, store)
+    seeds = tuple(
+        Peer(host, host, settings.internal_ports[0])
+        for host in settings.seeds
+        if host != settings.host
+    )
+    feed = PeerFeed(reactor, clock, choice, followers, store, seeds)
     checker = LeafChecker(reactor, clock, leaf_client, directory)
     runner = ExchangeRunner(
         reactor,
--- a/src/oriolegate/runtime/peer_feed.py
+++ b/src/oriolegate/runtime/peer_feed.py
@@ -11,6 +11,7 @@
 from oriolegate.following.source_choice import SourceChoice
 from oriolegate.models.stored import ChangeBatch
 from oriolegate.models.stored import Collection
+from oriolegate.models.stored import ListPage
 from oriolegate.network import view_wire
 from oriolegate.network.http_caller import HttpCaller
 from oriolegate.network.http_reader import HttpResponse
@@ -35,6 +36,7 @@
 
     Attributes:
         choice: Which peers may be asked.
+        seeds: VMs to ask if the store gives no list at the start.
         peer: The peer that tells the news, or None.
         on_step: Called after each answer with news.
     """
@@ -46,12 +48,15 @@
         choice: SourceChoice,
         followers: dict[Collection, Follower],
         store: StoreRunner,
+        seeds: tuple[Peer, ...] = (),
     ) -> None:
         self.reactor = reactor
         self.clock = clock
         self.choice = choice
         self.followers = followers
         self.store = store
+        self.seeds = seeds
+        self.seeds_asked = 0
         self.peer: Peer | None = None
         self.callers: dict[str, HttpCaller] = {}
         self.on_step: Callable[[], None] = lambda: None
@@ -80,14 +85,49 @@
     def _step(self) -> None:
         if self.stopped:
             return
-        is_listed = all(f.complete for f in self.followers.values())
-        peer = self.choice.choose(self.clock.now_ms()) if is_listed else None
+        if not all(f.complete for f in self.followers.values()):
+            self._ask_seed()
+            self._later(LOOK_MS)
+            return
+        peer = self.choice.choose(self.clock.now_ms())
         if peer is None:
             self.store.resume()
             self._later(LOOK_MS)
             return
         self._ask(peer)
 
+    def _ask_seed(self) -> None:
+        """Ask a VM for what it last heard, if the store gives no list."""
+        if not self.seeds or not any(
+            follower.failures for follower in self.followers.values()
+        ):
+            return
+        seed = self.seeds[self.seeds_asked % len(self.seeds)]
+        self.seeds_asked += 1
+        revisions = dict.fromkeys(self.followers, 0)
+        wanted = view_wire.NewsRequest(revisions, 0, unconfirmed=True)
+        data = view_wire.request_bytes(seed.host, seed.port, wanted)
+
+        def done(outcome: HttpResponse | str) -> None:
+            self._adopt(seed, outcome)
+
+        self._caller(seed).send(data, ANSWER_MS, done)
+
+    def _adopt(self, seed: Peer, outcome: HttpResponse | str) -> None:
+        try:
+            news = self._news(outcome)
+        except PeerMessageError as fault:
+            log.bind(peer=seed.vm, reason=fault.message).info(
+                "seed tells nothing"
+            )
+            return
+        now_ms = self.clock.now_ms()
+        for collection, follower in self.followers.items():
+            found = news.get(collection)
+            if isinstance(found, ListPage):
+                follower.adopt(now_ms, found)
+        log.bind(peer=seed.vm).info("unconfirmed view adopted")
+
     def _ask(self, peer: Peer) -> None:
         revisions = {
             collection: follower.revision
@@ -95,7 +135,8 @@
         }
         # The first request tells at once whether the peer can be followed.
         wait_ms = WAIT_MS if peer == self.peer else 0
-        data = view_wire.request_bytes(peer.host, peer.port, revisions, wait_ms)
+        wanted = view_wire.NewsRequest(revisions, wait_ms)
+        data = view_wire.request_bytes(peer.host, peer.port, wanted)
 
         def done(outcome: HttpResponse | str) -> None:
             self._take(peer, outcome)
@@ -115,7 +156,7 @@
         if self.stopped:
             return
         try:
-            self._read(peer, outcome)
+            self._read(outcome)
         except PeerMessageError as fault:
             self.choice.failed(self.clock.now_ms(), peer.vm)
             log.bind(peer=peer.vm, reason=fault.message).info(
@@ -130,12 +171,15 @@
         self.on_step()
         self._later(PAUSE_MS)
 
-    def _read(self, peer: Peer, outcome: HttpResponse | str) -> None:
+    def _news(self, outcome: HttpResponse | str) -> view_wire.News:
         if isinstance(outcome, str):
             raise PeerMessageError(outcome)
         if outcome.status != STATUS_OK:
             raise PeerMessageError(f"status {outcome.status}")
-        news = view_wire.decode_news(outcome.body)
+        return view_wire.decode_news(outcome.body)
+
+    def _read(self, outcome: HttpResponse | str) -> None:
+        news = self._news(outcome)
         now_ms = self.clock.now_ms()
         for collection, follower in self.followers.items():
             found = news.get(collection)
--- a/src/oriolegate/runtime/view_server.py
+++ b/src/oriolegate/runtime/view_server.py
@@ -60,20 +60,25 @@
             respond: Takes status and body; called once.
         """
         try:
-            revisions, wait_ms = view_wire.decode_request(target)
+            wanted = view_wire.decode_request(target)
         except PeerMessageError as fault:
             log.bind(reason=fault.message).warning("request for news rejected")
             respond(STATUS_BAD_REQUEST, b"")
             return
+        peer = WaitingPeer(wanted.revisions, respond)
+        if wanted.unconfirmed and all(
+            cache.revision for cache in self.caches.values()
+        ):
+            self._answer(peer)
+            return
         if not self.is_trusted():
             respond(STATUS_UNAVAILABLE, b"")
             return
-        peer = WaitingPeer(revisions, respond)
-        if self._has_news(peer) or wait_ms <= 0:
+        if self._has_news(peer) or wanted.wait_ms <= 0:
             self._answer(peer)
             return
         self.waiting.append(peer)
-        wait_s = min(wait_ms, LONGEST_WAIT_MS) / MS_PER_S
+        wait_s = min(wanted.wait_ms, LONGEST_WAIT_MS) / MS_PER_S
         peer.timer = self.reactor.callLater(wait_s, self._end_wait, peer)
 
     def _has_news(self, peer: WaitingPeer) -> bool:
--- a/tests/following/test_follower.py
+++ b/tests/following/test_follower.py
@@ -132,6 +132,19 @@
         self.follower.whole(0.0, page(19, item("a", 3)))
         self.assertEqual(self.sink.contents, {"b": "b@15"})
 
+    def test_an_unconfirmed_list_is_taken_only_while_there_is_none(self):
+        self.follower.failed()
+        self.follower.adopt(5.0, page(8, item("a", 3)))
+        self.assertTrue(self.follower.complete)
+        self.assertEqual(self.sink.contents, {"a": "a@3"})
+        self.assertEqual(self.follower.failures, 1)
+        self.assertEqual(self.follower.confirmed_ms, float("-inf"))
+        self.follower.adopt(6.0, page(9))
+        self.assertEqual(self.sink.contents, {"a": "a@3"})
+        ask = self.follower.page(7.0, page(12, item("b", 11)))
+        self.assertEqual(self.sink.contents, {"b": "b@11"})
+        self.assertEqual(ask.revision, 12)
+
     def test_it_goes_on_from_where_the_view_is(self):
         self.listed()
         self.assertEqual(self.follower.resume().revision, 10)
--- a/tests/network/test_view_wire.py
+++ b/tests/network/test_view_wire.py
@@ -19,9 +19,11 @@
 class ViewWireTest(unittest.TestCase):
     def test_a_request_comes_back(self):
         revisions = {Collection.LEAFS: 7, Collection.MEMBERS: 0}
-        data = view_wire.request_bytes("10.0.0.1", 7740, revisions, 900)
-        target = data.split(b" ")[1]
-        self.assertEqual(view_wire.decode_request(target), (revisions, 900))
+        for unconfirmed in (False, True):
+            wanted = view_wire.NewsRequest(revisions, 900, unconfirmed)
+            data = view_wire.request_bytes("10.0.0.1", 7740, wanted)
+            target = data.split(b" ")[1]
+            self.assertEqual(view_wire.decode_request(target), wanted)
 
     def test_news_come_back(self):
         news = {
--- a/tests/platform/test_gateway.py
+++ b/tests/platform/test_gateway.py
@@ -145,26 +145,32 @@
     numbers, taken = free_ports(3)
     for port in taken:
         await defer.maybeDeferred(port.stopListening)
+    process = make_gateway(HOST, numbers, store_port)
+    address = process.settings.caller_address
+    front = HttpPool(reactor, SystemClock(), address)
+    site = Site(store, leafs, ports, process, front)
+    process.start()
+    await site.until(lambda: process.ready)
+    return site
+
+
+def make_gateway(host, numbers, store_port, seeds=()):
     settings = NodeSettings(
-        vm="vm-1",
+        vm=f"vm-{host}",
         data_centre="dc-a",
         regions={"dc-a": "north", "dc-b": "south"},
-        host=HOST,
-        caller_address=(HOST, numbers[0]),
-        ready_address=(HOST, numbers[1]),
+        host=host,
+        caller_address=(host, numbers[0]),
+        ready_address=(host, numbers[1]),
         internal_ports=(numbers[2], numbers[2]),
         store_address=(HOST, store_port),
+        seeds=seeds,
         first_start=False,
         bounds=Bounds(grace_ms=800.0),
     )
     clock = SystemClock()
     parts = gateway.build_parts(reactor, clock, settings, random.Random(1))
-    process = gateway.Gateway(reactor, clock, settings, parts)
-    front = HttpPool(reactor, clock, settings.caller_address)
-    site = Site(store, leafs, ports, process, front)
-    process.start()
-    await site.until(lambda: process.ready)
-    return site
+    return gateway.Gateway(reactor, clock, settings, parts)
 
 
 def entry(leaf, port, service):
@@ -410,6 +416,36 @@
             site.process.doubted_at_ms,
         )
 
+    @on_site
+    async def test_a_vm_that_starts_in_an_outage_asks_a_seed(self, site):
+        site.store.refuse = 503
+        first = site.process.settings
+        other = make_gateway(
+            "127.0.0.2",
+            [
+                first.caller_address[1],
+                first.ready_address[1],
+                first.internal_ports[0],
+            ],
+            first.store_address[1],
+            seeds=(HOST,),
+        )
+        try:
+            other.start()
+            await site.until(lambda: other.ready)
+            self.assertEqual(set(other.parts.directory.leafs), set(site.leafs))
+            # What nobody confirmed allows no use of cold leafs.
+            self.assertFalse(other.parts.directory.members_known)
+            self.assertFalse(other.parts.store.is_confirmed)
+            site.store.refuse = None
+            await site.until(lambda: other.parts.store.is_confirmed)
+        finally:
+            other.parts.store.pause()
+            other.parts.feed.stop()
+            other.parts.store_client.caller.pool.close()
+            for port in other.ports:
+                await defer.maybeDeferred(port.stopListening)
+
     @on_site
     async def test_a_broken_entry_names_no_leaf(self, site):
         self.assertNotIn("i-broken", site.process.parts.directory.leafs)
@@ -419,7 +455,7 @@
         ended = defer.Deferred()
         site.process.on_exit = lambda: ended.callback(None)
         members = site.store.objects["oriolegate-members"]
-        await site.until(lambda: "vm-1" in members)
+        await site.until(lambda: f"vm-{HOST}" in members)
         self.assertEqual((await site.get(b"/one/x")).status, 200)
         site.process.plan_stop()
         self.assertFalse(site.process.ready)
@@ -427,7 +463,7 @@
         self.assertEqual(found.status, 200)
         self.assertFalse(found.keep_alive)
         await ended
-        self.assertNotIn("vm-1", members)
+        self.assertNotIn(f"vm-{HOST}", members)
 
     @on_site
     async def test_a_stop_refuses_connections_before_it_ends(self, site):
--- a/tests/platform/test_node_settings.py
+++ b/tests/platform/test_node_settings.py
@@ -16,6 +16,7 @@
 listen.front=10.1.0.39:8226
 listen.ready=10.1.0.39:8227
 internal_ports=7740,7755
+seeds=10.1.0.39:8224,10.2.0.33:8224
 new.field=whatever
 bounds.drain_ms=5000
 bounds.grace_s=6
@@ -32,6 +33,7 @@
         self.assertEqual(found.regions, {"dc-a": "north", "dc-b": "south"})
         self.assertEqual(found.region, "north")
         self.assertEqual(found.internal_ports, (7740, 7755))
+        self.assertEqual(found.seeds, ("10.1.0.39", "10.2.0.33"))
         self.assertEqual(found.bounds.grace_ms, 6_000.0)
         self.assertEqual(found.bounds.retry_window_ms, 8_000.0)
         self.assertEqual(found.bounds.retry_ratio, 0.3)
--- a/tools/soak/__main__.py
+++ b/tools/soak/__main__.py
@@ -13,6 +13,7 @@
 import tempfile
 from typing import Any
 
+from tools.soak import gateways as gateway_module
 from tools.soak import promises
 from tools.soak.faults import Faults
 from tools.soak.gateways import GatewayProcess
@@ -93,6 +94,9 @@
     """Run one seed; return what was seen."""
     chance = random.Random(seed)
     world = World(reactor, chance)
+    hosts = [gateway_module.host_of(number) for number in range(GATEWAYS)]
+    # The internal port is the same on all VMs.
+    (inside,) = gateway_module.free_ports("0.0.0.0", 1)
     gateways = [
         GatewayProcess(
             reactor,
@@ -100,6 +104,8 @@
             DATA_CENTRES[number % 2],
             world.store_address,
             folder,
+            hosts[:3],
+            inside,
         )
         for number in range(GATEWAYS)
     ]
--- a/tools/soak/gateways.py
+++ b/tools/soak/gateways.py
@@ -30,6 +30,11 @@
     return ports
 
 
+def host_of(number: int) -> str:
+    """Return the loopback address of a gateway."""
+    return f"127.0.0.{10 + number}"
+
+
 class GatewayProcess:
     """One gateway, as a process of its own.
 
@@ -49,12 +54,15 @@
         data_centre: str,
         store: tuple[str, int],
         folder: pathlib.Path,
+        seeds: list[str],
+        inside: int,
     ) -> None:
         self.reactor = reactor
         self.clock = SystemClock()
         self.vm = f"vm-{number}"
-        self.host = f"127.0.0.{10 + number}"
-        self.ports = free_ports(self.host, 3)
+        self.host = host_of(number)
+        self.ports = [*free_ports(self.host, 2), inside]
+        self.seeds = seeds
         self.store_link = Link(reactor, self.host, store)
         self.path = folder / f"{self.vm}.conf"
         self.log_path = folder / f"{self.vm}.log"
@@ -76,6 +84,7 @@
             "zones.dcb=north",
             "zones.dcc=south",
             f"ip={self.host}",
+            "seeds=" + ",".join(f"{host}:1" for host in self.seeds),
             f"listen.front={self.host}:{front}",
             f"listen.ready={self.host}:{ready}",
             f"internal_ports={inside},{inside}",
