--- a/src/oriolegate/runtime/exchange_runner.py
+++ b/src/oriolegate/runtime/exchange_runner.py
@@ -36,8 +36,8 @@
 STATUS_NOT_FOUND = 404
 STATUS_TOO_LARGE = 413
 STATUS_UNAVAILABLE = 503
-# Until a configuration is known: the store answers within a second or is out.
-UNKNOWN_SITE_RETRY_MS = 500.0
+# Until a configuration is known: a list takes about 100 ms after a start.
+UNKNOWN_SITE_RETRY_MS = 200.0
 
 
 @attrs.define(eq=False)
