--- a/tests/platform/stand_in_store.py
+++ b/tests/platform/stand_in_store.py
@@ -123,7 +123,14 @@
                     self.put(kind, name, body["spec"])
                 request.send(status, {})
             case b"DELETE":
-                self.delete(kind, parse.unquote(names[0]))
+                name = parse.unquote(names[0])
+                found = name in self.objects.get(kind, {})
+                if found:
+                    self.delete(kind, name)
+                request.send(200 if found else 404, {})
+            case b"PUT":
+                body = orjson.loads(request.content.read())
+                self.put(kind, parse.unquote(names[0]), body["spec"])
                 request.send(200, {})
 
 
