Split the replies from the exchange and the wiring from the gateway process

Moves only, but for the soak: half of its faults of leafs now meet the one service that answers what may run once (from a random source of its own, so seeds keep their faults).

--- a/src/oriolegate/commands/gateway.py
+++ b/src/oriolegate/commands/gateway.py
@@ -11,6 +11,7 @@
 from oriolegate.exceptions import SettingsError
 from oriolegate.platform import node_settings
 from oriolegate.runtime import gateway
+from oriolegate.runtime import gateway_composition
 from oriolegate.runtime.line_writer import LineWriter
 
 log = structured_log.get_logger("gateway")
@@ -69,7 +70,9 @@
     structured_log.begin(
         LineWriter(STANDARD_OUTPUT, clock).write, arguments.verbose
     )
-    parts = gateway.build_parts(reactor, clock, settings, random.Random())
+    parts = gateway_composition.build_parts(
+        reactor, clock, settings, random.Random()
+    )
     process = gateway.Gateway(reactor, clock, settings, parts)
     process.on_exit = reactor.stop
     for number in (signal.SIGTERM, signal.SIGINT):
--- a/src/oriolegate/exchange/exchange.py
+++ b/src/oriolegate/exchange/exchange.py
@@ -9,7 +9,7 @@
 
 import attrs
 
-from oriolegate.exchange import merging
+from oriolegate.exchange import replying
 from oriolegate.exchange import timing
 from oriolegate.exchange.messages import AbandonSend
 from oriolegate.exchange.messages import AnswerGathered
@@ -33,9 +33,6 @@
 from oriolegate.placement.route_pace import PaceBook
 from oriolegate.retries.retry_budget import RetryBudget
 
-STATUS_BAD_GATEWAY = 502
-STATUS_UNAVAILABLE = 503
-STATUS_GATEWAY_TIMEOUT = 504
 # Second sends that start at once: at least, and as a part of all parts. One in
 # 25 leafs pauses at a time.
 LEAST_HEDGES = 2
@@ -45,12 +42,6 @@
 # A leaf that is given up after this time has hung: leafs pause for up to 300 ms
 # and are at their best just afterwards.
 HUNG_MS = 450.0
-# A caller follows a Retry-After up to this part of the time that it has left.
-RETRY_AFTER_PART = 1.0 / 3.0
-# Longest useful Retry-After: leafs that crashed are back after seconds.
-LONGEST_RETRY_AFTER_MS = 1_500.0
-# Retry-After where leafs are only busy: a few service times.
-BUSY_RETRY_AFTER_MS = 150.0
 
 
 @attrs.frozen
@@ -117,7 +108,7 @@
         """Send all parts."""
         effects: list[Effect] = []
         if self.moments.limit_ms <= now_ms:
-            self.reply = Refuse(STATUS_GATEWAY_TIMEOUT, "no time left")
+            self.reply = Refuse(replying.STATUS_GATEWAY_TIMEOUT, "no time left")
             self.finished = True
             return [self.reply]
         for part in self.parts:
@@ -367,14 +358,12 @@
 
     # The answer
 
-    def _answered_parts(self) -> list[LeafAnswer]:
-        return [part.answer for part in self.parts if part.answer is not None]
-
     def _may_answer_partly(self) -> bool:
         if not self.route.shards:
             return False
-        count = self.answered_count
-        return count > 0 and count >= self.route.min_coverage * len(self.parts)
+        return replying.may_gather(
+            self.route, self.answered_count, len(self.parts)
+        )
 
     def _settle(self, now_ms: float, effects: list[Effect]) -> None:
         """Answer if it is time to."""
@@ -417,7 +406,9 @@
         )
 
     def _answer(self, now_ms: float, effects: list[Effect]) -> None:
-        self.reply = self._choose_reply(now_ms)
+        self.reply = replying.final_reply(
+            self.route, self.parts, self.moments.limit_ms, now_ms
+        )
         self.replied_at_ms = now_ms
         effects.append(self.reply)
         is_success = isinstance(self.reply, AnswerGathered | PassOn)
@@ -426,40 +417,6 @@
         self.alarm_ms = now_ms + timing.LINGER_MS
         self._check_finished()
 
-    def _choose_reply(self, now_ms: float) -> Reply:
-        if self.route.shards:
-            if self._may_answer_partly():
-                return self._gathered()
-        else:
-            part = self.parts[0]
-            found = part.answer or part.failure
-            if found is not None:
-                return PassOn(found)
-        return self._refusal(now_ms)
-
-    def _gathered(self) -> AnswerGathered:
-        answers = self._answered_parts()
-        return AnswerGathered(
-            merging.greatest((a.body for a in answers), self.route.top_k),
-            tuple(a.signature for a in answers if a.signature is not None),
-            len(self.parts) - len(answers),
-        )
-
-    def _refusal(self, now_ms: float) -> Refuse:
-        if any(part.may_have_run for part in self.parts):
-            if now_ms >= self.moments.limit_ms:
-                return Refuse(STATUS_GATEWAY_TIMEOUT, "no answer in time")
-            return Refuse(STATUS_BAD_GATEWAY, "the upstreams failed")
-        reasons = {part.waiting for part in self.parts if part.waiting}
-        busy = reasons <= {NoLeaf.ALL_FULL.value, NoLeaf.UNSURE.value}
-        wanted_ms = BUSY_RETRY_AFTER_MS if busy else LONGEST_RETRY_AFTER_MS
-        left_ms = max(0.0, self.moments.limit_ms - now_ms)
-        return Refuse(
-            STATUS_UNAVAILABLE,
-            ", ".join(sorted(reasons)) or "no upstream took it",
-            min(wanted_ms, left_ms * RETRY_AFTER_PART),
-        )
-
 
 def _id(send: Send) -> str:
     return send.leaf.entry.leaf_id
--- a/tests/platform/test_gateway.py
+++ b/tests/platform/test_gateway.py
@@ -19,6 +19,7 @@
 from oriolegate.network.http_connection import NotSent
 from oriolegate.network.http_pool import HttpPool
 from oriolegate.runtime import gateway
+from oriolegate.runtime import gateway_composition
 from tests.platform.stand_in_leaf import LeafFactory
 from tests.platform.stand_in_leaf import StandInLeaf
 from tests.platform.stand_in_store import StandInStore
@@ -169,7 +170,9 @@
         bounds=Bounds(grace_ms=800.0),
     )
     clock = SystemClock()
-    parts = gateway.build_parts(reactor, clock, settings, random.Random(1))
+    parts = gateway_composition.build_parts(
+        reactor, clock, settings, random.Random(1)
+    )
     return gateway.Gateway(reactor, clock, settings, parts)
 
 
--- a/tools/soak/__main__.py
+++ b/tools/soak/__main__.py
@@ -116,7 +116,8 @@
     callers = [
         defer.ensureDeferred(caller(world, gateways)) for _ in range(CALLERS)
     ]
-    Faults(world, gateways, chance).draw(faulty_s, FAULTS)
+    focus = random.Random(f"focus {seed}")
+    Faults(world, gateways, chance, focus).draw(faulty_s, FAULTS)
     await world.sleep(faulty_s + SETTLE_S)
     await check_recovered(world, gateways)
     world.stopped = True
--- a/tools/soak/faults.py
+++ b/tools/soak/faults.py
@@ -12,6 +12,8 @@
 from tools.soak.world import SoakLeaf
 from tools.soak.world import World
 
+FOCUS_PART = 0.5
+
 
 @attrs.define
 class Faults:
@@ -21,11 +23,14 @@
         world: Store, leafs and callers.
         gateways: The processes.
         chance: Draws them.
+        focus: Moves some of them to one service; a source of its own, so
+            that seeds keep their faults.
     """
 
     world: World
     gateways: list[GatewayProcess]
     chance: random.Random
+    focus: random.Random
 
     def draw(self, length_s: float, count: int) -> None:
         """Set `count` faults at random moments of the next seconds."""
@@ -66,7 +71,16 @@
         return self.chance.choice(self.gateways)
 
     def _leaf(self) -> SoakLeaf:
-        return self.chance.choice(list(self.world.leafs.values()))
+        found = self.chance.choice(list(self.world.leafs.values()))
+        if self.focus.random() < FOCUS_PART:
+            # One service alone answers what may run once, so it gets more.
+            of_one = [
+                leaf
+                for leaf in self.world.leafs.values()
+                if leaf.service == SHARDS[0]
+            ]
+            found = self.focus.choice(of_one)
+        return found
 
     def kill(self, for_s: float) -> None:
         """Kill one process, or several at once."""
@@ -142,7 +156,7 @@
         """Crash a leaf, or all of a service; others start in their place."""
         found = self._leaf()
         leafs = [found]
-        if self.chance.random() < 0.3:
+        if self.chance.random() < 0.3 or self.focus.random() < 0.3:
             leafs = [
                 leaf
                 for leaf in self.world.leafs.values()
