Let parts of a gather wait for a connection, and deal out more of them

Ruled out: the leafs (slots were free).

A part of a gather waits up to half of the target while the others are worked on; the member factor is 1.2, 3 connections of 25; a refusal for want of a connection says when to come back; nothing is hedged for a request that ends in the same step. Tests play the load and fail before.

--- a/src/oriolegate/exchange/exchange.py
+++ b/src/oriolegate/exchange/exchange.py
@@ -184,9 +184,9 @@
                 self._place(now_ms, part, effects)
             elif part.hedge_at_ms is not None and now_ms >= part.hedge_at_ms:
                 late.append(part)
-        self._hedge_some(now_ms, late, effects)
         self._settle(now_ms, effects)
         if self.reply is None:
+            self._hedge_some(now_ms, late, effects)
             self._renew_alarm(now_ms)
         return effects
 
--- a/src/oriolegate/exchange/replying.py
+++ b/src/oriolegate/exchange/replying.py
@@ -47,19 +47,25 @@
         limit_ms: When the caller's time is over.
         now_ms: The time.
     """
-    if any(part.may_have_run for part in parts):
-        if now_ms >= limit_ms:
-            return Refuse(STATUS_GATEWAY_TIMEOUT, "no answer in time")
-        return Refuse(STATUS_BAD_GATEWAY, "the upstreams failed")
     reasons = {part.waiting for part in parts if part.waiting}
     wanted_ms = LONGEST_RETRY_AFTER_MS
     if reasons <= BUSY_REASONS:
         wanted_ms = BUSY_RETRY_AFTER_MS
     left_ms = max(0.0, limit_ms - now_ms)
+    retry_after_ms = min(wanted_ms, left_ms * RETRY_AFTER_PART)
+    if any(part.may_have_run for part in parts):
+        if now_ms >= limit_ms:
+            return Refuse(STATUS_GATEWAY_TIMEOUT, "no answer in time")
+        # A part that found no leaf finds one later; a failed one may at once.
+        return Refuse(
+            STATUS_BAD_GATEWAY,
+            ", ".join(sorted({"the upstreams failed", *reasons})),
+            retry_after_ms if reasons else None,
+        )
     return Refuse(
         STATUS_UNAVAILABLE,
         ", ".join(sorted(reasons)) or "no upstream took it",
-        min(wanted_ms, left_ms * RETRY_AFTER_PART),
+        retry_after_ms,
     )
 
 
--- a/src/oriolegate/exchange/timing.py
+++ b/src/oriolegate/exchange/timing.py
@@ -17,6 +17,9 @@
 # Part of the target that a request may wait for a free connection; a caller
 # that hears of a refusal within a quarter of it can still be served in time.
 QUEUE_PART = 0.2
+# The same for a part of a gather: its other parts are worked on meanwhile, and
+# half of the target is enough for one more send.
+GATHER_QUEUE_PART = 0.5
 # How often a waiting part looks for a free leaf.
 RETRY_PLACING_MS = 15.0
 # How long an answer that comes too late may still use its connection.
@@ -56,10 +59,11 @@
     if time_left_ms is not None:
         allowed_ms = min(allowed_ms, time_left_ms - LIMIT_MARGIN_MS)
     limit_ms = arrived_ms + max(0.0, allowed_ms)
+    queue_part = GATHER_QUEUE_PART if route.shards else QUEUE_PART
     target_ms = arrived_ms + max(0.0, route.target_ms - TARGET_MARGIN_MS)
     return Moments(
         arrived_ms=arrived_ms,
-        queue_until_ms=arrived_ms + QUEUE_PART * route.target_ms,
+        queue_until_ms=arrived_ms + queue_part * route.target_ms,
         target_ms=min(target_ms, limit_ms),
         late_until_ms=min(target_ms + route.target_ms, limit_ms),
         limit_ms=limit_ms,
--- a/src/oriolegate/placement/leaf_directory.py
+++ b/src/oriolegate/placement/leaf_directory.py
@@ -19,8 +19,9 @@
 # After standing still, how long the store's word is waited for. It takes some
 # tens of ms; without it, old views are better than none.
 UNSURE_MS = 400.0
-# Connections are dealt out as if this many times the known members ran.
-MEMBER_FACTOR = 1.4
+# Connections are dealt out as if this many times the known members ran; the
+# list is behind by a second when machines are added.
+MEMBER_FACTOR = 1.2
 # Time there and back until measured, by how far a leaf is.
 SAME_DATA_CENTRE_MS = 0.5
 SAME_REGION_MS = 1.5
--- a/tests/exchange/test_exchange.py
+++ b/tests/exchange/test_exchange.py
@@ -234,6 +234,32 @@
         self.assertTrue(all(isinstance(e, AbandonSend) for e in effects))
         self.assertTrue(found.finished)
 
+    def fill(self, leaf_id):
+        record = self.shared.directory.leafs[leaf_id]
+        record.outstanding = dict.fromkeys(range(record.capacity), 0.0)
+        return record
+
+    def test_parts_wait_for_a_connection_while_others_are_worked_on(self):
+        records = [self.fill("s4-a"), self.fill("s4-b")]
+        found, sends = self.start(min_coverage=0.9)
+        self.assertEqual(len(sends), 3)
+        for number in (1, 2, 3):
+            found.answered(30.0, number, build.answer())
+        self.assertEqual(found.alarm(0.45 * 200.0), [])
+        for record in records:
+            record.outstanding.clear()
+        (send,) = build.sends(found.alarm(0.49 * 200.0))
+        (reply,) = found.answered(130.0, send.send, build.answer())
+        self.assertEqual(reply.missing, 0)
+
+    def test_a_part_that_found_no_connection_ends_it_with_a_time(self):
+        self.fill("s4-a")
+        self.fill("s4-b")
+        found, _ = self.start(min_coverage=0.9)
+        reply = found.alarm(timing.GATHER_QUEUE_PART * 200.0)[0]
+        self.assertEqual(reply.status, 502)
+        self.assertGreater(reply.retry_after_ms, 0.0)
+
     def test_hedges_stop_at_the_budget(self):
         self.shared.budget.set_bounds(0.2, 10_000.0, 0.0)
         found, _ = self.start()
