Name prefixes and cold figures in our own words; build stand-ins' documents in one place

Wire names stood in the records (path_prefix, warmup_left_ms, warmup_per_s, warmup_factor, warmup_slack) and the soak wrote the platform's documents itself.

--- a/src/oriolegate/models/site.py
+++ b/src/oriolegate/models/site.py
@@ -33,7 +33,7 @@
     Attributes:
         name: Unique name.
         host: Host that callers name, in lower case.
-        path_prefix: Begins and ends with a slash.
+        prefix: Begins and ends with a slash.
         repeatability: Whether requests may run more than once.
         timeout_ms: Longest time that a caller is kept waiting.
         target_ms: Latency within which an answer earns its full credit.
@@ -48,7 +48,7 @@
 
     name: str
     host: str
-    path_prefix: str
+    prefix: str
     repeatability: Repeatability
     timeout_ms: float
     target_ms: float
@@ -69,13 +69,13 @@
         name: Unique name.
         health_path: Path that answers whether a leaf is healthy.
         max_connections: Connections that a leaf takes from all callers.
-        warmup_per_s: Requests a second that a cold leaf bears.
+        cold_per_s: Requests a second that a cold leaf bears.
     """
 
     name: str
     health_path: str
     max_connections: int
-    warmup_per_s: float
+    cold_per_s: float
 
 
 @attrs.frozen
@@ -117,7 +117,7 @@
         data_centre: Where it runs.
         slots: Requests that it runs at once.
         draining: Whether it is about to leave.
-        warmup_left_ms: How much longer it stays cold.
+        cold_left_ms: How much longer it stays cold.
         born_ms: Unix time of its start in ms, or 0 if not stated.
     """
 
@@ -128,7 +128,7 @@
     data_centre: str
     slots: int
     draining: bool
-    warmup_left_ms: float
+    cold_left_ms: float
     born_ms: int = 0
 
 
@@ -162,8 +162,8 @@
         retry_ratio: Extra sends for each request.
         retry_window_ms: Window over which extra sends are counted.
         retry_slack: Extra sends in a window beyond the ratio.
-        warmup_factor: Allowance over the stated rate of a cold leaf.
-        warmup_slack: Requests in a second beyond that rate.
+        cold_factor: Allowance over the stated rate of a cold leaf.
+        cold_slack: Requests in a second beyond that rate.
     """
 
     drain_ms: float = 4_000.0
@@ -172,8 +172,8 @@
     retry_ratio: float = 0.2
     retry_window_ms: float = 10_000.0
     retry_slack: float = 50.0
-    warmup_factor: float = 1.5
-    warmup_slack: float = 5.0
+    cold_factor: float = 1.5
+    cold_slack: float = 5.0
 
 
 @attrs.frozen
--- a/src/oriolegate/placement/cold_turns.py
+++ b/src/oriolegate/placement/cold_turns.py
@@ -15,15 +15,15 @@
 DEALT_PART = 0.5
 
 
-def turns(warmup_per_s: float, factor: float, slack: float) -> int:
+def turns(cold_per_s: float, factor: float, slack: float) -> int:
     """Return how many VMs may each send one request a second.
 
     Args:
-        warmup_per_s: Rate that the leaf bears while cold.
+        cold_per_s: Rate that the leaf bears while cold.
         factor: Allowance over that rate.
         slack: Requests in a second beyond it.
     """
-    return int((warmup_per_s * factor + slack) * DEALT_PART)
+    return int((cold_per_s * factor + slack) * DEALT_PART)
 
 
 def has_turn(
--- a/src/oriolegate/placement/leaf_directory.py
+++ b/src/oriolegate/placement/leaf_directory.py
@@ -119,7 +119,7 @@
         record.entry = entry
         record.suspect = False
         record.lapsed_at_ms = None
-        record.cold_until_ms = now_ms + entry.warmup_left_ms
+        record.cold_until_ms = now_ms + entry.cold_left_ms
         return record
 
     def _add(self, entry: LeafEntry) -> LeafRecord:
@@ -238,9 +238,9 @@
             return False
         service = self.services.get(record.entry.service)
         count = cold_turns.turns(
-            service.warmup_per_s if service is not None else 0.0,
-            self.bounds.warmup_factor,
-            self.bounds.warmup_slack,
+            service.cold_per_s if service is not None else 0.0,
+            self.bounds.cold_factor,
+            self.bounds.cold_slack,
         )
         return cold_turns.has_turn(
             self.vm, self.members, record.entry.leaf_id, count
--- a/src/oriolegate/platform/documents.py
+++ b/src/oriolegate/platform/documents.py
@@ -90,7 +90,7 @@
         data_centre=_text(source, "zone"),
         slots=_whole(source, "slots"),
         draining=LEAF_STATES[state],
-        warmup_left_ms=_number(source, "warmup_left_ms"),
+        cold_left_ms=_number(source, "warmup_left_ms"),
         born_ms=_whole(source, "born", 0),
     )
 
@@ -124,7 +124,7 @@
     return Route(
         name=_text(source, "name"),
         host=_text(source, "host").lower(),
-        path_prefix=_text(source, "path_prefix"),
+        prefix=_text(source, "path_prefix"),
         repeatability=REPEATABILITY[kind],
         timeout_ms=_number(source, "timeout_ms"),
         target_ms=_number(source, "target_latency_ms"),
@@ -144,7 +144,7 @@
         name=_text(source, "name"),
         health_path=_text(source, "health_path"),
         max_connections=_whole(source, "max_connections"),
-        warmup_per_s=_number(source, "warmup_per_s", 0.0),
+        cold_per_s=_number(source, "warmup_per_s", 0.0),
     )
 
 
--- a/src/oriolegate/platform/node_settings.py
+++ b/src/oriolegate/platform/node_settings.py
@@ -78,8 +78,8 @@
         )
         * MS_PER_S,
         retry_slack=bound("retry_budget_slack", default.retry_slack),
-        warmup_factor=bound("warmup_factor", default.warmup_factor),
-        warmup_slack=bound("warmup_slack", default.warmup_slack),
+        cold_factor=bound("warmup_factor", default.cold_factor),
+        cold_slack=bound("warmup_slack", default.cold_slack),
     )
 
 
--- a/src/oriolegate/routing/route_table.py
+++ b/src/oriolegate/routing/route_table.py
@@ -40,7 +40,7 @@
         self.by_host: dict[str, dict[str, Route]] = {}
         self.turns: dict[str, WeightedTurns] = {}
         for route in configuration.routes:
-            self.by_host.setdefault(route.host, {})[route.path_prefix] = route
+            self.by_host.setdefault(route.host, {})[route.prefix] = route
 
     def match(self, host: str, path: str) -> Route | None:
         """Return the route of a request, or None.
--- a/src/oriolegate/runtime/site_sinks.py
+++ b/src/oriolegate/runtime/site_sinks.py
@@ -65,7 +65,7 @@
                 data_centre=entry.data_centre,
                 revision=item.revision,
                 draining=entry.draining,
-                cold_ms=entry.warmup_left_ms,
+                cold_ms=entry.cold_left_ms,
                 born_ms=entry.born_ms,
             ).info("leaf changed")
 
--- a/tests/placement/test_leaf_directory.py
+++ b/tests/placement/test_leaf_directory.py
@@ -113,7 +113,7 @@
         self.directories = []
         for vm in sorted(MEMBERS):
             directory = build.directory(
-                [build.leaf("cold", warmup_left_ms=3_000.0)], vm=vm
+                [build.leaf("cold", cold_left_ms=3_000.0)], vm=vm
             )
             directory.members = MEMBERS
             directory.members_known = True
@@ -132,7 +132,7 @@
                 for directory in self.directories
                 if chosen(directory, float(now_ms)) == "cold"
             ]
-        bound = build.BOUNDS.warmup_slack
+        bound = build.BOUNDS.cold_slack
         for start_ms in sent:
             count = sum(start_ms <= at < start_ms + 1_000 for at in sent)
             self.assertLessEqual(count, bound / 2)
@@ -148,7 +148,7 @@
 
     def test_it_is_cold_again_when_its_entry_says_so(self):
         directory = build.directory([build.leaf("warm")])
-        directory.put(50.0, build.leaf("warm", warmup_left_ms=1_000.0))
+        directory.put(50.0, build.leaf("warm", cold_left_ms=1_000.0))
         self.assertIs(chosen(directory, 60.0), NoLeaf.ALL_COLD)
 
     def test_a_suspect_gets_no_request_until_heard_of(self):
--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -143,7 +143,7 @@
 
     def test_services_and_limits(self):
         found = documents.configuration(CONFIGURATION)
-        self.assertEqual(found.services["s1"].warmup_per_s, 2.5)
+        self.assertEqual(found.services["s1"].cold_per_s, 2.5)
         self.assertEqual(found.limits.body_bytes, 1000)
 
     def test_a_broken_part_breaks_the_whole(self):
--- a/tests/platform/test_gateway.py
+++ b/tests/platform/test_gateway.py
@@ -20,6 +20,7 @@
 from oriolegate.network.http_pool import HttpPool
 from oriolegate.runtime import gateway
 from oriolegate.runtime import gateway_composition
+from tests.platform import stand_in_documents as documents
 from tests.platform.stand_in_leaf import LeafFactory
 from tests.platform.stand_in_leaf import StandInLeaf
 from tests.platform.stand_in_store import StandInStore
@@ -30,41 +31,18 @@
 SHARDS = ("s1", "s2", "s3")
 
 
-def route(name, **changes):
-    fields = {
-        "name": name,
-        "host": "h.example",
-        "path_prefix": f"/{name}/",
-        "type": "idempotent",
-        "timeout_ms": 1500,
-        "target_latency_ms": 250,
-        "priority": 1,
-        "attempts": 2,
-    }
-    return fields | changes
-
-
 def configuration(version=1, more_routes=()):
-    return {
-        "version": version,
-        "routes": [
-            route("all", gather=list(SHARDS), top_k=10, min_coverage=0.6),
-            route("one", service="s1"),
-            route("once", service="s1", type="non_idempotent"),
-            *more_routes,
-        ],
-        "services": [
-            {
-                "name": name,
-                "health_path": "/health",
-                "max_connections": 36,
-                "warmup_s": 3.0,
-                "warmup_per_s": 0.0,
-            }
-            for name in SHARDS
-        ],
-        "limits": {"max_body_bytes": 1_000},
-    }
+    routes = [
+        documents.route_spec("all", **documents.gather_fields(SHARDS, 10, 0.6)),
+        documents.route_spec("one", service="s1"),
+        documents.route_spec(
+            "once", service="s1", type=documents.NON_IDEMPOTENT
+        ),
+        *more_routes,
+    ]
+    return documents.configuration_spec(
+        version, routes, SHARDS, max_body_bytes=1_000
+    )
 
 
 def sleep(seconds):
@@ -87,11 +65,9 @@
         self.front.send(HttpCall(data, done.callback, lambda response: True))
         return await done
 
-    async def get(self, path, *, method=b"GET", body=b"", more=b""):
-        data = (
-            b"%s %s HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: a1\r\n"
-            b"Deadline-Ms: 1200\r\n%sContent-Length: %d\r\n\r\n%s"
-            % (method, path, more, len(body), body)
+    async def get(self, path, *, method=b"GET", body=b""):
+        data = documents.caller_request(
+            method.decode(), path.decode(), "a1", 1_200, body
         )
         result = await self.ask(data)
         assert isinstance(result, Answered), result
@@ -177,15 +153,9 @@
 
 
 def entry(leaf, port, service):
-    return {
-        "service": service,
-        "address": f"{HOST}:{port.getHost().port}",
-        "zone": leaf.leaf_id.partition("-")[2],
-        "slots": 4,
-        "state": "ready",
-        "warmup_left_ms": 0,
-        "sequence": 1,
-    }
+    address = (HOST, port.getHost().port)
+    data_centre = leaf.leaf_id.partition("-")[2]
+    return documents.leaf_spec(service, address, data_centre)
 
 
 def on_site(test):
@@ -378,7 +348,7 @@
 
     @on_site
     async def test_configurations_only_rise(self, site):
-        added = [route("new", service="s2")]
+        added = [documents.route_spec("new", service="s2")]
         site.store.put("config", "main", configuration(3, added))
         parts = site.process.parts
         await site.until(
--- a/tests/platform/test_node_settings.py
+++ b/tests/platform/test_node_settings.py
@@ -39,7 +39,7 @@
         self.assertEqual(found.bounds.retry_ratio, 0.3)
 
     def test_bounds_that_are_not_named_keep_their_default(self):
-        self.assertEqual(node_settings.decode(TEXT).bounds.warmup_slack, 5.0)
+        self.assertEqual(node_settings.decode(TEXT).bounds.cold_slack, 5.0)
 
     def test_each_required_field_is_asked_for(self):
         for name in (
--- a/tests/routing/test_route_table.py
+++ b/tests/routing/test_route_table.py
@@ -21,10 +21,10 @@
 class RouteTableTest(unittest.TestCase):
     def setUp(self):
         self.table = table(
-            build.route(name="root", path_prefix="/"),
-            build.route(name="a", path_prefix="/a/"),
-            build.route(name="ab", path_prefix="/a/b/"),
-            build.route(name="other", host="o.example", path_prefix="/x/"),
+            build.route(name="root", prefix="/"),
+            build.route(name="a", prefix="/a/"),
+            build.route(name="ab", prefix="/a/b/"),
+            build.route(name="other", host="o.example", prefix="/x/"),
         )
 
     def name(self, host, path):
@@ -47,8 +47,8 @@
     @given(strategies.text(alphabet="/ab", max_size=12))
     def test_it_agrees_with_trying_every_prefix(self, path):
         routes = self.table.by_host["h.example"].values()
-        fitting = [r for r in routes if path.startswith(r.path_prefix)]
-        best = max(fitting, key=lambda r: len(r.path_prefix), default=None)
+        fitting = [r for r in routes if path.startswith(r.prefix)]
+        best = max(fitting, key=lambda r: len(r.prefix), default=None)
         self.assertIs(self.table.match("h.example", path), best)
 
 
--- a/tests/site_builders.py
+++ b/tests/site_builders.py
@@ -28,7 +28,7 @@
         "data_centre": data_centre,
         "slots": 4,
         "draining": False,
-        "warmup_left_ms": 0.0,
+        "cold_left_ms": 0.0,
     }
     return LeafEntry(**(fields | changes))
 
@@ -37,7 +37,7 @@
     fields = {
         "name": "r",
         "host": "h.example",
-        "path_prefix": "/a/",
+        "prefix": "/a/",
         "repeatability": Repeatability.IDEMPOTENT,
         "timeout_ms": 2_000.0,
         "target_ms": 200.0,
@@ -58,7 +58,7 @@
         "name": name,
         "health_path": "/health",
         "max_connections": 36,
-        "warmup_per_s": 0.0,
+        "cold_per_s": 0.0,
     }
     return Service(**(fields | changes))
 
--- a/tests/tools/test_soak.py
+++ b/tests/tools/test_soak.py
@@ -61,12 +61,12 @@
         self.record.answers["s1-dcb-2", "a3"] = b"y" * 16
         sets = [frozenset({"s1", "s2"})]
         check = self.record.gathered
-        check("a3", ["seal.s1-dca-1"], 1, b"x" * 16, sets)
+        check("a3", ["s1-dca-1"], 1, b"x" * 16, sets)
         self.assertEqual(self.broken(), [])
-        check("a3", ["seal.s1-dca-1"], 0, b"x" * 16, sets)
-        check("a3", ["seal.s1-dca-1"], 1, b"y" * 16, sets)
-        check("a3", ["seal.s2-dca-9"], 1, b"x" * 16, sets)
-        twice = ["seal.s1-dca-1", "seal.s1-dcb-2"]
+        check("a3", ["s1-dca-1"], 0, b"x" * 16, sets)
+        check("a3", ["s1-dca-1"], 1, b"y" * 16, sets)
+        check("a3", ["s2-dca-9"], 1, b"x" * 16, sets)
+        twice = ["s1-dca-1", "s1-dcb-2"]
         check("a3", twice, 0, b"y" * 16 + b"x" * 16, sets)
         self.assertEqual(
             self.broken(),
--- a/tools/measure_gateway_state.py
+++ b/tools/measure_gateway_state.py
@@ -8,6 +8,8 @@
 import sys
 import time
 
+from tests.platform import stand_in_documents as documents
+
 from oriolegate.following.follower import Follower
 from oriolegate.following.view_cache import ViewCache
 from oriolegate.models.site import Bounds
@@ -28,16 +30,12 @@
 
 
 def _object(number: int, revision: int) -> StoredObject:
-    content = {
-        "service": f"service-{number // LEAFS_OF_A_SERVICE}",
-        "address": f"10.{number >> 16}.{number >> 8 & 255}.{number & 255}:8080",
-        "zone": f"dc-{number % 10}",
-        "version": "v1",
-        "slots": 4,
-        "state": "ready",
-        "warmup_left_ms": 0,
-        "sequence": revision,
-    }
+    address = f"10.{number >> 16}.{number >> 8 & 255}.{number & 255}"
+    content = documents.leaf_spec(
+        f"service-{number // LEAFS_OF_A_SERVICE}",
+        (address, 8_080),
+        f"dc-{number % 10}",
+    )
     return StoredObject(f"i-{number:010x}", revision, content)
 
 
--- a/tools/soak/__main__.py
+++ b/tools/soak/__main__.py
@@ -13,6 +13,7 @@
 import tempfile
 from typing import Any
 
+from tests.platform import stand_in_documents as documents
 from tools.soak import gateways as gateway_module
 from tools.soak import promises
 from tools.soak.faults import Faults
@@ -78,8 +79,7 @@
             world.record.breach("recovers", f"{process.vm}: {text}")
             continue
         services = {
-            seal.removeprefix("seal.").rsplit("-", 2)[0]
-            for seal in response.header(b"part-seals").decode().split(", ")
+            promises.service_of(leaf) for leaf in documents.part_leafs(response)
         }
         if not services <= set(shards):
             world.record.breach(
--- a/tools/soak/promises.py
+++ b/tools/soak/promises.py
@@ -13,6 +13,13 @@
 CONTACT_MS = 5_000.0
 # An answer may be this late: timers, and processes that share a machine.
 LATE_MS = 500.0
+# Records of a gathered answer.
+RECORDS = 10
+
+
+def service_of(leaf: str) -> str:
+    """Return the service of a leaf, by its name `SERVICE-DATA_CENTRE-N`."""
+    return leaf.rsplit("-", 2)[0]
 
 
 @attrs.frozen
@@ -87,25 +94,21 @@
         if attempt in self.once and self.runs.get(attempt):
             self.breach("not run is true", f"{attempt} had run")
 
-    def single(self, attempt: str, seal: str, body: bytes) -> None:
+    def single(self, attempt: str, leaf: str, body: bytes) -> None:
         """Check a success that one leaf answered."""
-        leaf = seal.removeprefix("seal.")
         if self.answers.get((leaf, attempt)) != body:
             self.breach("answers are whole", f"{attempt} from {leaf}")
 
     def gathered(
         self,
         attempt: str,
-        seals: list[str],
+        leafs: list[str],
         missing: int,
         body: bytes,
         shard_sets: list[frozenset[str]],
     ) -> None:
         """Check a success that is made of parts."""
-        leafs = [seal.removeprefix("seal.") for seal in seals]
-        services = [
-            leaf.rpartition("-")[0].rpartition("-")[0] for leaf in leafs
-        ]
+        services = [service_of(leaf) for leaf in leafs]
         parts = [self.answers.get((leaf, attempt)) for leaf in leafs]
         if len(set(services)) < len(services):
             self.breach("no part twice", f"{attempt}: {services}")
@@ -119,5 +122,5 @@
             self.breach("answers are whole", f"{attempt}: part of nobody")
             return
         known = [part for part in parts if part is not None]
-        if merging.greatest(known, 10) != body:
+        if merging.greatest(known, RECORDS) != body:
             self.breach("answers are whole", f"{attempt}: wrong records")
--- a/tools/soak/world.py
+++ b/tools/soak/world.py
@@ -4,6 +4,7 @@
 from typing import Any
 
 import attrs
+from tests.platform import stand_in_documents as documents
 from tests.platform.stand_in_leaf import LeafFactory
 from tests.platform.stand_in_leaf import LeafRequest
 from tests.platform.stand_in_leaf import StandInLeaf
@@ -29,9 +30,9 @@
 DEADLINE_MS = 1_500
 WORK_S = (0.004, 0.02)
 ROUTES = {
-    "all": ("idempotent", b"GET"),
-    "one": ("idempotent", b"GET"),
-    "once": ("non_idempotent", b"POST"),
+    "all": (documents.IDEMPOTENT, "GET"),
+    "one": (documents.IDEMPOTENT, "GET"),
+    "once": (documents.NON_IDEMPOTENT, "POST"),
 }
 GIVE_UP_PART = 0.03
 
@@ -101,42 +102,18 @@
         """Write a new configuration."""
         self.version += self.chance.randint(1, 3)
         self.shard_sets.append(frozenset(shards))
-        routes = []
-        for name, (kind, _) in ROUTES.items():
-            target = (
-                {"gather": list(shards), "top_k": 10, "min_coverage": 0.5}
-                if name == "all"
-                else {"service": "s1"}
+        gather = documents.gather_fields(shards, promises.RECORDS, 0.5)
+        routes = [
+            documents.route_spec(
+                name,
+                type=kind,
+                **(gather if name == "all" else {"service": "s1"}),
             )
-            routes.append(
-                {
-                    "name": name,
-                    "host": "h.example",
-                    "path_prefix": f"/{name}/",
-                    "type": kind,
-                    "timeout_ms": DEADLINE_MS,
-                    "target_latency_ms": 250,
-                    "priority": 1,
-                    "attempts": 2,
-                    **target,
-                }
-            )
-        services = [
-            {
-                "name": service,
-                "health_path": "/health",
-                "max_connections": 40,
-                "warmup_s": WARMUP_MS / 1_000,
-                "warmup_per_s": 0.0,
-            }
-            for service in (*SHARDS, *NEXT_SHARDS)
+            for name, (kind, _) in ROUTES.items()
         ]
-        spec = {
-            "version": self.version,
-            "routes": routes,
-            "services": services,
-            "limits": {},
-        }
+        spec = documents.configuration_spec(
+            self.version, routes, (*SHARDS, *NEXT_SHARDS)
+        )
         self.store.put("config", "main", spec)
 
     # Leafs
@@ -166,16 +143,13 @@
     def write_entry(self, found: SoakLeaf) -> None:
         """Write what a leaf says of itself."""
         cold_ms = found.cold_until_ms - self.clock.now_ms()
-        host, port = found.link.address
-        spec = {
-            "service": found.service,
-            "address": f"{host}:{port}",
-            "zone": found.data_centre,
-            "slots": 4,
-            "state": "draining" if found.draining_since_ms else "ready",
-            "warmup_left_ms": max(0, int(cold_ms)),
-            "sequence": 1,
-        }
+        spec = documents.leaf_spec(
+            found.service,
+            found.link.address,
+            found.data_centre,
+            draining=found.draining_since_ms is not None,
+            cold_ms=max(0, int(cold_ms)),
+        )
         self.store.put("servers", found.leaf.leaf_id, spec)
 
     def drain(self, found: SoakLeaf) -> None:
@@ -227,17 +201,13 @@
         """Return a new attempt and its bytes."""
         self.attempts += 1
         attempt = f"a{self.attempts}"
-        method = ROUTES[name][1]
-        if ROUTES[name][0] == "non_idempotent":
+        kind, method = ROUTES[name]
+        if kind == documents.NON_IDEMPOTENT:
             self.record.once.add(attempt)
-        lines = [
-            f"{method.decode()} /{name}/x HTTP/1.1",
-            "Host: h.example",
-            f"Attempt-Id: {attempt}",
-            f"Deadline-Ms: {DEADLINE_MS}",
-            "Content-Length: 0",
-        ]
-        return attempt, "\r\n".join([*lines, "", ""]).encode()
+        data = documents.caller_request(
+            method, f"/{name}/x", attempt, DEADLINE_MS
+        )
+        return attempt, data
 
     async def call(self, process: GatewayProcess, pool: HttpPool) -> None:
         """Make one request and check what comes of it."""
@@ -296,14 +266,16 @@
         elif response.status != 200:
             return
         elif name == "all":
-            seals = response.header(b"part-seals").decode().split(", ")
-            missing = int(response.header(b"missing-parts") or 0)
             record.gathered(
-                attempt, seals, missing, response.body, self.shard_sets
+                attempt,
+                documents.part_leafs(response),
+                documents.missing_parts(response),
+                response.body,
+                self.shard_sets,
             )
         else:
-            seal = response.header(b"server-seal").decode()
-            record.single(attempt, seal, response.body)
+            leaf = documents.answering_leaf(response)
+            record.single(attempt, leaf, response.body)
 
     def sleep(self, seconds: float) -> Any:
         """Return a deferred that fires after a time."""
