Cut the import circle of the runtime, and test splits and early answers

`process` and `composition` imported each other for `Surroundings`, which has a module of its own now. Record limit, check path and connection limit are named in our own words; the names of the wire stand in the adapter alone.

--- a/src/oriolegate/commands/serve.py
+++ b/src/oriolegate/commands/serve.py
@@ -16,7 +16,7 @@
 from oriolegate.network.platform_client import PlatformClient
 from oriolegate.network.platform_client import PlatformClientSettings
 from oriolegate.runtime.composition import build_process
-from oriolegate.runtime.composition import Surroundings
+from oriolegate.runtime.surroundings import Surroundings
 from oriolegate.settings.serve import load_serve_settings
 from oriolegate.settings.serve import SERVE_SETTINGS
 
--- a/src/oriolegate/exchange/replying.py
+++ b/src/oriolegate/exchange/replying.py
@@ -33,7 +33,9 @@
     """Merge the parts that are in."""
     answers = [part.answer for part in parts if part.answer is not None]
     return AnswerGathered(
-        merging.greatest((answer.body for answer in answers), route.top_k),
+        merging.greatest(
+            (answer.body for answer in answers), route.record_limit
+        ),
         tuple(a.signature for a in answers if a.signature is not None),
         len(parts) - len(answers),
     )
--- a/src/oriolegate/measurement/embedded_site.py
+++ b/src/oriolegate/measurement/embedded_site.py
@@ -12,8 +12,8 @@
 from oriolegate.rules.stored_rules import ACCEPTED
 from oriolegate.rules.stored_rules import StoredRules
 from oriolegate.runtime.composition import build_process
-from oriolegate.runtime.composition import Surroundings
 from oriolegate.runtime.process import Process
+from oriolegate.runtime.surroundings import Surroundings
 from oriolegate.settings.serve import load_serve_settings
 from oriolegate.settings.serve import ServeSettings
 from oriolegate.standins.in_memory_platform import InMemoryPlatform
--- a/src/oriolegate/models/site.py
+++ b/src/oriolegate/models/site.py
@@ -41,7 +41,7 @@
         attempts: Most leafs of one service that a request is sent to.
         split: Services that share the requests; empty for a gather.
         shards: Services that each give one part; empty for a split.
-        top_k: Records of a gathered answer.
+        record_limit: Records of a gathered answer.
         min_coverage: Least share of parts in a success, 0 to 1.
         home_regions: Regions that may serve it; empty allows all.
     """
@@ -56,7 +56,7 @@
     attempts: int
     split: tuple[WeightedService, ...] = ()
     shards: tuple[str, ...] = ()
-    top_k: int = 0
+    record_limit: int = 0
     min_coverage: float = 0.0
     home_regions: frozenset[str] = frozenset()
 
@@ -67,14 +67,14 @@
 
     Attributes:
         name: Unique name.
-        health_path: Path that answers whether a leaf is healthy.
-        max_connections: Connections that a leaf takes from all callers.
+        check_path: Path that answers whether a leaf is healthy.
+        connection_limit: Connections that a leaf takes from all callers.
         cold_per_s: Requests a second that a cold leaf bears.
     """
 
     name: str
-    health_path: str
-    max_connections: int
+    check_path: str
+    connection_limit: int
     cold_per_s: float
 
 
--- a/src/oriolegate/placement/leaf_directory.py
+++ b/src/oriolegate/placement/leaf_directory.py
@@ -103,7 +103,7 @@
         found = self.services.get(service)
         if found is None:
             return DEFAULT_MAX_CONNECTIONS
-        per_vm = found.max_connections / (MEMBER_FACTOR * len(self.members))
+        per_vm = found.connection_limit / (MEMBER_FACTOR * len(self.members))
         return max(1, int(per_vm))
 
     def put(self, now_ms: float, entry: LeafEntry) -> LeafRecord:
--- a/src/oriolegate/platform/documents.py
+++ b/src/oriolegate/platform/documents.py
@@ -132,7 +132,7 @@
         attempts=_whole(source, "attempts", 1),
         split=() if shards else _split(source),
         shards=shards,
-        top_k=_whole(source, "top_k", 0),
+        record_limit=_whole(source, "top_k", 0),
         min_coverage=_number(source, "min_coverage", 0.0),
         home_regions=frozenset(_texts(source, "allowed_regions")),
     )
@@ -142,8 +142,8 @@
     source = _mapping(value, "a service")
     return Service(
         name=_text(source, "name"),
-        health_path=_text(source, "health_path"),
-        max_connections=_whole(source, "max_connections"),
+        check_path=_text(source, "health_path"),
+        connection_limit=_whole(source, "max_connections"),
         cold_per_s=_number(source, "warmup_per_s", 0.0),
     )
 
--- a/src/oriolegate/runtime/composition.py
+++ b/src/oriolegate/runtime/composition.py
@@ -1,14 +1,8 @@
 """The composition root: builds one process from its settings."""
 
-import random
-from typing import Any
-
-import attrs
-
 from oriolegate.claims import messages as claims_messages
 from oriolegate.claims.core import ClaimsCore
 from oriolegate.claims.settings import ClaimsSettings
-from oriolegate.clock import Clock
 from oriolegate.configuration import messages as configuration_messages
 from oriolegate.configuration.spreader import DocumentSpreader
 from oriolegate.coordinator.machine import Coordinator
@@ -24,7 +18,6 @@
 from oriolegate.network.peer_codec import PeerCodec
 from oriolegate.network.peer_handshake import PeerIdentity
 from oriolegate.network.peer_mesh import PeerMesh
-from oriolegate.network.platform_api import Platform
 from oriolegate.network.upstream_client import UpstreamClient
 from oriolegate.quarantine import messages as quarantine_messages
 from oriolegate.quarantine.core import Quarantine
@@ -43,6 +36,7 @@
 from oriolegate.runtime.request_flow import RequestFlow
 from oriolegate.runtime.rules_service import RulesService
 from oriolegate.runtime.share_runner import ShareRunner
+from oriolegate.runtime.surroundings import Surroundings
 from oriolegate.settings.serve import ServeSettings
 from oriolegate.shares import messages as shares_messages
 from oriolegate.shares.core import Shares
@@ -52,28 +46,6 @@
 from oriolegate.upstreams.leaf_table import LeafTable
 
 
-@attrs.frozen
-class Surroundings:
-    """What a process is given from outside.
-
-    Attributes:
-        reactor: Twisted's reactor.
-        clock: The clock.
-        platform: The platform's object API.
-        rng: Source of randomness.
-    """
-
-    reactor: Any
-    clock: Clock
-    platform: Platform
-    rng: random.Random
-
-    @property
-    def call_later(self) -> Any:
-        """The reactor's timer function; delays are in seconds."""
-        return self.reactor.callLater
-
-
 def peer_codec() -> PeerCodec:
     """Return the codec of every message between processes."""
     return PeerCodec(
--- a/src/oriolegate/runtime/leaf_checker.py
+++ b/src/oriolegate/runtime/leaf_checker.py
@@ -59,7 +59,7 @@
             self.running.discard(record.entry.leaf_id)
             return
         service = self.directory.services.get(record.entry.service)
-        path = service.health_path if service else DEFAULT_HEALTH_PATH
+        path = service.check_path if service else DEFAULT_HEALTH_PATH
         open_check: OpenSend | None = None
 
         def done(report: HealthReport | str) -> None:
--- a/src/oriolegate/runtime/process.py
+++ b/src/oriolegate/runtime/process.py
@@ -2,7 +2,6 @@
 
 from collections.abc import Callable
 from typing import Any
-from typing import TYPE_CHECKING
 
 import attrs
 from twisted.web import server
@@ -25,13 +24,11 @@
 from oriolegate.runtime.stop_sequence import SharesHandedOver
 from oriolegate.runtime.stop_sequence import StopRequested
 from oriolegate.runtime.stop_sequence import StopSequence
+from oriolegate.runtime.surroundings import Surroundings
 from oriolegate.settings.serve import ServeSettings
 from oriolegate.timeline.events import EventBuffer
 from oriolegate.timeline.events import EventKind
 
-if TYPE_CHECKING:
-    from oriolegate.runtime.composition import Surroundings
-
 TICK_S = 0.5
 CLOSE_S = 0.1
 LAST_FORWARDS_S = 0.5
@@ -69,7 +66,7 @@
     def __init__(
         self,
         settings: ServeSettings,
-        surroundings: "Surroundings",
+        surroundings: Surroundings,
         parts: ProcessParts,
         caller_site: server.Site,
         admin_site: server.Site,
--- a/tests/platform/stand_in_documents.py
+++ b/tests/platform/stand_in_documents.py
@@ -44,6 +44,22 @@
     return fields | changes
 
 
+def split_part(service: str, weight: int) -> dict[str, Any]:
+    """Return one part of a traffic split."""
+    return {"service": service, "weight": weight}
+
+
+def sealed_answer(attempt: str, leaf: str, body: bytes) -> bytes:
+    """Return the bytes of a leaf's success."""
+    lines = [
+        "HTTP/1.1 200 OK",
+        f"Attempt-Id: {attempt}",
+        f"Server-Seal: seal.{leaf}",
+        f"Content-Length: {len(body)}",
+    ]
+    return "\r\n".join([*lines, "", ""]).encode() + body
+
+
 def gather_fields(
     shards: Iterable[str], count: int, coverage: float
 ) -> dict[str, Any]:
--- a/tests/platform/stand_in_leaf.py
+++ b/tests/platform/stand_in_leaf.py
@@ -59,6 +59,7 @@
         behave: What it does with a request.
         requests: Requests that it ran, in order.
         lost: Connections that were closed by the other side.
+        on_headers: Called with the connection before a body is read.
     """
 
     def __init__(self, leaf_id: str) -> None:
@@ -69,6 +70,7 @@
         self.requests: list[LeafRequest] = []
         self.lost = 0
         self.health_cold_ms = 0
+        self.on_headers: Callable[[Any], None] | None = None
 
     def handle(self, request: LeafRequest) -> None:
         """Answer one request."""
@@ -110,6 +112,11 @@
         """Take a header."""
         self.request.headers[name.lower()] = value
 
+    def on_headers_complete(self) -> None:
+        """Tell that a request's header is in."""
+        if self.leaf.on_headers is not None:
+            self.leaf.on_headers(self)
+
     def on_body(self, data: bytes) -> None:
         """Take part of the body."""
         self.request.body += data
--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -132,7 +132,7 @@
         found = documents.configuration(CONFIGURATION).routes[0]
         self.assertEqual(found.host, "h.example")
         self.assertEqual(found.shards, ("s1", "s2"))
-        self.assertEqual((found.top_k, found.min_coverage), (5, 0.75))
+        self.assertEqual((found.record_limit, found.min_coverage), (5, 0.75))
         self.assertEqual(found.split, ())
 
     def test_a_split_route(self):
--- a/tests/platform/test_gateway.py
+++ b/tests/platform/test_gateway.py
@@ -214,6 +214,53 @@
         self.assertEqual(found.status, 413)
         self.assertEqual(site.leafs["s1-dc-a"].requests, [])
 
+    @on_site
+    async def test_requests_are_split_by_weight(self, site):
+        split = [
+            documents.split_part("s1", 3),
+            documents.split_part("s2", 1),
+        ]
+        added = [documents.route_spec("both", traffic_split=split)]
+        site.store.put("config", "main", configuration(3, added))
+        parts = site.process.parts
+        await site.until(
+            lambda: parts.configuration.table.configuration.version == 3
+        )
+        for _ in range(8):
+            self.assertEqual((await site.get(b"/both/x")).status, 200)
+        counts = [
+            sum(
+                len(leaf.requests)
+                for name, leaf in site.leafs.items()
+                if name.startswith(service)
+            )
+            for service in ("s1", "s2")
+        ]
+        self.assertEqual(counts, [6, 2])
+
+    @on_site
+    async def test_an_answer_before_the_body_is_read_harms_no_other(self, site):
+        leaf = site.leafs["s1-dc-a"]
+
+        def early(connection):
+            # The leaf answers at the header and reads the body afterwards.
+            connection.transport.write(
+                documents.sealed_answer("a1", leaf.leaf_id, b"early")
+            )
+
+        leaf.on_headers = early
+        leaf.behave = lambda request: None
+        body = b"x" * 900
+        found = await site.get(b"/once/x", method=b"POST", body=body)
+        self.assertEqual(found.body, b"early")
+        leaf.on_headers = None
+        leaf.behave = lambda request: request.answer(b"next")
+        found = await site.get(b"/once/x", method=b"POST", body=b"second")
+        self.assertEqual(found.body, b"next")
+        self.assertEqual(
+            [request.body for request in leaf.requests], [body, b"second"]
+        )
+
     @on_site
     async def test_pipelined_requests_are_answered_in_order(self, site):
         one = b"GET /%s/x HTTP/1.1\r\nHost: h.example\r\nAttempt-Id: a1\r\n\r\n"
--- a/tests/site_builders.py
+++ b/tests/site_builders.py
@@ -49,15 +49,20 @@
 
 
 def gather_route(shards, **changes):
-    fields = {"split": (), "shards": shards, "top_k": 3, "min_coverage": 0.5}
+    fields = {
+        "split": (),
+        "shards": shards,
+        "record_limit": 3,
+        "min_coverage": 0.5,
+    }
     return route(**(fields | changes))
 
 
 def service(name="s", **changes):
     fields = {
         "name": name,
-        "health_path": "/health",
-        "max_connections": 36,
+        "check_path": "/health",
+        "connection_limit": 36,
         "cold_per_s": 0.0,
     }
     return Service(**(fields | changes))
