--- a/tools/soak/__main__.py
+++ b/tools/soak/__main__.py
@@ -110,6 +110,8 @@
         for number in range(GATEWAYS)
     ]
     for process in gateways:
+        # Also when the soak itself is stopped: it ends what it started.
+        reactor.addSystemEventTrigger("before", "shutdown", process.close)
         process.start()
         process.watch()
     await world.sleep(START_S)
--- a/tools/soak/faults.py
+++ b/tools/soak/faults.py
@@ -79,7 +79,8 @@
                 for leaf in self.world.leafs.values()
                 if leaf.service == SHARDS[0]
             ]
-            found = self.focus.choice(of_one)
+            # All of them may be down at this moment.
+            found = self.focus.choice(of_one or [found])
         return found
 
     def kill(self, for_s: float) -> None:
