--- a/tools/soak/__main__.py
+++ b/tools/soak/__main__.py
@@ -195,7 +195,8 @@
 
     reactor.callWhenRunning(lambda: running.addBoth(ended))
     reactor.run()
-    return statuses[0]
+    # Without one the soak was stopped.
+    return statuses[0] if statuses else 2
 
 
 if __name__ == "__main__":
