Answer what is open when a stopping gateway ends

The check had been narrowed for the slow leaf; instead the process now answers every open request before it ends, partial or 502, so the check is as strict as before.

--- a/src/oriolegate/exchange/exchange.py
+++ b/src/oriolegate/exchange/exchange.py
@@ -190,6 +190,14 @@
             self._renew_alarm(now_ms)
         return effects
 
+    def give_up(self, now_ms: float) -> list[Effect]:
+        """Answer with what is there: this process ends."""
+        effects: list[Effect] = []
+        if self.reply is None:
+            self._note(now_ms, "process ends", "", "", self._open_text())
+            self._answer(now_ms, effects)
+        return effects
+
     def caller_gone(self, now_ms: float) -> list[Effect]:
         """Stop all work: nobody waits for the answer."""
         effects: list[Effect] = []
--- a/src/oriolegate/runtime/exchange_runner.py
+++ b/src/oriolegate/runtime/exchange_runner.py
@@ -144,6 +144,12 @@
             self._carry_out(running, running.exchange.caller_gone(now_ms))
             self._log(running, running.exchange.reply)
 
+    def answer_all(self) -> None:
+        """Answer every open request with what is there."""
+        now_ms = self.clock.now_ms()
+        for running in list(self.running.values()):
+            self._carry_out(running, running.exchange.give_up(now_ms))
+
     def _refuse(
         self,
         request: CallerRequest,
--- a/src/oriolegate/runtime/gateway.py
+++ b/src/oriolegate/runtime/gateway.py
@@ -232,6 +232,8 @@
             connections=connections,
             after_ms=round(since_ms),
         ).info("stopped")
+        # A caller that hears of a failure loses less than one that is cut.
+        self.parts.runner.answer_all()
         self.parts.feed.stop()
         self.parts.store.pause()
         # What was answered just now is still to be written.
--- a/tests/exchange/test_exchange.py
+++ b/tests/exchange/test_exchange.py
@@ -260,6 +260,14 @@
         self.assertEqual(reply.status, 502)
         self.assertGreater(reply.retry_after_ms, 0.0)
 
+    def test_given_up_it_answers_with_the_parts_that_are_in(self):
+        found, _ = self.start()
+        for number in (1, 2, 3):
+            found.answered(5.0, number, build.answer())
+        reply, *_ = found.give_up(20.0)
+        self.assertEqual(reply.missing, 1)
+        self.assertEqual(found.give_up(21.0), [])
+
     def test_hedges_stop_at_the_budget(self):
         self.shared.budget.set_bounds(0.2, 10_000.0, 0.0)
         found, _ = self.start()
--- a/tests/platform/test_gateway.py
+++ b/tests/platform/test_gateway.py
@@ -502,6 +502,18 @@
         self.assertIsInstance(result, NotSent)
         await ended
 
+    @on_site
+    async def test_what_is_open_at_the_end_of_a_stop_is_answered(self, site):
+        ended = defer.Deferred()
+        site.process.on_exit = lambda: ended.callback(None)
+        site.leafs["s1-dc-a"].behave = lambda request: None
+        asked = defer.ensureDeferred(site.get(b"/once/x", method=b"POST"))
+        site.process.plan_stop()
+        found = await asked
+        self.assertEqual(found.status, 502)
+        self.assertIsNone(found.header(b"retry-after"))
+        await ended
+
     @on_site
     async def test_a_hopeless_request_line_is_rejected(self, site):
         result = await site.ask(b"nonsense\r\n\r\n")
--- a/tools/soak/gateways.py
+++ b/tools/soak/gateways.py
@@ -44,7 +44,6 @@
         store_link: The proxy between it and the store.
         process: The process, or None while it is down.
         disturbed_ms: When it was last killed, paused or cut.
-        terminated_ms: When it got SIGTERM, or infinity.
         starts: How often it was started.
     """
 
@@ -70,7 +69,6 @@
         self.path.write_text(self._settings(data_centre))
         self.process: subprocess.Popen[bytes] | None = None
         self.disturbed_ms = float("-inf")
-        self.terminated_ms = float("inf")
         self.is_paused = False
         self.starts = 0
         self.closed = False
@@ -122,7 +120,6 @@
                 stderr=log,
             )
         self.is_paused = False
-        self.terminated_ms = float("inf")
 
     def watch(self) -> None:
         """Start it again some time after it has ended."""
@@ -141,19 +138,12 @@
         """Return whether a request from then on may have suffered."""
         return self.is_paused or self.disturbed_ms > moment_ms - ECHO_MS
 
-    def is_at_its_end(self) -> bool:
-        """Return whether the last sixth of its grace time has begun."""
-        since_ms = self.clock.now_ms() - self.terminated_ms
-        return since_ms >= GRACE_S * 1_000.0 * 5.0 / 6.0
-
     def signal(self, number: signal.Signals) -> None:
         """Send a signal to the process, if it runs."""
         if self.process is None or self.process.poll() is not None:
             return
         if number in (signal.SIGKILL, signal.SIGSTOP, signal.SIGCONT):
             self.disturb()
-        if number is signal.SIGTERM:
-            self.terminated_ms = min(self.terminated_ms, self.clock.now_ms())
         if number is signal.SIGSTOP:
             self.is_paused = True
         if number is signal.SIGCONT:
--- a/tools/soak/world.py
+++ b/tools/soak/world.py
@@ -86,8 +86,6 @@
         self.number = 0
         self.attempts = 0
         self.stopped = False
-        # Attempts that a leaf works on.
-        self.working: set[str] = set()
         for service in (*SHARDS, *NEXT_SHARDS):
             for data_centre in DATA_CENTRES:
                 self.add_leaf(service, data_centre)
@@ -187,19 +185,13 @@
         records = [self.chance.randbytes(16) for _ in range(3)]
         body = b"".join(records)
         self.record.answers[leaf_id, attempt] = body
-        self.working.add(attempt)
         work_s = self.chance.uniform(*WORK_S) + found.slow_s
         if self.chance.random() < found.fail_part:
-            self.reactor.callLater(work_s, self._reset, request)
+            self.reactor.callLater(work_s, request.reset)
         else:
             self.reactor.callLater(work_s, self._answer, request, body)
 
-    def _reset(self, request: LeafRequest) -> None:
-        self.working.discard(request.attempt_id.decode())
-        request.reset()
-
     def _answer(self, request: LeafRequest, body: bytes) -> None:
-        self.working.discard(request.attempt_id.decode())
         if request.connection.transport.connected:
             request.answer(body)
 
@@ -258,10 +250,8 @@
             record.counts["no connection"] += 1
         elif not isinstance(result, Answered):
             record.counts["cut"] += 1
-            # One that crosses the close of its connection is sent elsewhere;
-            # one that a leaf works on at the end of the grace time is cut.
-            is_last = attempt in self.working and process.is_at_its_end()
-            if attempt in record.runs and not (is_disturbed or is_last):
+            # One that crosses the close of its connection is sent elsewhere.
+            if attempt in record.runs and not is_disturbed:
                 record.breach("no request is cut", f"{attempt} {process.vm}")
         else:
             self._check_response(name, attempt, result.response)
