Use a leaf no more once another has its address

Six leafs had fallen silent and their addresses went to leafs of other services, cobro-core~10 among them. A send to the stale entry arrives there, is answered 421 and counts there. Ruled out: the member count (6 on all VMs), sends that were given back.

A leaf whose address another one has is forgotten until it writes its entry anew. Tests of the directory and of a whole gateway, both seen failing first.

--- a/src/oriolegate/placement/leaf_directory.py
+++ b/src/oriolegate/placement/leaf_directory.py
@@ -163,6 +163,15 @@
         elif record.lapsed_at_ms is None:
             record.lapsed_at_ms = now_ms
 
+    def displace(self, leaf_id: str) -> None:
+        """Take that another leaf has a leaf's address.
+
+        Its entry is stale. Sends there arrive at a service that did not want
+        them and count against its retry budget, so it is not used until it
+        writes its entry anew.
+        """
+        self._drop(leaf_id)
+
     def drop_lapsed(self, now_ms: float) -> list[str]:
         """Forget leafs whose entries have been gone too long."""
         gone = [
--- a/src/oriolegate/runtime/exchange_runner.py
+++ b/src/oriolegate/runtime/exchange_runner.py
@@ -218,19 +218,28 @@
         if isinstance(outcome, LeafAnswer):
             effects = exchange.answered(now_ms, effect.send, outcome)
         else:
-            self._heed(effect, outcome)
+            self._heed(exchange.call.attempt_id, effect, outcome)
             effects = exchange.failed(
                 now_ms, effect.send, outcome.fate, outcome.detail
             )
         self._carry_out(running, effects)
 
-    def _heed(self, effect: SendToLeaf, outcome: NoAnswer) -> None:
+    def _heed(
+        self, call_id: str, effect: SendToLeaf, outcome: NoAnswer
+    ) -> None:
         """Draw conclusions about a leaf whose connection failed."""
-        record = self.shared.directory.leafs.get(effect.leaf.leaf_id)
+        leaf_id = effect.leaf.leaf_id
+        record = self.shared.directory.leafs.get(leaf_id)
         if record is None:
             return
         if outcome.fate in (Fate.UNSENT, Fate.MAY_HAVE_RUN):
             self.checker.suspect(record, outcome.detail)
+        elif outcome.fate is Fate.WRONG_LEAF:
+            log.bind(
+                leaf=leaf_id, service=effect.leaf.service, id=call_id
+            ).info("leaf displaced")
+            self.shared.directory.displace(leaf_id)
+            self.client.drop(leaf_id)
 
     def _set_timer(self, running: Running) -> None:
         exchange = running.exchange
--- a/tests/placement/test_leaf_directory.py
+++ b/tests/placement/test_leaf_directory.py
@@ -101,6 +101,13 @@
         self.assertEqual(self.directory.drop_lapsed(5.0), ["near"])
         self.assertNotIn("near", self.directory.leafs)
 
+    def test_a_leaf_that_lost_its_address_is_gone_until_it_writes_again(self):
+        self.directory.displace("near")
+        self.assertEqual(chosen(self.directory), "far")
+        self.directory.displace("near")
+        self.directory.put(5.0, build.leaf("near", port=8081))
+        self.assertEqual(chosen(self.directory, 5.0), "near")
+
     def test_an_entry_that_comes_back_is_used_again(self):
         self.directory.lapse(0.0, "near")
         self.directory.put(100.0, build.leaf("near"))
--- a/tests/platform/stand_in_leaf.py
+++ b/tests/platform/stand_in_leaf.py
@@ -59,6 +59,7 @@
         behave: What it does with a request.
         requests: Requests that it ran, in order.
         lost: Connections that were closed by the other side.
+        misdirected: Requests that expected another leaf.
         on_headers: Called with the connection before a body is read.
     """
 
@@ -69,6 +70,7 @@
         )
         self.requests: list[LeafRequest] = []
         self.lost = 0
+        self.misdirected = 0
         self.health_cold_ms = 0
         self.on_headers: Callable[[Any], None] | None = None
 
@@ -82,6 +84,7 @@
                 Warmup_Ms=str(self.health_cold_ms),
             )
         elif expected is not None and expected.decode() != self.leaf_id:
+            self.misdirected += 1
             request.answer(b"", 421, Instance_Id=self.leaf_id)
         else:
             self.requests.append(request)
--- a/tests/platform/test_gateway.py
+++ b/tests/platform/test_gateway.py
@@ -301,6 +301,10 @@
         site.leafs["s1-dc-a"].leaf_id = "i-new"
         found = await site.get(b"/once/x", method=b"POST")
         self.assertEqual(found.header(b"server-seal"), b"seal.s1-dc-b")
+        # Its entry is stale, and each further try would cost a second send.
+        for _ in range(3):
+            await site.get(b"/all/x")
+        self.assertEqual(site.leafs["s1-dc-a"].misdirected, 1)
 
     @on_site
     async def test_a_request_that_may_have_run_is_not_repeated(self, site):
