Keep the bound of a cold leaf where news cross, stall or are not told

The runner now looks at the clock each 100 ms; after a longer gap events wait for 5 ms, in which the loop reads all sockets. - A warm answer written before the leaf turned cold and read after the news undid it. An answer to a request sent before the news no longer does. - A VM that held a leaf for cold already, for want of an answer, told nobody when an answer said so, while peers held it for warm. The allowance is by sender now: one way for the one that was answered, one more for others.

Ruled out: the order of the peer messages themselves, and the shares.

The relay of the measurement hears of changes from the table, as the product does, instead of polling phases.

--- a/src/oriolegate/coordinator/replies.py
+++ b/src/oriolegate/coordinator/replies.py
@@ -57,11 +57,25 @@
     filled again at a leaf that has just said that it is cold or leaves.
     """
     state.leafs.note_state(
-        now_ms, report.leaf, report.state, report.incarnation
+        now_ms,
+        report.leaf,
+        report.state,
+        report.incarnation,
+        _sent_ms(state, sub),
     )
     return _take(state, now_ms, sub)
 
 
+def _sent_ms(state: CoordinatorState, sub: SubRequestId) -> float:
+    """Return when an attempt was sent; long ago if nothing is known of it."""
+    query = state.queries.get(sub.query)
+    shard = query.shards.get(sub.shard) if query is not None else None
+    attempt = shard.in_flight.get(sub.attempt) if shard else None
+    if attempt is None:
+        attempt = state.orphans.get((sub.query, sub.shard, sub.attempt))
+    return attempt.sent_ms if attempt is not None else float("-inf")
+
+
 def _drop_late(
     state: CoordinatorState, now_ms: float, sub: SubRequestId
 ) -> None:
--- a/src/oriolegate/measurement/virtual_site.py
+++ b/src/oriolegate/measurement/virtual_site.py
@@ -117,7 +117,7 @@
         for vm in self.vms:
             vm.start()
         if len(self.vms) > 1:
-            WarmthRelay(self.vms, self.site.layout.latency_ms).poll()
+            WarmthRelay(self.vms, self.site.layout.latency_ms).start()
 
     def note_versions(self) -> None:
         """Remember the shards of each version of the measured service."""
--- a/src/oriolegate/measurement/virtual_upstreams.py
+++ b/src/oriolegate/measurement/virtual_upstreams.py
@@ -194,6 +194,7 @@
             sent_ms=now_ms,
             idempotency_key=effect.idempotency_key,
             body=effect.body,
+            sender=self.dialer.process,
         )
         later(self.latency_s, self.leaf.query_arrived, query)
 
--- a/src/oriolegate/runtime/process.py
+++ b/src/oriolegate/runtime/process.py
@@ -152,6 +152,7 @@
             self.parts.news,
         ):
             part.start()
+        self.parts.tier.runner.watch_clock()
         self._tick()
         self.parts.events.record(
             self.surroundings.clock.now_ms(), EventKind.STARTED
@@ -159,7 +160,6 @@
         log.info("Serving as {} in {}.", settings.vm, settings.data_centre)
 
     def _tick(self) -> None:
-        self.parts.tier.runner.check_pause()
         self.parts.tier.tick()
         self.timer = self.surroundings.call_later(TICK_S, self._tick)
 
--- a/src/oriolegate/runtime/query_runner.py
+++ b/src/oriolegate/runtime/query_runner.py
@@ -24,6 +24,16 @@
 from oriolegate.models.answer import Refusal
 from oriolegate.runtime.quarantine_gate import QuarantineGate
 
+# How often the runner looks at the clock while nothing happens.
+STALL_CHECK_MS = 100.0
+# A longer gap between two looks means that the process did not run: two and a
+# half checks, so that a late timer on a busy machine is none.
+STALL_MS = 250.0
+# After a stall events wait this long: the loop reads all sockets that have
+# data within a turn or two, so what peers wrote meanwhile is known by then.
+CATCH_UP_MS = 5.0
+MS_PER_S = 1_000.0
+
 
 class SubRequestSender(Protocol):
     """What carries sub-requests to leafs."""
@@ -61,6 +71,9 @@
         receivers: Who waits for a request's outcome, by request id.
         quarantine: Bounds what a request crashes; set by the composition
             root. None lets every request go.
+        watched: Whether the clock is looked at regularly, so that a gap
+            between two looks is a stall.
+        catching_up: Whether events wait for what peers wrote during a stall.
     """
 
     def __init__(
@@ -79,6 +92,9 @@
         self.timer: DelayedCall | None = None
         self.pauses = PauseDetector()
         self.on_pause: Callable[[], None] = lambda: None
+        self.watched = False
+        self.catching_up = False
+        self.looked_at_ms = 0.0
         self.quarantine: QuarantineGate | None = None
 
     def arrive(self, event: QueryArrived) -> None:
@@ -95,8 +111,10 @@
         """
         self.check_pause()
         self.events.append(event)
-        if self.running:
-            return
+        if not self.running and not self.catching_up:
+            self._handle_events()
+
+    def _handle_events(self) -> None:
         self.running = True
         try:
             while self.events:
@@ -134,15 +152,41 @@
         if self.timer is not None:
             self.timer.cancel()
         delay_ms = max(0.0, at_ms - self.clock.now_ms())
-        self.timer = self.call_later(delay_ms / 1000.0, self._timer_fired)
+        self.timer = self.call_later(delay_ms / MS_PER_S, self._timer_fired)
+
+    def watch_clock(self) -> None:
+        """Look for stalls regularly from now on."""
+        self.check_pause()
+        self.watched = True
+        self.call_later(STALL_CHECK_MS / MS_PER_S, self.watch_clock)
 
     def check_pause(self) -> None:
-        """Notice a pause; called at least twice a second, also when idle."""
-        if self.pauses.observe(self.clock.now_ms(), None) is not None:
+        """Notice that the process did not run for a while.
+
+        Even a short stall may have left unread what a peer found out about
+        a cold leaf; after a long one other VMs may hold this VM's rights.
+        """
+        now_ms = self.clock.now_ms()
+        if self.watched and now_ms - self.looked_at_ms > STALL_MS:
+            self._catch_up()
+        self.looked_at_ms = now_ms
+        if self.pauses.observe(now_ms, None) is not None:
             self.on_pause()
 
+    def _catch_up(self) -> None:
+        if not self.catching_up:
+            self.catching_up = True
+            self.call_later(CATCH_UP_MS / MS_PER_S, self._caught_up)
+
+    def _caught_up(self) -> None:
+        self.catching_up = False
+        if not self.running:
+            self._handle_events()
+
     def answer_all(self) -> None:
         """Answer every query with what is there."""
+        self.check_pause()
+        self.catching_up = False
         self.feed(AnswerAll())
 
     def _timer_fired(self) -> None:
--- a/src/oriolegate/standins/leaf_messages.py
+++ b/src/oriolegate/standins/leaf_messages.py
@@ -54,9 +54,10 @@
         cold_factor: How much longer runs take while cold.
         warm_completions: Runs completed since it turned cold that warm it.
         warm_ms: Time since it turned cold that warms it.
-        cold_notice_ms: One-way time from the leaf to a caller. A query sent
-            before the first cold-marked answer reached a caller does not
-            count against a leaf that turned cold in place.
+        cold_notice_ms: One-way time from the leaf to a caller, and from one
+            caller to another. A query sent before its sender can know of the
+            first cold-marked answer does not count against a leaf that
+            turned cold in place.
         drain_accept_ms: How long a draining leaf still runs new queries.
         restart_ms: How long a fallen leaf turns connections away.
         health_lag_ms: How old the health and load reports may be.
@@ -119,6 +120,8 @@
         sent_ms: When it was sent, on the leaf's clock.
         idempotency_key: Set on queries that are not idempotent.
         body: The caller's body.
+        sender: Tells callers of the leaf apart; each hears at once what is
+            answered to itself.
     """
 
     connection: int
@@ -130,6 +133,7 @@
     sent_ms: float
     idempotency_key: str | None = None
     body: bytes = b""
+    sender: str = ""
 
 
 @attrs.frozen
--- a/src/oriolegate/standins/leaf_server.py
+++ b/src/oriolegate/standins/leaf_server.py
@@ -261,6 +261,7 @@
             sent_ms=now_ms,
             idempotency_key=key.decode() if key else None,
             body=b"".join(self.body),
+            sender=self.transport.getPeer().host,
         )
 
     def _query_arrived(self, query: Query) -> None:
--- a/src/oriolegate/upstreams/leaf_state.py
+++ b/src/oriolegate/upstreams/leaf_state.py
@@ -76,6 +76,10 @@
         losses: Connection losses in a row.
         lost_incarnation: The newest incarnation whose connection was lost
             here since it last answered here.
+        told_cold_ms: When an answer or a peer last told that it had turned
+            cold.
+        cold_is_news: Whether an answer that says cold tells more than this
+            process and its peers know; not so twice in one cold spell.
     """
 
     leaf: Leaf
@@ -92,6 +96,8 @@
     suspect_until_ms: float = 0.0
     losses: int = 0
     lost_incarnation: int = -1
+    told_cold_ms: float = float("-inf")
+    cold_is_news: bool = True
 
     def refresh_limit(self) -> None:
         """Work out `limit` again after a change of grant or phase."""
--- a/src/oriolegate/upstreams/leaf_table.py
+++ b/src/oriolegate/upstreams/leaf_table.py
@@ -17,6 +17,7 @@
 from oriolegate.timeline.events import EventKind
 from oriolegate.upstreams import leaf_state
 from oriolegate.upstreams.leaf_state import Grant
+from oriolegate.upstreams.leaf_state import LeafPhase
 from oriolegate.upstreams.leaf_state import LeafState
 from oriolegate.upstreams.leaf_state import NO_GRANT
 from oriolegate.upstreams.leaf_state import ReportedState
@@ -126,14 +127,59 @@
             self._refresh(state)
 
     def note_state(
-        self, now_ms: float, leaf: str, state: ReportedState, incarnation: int
+        self,
+        now_ms: float,
+        leaf: str,
+        state: ReportedState,
+        incarnation: int,
+        sent_ms: float,
     ) -> None:
-        """Take in the state that an answer of a leaf reports."""
+        """Take in the state that an answer of a leaf reports.
+
+        Args:
+            now_ms: The time.
+            leaf: The leaf's name.
+            state: What it reports.
+            incarnation: The incarnation that answered.
+            sent_ms: When the request that it answers was sent.
+        """
         held = self.leafs.get(leaf)
-        if held is not None and held.note_state(state, incarnation):
-            self._record(now_ms, held)
+        if held is None:
+            return
+        if (
+            state is ReportedState.WARM
+            and held.phase is LeafPhase.COLD
+            and incarnation == held.incarnation
+            and sent_ms <= held.told_cold_ms
+        ):
+            # Written before the leaf turned cold and read after the news.
+            return
+        changed = self._take_state(now_ms, held, state, incarnation)
+        # A leaf may be cold here for want of a warm answer while peers, which
+        # had some, hold it for warm: they are told although nothing changed.
+        is_news = state is ReportedState.COLD and held.cold_is_news
+        if is_news:
+            held.cold_is_news = False
+        if changed or is_news:
             self.on_phase(held)
 
+    def _take_state(
+        self,
+        now_ms: float,
+        held: LeafState,
+        state: ReportedState,
+        incarnation: int,
+    ) -> bool:
+        """Take in a state; return whether the phase changed."""
+        if not held.note_state(state, incarnation):
+            return False
+        if held.phase is LeafPhase.COLD:
+            held.told_cold_ms = now_ms
+        else:
+            held.cold_is_news = True
+        self._record(now_ms, held)
+        return True
+
     def note_success(
         self, now_ms: float, state: LeafState, latency_ms: float
     ) -> None:
@@ -158,14 +204,14 @@
             and held.lost_incarnation >= news.incarnation
         ):
             return
-        if held.note_state(news.state, news.incarnation):
-            self._record(now_ms, held)
+        self._take_state(now_ms, held, news.state, news.incarnation)
 
     def note_loss(self, now_ms: float, leaf: str) -> None:
         """Take in a lost connection to a leaf."""
         held = self.leafs.get(leaf)
         if held is not None:
             held.note_loss(now_ms)
+            held.cold_is_news = True
             self._record(now_ms, held)
             self.on_phase(held)
 
--- a/tests/standins/test_leaf_model.py
+++ b/tests/standins/test_leaf_model.py
@@ -273,6 +273,28 @@
         leaf.query_arrived(31.0, query("f", sent_ms=30.5))
         self.assertEqual(leaf.counts.cold_over_limit, 1)
 
+    def test_another_sender_is_warned_as_long_again_after_the_first(self):
+        leaf = make_leaf(slots=4, cold_slots=0, cold_notice_ms=20.0)
+        told, other = "vm-1", "vm-2"
+        first = query("a", sender=told)
+        leaf.query_arrived(0.0, first)
+        leaf.turn_cold(5.0)
+        # Written at 10, heard by its sender at 30, by the other at 50.
+        leaf.run_done(10.0, first)
+        leaf.query_arrived(50.0, query("b", sent_ms=50.0, sender=other))
+        self.assertEqual(leaf.counts.cold_over_limit, 0)
+        leaf.query_arrived(51.0, query("c", sent_ms=30.5, sender=told))
+        self.assertEqual(leaf.counts.cold_over_limit, 1)
+
+    def test_a_sender_that_was_never_told_is_warned_by_the_others(self):
+        leaf = make_leaf(slots=4, cold_slots=0, cold_notice_ms=20.0)
+        first = query("a", sender="vm-1")
+        leaf.query_arrived(0.0, first)
+        leaf.turn_cold(5.0)
+        leaf.run_done(10.0, first)
+        leaf.query_arrived(51.0, query("b", sent_ms=50.5, sender="vm-2"))
+        self.assertEqual(leaf.counts.cold_over_limit, 1)
+
     def test_later_cold_answers_do_not_lengthen_the_notice(self):
         leaf = make_leaf(slots=4, cold_slots=0, cold_notice_ms=20.0)
         before = [query("a"), query("b")]
