Send stragglers again once there is budget; give up parts whose leafs hang

A VM with four requests in ten seconds had less than one hedge a service. - Sends whose connection never opened (1 s each) used budget, though the first arrival is free. - 47 gathers waited for 2.5 s with two leafs hung and ended in 504, too late for the caller to come back; 4 of 1,156 were answered after more than 0.8 s. - 90 VMs and 77 connections a leaf: a VM's new connection was reset, it took the leaf for crashed and asked it again only every 22 s: `all leafs cold`, 503 and gathers without that part for 14 s. - An answer that became permitted after the target waited one target more.

Ruled out: the restart after the last fault (VMs serve 30 ms after they start; the window is the time that they are down).

Connections to leafs open within 250 ms or count as failed.

--- a/src/oriolegate/exchange/exchange.py
+++ b/src/oriolegate/exchange/exchange.py
@@ -39,8 +39,10 @@
 HEDGED_PART = 0.15
 # How long the stragglers beyond them wait.
 HEDGE_PAUSE_MS = 12.0
-# A leaf that is given up after this time has hung: leafs pause for up to 300 ms
-# and are at their best just afterwards.
+# How often a second send that found no budget or no leaf is tried again.
+HEDGE_AGAIN_MS = 40.0
+# A leaf that has not answered after this time has hung: leafs pause for up to
+# 300 ms and are at their best just afterwards.
 HUNG_MS = 450.0
 
 
@@ -159,8 +161,8 @@
             send.leaf.failed(now_ms)
         if fate is not Fate.MAY_HAVE_RUN:
             part.may_have_run -= 1
-        if fate is Fate.UNSENT and send.extra:
-            self.shared.budget.give_back(part.service)
+        if fate is Fate.UNSENT:
+            self._never_arrived(part)
         self._note(
             now_ms, f"send {fate.value}", part.service, _id(send), detail
         )
@@ -182,6 +184,8 @@
                 continue
             if part.is_waiting:
                 self._place(now_ms, part, effects)
+            elif self._is_stuck(now_ms, part):
+                self._give_up_part(now_ms, part)
             elif part.hedge_at_ms is not None and now_ms >= part.hedge_at_ms:
                 late.append(part)
         self._settle(now_ms, effects)
@@ -208,6 +212,28 @@
         self._abandon_all(now_ms, effects)
         return effects
 
+    def _stuck_at_ms(self, part: Part) -> float | None:
+        """Return when a part is given up although leafs may still answer.
+
+        A request that may run again is better off at another VM by then, with
+        all its attempts. One that may not waits for its leaf to the end.
+        """
+        if not self.repeatable or part.resolved or not part.open:
+            return None
+        at_ms = part.newest_send_ms + self.moments.stuck_after_ms
+        return at_ms if at_ms <= self.moments.early_until_ms else None
+
+    def _is_stuck(self, now_ms: float, part: Part) -> bool:
+        at_ms = self._stuck_at_ms(part)
+        return at_ms is not None and now_ms >= at_ms
+
+    def _give_up_part(self, now_ms: float, part: Part) -> None:
+        part.stuck = True
+        part.hedge_at_ms = None
+        leafs = ",".join(_id(send) for send in part.open.values())
+        self._note(now_ms, "leafs hang", part.service, leafs, "")
+        self._end(part)
+
     def _alarm_by(self, moment_ms: float) -> None:
         self.alarm_ms = min(self.alarm_ms, moment_ms)
 
@@ -228,6 +254,9 @@
                 continue
             if part.hedge_at_ms is not None:
                 self._alarm_by(part.hedge_at_ms)
+            stuck_at_ms = self._stuck_at_ms(part)
+            if stuck_at_ms is not None:
+                self._alarm_by(stuck_at_ms)
             if part.is_waiting:
                 self._alarm_by(now_ms + timing.RETRY_PLACING_MS)
 
@@ -250,14 +279,27 @@
         if isinstance(chosen, NoLeaf):
             self._wait_or_end(now_ms, part, chosen)
             return
-        extra = bool(part.tried)
-        if extra and not self.shared.budget.take(
-            part.service, now_ms, hedge=False
-        ):
+        if not self._charge(now_ms, part, hedge=False):
             self._note(now_ms, "no budget", part.service, "", "")
             self._end(part)
             return
-        self._send(now_ms, part, chosen, effects, hedge=False, extra=extra)
+        self._send(now_ms, part, chosen, effects, hedge=False)
+
+    def _charge(self, now_ms: float, part: Part, *, hedge: bool) -> bool:
+        """Take a send from the budget, unless it is the first to arrive."""
+        if part.arrivals == 0:
+            return True
+        if not self.shared.budget.take(part.service, now_ms, hedge=hedge):
+            return False
+        part.charged += 1
+        return True
+
+    def _never_arrived(self, part: Part) -> None:
+        """Give back what was charged for a send that reached no leaf."""
+        part.arrivals -= 1
+        if part.charged > max(0, part.arrivals - 1):
+            part.charged -= 1
+            self.shared.budget.give_back(part.service)
 
     def _wait_or_end(self, now_ms: float, part: Part, why: NoLeaf) -> None:
         may_wait = why in (NoLeaf.ALL_FULL, NoLeaf.UNSURE)
@@ -283,14 +325,15 @@
         effects: list[Effect],
         *,
         hedge: bool,
-        extra: bool,
     ) -> None:
         self.send_count += 1
-        send = Send(self.send_count, part, leaf, now_ms, extra)
+        is_first = not part.tried
+        send = Send(self.send_count, part, leaf, now_ms)
         self.sends[send.number] = send
         part.open[send.number] = send
         part.tried.add(leaf.entry.leaf_id)
         part.may_have_run += 1
+        part.arrivals += 1
         part.waiting = ""
         leaf.outstanding[id(send)] = now_ms
         part.hedge_at_ms = None
@@ -298,7 +341,7 @@
             after_ms = self.pace.hedge_after_ms(leaf.distance_ms)
             part.hedge_at_ms = now_ms + after_ms
             self._alarm_by(part.hedge_at_ms)
-        if extra:
+        if not is_first:
             kind = "hedge" if hedge else "retry"
             expected_ms = leaf.expected_ms(now_ms, self.pace.typical_ms)
             detail = f"expected {expected_ms:.0f} ms"
@@ -325,13 +368,21 @@
         part.hedge_at_ms = None
         if part.answer is not None or len(part.open) != 1:
             return
+        (first,) = part.open.values()
+        has_hung = now_ms - first.started_ms > HUNG_MS
         chosen = self._choose(now_ms, part)
         if isinstance(chosen, NoLeaf):
-            self._note(now_ms, "no hedge", part.service, "", chosen.value)
-        elif self.shared.budget.take(part.service, now_ms, hedge=True):
-            self._send(now_ms, part, chosen, effects, hedge=True, extra=True)
+            self._hedge_later(now_ms, part, chosen.value)
+        elif self._charge(now_ms, part, hedge=not has_hung):
+            self._send(now_ms, part, chosen, effects, hedge=True)
         else:
-            self._note(now_ms, "no hedge", part.service, "", "no budget")
+            self._hedge_later(now_ms, part, "no budget")
+
+    def _hedge_later(self, now_ms: float, part: Part, reason: str) -> None:
+        if part.unhedged != reason:
+            part.unhedged = reason
+            self._note(now_ms, "no hedge yet", part.service, "", reason)
+        part.hedge_at_ms = now_ms + HEDGE_AGAIN_MS
 
     def _try_again(
         self, now_ms: float, part: Part, effects: list[Effect]
--- a/src/oriolegate/exchange/timing.py
+++ b/src/oriolegate/exchange/timing.py
@@ -2,8 +2,8 @@
 
 Credit of a gathered answer is the square of the share of its parts if it is
 in time and a tenth of that if it is late. So at the target any permitted
-share is worth more than the whole answer a moment later, while a late answer
-may as well wait for the rest for a while.
+share is worth more than the whole answer a moment later. A caller that is
+answered late is not kept waiting much longer for the last parts.
 """
 
 import attrs
@@ -22,6 +22,17 @@
 GATHER_QUEUE_PART = 0.5
 # How often a waiting part looks for a free leaf.
 RETRY_PLACING_MS = 15.0
+# Part of the target that a late answer waits for the rest: enough for a second
+# send to a near leaf.
+LATE_WAIT_PART = 0.25
+# How long the only leafs that may still have a part are waited for before it
+# is given up, at least, and as a part of the target: leafs pause for up to
+# 300 ms, and the longest work takes a little over the target.
+LEAST_STUCK_MS = 900.0
+STUCK_PART = 2.0
+# A request is given up early only if a caller that comes back at once has so
+# many times the target left.
+RETURN_PART = 2.0
 # How long an answer that comes too late may still use its connection.
 LINGER_MS = 400.0
 
@@ -35,6 +46,8 @@
         queue_until_ms: Until when it may wait for a free leaf.
         target_ms: When a partial answer is given.
         late_until_ms: When a late answer stops waiting for missing parts.
+        stuck_after_ms: Age at which a send that can't be replaced is given up.
+        early_until_ms: Until when a request that got stuck is given up early.
         limit_ms: When it gets its final answer in any case.
     """
 
@@ -42,6 +55,8 @@
     queue_until_ms: float
     target_ms: float
     late_until_ms: float
+    stuck_after_ms: float
+    early_until_ms: float
     limit_ms: float
 
 
@@ -65,6 +80,10 @@
         arrived_ms=arrived_ms,
         queue_until_ms=arrived_ms + queue_part * route.target_ms,
         target_ms=min(target_ms, limit_ms),
-        late_until_ms=min(target_ms + route.target_ms, limit_ms),
+        late_until_ms=min(
+            target_ms + LATE_WAIT_PART * route.target_ms, limit_ms
+        ),
+        stuck_after_ms=max(LEAST_STUCK_MS, STUCK_PART * route.target_ms),
+        early_until_ms=limit_ms - RETURN_PART * route.target_ms,
         limit_ms=limit_ms,
     )
--- a/src/oriolegate/network/http_connection.py
+++ b/src/oriolegate/network/http_connection.py
@@ -21,7 +21,11 @@
 PROBE_INTERVAL_S = 1
 PROBE_COUNT = 2
 UNACKNOWLEDGED_MS = 2_500
+# How long a connection may take to open, unless its user says otherwise.
 CONNECT_TIMEOUT_S = 1.0
+# A connection that is reset within this time of opening, before any response,
+# was turned away: a server that dies or a dead way take no such notice.
+TURNED_AWAY_MS = 500.0
 # A response before so much of the body is sent may leave bytes on the way,
 # so the connection is not used again.
 REUSE_BODY_BYTES = 16_384
@@ -43,9 +47,16 @@
 
 @attrs.frozen
 class Broken:
-    """The request was sent and no whole response came."""
+    """The request was sent and no whole response came.
+
+    Attributes:
+        detail: What happened.
+        turned_away: Whether the server seems to have more connections than
+            it takes.
+    """
 
     detail: str
+    turned_away: bool = False
 
 
 Result = Answered | NotSent | Broken
@@ -105,6 +116,8 @@
         call: What is in flight, or None.
         idle_since_ms: When it became free.
         keep_alive_ms: How long the server keeps it while idle, if stated.
+        opened_at_ms: When it was opened.
+        has_answered: Whether any response came on it.
     """
 
     def __init__(self, user: ConnectionUser, clock: Clock) -> None:
@@ -114,11 +127,14 @@
         self.call: HttpCall | None = None
         self.idle_since_ms = 0.0
         self.keep_alive_ms: float | None = None
+        self.opened_at_ms = 0.0
+        self.has_answered = False
         self.foreign_answers = 0
 
     def connectionMade(self) -> None:  # noqa: N802 (Twisted's name)
         """Tell the user that it is open."""
         tune_socket(self.transport)
+        self.opened_at_ms = self.clock.now_ms()
         self.user.connected(self)
 
     def carry(self, call: HttpCall) -> None:
@@ -156,6 +172,7 @@
             self._take(response)
 
     def _take(self, response: HttpResponse) -> None:
+        self.has_answered = True
         call = self.call
         if call is None:
             self.transport.abortConnection()
@@ -208,7 +225,9 @@
             self._end(Answered(response))
             return
         text = reason.getErrorMessage() if reason is not None else "lost"
-        self._end(Broken(text))
+        age_ms = self.clock.now_ms() - self.opened_at_ms
+        is_new = not self.has_answered and age_ms < TURNED_AWAY_MS
+        self._end(Broken(text, turned_away=is_new and not was_closed))
 
 
 class HttpFactory(twisted_protocol.ClientFactory):
--- a/src/oriolegate/network/http_pool.py
+++ b/src/oriolegate/network/http_pool.py
@@ -28,14 +28,20 @@
         idle: Free connections, the last used at the end.
         busy: Connections that carry a request.
         opened_total: Connections opened so far.
+        connect_timeout_s: How long a connection may take to open.
     """
 
     def __init__(
-        self, reactor: Any, clock: Clock, address: tuple[str, int]
+        self,
+        reactor: Any,
+        clock: Clock,
+        address: tuple[str, int],
+        connect_timeout_s: float = CONNECT_TIMEOUT_S,
     ) -> None:
         self.reactor = reactor
         self.clock = clock
         self.address = address
+        self.connect_timeout_s = connect_timeout_s
         self.idle: list[HttpConnection] = []
         self.busy: set[HttpConnection] = set()
         self.opened_total = 0
@@ -51,7 +57,7 @@
         self.reactor.connectTCP(
             *self.address,
             HttpFactory(self, self.clock, call, self._connect_failed),
-            timeout=CONNECT_TIMEOUT_S,
+            timeout=self.connect_timeout_s,
         )
 
     def _take_idle(self) -> HttpConnection | None:
--- a/src/oriolegate/network/leaf_client.py
+++ b/src/oriolegate/network/leaf_client.py
@@ -22,6 +22,11 @@
 from oriolegate.platform.leaf_protocol import NoAnswer
 
 HEAD = b"HEAD"
+# A leaf in another region takes 50 ms to accept a connection. One that is
+# without power or cut off never does; its request goes elsewhere in time for
+# a target of 400 ms, and an opening packet that was lost would be sent again
+# only after a second.
+LEAF_CONNECT_TIMEOUT_S = 0.25
 
 
 @attrs.define(eq=False)
@@ -51,7 +56,9 @@
         if pool is None or pool.address != address:
             if pool is not None:
                 pool.close()
-            pool = HttpPool(self.reactor, self.clock, address)
+            pool = HttpPool(
+                self.reactor, self.clock, address, LEAF_CONNECT_TIMEOUT_S
+            )
             self.pools[leaf.leaf_id] = pool
         return pool
 
@@ -95,8 +102,8 @@
                     done(leaf_protocol.interpret(response))
                 case NotSent(detail):
                     done(NoAnswer(Fate.UNSENT, detail))
-                case Broken(detail):
-                    done(NoAnswer(Fate.MAY_HAVE_RUN, detail))
+                case Broken(detail, turned_away):
+                    done(NoAnswer(Fate.MAY_HAVE_RUN, detail, turned_away))
 
         http_call = HttpCall(
             leaf_protocol.request_bytes(head, call.body, leaf, time_left_ms),
--- a/src/oriolegate/placement/leaf_directory.py
+++ b/src/oriolegate/placement/leaf_directory.py
@@ -11,6 +11,7 @@
 from oriolegate.models.site import LeafEntry
 from oriolegate.models.site import Service
 from oriolegate.placement import cold_turns
+from oriolegate.placement import connection_deal
 from oriolegate.placement.leaf_record import LeafRecord
 
 # Entries that lapse while the store is away are back within about two
@@ -19,9 +20,6 @@
 # After standing still, how long the store's word is waited for. It takes some
 # tens of ms; without it, old views are better than none.
 UNSURE_MS = 400.0
-# Connections are dealt out as if this many times the known members ran; the
-# list is behind by a second when machines are added.
-MEMBER_FACTOR = 1.2
 # Time there and back until measured, by how far a leaf is.
 SAME_DATA_CENTRE_MS = 0.5
 SAME_REGION_MS = 1.5
@@ -64,6 +62,7 @@
     Attributes:
         leafs: Record by leaf id.
         members: Names of the VMs that may run, this one among them.
+        members_by_region: How many of them there are in each region.
         members_known: Whether the member list can be relied on.
         evacuated: Data centres that get nothing.
         unsure_until_ms: Until when nothing is chosen, because this VM stood
@@ -86,6 +85,7 @@
         self.by_service: dict[str, dict[str, LeafRecord]] = {}
         self.services: Mapping[str, Service] = {}
         self.members: frozenset[str] = frozenset({vm})
+        self.members_by_region: Mapping[str, int] = {}
         self.members_known = False
         self.evacuated: set[str] = set()
         self.unsure_until_ms = float("-inf")
@@ -99,12 +99,24 @@
             return SAME_REGION_MS
         return OTHER_REGION_MS
 
-    def _capacity(self, service: str) -> int:
-        found = self.services.get(service)
+    def _deal(self, record: LeafRecord) -> None:
+        """Work out this VM's part of a leaf's connections."""
+        found = self.services.get(record.entry.service)
         if found is None:
-            return DEFAULT_MAX_CONNECTIONS
-        per_vm = found.connection_limit / (MEMBER_FACTOR * len(self.members))
-        return max(1, int(per_vm))
+            record.capacity = DEFAULT_MAX_CONNECTIONS
+            record.is_dealt = True
+            return
+        near = self.members_by_region.get(record.home_region, 0)
+        dealt = connection_deal.deal(
+            found.connection_limit, near, len(self.members) - near
+        )
+        record.capacity = max(1, dealt.each)
+        is_near = self.regions.get(self.data_centre) == record.home_region
+        record.is_dealt = connection_deal.has_part(
+            self.vm,
+            record.entry.leaf_id,
+            dealt.near_part if is_near else dealt.far_part,
+        )
 
     def put(self, now_ms: float, entry: LeafEntry) -> LeafRecord:
         """Take a leaf's entry, new or changed."""
@@ -128,9 +140,9 @@
             entry,
             distance_ms,
             self.regions.get(entry.data_centre, ""),
-            self._capacity(entry.service),
             connect_ms=distance_ms + ACCEPT_MS,
         )
+        self._deal(record)
         self.leafs[entry.leaf_id] = record
         self.by_service.setdefault(entry.service, {})[entry.leaf_id] = record
         return record
@@ -187,7 +199,7 @@
     def refresh_capacities(self) -> None:
         """Take that services or members changed."""
         for record in self.leafs.values():
-            record.capacity = self._capacity(record.entry.service)
+            self._deal(record)
 
     def choose(self, now_ms: float, ask: Ask) -> LeafRecord | NoLeaf:
         """Return the leaf that should answer soonest, or why there is none.
@@ -205,7 +217,7 @@
         if not usable:
             return NoLeaf.NONE_LEFT
         warm = [record for record in usable if not record.is_cold(now_ms)]
-        free = [record for record in warm if not record.is_full()]
+        free = [record for record in warm if not record.is_full(now_ms)]
         if free:
             return min(
                 free,
@@ -234,7 +246,7 @@
     ) -> LeafRecord | NoLeaf:
         for record in cold:
             # A suspect leaf may be down: it is asked for its health instead.
-            if record.suspect or record.is_full():
+            if record.suspect or record.is_full(now_ms):
                 continue
             since_ms = now_ms - record.last_cold_send_ms
             if since_ms >= cold_turns.SPACING_MS and self._has_turn(record):
--- a/src/oriolegate/placement/leaf_record.py
+++ b/src/oriolegate/placement/leaf_record.py
@@ -18,6 +18,12 @@
 STALL_COST_MS = 150.0
 # A request is overdue after this many times the expected latency.
 OVERDUE_FACTOR = 2.5
+# How long a leaf that turned a connection away gets no other: about as long as
+# others keep theirs idle at a few requests a second.
+CROWDED_MS = 500.0
+# Extra expected latency of a leaf whose connections are dealt to other VMs:
+# more than the way to another region, less than a failed send.
+UNDEALT_COST_MS = 100.0
 
 
 @attrs.define(eq=False)
@@ -36,6 +42,9 @@
         outstanding: Start time by send of what it is working on.
         capacity: Connections that this VM may have to it.
         connect_ms: Time that a new connection takes.
+        is_dealt: Whether this VM is among those that its connections are
+            dealt to.
+        crowded_until_ms: Until when it takes no further connection.
     """
 
     entry: LeafEntry
@@ -43,6 +52,8 @@
     home_region: str
     capacity: int = 1
     connect_ms: float = 0.0
+    is_dealt: bool = True
+    crowded_until_ms: float = float("-inf")
     cold_until_ms: float = float("-inf")
     suspect: bool = False
     lapsed_at_ms: float | None = None
@@ -56,10 +67,16 @@
         """Return whether it may bear only a few requests."""
         return self.suspect or now_ms < self.cold_until_ms
 
-    def is_full(self) -> bool:
-        """Return whether all connections of this VM are in use."""
+    def is_full(self, now_ms: float) -> bool:
+        """Return whether this VM may open no further connection to it."""
+        if now_ms < self.crowded_until_ms:
+            return True
         return len(self.outstanding) >= self.capacity
 
+    def turn_away(self, now_ms: float) -> None:
+        """Take that it has all the connections that it bears."""
+        self.crowded_until_ms = now_ms + CROWDED_MS
+
     def _remembered(self, now_ms: float) -> float:
         if now_ms == self.sampled_at_ms:
             return 1.0
@@ -110,6 +127,8 @@
         expected_ms = self.distance_ms + work_ms * (1.0 + load)
         if not connected:
             expected_ms += self.connect_ms
+        if not self.is_dealt:
+            expected_ms += UNDEALT_COST_MS
         expected_ms += FAILURE_COST_MS * self.failure_rate * part
         if self.outstanding:
             oldest_ms = now_ms - next(iter(self.outstanding.values()))
--- a/src/oriolegate/platform/leaf_protocol.py
+++ b/src/oriolegate/platform/leaf_protocol.py
@@ -54,10 +54,17 @@
 
 @attrs.frozen
 class NoAnswer:
-    """A response by which the request was not served."""
+    """A response by which the request was not served.
+
+    Attributes:
+        fate: Whether it may have run.
+        detail: What came in place of an answer.
+        turned_away: Whether the leaf took no further connection.
+    """
 
     fate: Fate
     detail: str
+    turned_away: bool = False
 
 
 def request_head(call: CallerCall) -> bytes:
--- a/src/oriolegate/retries/retry_budget.py
+++ b/src/oriolegate/retries/retry_budget.py
@@ -16,10 +16,13 @@
 # fall into a later window than they do.
 RATIO_PART = 0.85
 # The slack is dealt out as if this many times the known members ran, since
-# some may have joined unseen.
-MEMBER_FACTOR = 2.0
+# some may have joined unseen: three spares beside eight VMs at most.
+MEMBER_FACTOR = 1.2
+# Part of its slack that a process uses in its first window if an earlier
+# process of the same VM may have spent that VM's part: both stay within it.
+RESTARTED_PART = MEMBER_FACTOR - 1.0
 # Part of the budget that hedges leave to sends after a failure.
-KEPT_FOR_FAILURES = 0.3
+KEPT_FOR_FAILURES = 0.25
 
 
 @attrs.define
@@ -41,14 +44,21 @@
 
     Attributes:
         members: Highest member count seen lately.
+        restarted_until_ms: Until when an earlier process of this VM may have
+            extra sends in the window.
     """
 
     def __init__(self, ratio: float, window_ms: float, slack: float) -> None:
         self.members = 1
+        self.window_ms = 0.0
+        self.restarted_until_ms = float("-inf")
+        self.windows: dict[str, ServiceWindow] = {}
         self.set_bounds(ratio, window_ms, slack)
 
     def set_bounds(self, ratio: float, window_ms: float, slack: float) -> None:
-        """Take the figures of the rule; what was counted starts anew.
+        """Take the figures of the rule.
+
+        What was counted stays, unless the window has another length.
 
         Args:
             ratio: Extra sends for each request, over all VMs.
@@ -56,10 +66,15 @@
             slack: Extra sends in a window beyond the ratio, over all VMs.
         """
         self.ratio = ratio
-        self.window_ms = window_ms
         self.slack = slack
-        self.step_ms = window_ms / STEPS
-        self.windows: dict[str, ServiceWindow] = {}
+        if window_ms != self.window_ms:
+            self.window_ms = window_ms
+            self.step_ms = window_ms / STEPS
+            self.windows = {}
+
+    def note_restart(self, now_ms: float) -> None:
+        """Take that another process of this VM may have run until now."""
+        self.restarted_until_ms = now_ms + self.window_ms
 
     def _window(self, service: str, now_ms: float) -> ServiceWindow:
         window = self.windows.get(service)
@@ -91,6 +106,8 @@
         """Return how many extra sends are left now."""
         window = self._window(service, now_ms)
         part = self.slack / (MEMBER_FACTOR * max(1, self.members))
+        if now_ms < self.restarted_until_ms:
+            part *= RESTARTED_PART
         total = self.ratio * RATIO_PART * window.request_count + part
         return total - window.extra_count
 
--- a/src/oriolegate/runtime/exchange_runner.py
+++ b/src/oriolegate/runtime/exchange_runner.py
@@ -232,7 +232,9 @@
         record = self.shared.directory.leafs.get(leaf_id)
         if record is None:
             return
-        if outcome.fate in (Fate.UNSENT, Fate.MAY_HAVE_RUN):
+        if outcome.turned_away:
+            record.turn_away(self.clock.now_ms())
+        elif outcome.fate in (Fate.UNSENT, Fate.MAY_HAVE_RUN):
             self.checker.suspect(record, outcome.detail)
         elif outcome.fate is Fate.WRONG_LEAF:
             log.bind(
--- a/src/oriolegate/runtime/gateway_composition.py
+++ b/src/oriolegate/runtime/gateway_composition.py
@@ -1,5 +1,6 @@
 """The composition root of a gateway: makes its parts and wires them."""
 
+import collections
 import random
 from typing import Any
 
@@ -32,8 +33,9 @@
 from oriolegate.runtime.store_runner import StoreRunner
 from oriolegate.runtime.view_server import ViewServer
 
-# Member count assumed until the member list is in: more than ever run here.
-ASSUMED_MEMBERS = 32
+# Member count assumed until the member list is in; more than run on any
+# deployment so far, so that a VM which knows nothing takes little.
+ASSUMED_MEMBERS = 256
 
 
 @attrs.define(eq=False)
@@ -80,6 +82,8 @@
         bounds.retry_ratio, bounds.retry_window_ms, bounds.retry_slack
     )
     budget.members = ASSUMED_MEMBERS
+    if not settings.first_start:
+        budget.note_restart(clock.now_ms())
     registry = MetricsRegistry()
     leaf_client = LeafClient(reactor, clock)
     directory.has_connection = leaf_client.has_idle
@@ -93,6 +97,9 @@
         directory.members = frozenset(
             {*(entry.vm for entry in entries), settings.vm}
         )
+        directory.members_by_region = collections.Counter(
+            settings.regions.get(entry.data_centre, "") for entry in entries
+        )
         directory.refresh_capacities()
         budget.members = len(directory.members)
         choice.set_peers(
@@ -129,7 +136,7 @@
         if host != settings.host
     )
     feed = PeerFeed(reactor, clock, choice, followers, store, seeds)
-    checker = LeafChecker(reactor, clock, leaf_client, directory)
+    checker = LeafChecker(reactor, clock, leaf_client, directory, chance)
     runner = ExchangeRunner(
         reactor,
         clock,
--- a/src/oriolegate/runtime/leaf_checker.py
+++ b/src/oriolegate/runtime/leaf_checker.py
@@ -1,5 +1,6 @@
 """Asks leafs that are suspected of a restart for their health."""
 
+import random
 from typing import Any
 
 from oriolegate import structured_log
@@ -15,9 +16,14 @@
 MS_PER_S = 1_000.0
 # Time limit of a check; a healthy leaf answers within tens of ms.
 CHECK_LIMIT_MS = 700.0
+# All members that suspect a leaf ask it over this time for each of them at
+# first, so that they don't connect at once.
+FIRST_SPREAD_MS = 10.0
 # Pause between checks of one leaf for each member, so that all members
-# together ask it about four times a second.
+# together ask it about four times a second; and the longest, since a VM whose
+# suspicion was wrong does without the leaf meanwhile.
 PAUSE_FOR_EACH_MEMBER_MS = 250.0
+LONGEST_PAUSE_MS = 3_000.0
 DEFAULT_HEALTH_PATH = "/health"
 
 
@@ -30,7 +36,9 @@
         clock: Clock,
         client: LeafClient,
         directory: LeafDirectory,
+        chance: random.Random,
     ) -> None:
+        self.chance = chance
         self.reactor = reactor
         self.clock = clock
         self.client = client
@@ -47,7 +55,12 @@
         log.bind(
             leaf=leaf_id, service=record.entry.service, reason=detail
         ).info("leaf suspected")
-        self._check(record)
+        members = len(self.directory.members)
+        self._check_later(record, FIRST_SPREAD_MS * members)
+
+    def _check_later(self, record: LeafRecord, longest_ms: float) -> None:
+        pause_ms = longest_ms * (0.5 + 0.5 * self.chance.random())
+        self.reactor.callLater(pause_ms / MS_PER_S, self._check, record)
 
     def _is_over(self, record: LeafRecord) -> bool:
         leaf_id = record.entry.leaf_id
@@ -90,5 +103,7 @@
                 "leaf trusted again"
             )
             return
-        pause_ms = PAUSE_FOR_EACH_MEMBER_MS * len(self.directory.members)
-        self.reactor.callLater(pause_ms / MS_PER_S, self._check, record)
+        members = len(self.directory.members)
+        self._check_later(
+            record, min(LONGEST_PAUSE_MS, PAUSE_FOR_EACH_MEMBER_MS * members)
+        )
--- a/tests/exchange/test_exchange.py
+++ b/tests/exchange/test_exchange.py
@@ -2,6 +2,7 @@
 
 import unittest
 
+from oriolegate.exchange import exchange
 from oriolegate.exchange import timing
 from oriolegate.exchange.messages import AbandonSend
 from oriolegate.exchange.messages import AnswerGathered
@@ -144,6 +145,12 @@
         effects = self.found.failed(5.0, 1, Fate.NOT_RUN, "503")
         self.assertEqual(len(build.sends(effects)), 1)
 
+    def test_it_waits_for_its_leaf_to_the_end(self):
+        while self.found.reply is None:
+            self.found.alarm(self.found.alarm_ms)
+        at_ms = self.found.replied_at_ms
+        self.assertEqual(at_ms, self.found.moments.limit_ms)
+
     def test_stragglers_get_no_second_send(self):
         due_ms = self.found.alarm_ms
         self.assertEqual(due_ms, self.found.moments.limit_ms)
@@ -268,11 +275,85 @@
         self.assertEqual(reply.missing, 1)
         self.assertEqual(found.give_up(21.0), [])
 
+    def test_a_late_answer_waits_a_little_for_the_rest(self):
+        found, _ = self.start(min_coverage=0.7)
+        for number in (1, 2):
+            found.answered(5.0, number, build.answer())
+        found.alarm(190.0)
+        self.assertEqual(found.answered(210.0, 3, build.answer()), [])
+        due_ms = found.alarm_ms
+        self.assertLessEqual(due_ms, 200.0 * (1.0 + timing.LATE_WAIT_PART))
+        while found.reply is None:
+            effects = found.alarm(found.alarm_ms)
+        self.assertLessEqual(found.replied_at_ms, 250.0)
+        self.assertEqual(effects[0].missing, 1)
+
+    def run_until_reply(self, found):
+        while found.reply is None:
+            found.alarm(found.alarm_ms)
+        return found.replied_at_ms
+
+    def test_a_request_whose_leafs_hang_is_given_up_while_it_can_return(self):
+        found, _ = self.start(min_coverage=0.9)
+        for number in (1, 2, 3):
+            found.answered(5.0, number, build.answer())
+        at_ms = self.run_until_reply(found)
+        self.assertEqual(found.reply.status, 502)
+        self.assertGreater(at_ms, timing.LEAST_STUCK_MS)
+        left_ms = found.moments.limit_ms - at_ms
+        self.assertGreaterEqual(left_ms, timing.RETURN_PART * 200.0)
+
+    def test_without_time_for_another_try_it_waits_to_the_end(self):
+        found, _ = self.start(min_coverage=0.9, timeout_ms=1_000.0)
+        for number in (1, 2, 3):
+            found.answered(5.0, number, build.answer())
+        self.assertEqual(self.run_until_reply(found), found.moments.limit_ms)
+
     def test_hedges_stop_at_the_budget(self):
         self.shared.budget.set_bounds(0.2, 10_000.0, 0.0)
         found, _ = self.start()
         self.assertEqual(build.sends(found.alarm(150.0)), [])
 
+    def test_a_straggler_is_sent_again_once_there_is_budget(self):
+        self.shared.budget.set_bounds(0.2, 10_000.0, 0.0)
+        found, _ = self.start(min_coverage=0.9)
+        for number in (1, 2, 3):
+            found.answered(5.0, number, build.answer())
+        self.assertEqual(build.sends(found.alarm(150.0)), [])
+        self.shared.budget.set_bounds(0.2, 10_000.0, 50.0)
+        (send,) = build.sends(found.alarm(found.alarm_ms))
+        self.assertEqual(send.leaf.leaf_id, "s4-b")
+
+    def test_a_leaf_that_hangs_is_replaced_from_the_part_kept_for_failures(
+        self,
+    ):
+        # Two VMs' part of this slack: enough for a failure, not for a hedge.
+        self.shared.budget.set_bounds(0.0, 10_000.0, 1.25)
+        found, _ = self.start(min_coverage=0.9)
+        for number in (1, 2, 3):
+            found.answered(5.0, number, build.answer())
+        self.assertEqual(build.sends(found.alarm(150.0)), [])
+        (send,) = build.sends(found.alarm(exchange.HUNG_MS + 1.0))
+        self.assertEqual(send.leaf.leaf_id, "s4-b")
+
+    def test_a_send_that_reached_no_leaf_costs_no_budget(self):
+        self.shared.budget.set_bounds(0.0, 10_000.0, 0.0)
+        found, _ = self.start()
+        effects = found.failed(5.0, 4, Fate.UNSENT, "no connection")
+        (send,) = build.sends(effects)
+        self.assertEqual(send.leaf.leaf_id, "s4-b")
+
+    def test_a_hedge_is_given_back_if_the_first_send_never_arrived(self):
+        budget = self.shared.budget
+        found, _ = self.start()
+        for number in (1, 2, 3):
+            found.answered(5.0, number, build.answer())
+        before = budget.left("s4", 5.0)
+        found.alarm(found.alarm_ms)
+        self.assertEqual(budget.left("s4", 5.0), before - 1.0)
+        found.failed(170.0, 4, Fate.UNSENT, "no connection")
+        self.assertEqual(budget.left("s4", 5.0), before)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tests/placement/test_leaf_directory.py
+++ b/tests/placement/test_leaf_directory.py
@@ -4,6 +4,7 @@
 
 from oriolegate.placement import cold_turns
 from oriolegate.placement import leaf_directory
+from oriolegate.placement import leaf_record
 from oriolegate.placement.leaf_directory import Ask
 from oriolegate.placement.leaf_directory import NoLeaf
 from tests import site_builders as build
@@ -53,6 +54,21 @@
         self.assertEqual(chosen(self.directory, now_ms=10.0), "near")
         self.assertEqual(chosen(self.directory, now_ms=80.0), "far")
 
+    def test_a_leaf_that_turned_a_connection_away_is_left_for_a_moment(self):
+        self.record("near").turn_away(0.0)
+        self.assertEqual(chosen(self.directory), "far")
+        self.assertEqual(chosen(self.directory, leaf_record.CROWDED_MS), "near")
+
+    def test_where_connections_are_short_a_vm_uses_those_dealt_to_it(self):
+        many = frozenset(f"vm-{number}" for number in range(90))
+        self.directory.members = many
+        self.directory.members_by_region = {"west": 90}
+        self.directory.refresh_capacities()
+        dealt = {name: r.is_dealt for name, r in self.directory.leafs.items()}
+        self.assertLess(sum(dealt.values()), 2)
+        # A leaf that was not dealt to it is still a last resort.
+        self.assertEqual(chosen(self.directory, tried=("far",)), "near")
+
     def test_a_leaf_that_fails_often_loses_to_a_far_one(self):
         for _ in range(3):
             self.record("near").failed(0.0)
--- a/tests/retries/test_retry_budget.py
+++ b/tests/retries/test_retry_budget.py
@@ -25,12 +25,36 @@
     def setUp(self):
         self.budget = RetryBudget(RATIO, WINDOW_MS, SLACK)
 
-    def test_the_slack_is_dealt_out_over_twice_the_members(self):
-        self.budget.members = 5
+    def take_all(self, now_ms, *, hedge=False):
         taken = 0
-        while self.budget.take("s", 0.0, hedge=False):
+        while self.budget.take("s", now_ms, hedge=hedge):
             taken += 1
-        self.assertEqual(taken, 5)
+        return taken
+
+    def test_a_fifth_more_members_than_known_keep_the_slack(self):
+        self.budget.members = 5
+        self.assertLessEqual(self.take_all(0.0) * 6, SLACK)
+
+    def test_restarts_in_series_keep_the_bound(self):
+        # All VMs spend what they may, are killed, and spend again.
+        self.budget.members = 5
+        spent = self.take_all(0.0)
+        again = RetryBudget(RATIO, WINDOW_MS, SLACK)
+        again.members = 5
+        again.note_restart(1_000.0)
+        spent += sum(again.take("s", 1_000.0, hedge=False) for _ in range(50))
+        self.assertLessEqual(spent * 5, SLACK)
+
+    def test_a_restart_is_forgotten_after_a_window(self):
+        self.budget.members = 5
+        self.budget.note_restart(0.0)
+        reduced = self.budget.left("s", WINDOW_MS - 1.0)
+        self.assertLess(reduced, self.budget.left("s", WINDOW_MS))
+
+    def test_new_bounds_forget_no_extra_sends(self):
+        self.take_all(0.0)
+        self.budget.set_bounds(RATIO, WINDOW_MS, SLACK)
+        self.assertFalse(self.budget.take("s", 0.0, hedge=False))
 
     def test_requests_earn_extra_sends_of_their_service_only(self):
         self.budget.set_bounds(RATIO, WINDOW_MS, 0.0)
--- /dev/null
+++ b/tests/runtime/test_leaf_checker.py
@@ -0,0 +1,86 @@
+"""Tests of how often a suspected leaf is asked for its health."""
+
+import random
+import unittest
+
+from twisted.internet import task
+
+from oriolegate.platform.leaf_protocol import HealthReport
+from oriolegate.runtime import leaf_checker
+from oriolegate.runtime.leaf_checker import LeafChecker
+from tests import site_builders as build
+
+
+class Client:
+    """Answers checks from a list; an empty one means that none is answered."""
+
+    def __init__(self, reactor):
+        self.reactor = reactor
+        self.reports = []
+        self.asked_s = []
+
+    def check_health(self, leaf, path, done):
+        self.asked_s.append(self.reactor.seconds())
+        if self.reports:
+            done(self.reports.pop(0))
+
+    def abandon(self, open_check):
+        pass
+
+
+class SteadyClock:
+    """Tells the time of a Twisted test clock."""
+
+    def __init__(self, reactor):
+        self.reactor = reactor
+
+    def now_ms(self):
+        return self.reactor.seconds() * leaf_checker.MS_PER_S
+
+
+class LeafCheckerTest(unittest.TestCase):
+    def setUp(self):
+        self.reactor = task.Clock()
+        self.client = Client(self.reactor)
+        self.directory = build.directory([build.leaf("a")])
+        self.checker = LeafChecker(
+            self.reactor,
+            SteadyClock(self.reactor),
+            self.client,
+            self.directory,
+            random.Random(1),
+        )
+        self.record = self.directory.leafs["a"]
+
+    def run_for(self, seconds):
+        for _ in range(int(seconds * 100)):
+            self.reactor.advance(0.01)
+
+    def set_members(self, count):
+        self.directory.members = frozenset(f"vm-{n}" for n in range(count))
+
+    def test_a_healthy_leaf_is_used_again_after_one_check(self):
+        self.client.reports = [HealthReport("a", True, 0.0)]
+        self.checker.suspect(self.record, "reset")
+        self.run_for(0.1)
+        self.assertFalse(self.record.suspect)
+
+    def test_what_another_leaf_says_at_the_address_does_not_count(self):
+        self.client.reports = [HealthReport("b", True, 0.0)]
+        self.checker.suspect(self.record, "reset")
+        self.run_for(0.1)
+        self.assertTrue(self.record.suspect)
+
+    def test_many_vms_do_not_ask_at_once(self):
+        self.set_members(90)
+        self.checker.suspect(self.record, "reset")
+        self.run_for(0.3)
+        self.assertEqual(self.client.asked_s, [])
+
+    def test_a_wrong_suspicion_ends_within_seconds_on_any_site(self):
+        self.set_members(90)
+        self.checker.suspect(self.record, "reset")
+        self.run_for(1.5)
+        self.client.reports = [HealthReport("a", True, 0.0)]
+        self.run_for(leaf_checker.LONGEST_PAUSE_MS / leaf_checker.MS_PER_S)
+        self.assertFalse(self.record.suspect)
