Bound the time of a header, leave OpenSSL out, split the exchange

- `header_timeout_ms` was decoded by nobody; only the idle time bounded a slow header.
A timer from the first byte answers 408 (not read, so not run).
The command's module is light now; the process is built in `runtime.gateway_process`.
- A VM that left stays in the retry budget's member count for a window: the parts of those that stay grew at once, beside what it had spent.
- Leafs of a data centre that is used again count as cold for 2 s or until they write: their entries may come after the news.

--- a/src/oriolegate/commands/gateway.py
+++ b/src/oriolegate/commands/gateway.py
@@ -2,23 +2,14 @@
 
 import argparse
 import os
-import random
-import signal
-from typing import Any
+import sys
 
-from oriolegate import structured_log
-from oriolegate.clock import SystemClock
-from oriolegate.exceptions import SettingsError
 from oriolegate.platform import node_settings
-from oriolegate.runtime import gateway
-from oriolegate.runtime import gateway_composition
-from oriolegate.runtime.line_writer import LineWriter
 
-log = structured_log.get_logger("gateway")
-
-STANDARD_OUTPUT = 1
-# The settings file may change without a signal; it is a few hundred bytes.
-SETTINGS_CHECK_S = 2.0
+# OpenSSL takes 4.7 MB of a process's memory, which is priced on every machine.
+# Twisted's loop loads it by way of asyncio and hashlib; both do without it, and
+# the platform speaks plain HTTP.
+OPENSSL_MODULES = ("ssl", "_hashlib")
 
 
 def add_options(parser: argparse.ArgumentParser) -> None:
@@ -39,21 +30,11 @@
     )
 
 
-def _follow_settings(reactor: Any, process: gateway.Gateway, path: str) -> None:
-    """Reload the settings at SIGHUP and whenever the file has changed."""
-
-    def reload() -> None:
-        try:
-            process.reload(node_settings.read(path))
-        except SettingsError as fault:
-            log.bind(reason=fault.message).warning("settings kept")
-
-    def check() -> None:
-        reload()
-        reactor.callLater(SETTINGS_CHECK_S, check)
-
-    signal.signal(signal.SIGHUP, lambda *_: reactor.callFromThread(reload))
-    reactor.callLater(SETTINGS_CHECK_S, check)
+def leave_out_openssl() -> None:
+    """Make imports of OpenSSL fail, as on a Python that was built without."""
+    for name in OPENSSL_MODULES:
+        if name not in sys.modules:
+            sys.modules[name] = None  # type: ignore[assignment]
 
 
 def run(arguments: argparse.Namespace) -> int:
@@ -62,25 +43,8 @@
     Returns:
         The exit status.
     """
-    from twisted.internet import reactor as default_reactor
+    leave_out_openssl()
+    from oriolegate.runtime import gateway_process
 
-    reactor: Any = default_reactor
-    clock = SystemClock()
-    settings = node_settings.read(arguments.settings)
-    structured_log.begin(
-        LineWriter(STANDARD_OUTPUT, clock).write, arguments.verbose
-    )
-    parts = gateway_composition.build_parts(
-        reactor, clock, settings, random.Random()
-    )
-    process = gateway.Gateway(reactor, clock, settings, parts)
-    process.on_exit = reactor.stop
-    for number in (signal.SIGTERM, signal.SIGINT):
-        signal.signal(
-            number, lambda *_: reactor.callFromThread(process.plan_stop)
-        )
-    _follow_settings(reactor, process, arguments.settings)
-    process.start()
-    # Twisted's own handlers would stop the reactor at once.
-    reactor.run(installSignalHandlers=False)
+    gateway_process.serve(arguments.settings, arguments.verbose)
     return 0
--- a/src/oriolegate/exchange/part.py
+++ b/src/oriolegate/exchange/part.py
@@ -22,6 +22,11 @@
     leaf: LeafRecord
     started_ms: float
 
+    @property
+    def leaf_id(self) -> str:
+        """Id of the leaf that it went to."""
+        return self.leaf.entry.leaf_id
+
 
 @attrs.define(eq=False)
 class Part:
--- a/src/oriolegate/network/caller_front.py
+++ b/src/oriolegate/network/caller_front.py
@@ -14,6 +14,11 @@
 # Callers reuse connections up to four fifths of the stated idle time; a
 # little more than it leaves no doubt about who closes first.
 IDLE_FACTOR = 1.05
+# The request was not read, so it has not run: the caller may send it again.
+HEADER_TOO_LATE = (
+    b"HTTP/1.1 408 Request Timeout\r\n"
+    b"Content-Length: 0\r\nConnection: close\r\n\r\n"
+)
 # The balancer asks every second.
 PLAIN_IDLE_S = 60
 
@@ -125,7 +130,17 @@
 
 
 class CallerChannel(http.HTTPChannel):
-    """One connection of a caller."""
+    """One connection of a caller.
+
+    Attributes:
+        header_limit_s: How long a header may take to arrive.
+        has_header: Whether the header of the request being read is in.
+        header_timer: Runs while a header is incomplete.
+    """
+
+    header_limit_s = CallerLimits().header_timeout_ms / MS_PER_S
+    has_header = False
+    header_timer: Any = None
 
     def connectionMade(self) -> None:  # noqa: N802 (Twisted's name)
         """Keep it in the factory's set of open connections."""
@@ -136,9 +151,50 @@
 
     def connectionLost(self, reason: Any) -> None:  # noqa: N802
         """Forget it."""
+        self._stop_header_timer()
         self.factory.channels.discard(self)
         super().connectionLost(reason)
 
+    def dataReceived(self, data: bytes) -> None:  # noqa: N802
+        """Read requests, and see to it that headers don't take too long."""
+        super().dataReceived(data)
+        if not self._is_in_header():
+            self._stop_header_timer()
+        elif self.header_timer is None:
+            self.header_timer = self.callLater(
+                self.header_limit_s, self._header_too_late
+            )
+
+    def _is_in_header(self) -> bool:
+        if self.has_header:
+            return False
+        # Twisted keeps the request line until the body is in. Bytes that come
+        # while a request is open wait in the same buffer and are not late.
+        return hasattr(self, "_command") or self._has_begun_line()
+
+    def _has_begun_line(self) -> bool:
+        return bool(self._buffer) and not self.requests
+
+    def allHeadersReceived(self) -> None:  # noqa: N802 (Twisted's name)
+        """Take that a header is complete."""
+        self.has_header = True
+        super().allHeadersReceived()
+
+    def allContentReceived(self) -> None:  # noqa: N802 (Twisted's name)
+        """Take that a request is complete."""
+        self.has_header = False
+        super().allContentReceived()
+
+    def _stop_header_timer(self) -> None:
+        if self.header_timer is not None:
+            self.header_timer.cancel()
+            self.header_timer = None
+
+    def _header_too_late(self) -> None:
+        self.header_timer = None
+        self.transport.write(HEADER_TOO_LATE)
+        self.loseConnection()
+
     @property
     def is_idle(self) -> bool:
         """Whether no request is open or being read on it."""
@@ -172,6 +228,7 @@
         channel.requestFactory = self.request_class
         channel.timeOut = limits.idle_timeout_ms * IDLE_FACTOR / MS_PER_S
         channel.totalHeadersSize = limits.header_bytes
+        channel.header_limit_s = limits.header_timeout_ms / MS_PER_S
         return channel
 
     def log(self, request: Any) -> None:
--- a/src/oriolegate/placement/leaf_directory.py
+++ b/src/oriolegate/placement/leaf_directory.py
@@ -20,6 +20,9 @@
 # After standing still, how long the store's word is waited for. It takes some
 # tens of ms; without it, old views are better than none.
 UNSURE_MS = 400.0
+# How long a leaf of a data centre that is used again counts as cold: it writes
+# its entry within a heartbeat of 1.2 s, and views are up to 0.8 s behind.
+READMISSION_MS = 2_000.0
 # Time there and back until measured, by how far a leaf is.
 SAME_DATA_CENTRE_MS = 0.5
 SAME_REGION_MS = 1.5
@@ -175,6 +178,19 @@
         elif record.lapsed_at_ms is None:
             record.lapsed_at_ms = now_ms
 
+    def readmit(self, now_ms: float, data_centre: str) -> None:
+        """Use the leafs of an evacuated data centre again.
+
+        They may have turned cold just before, and their entries may come
+        after the news that they are to be used: until then they count as cold.
+        """
+        self.evacuated.discard(data_centre)
+        for record in self.leafs.values():
+            if record.entry.data_centre == data_centre:
+                record.cold_until_ms = max(
+                    record.cold_until_ms, now_ms + READMISSION_MS
+                )
+
     def displace(self, leaf_id: str) -> None:
         """Take that another leaf has a leaf's address.
 
--- a/src/oriolegate/retries/retry_budget.py
+++ b/src/oriolegate/retries/retry_budget.py
@@ -43,13 +43,17 @@
     """Extra sends that this VM may still make, by service.
 
     Attributes:
-        members: Highest member count seen lately.
+        members: Member count known now; assumed until it is told.
         restarted_until_ms: Until when an earlier process of this VM may have
             extra sends in the window.
     """
 
     def __init__(self, ratio: float, window_ms: float, slack: float) -> None:
         self.members = 1
+        self.is_told = False
+        self.earlier_members: collections.deque[tuple[float, int]] = (
+            collections.deque()
+        )
         self.window_ms = 0.0
         self.restarted_until_ms = float("-inf")
         self.windows: dict[str, ServiceWindow] = {}
@@ -72,6 +76,24 @@
             self.step_ms = window_ms / STEPS
             self.windows = {}
 
+    def set_members(self, now_ms: float, count: int) -> None:
+        """Take how many VMs there are.
+
+        One that has left may have used its part within the window, so fewer
+        members count only once that is over.
+        """
+        if self.is_told and count < self.members:
+            until_ms = now_ms + self.window_ms
+            self.earlier_members.append((until_ms, self.members))
+        self.members = count
+        self.is_told = True
+
+    def _most_members(self, now_ms: float) -> int:
+        earlier = self.earlier_members
+        while earlier and earlier[0][0] <= now_ms:
+            earlier.popleft()
+        return max([self.members, 1, *(count for _, count in earlier)])
+
     def note_restart(self, now_ms: float) -> None:
         """Take that another process of this VM may have run until now."""
         self.restarted_until_ms = now_ms + self.window_ms
@@ -105,7 +127,7 @@
     def left(self, service: str, now_ms: float) -> float:
         """Return how many extra sends are left now."""
         window = self._window(service, now_ms)
-        part = self.slack / (MEMBER_FACTOR * max(1, self.members))
+        part = self.slack / (MEMBER_FACTOR * self._most_members(now_ms))
         if now_ms < self.restarted_until_ms:
             part *= RESTARTED_PART
         total = self.ratio * RATIO_PART * window.request_count + part
--- a/src/oriolegate/runtime/exchange_runner.py
+++ b/src/oriolegate/runtime/exchange_runner.py
@@ -8,7 +8,6 @@
 from oriolegate import structured_log
 from oriolegate.clock import Clock
 from oriolegate.exchange.exchange import Exchange
-from oriolegate.exchange.exchange import Shared
 from oriolegate.exchange.messages import AbandonSend
 from oriolegate.exchange.messages import AnswerGathered
 from oriolegate.exchange.messages import CallerCall
@@ -19,6 +18,7 @@
 from oriolegate.exchange.messages import Refuse
 from oriolegate.exchange.messages import Reply
 from oriolegate.exchange.messages import SendToLeaf
+from oriolegate.exchange.part_sender import Shared
 from oriolegate.metrics import MetricsRegistry
 from oriolegate.models.site import CallerLimits
 from oriolegate.network.caller_front import CallerRequest
--- a/src/oriolegate/runtime/gateway_composition.py
+++ b/src/oriolegate/runtime/gateway_composition.py
@@ -7,7 +7,7 @@
 import attrs
 
 from oriolegate.clock import Clock
-from oriolegate.exchange.exchange import Shared
+from oriolegate.exchange.part_sender import Shared
 from oriolegate.following.follower import CollectionSink
 from oriolegate.following.follower import Follower
 from oriolegate.following.source_choice import Peer
@@ -101,7 +101,7 @@
             settings.regions.get(entry.data_centre, "") for entry in entries
         )
         directory.refresh_capacities()
-        budget.members = len(directory.members)
+        budget.set_members(clock.now_ms(), len(directory.members))
         choice.set_peers(
             {
                 entry.vm: Peer(entry.vm, entry.host, entry.port)
--- a/src/oriolegate/runtime/site_sinks.py
+++ b/src/oriolegate/runtime/site_sinks.py
@@ -146,7 +146,7 @@
 
     def remove(self, now_ms: float, name: str, listed: bool) -> None:
         """Use a data centre again."""
-        self.directory.evacuated.discard(name)
+        self.directory.readmit(now_ms, name)
         log.bind(data_centre=name).info("data centre in use again")
 
     def settled(self, now_ms: float, revision: int) -> None:
--- a/tests/commands/test_gateway.py
+++ b/tests/commands/test_gateway.py
@@ -9,6 +9,8 @@
 SOURCES = pathlib.Path(__file__).parents[2] / "src"
 # Modules that cost megabytes and that a gateway has no use for.
 UNWANTED = (
+    "_hashlib",
+    "_ssl",
     "cbor2",
     "expression",
     "loguru",
@@ -26,8 +28,10 @@
         script = (
             "import sys\n"
             "from oriolegate.commands import gateway\n"
+            "gateway.leave_out_openssl()\n"
+            "from oriolegate.runtime import gateway_process\n"
             "from twisted.internet import reactor\n"
-            "print('\\n'.join(sys.modules))\n"
+            "print('\\n'.join(n for n, m in sys.modules.items() if m))\n"
         )
         printed = subprocess.run(
             [sys.executable, "-c", script],
--- a/tests/exchange/test_exchange.py
+++ b/tests/exchange/test_exchange.py
@@ -2,7 +2,7 @@
 
 import unittest
 
-from oriolegate.exchange import exchange
+from oriolegate.exchange import part_sender
 from oriolegate.exchange import timing
 from oriolegate.exchange.messages import AbandonSend
 from oriolegate.exchange.messages import AnswerGathered
@@ -333,7 +333,7 @@
         for number in (1, 2, 3):
             found.answered(5.0, number, build.answer())
         self.assertEqual(build.sends(found.alarm(150.0)), [])
-        (send,) = build.sends(found.alarm(exchange.HUNG_MS + 1.0))
+        (send,) = build.sends(found.alarm(part_sender.HUNG_MS + 1.0))
         self.assertEqual(send.leaf.leaf_id, "s4-b")
 
     def test_a_send_that_reached_no_leaf_costs_no_budget(self):
--- a/tests/placement/test_leaf_directory.py
+++ b/tests/placement/test_leaf_directory.py
@@ -174,6 +174,20 @@
         directory.put(50.0, build.leaf("warm", cold_left_ms=1_000.0))
         self.assertIs(chosen(directory, 60.0), NoLeaf.ALL_COLD)
 
+    def test_leafs_of_a_readmitted_data_centre_are_cold_until_heard_of(self):
+        directory = build.directory([build.leaf("back")])
+        directory.evacuated.add("dc-a")
+        directory.readmit(100.0, "dc-a")
+        self.assertIs(chosen(directory, 101.0), NoLeaf.ALL_COLD)
+        directory.put(200.0, build.leaf("back"))
+        self.assertEqual(chosen(directory, 200.0), "back")
+
+    def test_a_readmitted_leaf_that_tells_nothing_is_warm_in_the_end(self):
+        directory = build.directory([build.leaf("back")])
+        directory.readmit(100.0, "dc-a")
+        later_ms = 100.0 + leaf_directory.READMISSION_MS
+        self.assertEqual(chosen(directory, later_ms), "back")
+
     def test_a_suspect_gets_no_request_until_heard_of(self):
         directory = build.directory([build.leaf("warm")])
         directory.leafs["warm"].suspect = True
--- a/tests/platform/test_gateway.py
+++ b/tests/platform/test_gateway.py
@@ -5,6 +5,8 @@
 
 import attrs
 from twisted.internet import defer
+from twisted.internet import endpoints
+from twisted.internet import protocol
 from twisted.internet import reactor
 from twisted.internet import task
 
@@ -41,7 +43,11 @@
         *more_routes,
     ]
     return documents.configuration_spec(
-        version, routes, SHARDS, max_body_bytes=1_000
+        version,
+        routes,
+        SHARDS,
+        max_body_bytes=1_000,
+        header_timeout_ms=300,
     )
 
 
@@ -518,6 +524,42 @@
         self.assertIsNone(found.header(b"retry-after"))
         await ended
 
+    async def status_of_header_in_pieces(self, site, pause_s):
+        received = []
+        done = defer.Deferred()
+
+        class Caller(protocol.Protocol):
+            def connectionMade(self):  # noqa: N802 (Twisted's name)
+                self.transport.write(b"GET /one/x HTTP/1.1\r\n")
+                reactor.callLater(pause_s, self.transport.write, b"Host: ")
+                reactor.callLater(
+                    2 * pause_s, self.transport.write, b"h.example\r\n\r\n"
+                )
+
+            def dataReceived(self, data):  # noqa: N802
+                received.append(data)
+                self.transport.loseConnection()
+
+            def connectionLost(self, reason):  # noqa: N802
+                done.callback(None)
+
+        point = endpoints.TCP4ClientEndpoint(
+            reactor, *site.process.settings.caller_address
+        )
+        await point.connect(protocol.Factory.forProtocol(Caller))
+        await done
+        return int(b"".join(received).split()[1])
+
+    @on_site
+    async def test_a_header_that_takes_too_long_ends_the_connection(self, site):
+        found = await self.status_of_header_in_pieces(site, 0.25)
+        self.assertEqual(found, 408)
+
+    @on_site
+    async def test_a_header_may_come_in_pieces(self, site):
+        found = await self.status_of_header_in_pieces(site, 0.02)
+        self.assertEqual(found, 200)
+
     @on_site
     async def test_a_hopeless_request_line_is_rejected(self, site):
         result = await site.ask(b"nonsense\r\n\r\n")
--- a/tests/retries/test_retry_budget.py
+++ b/tests/retries/test_retry_budget.py
@@ -56,6 +56,20 @@
         self.budget.set_bounds(RATIO, WINDOW_MS, SLACK)
         self.assertFalse(self.budget.take("s", 0.0, hedge=False))
 
+    def test_members_that_leave_count_until_the_window_is_over(self):
+        self.budget.set_members(0.0, 10)
+        before = self.budget.left("s", 0.0)
+        self.budget.set_members(100.0, 4)
+        self.budget.set_members(200.0, 5)
+        self.assertEqual(self.budget.left("s", 300.0), before)
+        after = self.budget.left("s", 100.0 + WINDOW_MS)
+        self.assertAlmostEqual(after, 2.0 * before)
+
+    def test_an_assumed_count_ends_with_the_first_list(self):
+        self.budget.members = 256
+        self.budget.set_members(0.0, 5)
+        self.assertGreater(self.take_all(0.0), 5)
+
     def test_requests_earn_extra_sends_of_their_service_only(self):
         self.budget.set_bounds(RATIO, WINDOW_MS, 0.0)
         for _ in range(100):
--- a/tests/site_builders.py
+++ b/tests/site_builders.py
@@ -1,10 +1,10 @@
 """Short ways to build records of a site for tests."""
 
 from oriolegate.exchange.exchange import Exchange
-from oriolegate.exchange.exchange import Shared
 from oriolegate.exchange.messages import CallerCall
 from oriolegate.exchange.messages import LeafAnswer
 from oriolegate.exchange.messages import SendToLeaf
+from oriolegate.exchange.part_sender import Shared
 from oriolegate.models.site import Bounds
 from oriolegate.models.site import LeafEntry
 from oriolegate.models.site import Repeatability
