Keep requests that crash leafs from all VMs

Cause: a request that crashes each leaf that runs it comes back at any VM, and nothing that one VM learned reached another; each VM could lose two leafs to it in each attempt.

Change: a ledger without I/O holds which requests were lost when a leaf fell. A lost connection alone is no fall (answers are lost by resets of live leafs, and crowded leafs turn connections away): the leaf's health decides. Falls are told through the store; three in two attempts refuse the request. A request that any leaf has answered is harmless. Ruled out as evidence: falls within one attempt (a data centre that loses power fells many leafs at once).

Tests against stand-ins over real sockets: two attempts fell four leafs, the third is refused; reports of other VMs keep a request from every leaf while others of the same route are served.

--- a/src/oriolegate/following/follower.py
+++ b/src/oriolegate/following/follower.py
@@ -21,12 +21,14 @@
 # How long the store may hold a watch without a change. A connection may fall
 # silent unnoticed until then: with the call's limit, what was missed must be
 # known before a bound of 4 s, counted from 5 s after the silence, is over.
-# Removed leafs are used for 2 s more. Members have no such bound.
+# Removed leafs are used for 2 s more. Members have no such bound; reports of
+# crashes come only while a request crashes leafs.
 WATCH_MS = {
     Collection.LEAFS: 4_000,
     Collection.CONFIGURATION: 6_000,
     Collection.EVACUATIONS: 6_000,
     Collection.MEMBERS: 25_000,
+    Collection.CRASHES: 10_000,
 }
 # How long the first watch after a failed call lasts: on a connection that is
 # silent it costs no more than the limit of a call.
--- a/src/oriolegate/models/site.py
+++ b/src/oriolegate/models/site.py
@@ -151,6 +151,25 @@
     renewed_wall_ms: int
 
 
+@attrs.frozen
+class CrashReport:
+    """That a leaf fell while it may have run a request.
+
+    Attributes:
+        fingerprint: Hash of the request, the same each time it comes.
+        attempt_id: Id of the caller's attempt.
+        leaf_id: The leaf that fell.
+        vm: The VM that had sent it.
+        wall_ms: Unix time in ms at which the fall was noticed.
+    """
+
+    fingerprint: int
+    attempt_id: str
+    leaf_id: str
+    vm: str
+    wall_ms: int
+
+
 @attrs.frozen
 class Bounds:
     """Figures of the users' rules that this role needs.
--- a/src/oriolegate/models/stored.py
+++ b/src/oriolegate/models/stored.py
@@ -13,6 +13,7 @@
     CONFIGURATION = enum.auto()
     EVACUATIONS = enum.auto()
     MEMBERS = enum.auto()
+    CRASHES = enum.auto()
 
 
 @attrs.frozen
--- a/src/oriolegate/network/leaf_client.py
+++ b/src/oriolegate/network/leaf_client.py
@@ -125,7 +125,7 @@
         self,
         leaf: LeafEntry,
         path: str,
-        done: Callable[[HealthReport | str], None],
+        done: Callable[[HealthReport | NoAnswer], None],
     ) -> OpenSend:
         """Ask a leaf for its health.
 
@@ -136,10 +136,13 @@
         """
 
         def finished(result: Result) -> None:
-            if isinstance(result, Answered):
-                done(leaf_protocol.health_report(result.response))
-            else:
-                done(result.detail)
+            match result:
+                case Answered(response):
+                    done(leaf_protocol.health_report(response))
+                case NotSent(detail):
+                    done(NoAnswer(Fate.UNSENT, detail))
+                case Broken(detail, turned_away):
+                    done(NoAnswer(Fate.MAY_HAVE_RUN, detail, turned_away))
 
         pool = self._pool(leaf)
         call = HttpCall(
--- a/src/oriolegate/platform/member_entry.py
+++ b/src/oriolegate/platform/member_entry.py
@@ -2,8 +2,8 @@
 
 from typing import Any
 
-from oriolegate.exceptions import MalformedEntryError
 from oriolegate.models.site import MemberEntry
+from oriolegate.platform import own_entry
 
 
 def encode(entry: MemberEntry) -> dict[str, Any]:
@@ -17,25 +17,17 @@
     }
 
 
-def _field(content: dict[str, Any], name: str, kind: type) -> Any:
-    value = content.get(name)
-    if type(value) is not kind or value == "":
-        raise MalformedEntryError(f"`{name}` is missing or of another type")
-    return value
-
-
 def decode(content: Any) -> MemberEntry:
     """Return what an entry says.
 
     Raises:
         MalformedEntryError: If it names no VM.
     """
-    if not isinstance(content, dict):
-        raise MalformedEntryError("the entry is not an object")
+    source = own_entry.mapping(content)
     return MemberEntry(
-        vm=_field(content, "vm", str),
-        data_centre=_field(content, "data_centre", str),
-        host=_field(content, "host", str),
-        port=_field(content, "port", int),
-        renewed_wall_ms=_field(content, "renewed_wall_ms", int),
+        vm=own_entry.field(source, "vm", str),
+        data_centre=own_entry.field(source, "data_centre", str),
+        host=own_entry.field(source, "host", str),
+        port=own_entry.field(source, "port", int),
+        renewed_wall_ms=own_entry.field(source, "renewed_wall_ms", int),
     )
--- a/src/oriolegate/platform/store_calls.py
+++ b/src/oriolegate/platform/store_calls.py
@@ -18,6 +18,7 @@
     Collection.CONFIGURATION: "/objects/config",
     Collection.EVACUATIONS: "/objects/evacuations",
     Collection.MEMBERS: "/objects/oriolegate-members",
+    Collection.CRASHES: "/objects/oriolegate-crashes",
 }
 STATUS_HISTORY_GONE = 410
 STATUS_OK = 200
--- a/src/oriolegate/runtime/exchange_runner.py
+++ b/src/oriolegate/runtime/exchange_runner.py
@@ -7,6 +7,9 @@
 
 from oriolegate import structured_log
 from oriolegate.clock import Clock
+from oriolegate.crashes import crash_ledger
+from oriolegate.crashes.crash_ledger import CrashLedger
+from oriolegate.crashes.crash_ledger import Lost
 from oriolegate.exchange.exchange import Exchange
 from oriolegate.exchange.messages import AbandonSend
 from oriolegate.exchange.messages import AnswerGathered
@@ -38,6 +41,9 @@
 STATUS_UNAVAILABLE = 503
 # Until a configuration is known: a list takes about 100 ms after a start.
 UNKNOWN_SITE_RETRY_MS = 200.0
+# A request that crashes leafs is refused for ten minutes; its caller is told a
+# time after which a person may have looked at it.
+CRASHING_RETRY_MS = 60_000.0
 
 
 @attrs.define(eq=False)
@@ -79,6 +85,7 @@
         configuration: ConfigurationSink,
         checker: LeafChecker,
         metrics: MetricsRegistry,
+        crashes: CrashLedger,
     ) -> None:
         self.reactor = reactor
         self.clock = clock
@@ -86,6 +93,7 @@
         self.shared = shared
         self.configuration = configuration
         self.checker = checker
+        self.crashes = crashes
         self.metrics = metrics
         self.leaving = False
         self.on_arrival: Callable[[], None] = lambda: None
@@ -124,6 +132,15 @@
         if route is None:
             self._refuse(request, call, STATUS_NOT_FOUND, "no route")
             return
+        if self.crashes.refuses(call):
+            self._refuse(
+                request,
+                call,
+                STATUS_UNAVAILABLE,
+                "upstreams fall when they run it",
+                CRASHING_RETRY_MS,
+            )
+            return
         exchange = Exchange(
             call,
             route,
@@ -216,33 +233,50 @@
         now_ms = self.clock.now_ms()
         exchange = running.exchange
         if isinstance(outcome, LeafAnswer):
+            if self.crashes.is_active:
+                found = crash_ledger.call_fingerprint(exchange.call)
+                self.crashes.answered(found)
             effects = exchange.answered(now_ms, effect.send, outcome)
         else:
-            self._heed(exchange.call.attempt_id, effect, outcome)
+            self._heed(exchange, effect, outcome)
             effects = exchange.failed(
                 now_ms, effect.send, outcome.fate, outcome.detail
             )
         self._carry_out(running, effects)
 
     def _heed(
-        self, call_id: str, effect: SendToLeaf, outcome: NoAnswer
+        self, exchange: Exchange, effect: SendToLeaf, outcome: NoAnswer
     ) -> None:
         """Draw conclusions about a leaf whose connection failed."""
         leaf_id = effect.leaf.leaf_id
         record = self.shared.directory.leafs.get(leaf_id)
         if record is None:
             return
+        if outcome.fate is Fate.MAY_HAVE_RUN:
+            self._suspect_call(exchange, leaf_id)
         if outcome.turned_away:
             record.turn_away(self.clock.now_ms())
+            self.checker.look_at(record)
         elif outcome.fate in (Fate.UNSENT, Fate.MAY_HAVE_RUN):
             self.checker.suspect(record, outcome.detail)
         elif outcome.fate is Fate.WRONG_LEAF:
             log.bind(
-                leaf=leaf_id, service=effect.leaf.service, id=call_id
+                leaf=leaf_id,
+                service=effect.leaf.service,
+                id=exchange.call.attempt_id,
             ).info("leaf displaced")
             self.shared.directory.displace(leaf_id)
             self.client.drop(leaf_id)
 
+    def _suspect_call(self, exchange: Exchange, leaf_id: str) -> None:
+        """Remember a request with which a leaf may have fallen."""
+        if exchange.answered_count:
+            # Another leaf ran a part of it unharmed.
+            return
+        call = exchange.call
+        found = crash_ledger.call_fingerprint(call)
+        self.crashes.lost(leaf_id, Lost(found, call.attempt_id))
+
     def _set_timer(self, running: Running) -> None:
         exchange = running.exchange
         timer = running.timer
--- a/src/oriolegate/runtime/gateway_composition.py
+++ b/src/oriolegate/runtime/gateway_composition.py
@@ -7,6 +7,7 @@
 import attrs
 
 from oriolegate.clock import Clock
+from oriolegate.crashes.crash_ledger import CrashLedger
 from oriolegate.exchange.part_sender import Shared
 from oriolegate.following.follower import CollectionSink
 from oriolegate.following.follower import Follower
@@ -22,11 +23,13 @@
 from oriolegate.placement.leaf_directory import LeafDirectory
 from oriolegate.placement.route_pace import PaceBook
 from oriolegate.retries.retry_budget import RetryBudget
+from oriolegate.runtime.crash_reporter import CrashReporter
 from oriolegate.runtime.exchange_runner import ExchangeRunner
 from oriolegate.runtime.leaf_checker import LeafChecker
 from oriolegate.runtime.member_keeper import MemberKeeper
 from oriolegate.runtime.peer_feed import PeerFeed
 from oriolegate.runtime.site_sinks import ConfigurationSink
+from oriolegate.runtime.site_sinks import CrashSink
 from oriolegate.runtime.site_sinks import EvacuationSink
 from oriolegate.runtime.site_sinks import LeafSink
 from oriolegate.runtime.site_sinks import MemberSink
@@ -90,6 +93,7 @@
     store_client = StoreClient(reactor, clock, settings.store_address)
     configuration = ConfigurationSink(directory)
 
+    crashes = CrashLedger()
     members = MemberKeeper(reactor, clock, store_client, settings, chance)
     choice = SourceChoice(settings.vm)
 
@@ -117,6 +121,7 @@
         Collection.CONFIGURATION: configuration,
         Collection.EVACUATIONS: EvacuationSink(directory),
         Collection.MEMBERS: MemberSink(settings.vm, members_changed),
+        Collection.CRASHES: CrashSink(crashes),
     }
     caches = {collection: ViewCache(sink) for collection, sink in sinks.items()}
     followers = {
@@ -145,7 +150,11 @@
         configuration,
         checker,
         registry,
+        crashes,
     )
+    checker.on_verdict = CrashReporter(
+        reactor, clock, store_client, settings.vm, crashes
+    ).judge
     return GatewayParts(
         directory=directory,
         runner=runner,
--- a/src/oriolegate/runtime/site_sinks.py
+++ b/src/oriolegate/runtime/site_sinks.py
@@ -3,11 +3,13 @@
 from collections.abc import Callable
 
 from oriolegate import structured_log
+from oriolegate.crashes.crash_ledger import CrashLedger
 from oriolegate.exceptions import MalformedEntryError
 from oriolegate.models.site import Configuration
 from oriolegate.models.site import MemberEntry
 from oriolegate.models.stored import StoredObject
 from oriolegate.placement.leaf_directory import LeafDirectory
+from oriolegate.platform import crash_entry
 from oriolegate.platform import documents
 from oriolegate.platform import member_entry
 from oriolegate.routing.route_table import RouteTable
@@ -153,6 +155,33 @@
         """Do nothing: every entry was taken as it came."""
 
 
+class CrashSink:
+    """Feeds the ledger of requests with which leafs fell."""
+
+    def __init__(self, ledger: CrashLedger) -> None:
+        self.ledger = ledger
+        self.broken = BrokenEntries("crashes")
+
+    def put(self, now_ms: float, item: StoredObject) -> None:
+        """Take a report."""
+        try:
+            report = crash_entry.decode(item.content)
+        except MalformedEntryError as fault:
+            self.broken.note(item, fault)
+            return
+        self.ledger.heard(item.name, report)
+        log.bind(id=report.attempt_id, leaf=report.leaf_id, vm=report.vm).info(
+            "crash reported"
+        )
+
+    def remove(self, now_ms: float, name: str, listed: bool) -> None:
+        """Take that a report no longer holds."""
+        self.ledger.forget(name)
+
+    def settled(self, now_ms: float, revision: int) -> None:
+        """Do nothing: every report was taken as it came."""
+
+
 class MemberSink:
     """Holds which VMs may run."""
 
--- a/tests/platform/stand_in_leaf.py
+++ b/tests/platform/stand_in_leaf.py
@@ -59,6 +59,7 @@
         behave: What it does with a request.
         requests: Requests that it ran, in order.
         lost: Connections that were closed by the other side.
+        connections: Open connections.
         misdirected: Requests that expected another leaf.
         on_headers: Called with the connection before a body is read.
     """
@@ -70,10 +71,16 @@
         )
         self.requests: list[LeafRequest] = []
         self.lost = 0
+        self.connections: set[Any] = set()
         self.misdirected = 0
         self.health_cold_ms = 0
         self.on_headers: Callable[[Any], None] | None = None
 
+    def fall(self) -> None:
+        """Break off all connections, as a process that dies does."""
+        for connection in list(self.connections):
+            connection.transport.abortConnection()
+
     def handle(self, request: LeafRequest) -> None:
         """Answer one request."""
         expected = request.headers.get(b"target-instance")
@@ -99,6 +106,10 @@
         self.parser = httptools.HttpRequestParser(self)
         self.request = LeafRequest(self)
 
+    def connectionMade(self) -> None:  # noqa: N802 (Twisted's name)
+        """Count an open connection."""
+        self.leaf.connections.add(self)
+
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
         """Read requests."""
         self.parser.feed_data(data)
@@ -131,6 +142,7 @@
 
     def connectionLost(self, reason: Any = None) -> None:  # noqa: N802
         """Count connections that ended."""
+        self.leaf.connections.discard(self)
         self.leaf.lost += 1
 
 
--- a/tests/platform/test_gateway.py
+++ b/tests/platform/test_gateway.py
@@ -1,5 +1,6 @@
 """Tests of a whole gateway against stand-ins, over real sockets."""
 
+import functools
 import random
 import unittest
 
@@ -11,8 +12,10 @@
 from twisted.internet import task
 
 from oriolegate.clock import SystemClock
+from oriolegate.crashes import crash_ledger
 from oriolegate.following import follower
 from oriolegate.models.site import Bounds
+from oriolegate.models.site import CrashReport
 from oriolegate.models.site import NodeSettings
 from oriolegate.models.stored import Collection
 from oriolegate.network.http_connection import Answered
@@ -20,8 +23,10 @@
 from oriolegate.network.http_connection import HttpCall
 from oriolegate.network.http_connection import NotSent
 from oriolegate.network.http_pool import HttpPool
+from oriolegate.platform import crash_entry
 from oriolegate.runtime import gateway
 from oriolegate.runtime import gateway_composition
+from tests import site_builders as build
 from tests.platform import stand_in_documents as documents
 from tests.platform.stand_in_leaf import LeafFactory
 from tests.platform.stand_in_leaf import StandInLeaf
@@ -71,9 +76,9 @@
         self.front.send(HttpCall(data, done.callback, lambda response: True))
         return await done
 
-    async def get(self, path, *, method=b"GET", body=b""):
+    async def get(self, path, *, method=b"GET", body=b"", attempt="a1"):
         data = documents.caller_request(
-            method.decode(), path.decode(), "a1", 1_200, body
+            method.decode(), path.decode(), attempt, 1_200, body
         )
         result = await self.ask(data)
         assert isinstance(result, Answered), result
@@ -476,6 +481,70 @@
             for port in other.ports:
                 await defer.maybeDeferred(port.stopListening)
 
+    def add_leaf(self, site, leaf_id, service):
+        leaf = StandInLeaf(leaf_id)
+        port = reactor.listenTCP(0, LeafFactory(leaf), interface=HOST)
+        site.ports.append(port)
+        spec = entry(leaf, port, service)
+        site.store.put("servers", leaf_id, spec | {"zone": "dc-a"})
+        return leaf, port
+
+    @on_site
+    async def test_a_request_that_crashes_leafs_is_refused_in_the_end(
+        self, site
+    ):
+        fallen = []
+
+        def behave(leaf, port, request):
+            if request.path.endswith(b"/bad"):
+                fallen.append(leaf.leaf_id)
+                port.stopListening()
+                leaf.fall()
+            else:
+                request.answer(b"fine")
+
+        own = [leaf_id for leaf_id in site.leafs if leaf_id.startswith("s1")]
+        pairs = [
+            (site.leafs[leaf_id], port)
+            for leaf_id, port in zip(site.leafs, site.ports[1:], strict=True)
+            if leaf_id in own
+        ]
+        pairs.append(self.add_leaf(site, "s1-third", "s1"))
+        pairs.append(self.add_leaf(site, "s1-fourth", "s1"))
+        for leaf, port in pairs:
+            leaf.behave = functools.partial(behave, leaf, port)
+        directory = site.process.parts.directory
+        await site.until(lambda: len(directory.by_service["s1"]) == 4)
+        ledger = site.process.parts.runner.crashes
+        first = await site.get(b"/one/bad", attempt="a1")
+        await site.until(lambda: not ledger.unjudged)
+        second = await site.get(b"/one/bad", attempt="a2")
+        await site.until(lambda: not ledger.unjudged)
+        third = await site.get(b"/one/bad", attempt="a3")
+        self.assertEqual((first.status, second.status), (502, 502))
+        self.assertEqual(third.status, 503)
+        self.assertIsNotNone(third.header(b"retry-after"))
+        self.assertLessEqual(len(fallen), 4)
+        self.assertIn(b"fall", third.body)
+        reports = site.store.objects["oriolegate-crashes"]
+        self.assertGreaterEqual(len(reports), 3)
+
+    @on_site
+    async def test_what_other_vms_report_keeps_a_request_from_leafs(self, site):
+        sent = build.call()
+        sent = attrs.evolve(sent, method=b"GET", target=b"/one/bad")
+        found = crash_ledger.call_fingerprint(sent)
+        for number in range(3):
+            report = CrashReport(found, f"a{number}", f"l{number}", "vm-9", 0)
+            content = crash_entry.encode(report)
+            site.store.put("oriolegate-crashes", f"{number}", content)
+        ledger = site.process.parts.runner.crashes
+        await site.until(lambda: len(ledger.reports.get(found, ())) == 3)
+        self.assertEqual((await site.get(b"/one/bad")).status, 503)
+        self.assertEqual((await site.get(b"/one/good")).status, 200)
+        ran = [r.path for leaf in site.leafs.values() for r in leaf.requests]
+        self.assertEqual(ran, [b"/one/good"])
+
     @on_site
     async def test_a_broken_entry_names_no_leaf(self, site):
         self.assertNotIn("i-broken", site.process.parts.directory.leafs)
--- a/tests/runtime/test_leaf_checker.py
+++ b/tests/runtime/test_leaf_checker.py
@@ -5,7 +5,9 @@
 
 from twisted.internet import task
 
+from oriolegate.exchange.messages import Fate
 from oriolegate.platform.leaf_protocol import HealthReport
+from oriolegate.platform.leaf_protocol import NoAnswer
 from oriolegate.runtime import leaf_checker
 from oriolegate.runtime.leaf_checker import LeafChecker
 from tests import site_builders as build
@@ -71,6 +73,35 @@
         self.run_for(0.1)
         self.assertTrue(self.record.suspect)
 
+    def test_a_crowded_leaf_stays_in_use(self):
+        self.client.reports = [NoAnswer(Fate.MAY_HAVE_RUN, "reset", True)]
+        self.checker.look_at(self.record)
+        self.run_for(1.0)
+        self.assertFalse(self.record.suspect)
+        self.assertEqual(len(self.client.asked_s), 1)
+
+    def test_a_leaf_that_turned_away_and_is_dead_is_suspected(self):
+        verdicts = []
+        self.checker.on_verdict = lambda leaf, alive: verdicts.append(alive)
+        self.client.reports = [NoAnswer(Fate.UNSENT, "refused")]
+        self.checker.look_at(self.record)
+        self.run_for(1.0)
+        self.assertTrue(self.record.suspect)
+        self.assertEqual(verdicts, [False])
+
+    def test_verdicts_tell_only_what_is_known(self):
+        verdicts = []
+        self.checker.on_verdict = lambda leaf, alive: verdicts.append(alive)
+        self.client.reports = [
+            NoAnswer(Fate.MAY_HAVE_RUN, "reset"),
+            HealthReport("a", False, 0.0),
+            HealthReport("b", True, 0.0),
+            HealthReport("a", True, 0.0),
+        ]
+        self.checker.suspect(self.record, "reset")
+        self.run_for(2.0)
+        self.assertEqual(verdicts, [True, False, True])
+
     def test_many_vms_do_not_ask_at_once(self):
         self.set_members(90)
         self.checker.suspect(self.record, "reset")
