Use one pause detector, and our own words for limits and lists

The gateway and the other composition each had a class that compares two clocks; one is left, with its limit as an argument. Fields that bore the wire's names (`has_more`, `idle_timeout_ms`, `header_timeout_ms`) outside the adapter have our own now. No change of behaviour.

--- a/src/oriolegate/following/follower.py
+++ b/src/oriolegate/following/follower.py
@@ -151,7 +151,7 @@
             self.list_revision = page.revision
         for item in page.items:
             self.listed[item.name] = item
-        if page.has_more and page.items:
+        if page.more_follow and page.items:
             return AskPage(0.0, page.items[-1].name, self.list_may_lag)
         if self.list_revision < self.revision:
             # A copy that lags: what is known already is newer.
--- a/src/oriolegate/membership/core.py
+++ b/src/oriolegate/membership/core.py
@@ -79,6 +79,7 @@
         self.table.merge(0.0, own)
         self.exchange = TableExchange(self.table, generator)
         self.pauses = PauseDetector()
+        self.last_wall_ms: int | None = None
         self.neighbours: set[str] = set()
         self.seeking: set[str] = set()
         self.peers: dict[str, PeerView] = {}
@@ -97,6 +98,8 @@
         """Take one event and return what follows from it."""
         self.out = []
         wall_ms = event.wall_ms if isinstance(event, effects.Tick) else None
+        if wall_ms is not None:
+            self.last_wall_ms = wall_ms
         gap_ms = self.pauses.observe(now_ms, wall_ms)
         if gap_ms is not None:
             self._resume(now_ms, gap_ms)
@@ -224,7 +227,7 @@
         if len(self.table.members) == 1:
             self.next_seek_ms = 0.0
         for vm, incarnation in self.listing.ended_by_list(
-            self.table, self.pauses.last_wall_ms
+            self.table, self.last_wall_ms
         ):
             self._end(vm, incarnation)
 
--- a/src/oriolegate/models/site.py
+++ b/src/oriolegate/models/site.py
@@ -85,14 +85,14 @@
     Attributes:
         header_bytes: Most bytes of a request's header.
         body_bytes: Most bytes of a request's body.
-        header_timeout_ms: Longest time from a header's first byte to its last.
-        idle_timeout_ms: Longest time between two requests.
+        header_limit_ms: Longest time from a header's first byte to its last.
+        idle_limit_ms: Longest time between two requests.
     """
 
     header_bytes: int = 16_384
     body_bytes: int = 262_144
-    header_timeout_ms: float = 3_000.0
-    idle_timeout_ms: float = 15_000.0
+    header_limit_ms: float = 3_000.0
+    idle_limit_ms: float = 15_000.0
 
 
 @attrs.frozen
--- a/src/oriolegate/models/stored.py
+++ b/src/oriolegate/models/stored.py
@@ -45,12 +45,12 @@
 
     Attributes:
         items: The objects of this page.
-        has_more: Whether names after the last one exist.
+        more_follow: Whether names after the last one exist.
         revision: The store's revision that the page holds for.
     """
 
     items: tuple[StoredObject, ...]
-    has_more: bool
+    more_follow: bool
     revision: int
 
 
--- a/src/oriolegate/network/caller_front.py
+++ b/src/oriolegate/network/caller_front.py
@@ -138,7 +138,7 @@
         header_timer: Runs while a header is incomplete.
     """
 
-    header_limit_s = CallerLimits().header_timeout_ms / MS_PER_S
+    header_limit_s = CallerLimits().header_limit_ms / MS_PER_S
     has_header = False
     header_timer: Any = None
 
@@ -226,9 +226,9 @@
         channel = CallerChannel()
         channel.factory = self
         channel.requestFactory = self.request_class
-        channel.timeOut = limits.idle_timeout_ms * IDLE_FACTOR / MS_PER_S
+        channel.timeOut = limits.idle_limit_ms * IDLE_FACTOR / MS_PER_S
         channel.totalHeadersSize = limits.header_bytes
-        channel.header_limit_s = limits.header_timeout_ms / MS_PER_S
+        channel.header_limit_s = limits.header_limit_ms / MS_PER_S
         return channel
 
     def log(self, request: Any) -> None:
--- a/src/oriolegate/platform/documents.py
+++ b/src/oriolegate/platform/documents.py
@@ -154,12 +154,10 @@
     return CallerLimits(
         header_bytes=_whole(source, "max_header_bytes", default.header_bytes),
         body_bytes=_whole(source, "max_body_bytes", default.body_bytes),
-        header_timeout_ms=_number(
-            source, "header_timeout_ms", default.header_timeout_ms
-        ),
-        idle_timeout_ms=_number(
-            source, "idle_timeout_ms", default.idle_timeout_ms
+        header_limit_ms=_number(
+            source, "header_timeout_ms", default.header_limit_ms
         ),
+        idle_limit_ms=_number(source, "idle_timeout_ms", default.idle_limit_ms),
     )
 
 
--- a/src/oriolegate/runtime/gateway.py
+++ b/src/oriolegate/runtime/gateway.py
@@ -7,7 +7,7 @@
 from oriolegate import metrics as metrics_module
 from oriolegate import structured_log
 from oriolegate.clock import Clock
-from oriolegate.following.pause_watch import PauseWatch
+from oriolegate.membership.pause_detector import PauseDetector
 from oriolegate.models.site import NodeSettings
 from oriolegate.models.stored import Collection
 from oriolegate.network import view_wire
@@ -20,6 +20,9 @@
 
 MS_PER_S = 1_000.0
 TICK_S = 0.25
+# Views are doubted after a longer gap; shorter ones come from a busy machine
+# or a used-up quota of processor time.
+LEAST_PAUSE_MS = 900.0
 # At the first start of all VMs the member list is read once all have written
 # their entries; they start within 0.3 s of each other.
 FIRST_LISTS_S = 0.5
@@ -66,7 +69,7 @@
         self.was_ready = False
         self.ports: list[Any] = []
         self.accepting = True
-        self.pauses = PauseWatch()
+        self.pauses = PauseDetector(LEAST_PAUSE_MS)
         self.doubted_at_ms = float("-inf")
         parts.runner.on_arrival = self._check_pause
         parts.store.on_step = self._heard
@@ -145,8 +148,8 @@
     def _check_pause(self) -> None:
         """Rely on nothing known before the process stood still."""
         now_ms = self.clock.now_ms()
-        pause_ms = self.pauses.check(now_ms, self.clock.boot_ms())
-        if pause_ms:
+        pause_ms = self.pauses.observe(now_ms, self.clock.boot_ms())
+        if pause_ms is not None:
             log.bind(pause_ms=round(pause_ms)).warning("stood still")
             self.doubted_at_ms = now_ms
             self.parts.directory.doubt(now_ms)
--- a/tests/following/test_follower.py
+++ b/tests/following/test_follower.py
@@ -41,8 +41,8 @@
     return StoredObject(name, revision, content or f"{name}@{revision}")
 
 
-def page(revision, *items, has_more=False):
-    return ListPage(items, has_more, revision)
+def page(revision, *items, more_follow=False):
+    return ListPage(items, more_follow, revision)
 
 
 class FollowerTest(unittest.TestCase):
@@ -62,7 +62,7 @@
         self.assertEqual(self.sink.lists, 1)
 
     def test_pages_count_once_the_last_is_in(self):
-        ask = self.follower.page(0.0, page(10, item("a", 3), has_more=True))
+        ask = self.follower.page(0.0, page(10, item("a", 3), more_follow=True))
         self.assertEqual(ask, AskPage(0.0, "a", True))
         self.assertFalse(self.follower.complete)
         self.assertEqual(self.sink.contents, {})
@@ -99,7 +99,7 @@
         self.listed(item("a", 3), item("b", 4))
         ask = self.follower.history_gone(0.0)
         self.assertEqual(ask, AskPage(0.0, "", may_lag=False))
-        self.follower.page(0.0, page(20, item("a", 3), has_more=True))
+        self.follower.page(0.0, page(20, item("a", 3), more_follow=True))
         self.assertEqual(set(self.sink.contents), {"a", "b"})
         self.follower.page(0.0, page(20, item("c", 15)))
         self.assertEqual(set(self.sink.contents), {"a", "c"})
@@ -155,7 +155,7 @@
         self.assertLess(max(pauses), follower.LONGEST_RETRY_MS * 1.25 + 1)
 
     def test_a_failed_page_begins_the_list_anew(self):
-        self.follower.page(0.0, page(10, item("a", 3), has_more=True))
+        self.follower.page(0.0, page(10, item("a", 3), more_follow=True))
         self.assertEqual(self.follower.failed().after, "")
         self.follower.page(0.0, page(11, item("b", 4)))
         self.assertEqual(set(self.sink.contents), {"b"})
--- /dev/null
+++ b/tests/membership/test_pause_detector.py
@@ -0,0 +1,28 @@
+"""Tests of noticing that the process stood still."""
+
+import unittest
+
+from oriolegate.membership.pause_detector import PauseDetector
+
+LIMIT_MS = 900.0
+
+
+class PauseDetectorTest(unittest.TestCase):
+    def setUp(self):
+        self.detector = PauseDetector(LIMIT_MS)
+        self.assertIsNone(self.detector.observe(1_000.0, 5_000.0))
+
+    def test_usual_gaps_are_no_pause(self):
+        self.assertIsNone(self.detector.observe(1_250.0, 5_250.0))
+
+    def test_a_stopped_process_finds_a_gap(self):
+        self.assertEqual(self.detector.observe(4_000.0, 8_000.0), 3_000.0)
+        self.assertIsNone(self.detector.observe(4_100.0, 8_100.0))
+
+    def test_a_suspended_machine_stops_the_steady_clock(self):
+        self.assertEqual(self.detector.observe(1_010.0, 9_010.0), 4_010.0)
+
+    def test_without_a_second_clock_the_steady_one_decides(self):
+        self.assertEqual(self.detector.observe(2_000.0, None), 1_000.0)
+        # The second clock is compared with its own last reading.
+        self.assertEqual(self.detector.observe(2_100.0, 6_100.0), 1_100.0)
--- a/tests/platform/test_gateway.py
+++ b/tests/platform/test_gateway.py
@@ -440,7 +440,7 @@
     @on_site
     async def test_after_standing_still_the_store_is_asked_first(self, site):
         leaf = site.leafs["s1-dc-a"]
-        site.process.pauses.boot_ms -= 5_000.0
+        site.process.pauses.last_other_ms -= 5_000.0
         calls = len(site.store.calls)
         asked = defer.ensureDeferred(site.get(b"/one/x"))
         self.assertEqual((await asked).status, 200)
--- a/tests/platform/test_store_calls.py
+++ b/tests/platform/test_store_calls.py
@@ -36,7 +36,7 @@
         body = {"items": [OBJECT], "has_more": True, "as_of": 9}
         found = store_calls.decode_page(orjson.dumps(body))
         self.assertEqual(found.items, (StoredObject("a", 3, {"x": 1}),))
-        self.assertTrue(found.has_more)
+        self.assertTrue(found.more_follow)
         self.assertEqual(found.revision, 9)
 
     def test_changes(self):
