Check a suspected leaf at once again; find the store sooner at a start

Most resets are of one connection (`idle_race`, lost answers), and each kept a sound leaf out of all gathers for that time.

First lists are given up after 0.5 s, then 1 s, and asked for again within 0.3 s. Callers that are refused meanwhile heard 200 ms, came back once, and were lost; after 0.3 s without a list they hear a third of their time.

A peer that answers 503 is asked again after 1 s.

--- a/src/oriolegate/following/follower.py
+++ b/src/oriolegate/following/follower.py
@@ -37,6 +37,8 @@
 # cheap during an outage, and well under the 5 s after which bounds hold.
 FIRST_RETRY_MS = 300.0
 LONGEST_RETRY_MS = 1_600.0
+# The longest pause while there is no list yet: nothing is served without one.
+LONGEST_START_RETRY_MS = 300.0
 
 
 @attrs.frozen
@@ -239,7 +241,6 @@
         return self._list_anew(self._pause_ms())
 
     def _pause_ms(self) -> float:
-        longest_ms = min(
-            LONGEST_RETRY_MS, FIRST_RETRY_MS * 2.0 ** (self.failures - 1)
-        )
+        most_ms = LONGEST_RETRY_MS if self.complete else LONGEST_START_RETRY_MS
+        longest_ms = min(most_ms, FIRST_RETRY_MS * 2.0 ** (self.failures - 1))
         return longest_ms * (0.75 + 0.5 * self.chance.random())
--- a/src/oriolegate/following/source_choice.py
+++ b/src/oriolegate/following/source_choice.py
@@ -16,6 +16,9 @@
 # How long a VM that did not answer is left alone: first, and at most.
 FIRST_REST_MS = 4_000.0
 LONGEST_REST_MS = 60_000.0
+# How long a VM that answers but has lost the store is left alone. Until it is
+# followed again, each watch of the store is priced.
+UNCONFIRMED_REST_MS = 1_000.0
 
 
 @attrs.frozen
@@ -79,6 +82,11 @@
             length_ms = min(LONGEST_REST_MS, rest.length_ms * 2.0)
         self.rests[vm] = Rest(now_ms + length_ms, length_ms)
 
+    def unconfirmed(self, now_ms: float, vm: str) -> None:
+        """Ask a VM again soon that answers but has lost the store."""
+        until_ms = now_ms + UNCONFIRMED_REST_MS
+        self.rests[vm] = Rest(until_ms, FIRST_REST_MS / 2.0)
+
     def answered(self, vm: str) -> None:
         """Take that a VM answers."""
         self.rests.pop(vm, None)
--- a/src/oriolegate/runtime/exchange_runner.py
+++ b/src/oriolegate/runtime/exchange_runner.py
@@ -10,6 +10,7 @@
 from oriolegate.crashes import crash_ledger
 from oriolegate.crashes.crash_ledger import CrashLedger
 from oriolegate.crashes.crash_ledger import Lost
+from oriolegate.exchange import replying
 from oriolegate.exchange.exchange import Exchange
 from oriolegate.exchange.messages import AbandonSend
 from oriolegate.exchange.messages import AnswerGathered
@@ -39,8 +40,11 @@
 STATUS_NOT_FOUND = 404
 STATUS_TOO_LARGE = 413
 STATUS_UNAVAILABLE = 503
-# Until a configuration is known: a list takes about 100 ms after a start.
+# A list takes about 100 ms after a start. If there is no configuration after
+# STORE_AWAY_MS, the store is away, and a caller with one more try had better
+# come as late as it may.
 UNKNOWN_SITE_RETRY_MS = 200.0
+STORE_AWAY_MS = 300.0
 # A request that crashes leafs is refused for ten minutes; its caller is told a
 # time after which a person may have looked at it.
 CRASHING_RETRY_MS = 60_000.0
@@ -95,6 +99,7 @@
         self.checker = checker
         self.crashes = crashes
         self.metrics = metrics
+        self.started_ms = clock.now_ms()
         self.leaving = False
         self.on_arrival: Callable[[], None] = lambda: None
         self.running: dict[CallerRequest, Running] = {}
@@ -125,7 +130,7 @@
                 call,
                 STATUS_UNAVAILABLE,
                 "no configuration yet",
-                UNKNOWN_SITE_RETRY_MS,
+                self._unknown_site_retry_ms(now_ms, call),
             )
             return
         route = table.match(call.host, call.path)
@@ -153,6 +158,18 @@
         self.running[request] = running
         self._carry_out(running, exchange.start(now_ms))
 
+    def _unknown_site_retry_ms(self, now_ms: float, call: CallerCall) -> float:
+        """Return when a caller should come back to a VM without a list."""
+        if (
+            now_ms - self.started_ms < STORE_AWAY_MS
+            or call.time_left_ms is None
+        ):
+            return UNKNOWN_SITE_RETRY_MS
+        return min(
+            replying.LONGEST_RETRY_AFTER_MS,
+            call.time_left_ms * replying.RETRY_AFTER_PART,
+        )
+
     def caller_gone(self, request: CallerRequest) -> None:
         """Stop the work for a caller that left."""
         running = self.running.get(request)
@@ -233,7 +250,8 @@
         now_ms = self.clock.now_ms()
         exchange = running.exchange
         if isinstance(outcome, LeafAnswer):
-            if self.crashes.is_active:
+            if exchange.answered_count == 0 and self.crashes.is_active:
+                # The first answer clears the request; later ones add nothing.
                 found = crash_ledger.call_fingerprint(exchange.call)
                 self.crashes.answered(found)
             effects = exchange.answered(now_ms, effect.send, outcome)
--- a/src/oriolegate/runtime/leaf_checker.py
+++ b/src/oriolegate/runtime/leaf_checker.py
@@ -20,9 +20,6 @@
 MS_PER_S = 1_000.0
 # Time limit of a check; a healthy leaf answers within tens of ms.
 CHECK_LIMIT_MS = 700.0
-# All members that suspect a leaf ask it over this time for each of them at
-# first, so that they don't connect at once.
-FIRST_SPREAD_MS = 10.0
 # Pause between checks of one leaf for each member, so that all members
 # together ask it about four times a second; and the longest, since a VM whose
 # suspicion was wrong does without the leaf meanwhile.
@@ -70,8 +67,9 @@
         log.bind(
             leaf=leaf_id, service=record.entry.service, reason=detail
         ).info("leaf suspected")
-        members = len(self.directory.members)
-        self._check_later(record, FIRST_SPREAD_MS * members)
+        # At once: most resets are of a connection and not of the leaf, which
+        # would be missed by every gather until the check.
+        self._check(record)
 
     def _check_later(self, record: LeafRecord, longest_ms: float) -> None:
         pause_ms = longest_ms * (0.5 + 0.5 * self.chance.random())
--- a/src/oriolegate/runtime/peer_feed.py
+++ b/src/oriolegate/runtime/peer_feed.py
@@ -29,6 +29,8 @@
 # How often a VM that follows the store itself looks for a peer.
 LOOK_MS = 250.0
 STATUS_OK = 200
+# The peer lives, but the store does not confirm what it knows.
+STATUS_UNCONFIRMED = 503
 
 
 class PeerFeed:
@@ -158,7 +160,7 @@
         try:
             self._read(outcome)
         except PeerMessageError as fault:
-            self.choice.failed(self.clock.now_ms(), peer.vm)
+            self._leave_alone(peer, outcome)
             log.bind(peer=peer.vm, reason=fault.message).info(
                 "peer tells no news"
             )
@@ -171,6 +173,16 @@
         self.on_step()
         self._later(PAUSE_MS)
 
+    def _leave_alone(self, peer: Peer, outcome: HttpResponse | str) -> None:
+        now_ms = self.clock.now_ms()
+        if (
+            isinstance(outcome, HttpResponse)
+            and outcome.status == STATUS_UNCONFIRMED
+        ):
+            self.choice.unconfirmed(now_ms, peer.vm)
+        else:
+            self.choice.failed(now_ms, peer.vm)
+
     def _news(self, outcome: HttpResponse | str) -> view_wire.News:
         if isinstance(outcome, str):
             raise PeerMessageError(outcome)
--- a/src/oriolegate/runtime/store_runner.py
+++ b/src/oriolegate/runtime/store_runner.py
@@ -25,6 +25,9 @@
 # A call that takes longer is on a dead connection: a slow store answers
 # within 300 ms.
 CALL_LIMIT_MS = 1_200.0
+# While there is no list yet, a call that takes longer than this is given up for
+# a new one, and the next time twice as much: the store may be back by then.
+FIRST_LIST_LIMIT_MS = 500.0
 
 
 class StoreRunner:
@@ -134,7 +137,7 @@
         match ask:
             case AskPage(_, after, may_lag):
                 call = store_calls.list_call(collection, after, may_lag=may_lag)
-                limit_ms = CALL_LIMIT_MS
+                limit_ms = self._list_limit_ms(follower)
             case AskChanges(_, revision, wait_ms):
                 call = store_calls.watch_call(collection, revision, wait_ms)
                 limit_ms = wait_ms + CALL_LIMIT_MS
@@ -151,6 +154,11 @@
 
         self.calls[collection] = self.client.call(call, limit_ms, done)
 
+    def _list_limit_ms(self, follower: Follower) -> float:
+        if follower.complete:
+            return CALL_LIMIT_MS
+        return min(CALL_LIMIT_MS, FIRST_LIST_LIMIT_MS * 2.0**follower.failures)
+
     def _take(
         self, follower: Follower, ask: Ask, outcome: HttpResponse | str
     ) -> Ask:
--- a/tests/following/test_source_choice.py
+++ b/tests/following/test_source_choice.py
@@ -52,6 +52,16 @@
         choice.answered(vm)
         self.assertEqual(choice.choose(0.0).vm, vm)
 
+    def test_a_peer_that_has_lost_the_store_is_asked_again_soon(self):
+        choice = choices(NAMES)[self.last()]
+        first, second = choice.above
+        now_ms = 0.0
+        for _ in range(10):
+            choice.unconfirmed(now_ms, first.vm)
+            self.assertEqual(choice.choose(now_ms), second)
+            now_ms += source_choice.UNCONFIRMED_REST_MS
+            self.assertEqual(choice.choose(now_ms), first)
+
     def last(self):
         found = choices(NAMES)
         return max(found, key=lambda name: len(found[name].above))
--- a/tests/platform/test_gateway.py
+++ b/tests/platform/test_gateway.py
@@ -24,6 +24,7 @@
 from oriolegate.network.http_connection import NotSent
 from oriolegate.network.http_pool import HttpPool
 from oriolegate.platform import crash_entry
+from oriolegate.runtime import exchange_runner
 from oriolegate.runtime import gateway
 from oriolegate.runtime import gateway_composition
 from tests import site_builders as build
@@ -545,6 +546,21 @@
         ran = [r.path for leaf in site.leafs.values() for r in leaf.requests]
         self.assertEqual(ran, [b"/one/good"])
 
+    @on_site
+    async def test_without_the_store_callers_come_back_as_late_as_they_may(
+        self, site
+    ):
+        site.process.parts.configuration.table = None
+        runner = site.process.parts.runner
+        runner.started_ms = runner.clock.now_ms()
+        soon = await site.get(b"/one/x")
+        runner.started_ms -= exchange_runner.STORE_AWAY_MS
+        late = await site.get(b"/one/x")
+        self.assertEqual((soon.status, late.status), (503, 503))
+        self.assertEqual(float(soon.header(b"retry-after")), 0.2)
+        # A third of the 1,200 ms that this caller has left.
+        self.assertEqual(float(late.header(b"retry-after")), 0.4)
+
     @on_site
     async def test_a_broken_entry_names_no_leaf(self, site):
         self.assertNotIn("i-broken", site.process.parts.directory.leafs)
--- a/tests/runtime/test_store_runner.py
+++ b/tests/runtime/test_store_runner.py
@@ -11,6 +11,7 @@
 from oriolegate.following.follower import Follower
 from oriolegate.models.stored import Collection
 from oriolegate.network.http_reader import HttpResponse
+from oriolegate.runtime import store_runner
 from oriolegate.runtime.store_runner import StoreRunner
 from tests.following.test_follower import Sink
 
@@ -21,9 +22,11 @@
     def __init__(self):
         self.open = {}
         self.count = 0
+        self.limits_ms = []
 
     def call(self, call, limit_ms, done):
         self.count += 1
+        self.limits_ms.append(limit_ms)
         key = self.count
         self.open[key] = (call, done)
         return lambda: self.open.pop(key, None)
@@ -70,6 +73,17 @@
         self.assertTrue(all("watch=7" in target for target in targets))
         self.assertTrue(self.runner.is_confirmed)
 
+    def test_first_lists_are_given_up_early_and_asked_for_again_soon(self):
+        first_ms = self.store.limits_ms[0]
+        self.assertEqual(first_ms, store_runner.FIRST_LIST_LIMIT_MS)
+        asked = self.store.count
+        for _ in range(20):
+            self.store.answer_all("no answer in time")
+            self.advance(follower_module.LONGEST_START_RETRY_MS * 1.25 / 1_000)
+        # One collection tries, at least once in each longest pause.
+        self.assertGreaterEqual(self.store.count - asked, 20)
+        self.assertEqual(self.store.limits_ms[-1], store_runner.CALL_LIMIT_MS)
+
     def test_in_an_outage_one_collection_tries_and_the_others_wait(self):
         self.list_all()
         self.store.answer_all("refused")
