Check a leaf that is suspected while it waits for a look

Found by reading the change again: a leaf that turned a connection away is looked at after 250 ms, and one that was suspected meanwhile counted as being checked already. Nobody checked it, so it stayed out of use until its entry was written anew. Also: a part that was given up is not sent again when its leaf fails late. Tests that failed first for both.

--- a/src/oriolegate/exchange/part_sender.py
+++ b/src/oriolegate/exchange/part_sender.py
@@ -105,7 +105,7 @@
         self, now_ms: float, part: Part, effects: list[Effect]
     ) -> None:
         """Send a part whose leaf failed to another one, if it may be."""
-        if part.answer is not None or part.open:
+        if part.answer is not None or part.open or part.stuck:
             return
         allowed = self.route.attempts if self.repeatable else 1
         if part.may_have_run >= allowed:
--- a/src/oriolegate/runtime/leaf_checker.py
+++ b/src/oriolegate/runtime/leaf_checker.py
@@ -92,8 +92,12 @@
 
     def _look(self, record: LeafRecord) -> None:
         leaf_id = record.entry.leaf_id
+        if record.suspect:
+            # Suspected meanwhile: it is checked until it is well.
+            self._check(record)
+            return
         self.running.discard(leaf_id)
-        if self.directory.leafs.get(leaf_id) is not record or record.suspect:
+        if self.directory.leafs.get(leaf_id) is not record:
             return
 
         def looked(report: HealthReport | NoAnswer) -> None:
--- a/tests/exchange/test_exchange.py
+++ b/tests/exchange/test_exchange.py
@@ -303,6 +303,12 @@
         left_ms = found.moments.limit_ms - at_ms
         self.assertGreaterEqual(left_ms, timing.RETURN_PART * 200.0)
 
+    def test_a_part_that_was_given_up_is_not_sent_again(self):
+        found, _ = self.start()
+        found.sender.give_up(10.0, found.parts[3])
+        self.assertEqual(found.failed(20.0, 4, Fate.NOT_RUN, "503"), [])
+        self.assertIsNone(found.reply)
+
     def test_without_time_for_another_try_it_waits_to_the_end(self):
         found, _ = self.start(min_coverage=0.9, timeout_ms=1_000.0)
         for number in (1, 2, 3):
--- a/tests/runtime/test_leaf_checker.py
+++ b/tests/runtime/test_leaf_checker.py
@@ -80,6 +80,13 @@
         self.assertTrue(self.record.suspect)
         self.assertEqual(verdicts, [False])
 
+    def test_a_leaf_suspected_while_it_waits_for_a_look_is_checked(self):
+        self.client.reports = [HealthReport("a", True, 0.0)]
+        self.checker.look_at(self.record)
+        self.checker.suspect(self.record, "reset")
+        self.run_for(1.0)
+        self.assertFalse(self.record.suspect)
+
     def test_verdicts_tell_only_what_is_known(self):
         verdicts = []
         self.checker.on_verdict = lambda leaf, alive: verdicts.append(alive)
