Clear a request of crashes with its first answer on any VM

Found by reading: reports against a request lasted for ten minutes and could add up. A VM that is cut off from its leafs reports requests that other VMs serve well, and a path that many callers ask for meets a falling leaf now and then; three such falls in two attempts would have refused it everywhere, with no later answer to clear it. Now three falls must lie within 30 s, every VM remembers the last 2,000 requests that were answered, and the first answer anywhere takes the reports back in the store.

--- a/src/oriolegate/crashes/crash_ledger.py
+++ b/src/oriolegate/crashes/crash_ledger.py
@@ -2,8 +2,9 @@
 
 A leaf that falls drops all that it runs, so every request there may be the
 cause. One that no leaf has answered, and with which leafs fell in more than
-one attempt, is refused: it would take down every leaf in turn. All VMs share
-the reports, since such a request comes back at any of them.
+one attempt within half a minute, is refused: it would take down every leaf in
+turn. All VMs share the reports, since such a request comes back at any of them;
+the first answer to it anywhere takes them back.
 """
 
 import attrs
@@ -17,6 +18,9 @@
 # They must come from so many attempts: in one, many leafs may fall at once for
 # another reason.
 ATTEMPTS_BORNE = 2
+# And lie so close together: a caller sends such a request again at once, while
+# a frequent one meets leafs that fall for other reasons now and then.
+FALLS_WITHIN_MS = 30_000
 # Requests that are remembered as harmless, as suspects, and as waiting to hear
 # whether their leaf fell: some seconds of one VM's traffic.
 MAX_HARMLESS = 2_000
@@ -54,11 +58,6 @@
         self.harmless: dict[int, None] = {}
         self.unjudged: dict[str, set[Lost]] = {}
 
-    @property
-    def is_active(self) -> bool:
-        """Whether anything is held against any request."""
-        return bool(self.reports or self.unjudged)
-
     def lost(self, leaf_id: str, lost: Lost) -> None:
         """Take that a leaf's connection was lost with a request on it."""
         if lost.fingerprint in self.harmless:
@@ -81,12 +80,21 @@
             and len(self.reports.get(lost.fingerprint, ())) <= FALLS_BORNE
         ]
 
-    def answered(self, found: int) -> None:
-        """Take that a leaf answered a request, so that it does no harm."""
+    def answered(self, call: CallerCall) -> tuple[str, ...]:
+        """Take that a leaf answered a request, so that it does no harm.
+
+        Returns:
+            Names of the reports against it, which no longer hold.
+        """
+        found = call_fingerprint(call)
         self.harmless.pop(found, None)
         self.harmless[found] = None
         if len(self.harmless) > MAX_HARMLESS:
             del self.harmless[next(iter(self.harmless))]
+        names = tuple(self.reports.get(found, ()))
+        for name in names:
+            self.forget(name)
+        return names
 
     def heard(self, name: str, report: CrashReport) -> None:
         """Take a report, own or another VM's.
@@ -123,5 +131,15 @@
         reports = self.reports.get(found)
         if reports is None or found in self.harmless:
             return False
-        attempts = {report.attempt_id for report in reports.values()}
-        return len(reports) >= FALLS_BORNE and len(attempts) >= ATTEMPTS_BORNE
+        falls = sorted(reports.values(), key=lambda report: report.wall_ms)
+        return any(
+            _convicts(falls[first : first + FALLS_BORNE])
+            for first in range(len(falls) - FALLS_BORNE + 1)
+        )
+
+
+def _convicts(falls: list[CrashReport]) -> bool:
+    """Return whether consecutive falls show that the request is the cause."""
+    attempts = {report.attempt_id for report in falls}
+    span_ms = falls[-1].wall_ms - falls[0].wall_ms
+    return len(attempts) >= ATTEMPTS_BORNE and span_ms <= FALLS_WITHIN_MS
--- a/src/oriolegate/runtime/crash_reporter.py
+++ b/src/oriolegate/runtime/crash_reporter.py
@@ -24,8 +24,7 @@
 # All VMs must know within 5 s; a refused write is tried again in that time.
 RETRY_S = 1.0
 MAX_TRIES = 4
-# How long a report holds: a caller that sends such a request again does so
-# within its deadline, of 10 s at most, or when a person tries again.
+# How long a report holds, and with it a refusal: until a person has looked.
 KEPT_S = 600.0
 # Most reports that a VM writes within a window: where many leafs fall for
 # another reason, their requests are no suspects worth a priced call.
@@ -110,6 +109,11 @@
         )
         self.client.call(call, CALL_LIMIT_MS, done)
 
+    def withdraw(self, names: tuple[str, ...]) -> None:
+        """Take reports back: a leaf has answered the request."""
+        for name in names:
+            self._remove(name)
+
     def _remove(self, name: str) -> None:
         def done(outcome: HttpResponse | str) -> None:
             result = outcome if isinstance(outcome, str) else outcome.status
--- a/src/oriolegate/runtime/exchange_runner.py
+++ b/src/oriolegate/runtime/exchange_runner.py
@@ -77,6 +77,7 @@
         leaving: Whether callers should open no new request here.
         limits: What callers may send.
         on_arrival: Called before a request is looked at.
+        on_cleared: Takes names of crash reports that no longer hold.
         running: Open exchanges by request.
     """
 
@@ -102,6 +103,7 @@
         self.started_ms = clock.now_ms()
         self.leaving = False
         self.on_arrival: Callable[[], None] = lambda: None
+        self.on_cleared: Callable[[tuple[str, ...]], None] = lambda names: None
         self.running: dict[CallerRequest, Running] = {}
 
     @property
@@ -250,10 +252,9 @@
         now_ms = self.clock.now_ms()
         exchange = running.exchange
         if isinstance(outcome, LeafAnswer):
-            if exchange.answered_count == 0 and self.crashes.is_active:
-                # The first answer clears the request; later ones add nothing.
-                found = crash_ledger.call_fingerprint(exchange.call)
-                self.crashes.answered(found)
+            if exchange.answered_count == 0:
+                # Later answers tell nothing more of the request.
+                self.on_cleared(self.crashes.answered(exchange.call))
             effects = exchange.answered(now_ms, effect.send, outcome)
         else:
             self._heed(exchange, effect, outcome)
--- a/src/oriolegate/runtime/gateway_composition.py
+++ b/src/oriolegate/runtime/gateway_composition.py
@@ -152,9 +152,9 @@
         registry,
         crashes,
     )
-    checker.on_verdict = CrashReporter(
-        reactor, clock, store_client, settings.vm, crashes
-    ).judge
+    reporter = CrashReporter(reactor, clock, store_client, settings.vm, crashes)
+    checker.on_verdict = reporter.judge
+    runner.on_cleared = reporter.withdraw
     return GatewayParts(
         directory=directory,
         runner=runner,
