Give the log of requests its own module, and a line to late headers

A connection that was ended for its header left no line; it leaves one, and is counted as 408. Decisions are counted by kind, so that denied second sends show without reading logs.

--- a/src/oriolegate/network/caller_front.py
+++ b/src/oriolegate/network/caller_front.py
@@ -42,6 +42,10 @@
         """Serve one whole request."""
         ...
 
+    def header_too_late(self, limit_ms: float) -> None:
+        """Take that a connection was ended whose header took too long."""
+        ...
+
     def caller_gone(self, request: "CallerRequest") -> None:
         """Take that the connection of an open request is gone."""
         ...
@@ -192,6 +196,7 @@
 
     def _header_too_late(self) -> None:
         self.header_timer = None
+        self.factory.handler.header_too_late(self.header_limit_s * MS_PER_S)
         self.transport.write(HEADER_TOO_LATE)
         self.loseConnection()
 
--- a/src/oriolegate/runtime/exchange_runner.py
+++ b/src/oriolegate/runtime/exchange_runner.py
@@ -23,7 +23,6 @@
 from oriolegate.exchange.messages import Reply
 from oriolegate.exchange.messages import SendToLeaf
 from oriolegate.exchange.part_sender import Shared
-from oriolegate.metrics import MetricsRegistry
 from oriolegate.models.site import CallerLimits
 from oriolegate.network.caller_front import CallerRequest
 from oriolegate.network.leaf_client import LeafClient
@@ -32,6 +31,7 @@
 from oriolegate.platform import leaf_protocol
 from oriolegate.platform.leaf_protocol import NoAnswer
 from oriolegate.runtime.leaf_checker import LeafChecker
+from oriolegate.runtime.request_log import RequestLog
 from oriolegate.runtime.site_sinks import ConfigurationSink
 
 log = structured_log.get_logger("requests")
@@ -89,7 +89,7 @@
         shared: Shared,
         configuration: ConfigurationSink,
         checker: LeafChecker,
-        metrics: MetricsRegistry,
+        request_log: RequestLog,
         crashes: CrashLedger,
     ) -> None:
         self.reactor = reactor
@@ -99,7 +99,7 @@
         self.configuration = configuration
         self.checker = checker
         self.crashes = crashes
-        self.metrics = metrics
+        self.request_log = request_log
         self.started_ms = clock.now_ms()
         self.leaving = False
         self.on_arrival: Callable[[], None] = lambda: None
@@ -172,13 +172,17 @@
             call.time_left_ms * replying.RETRY_AFTER_PART,
         )
 
+    def header_too_late(self, limit_ms: float) -> None:
+        """Take that a connection was ended whose header took too long."""
+        self.request_log.header_too_late(limit_ms)
+
     def caller_gone(self, request: CallerRequest) -> None:
         """Stop the work for a caller that left."""
         running = self.running.get(request)
         if running is not None:
             now_ms = self.clock.now_ms()
             self._carry_out(running, running.exchange.caller_gone(now_ms))
-            self._log(running, running.exchange.reply)
+            self._log(running)
 
     def answer_all(self) -> None:
         """Answer every open request with what is there."""
@@ -194,19 +198,9 @@
         reason: str,
         retry_after_ms: float | None = None,
     ) -> None:
-        table = self.configuration.table
-        log.bind(
-            id=call.attempt_id,
-            status=status,
-            reason=reason,
-            host=call.host,
-            path=call.path,
-            version=table.configuration.version if table else None,
-        ).info("request refused")
-        self._count(status)
-        self._reply(
-            request, Refuse(status, reason, retry_after_ms), call.attempt_id
-        )
+        refusal = Refuse(status, reason, retry_after_ms)
+        self.request_log.refused(call, refusal)
+        self._reply(request, refusal, call.attempt_id)
 
     def _reply(
         self, request: CallerRequest, reply: Reply, attempt_id: str
@@ -226,7 +220,7 @@
                 case PassOn() | AnswerGathered() | Refuse():
                     call = running.exchange.call
                     self._reply(running.request, effect, call.attempt_id)
-                    self._log(running, effect)
+                    self._log(running)
         self._set_timer(running)
 
     def _send(self, running: Running, effect: SendToLeaf) -> None:
@@ -319,43 +313,7 @@
         now_ms = self.clock.now_ms()
         self._carry_out(running, running.exchange.alarm(now_ms))
 
-    def _count(self, status: int) -> None:
-        self.metrics.counter(
-            "oriolegate_requests_total", status=str(status)
-        ).add()
-
-    def _log(self, running: Running, reply: Reply | None) -> None:
-        exchange = running.exchange
-        now_ms = self.clock.now_ms()
-        took_ms = now_ms - exchange.moments.arrived_ms
-        fields: dict[str, Any] = {
-            "id": exchange.call.attempt_id,
-            "route": exchange.route.name,
-            "version": exchange.version,
-            "version_age_ms": round(now_ms - self.configuration.in_force_at_ms),
-            "took_ms": round(took_ms, 1),
-            "left_ms": exchange.call.time_left_ms,
-            "sends": exchange.send_count,
-        }
-        match reply:
-            case AnswerGathered(_, signatures, missing):
-                status, text = 200, "gathered"
-                fields |= {"parts": len(signatures), "missing": missing}
-            case PassOn(answer):
-                status, text = answer.status, "passed on"
-            case Refuse(status, reason, retry_after_ms):
-                text = "refused" if status else "caller gone"
-                fields |= {"reason": reason, "retry_after_ms": retry_after_ms}
-            case None:
-                return
-        fields["status"] = status
-        if exchange.decisions:
-            fields["decisions"] = [
-                [d.after_ms, d.kind, d.service, d.leaf, d.detail]
-                for d in exchange.decisions
-            ]
-        log.bind(**fields).info(f"request {text}")
-        self._count(status)
-        self.metrics.latency(
-            "oriolegate_request_ms", route=exchange.route.name
-        ).record(took_ms)
+    def _log(self, running: Running) -> None:
+        reply = running.exchange.reply
+        if reply is not None:
+            self.request_log.ended(self.clock.now_ms(), running.exchange, reply)
--- a/src/oriolegate/runtime/gateway_composition.py
+++ b/src/oriolegate/runtime/gateway_composition.py
@@ -28,6 +28,7 @@
 from oriolegate.runtime.leaf_checker import LeafChecker
 from oriolegate.runtime.member_keeper import MemberKeeper
 from oriolegate.runtime.peer_feed import PeerFeed
+from oriolegate.runtime.request_log import RequestLog
 from oriolegate.runtime.site_sinks import ConfigurationSink
 from oriolegate.runtime.site_sinks import CrashSink
 from oriolegate.runtime.site_sinks import EvacuationSink
@@ -149,7 +150,7 @@
         Shared(directory, budget, PaceBook()),
         configuration,
         checker,
-        registry,
+        RequestLog(configuration, registry),
         crashes,
     )
     reporter = CrashReporter(reactor, clock, store_client, settings.vm, crashes)
--- /dev/null
+++ b/tests/runtime/test_request_log.py
@@ -0,0 +1,71 @@
+"""Tests of the one line that each request leaves."""
+
+import unittest
+
+import orjson
+from twisted import logger as twisted_logger
+
+from oriolegate import metrics as metrics_module
+from oriolegate import structured_log
+from oriolegate.exchange.messages import Fate
+from oriolegate.exchange.messages import Refuse
+from oriolegate.metrics import MetricsRegistry
+from oriolegate.runtime.request_log import RequestLog
+from tests import site_builders as build
+
+
+class Configuration:
+    """No configuration, so far."""
+
+    table = None
+    in_force_at_ms = -100.0
+
+
+class RequestLogTest(unittest.TestCase):
+    def setUp(self):
+        self.events = []
+        publisher = twisted_logger.globalLogPublisher
+        publisher.addObserver(self.events.append)
+        self.addCleanup(publisher.removeObserver, self.events.append)
+        self.metrics = MetricsRegistry()
+        self.log = RequestLog(Configuration(), self.metrics)
+
+    def line(self):
+        (event,) = [e for e in self.events if structured_log.FIELDS in e]
+        fields = event[structured_log.FIELDS]
+        return orjson.loads(orjson.dumps(fields))
+
+    def exported(self):
+        return metrics_module.render_text(self.metrics.snapshot())
+
+    def test_an_early_refusal_names_its_reason_and_return(self):
+        self.log.refused(build.call(), Refuse(503, "no configuration yet", 9.0))
+        line = self.line()
+        self.assertEqual(line["id"], "a1")
+        self.assertEqual(line["reason"], "no configuration yet")
+        self.assertEqual(line["retry_after_ms"], 9.0)
+        self.assertIsNone(line["version"])
+        self.assertIn(
+            'oriolegate_requests_total{status="503"} 1', self.exported()
+        )
+
+    def test_a_request_tells_what_decided_it(self):
+        shared = build.shared([build.leaf("near")])
+        found = build.exchange(build.route(), shared)
+        found.start(0.0)
+        found.failed(5.0, 1, Fate.MAY_HAVE_RUN, "reset")
+        self.log.ended(7.0, found, found.reply)
+        line = self.line()
+        self.assertEqual((line["status"], line["sends"]), (502, 1))
+        self.assertEqual(line["version_age_ms"], 107)
+        kinds = [row[1] for row in line["decisions"]]
+        self.assertEqual(kinds, ["send may have run", "no leaf"])
+        self.assertIn(
+            'oriolegate_decisions_total{kind="send may have run"} 1',
+            self.exported(),
+        )
+
+    def test_a_header_that_is_too_late_is_told(self):
+        self.log.header_too_late(300.0)
+        self.assertEqual(self.line()["limit_ms"], 300)
+        self.assertIn('status="408"', self.exported())
