--- a/src/oriolegate/runtime/exchange_runner.py
+++ b/src/oriolegate/runtime/exchange_runner.py
@@ -268,6 +268,11 @@
         if outcome.fate is Fate.MAY_HAVE_RUN:
             self._suspect_call(exchange, leaf_id)
         if outcome.turned_away:
+            log.bind(
+                leaf=leaf_id,
+                service=effect.leaf.service,
+                id=exchange.call.attempt_id,
+            ).info("leaf turned a connection away")
             record.turn_away(self.clock.now_ms())
             self.checker.look_at(record)
         elif outcome.fate in (Fate.UNSENT, Fate.MAY_HAVE_RUN):
--- a/src/oriolegate/runtime/site_sinks.py
+++ b/src/oriolegate/runtime/site_sinks.py
@@ -177,6 +177,7 @@
     def remove(self, now_ms: float, name: str, listed: bool) -> None:
         """Take that a report no longer holds."""
         self.ledger.forget(name)
+        log.bind(name=name).info("crash report gone")
 
     def settled(self, now_ms: float, revision: int) -> None:
         """Do nothing: every report was taken as it came."""
