--- a/tests/platform/stand_in_documents.py
+++ b/tests/platform/stand_in_documents.py
@@ -14,6 +14,7 @@
     *,
     draining: bool = False,
     cold_ms: int = 0,
+    born_ms: int = 0,
 ) -> dict[str, Any]:
     """Return the content of the store object of a leaf."""
     host, port = address
@@ -26,6 +27,7 @@
         "state": "draining" if draining else "ready",
         "warmup_left_ms": cold_ms,
         "sequence": 1,
+        "born": born_ms,
     }
 
 
--- a/tests/platform/stand_in_store.py
+++ b/tests/platform/stand_in_store.py
@@ -1,8 +1,10 @@
 """A fake of the platform's store with an HTTP server."""
 
+import copy
 from typing import Any
 from urllib import parse
 
+import attrs
 import orjson
 from twisted.internet import protocol
 from twisted.internet import reactor
@@ -11,6 +13,14 @@
 PAGE_ITEMS = 3
 
 
+@attrs.frozen
+class StoreCopy:
+    """A copy of the store's objects at a revision."""
+
+    objects: dict[str, dict[str, Any]]
+    revision: int
+
+
 class StandInStore:
     """Objects by kind, with a common revision and a history of changes.
 
@@ -20,6 +30,8 @@
         revision: Revision of the last change.
         forgotten: Revision up to which the history was dropped.
         refuse: HTTP status of every response, or None to serve normally.
+        era: Number of the store's current lifetime, in all responses; None to
+            leave it out.
         calls: Method and target of all calls, in order.
         waiting: Open watches as (request, kind, revision, unique object).
     """
@@ -30,11 +42,15 @@
         self.revision = 1
         self.forgotten = 0
         self.refuse: int | None = None
+        self.era: int | None = None
         self.calls: list[str] = []
         self.waiting: list[tuple[Any, str, int, Any]] = []
 
     def put(self, kind: str, name: str, spec: Any) -> None:
-        """Create or replace an object."""
+        """Create or replace an object; a put that changes nothing is none."""
+        earlier = self.objects.get(kind, {}).get(name)
+        if earlier is not None and earlier["spec"] == spec:
+            return
         self.revision += 1
         stored = {
             "meta": {"name": name, "revision": self.revision},
@@ -61,6 +77,20 @@
         self.forgotten = self.revision
         self.history.clear()
 
+    def make_copy(self) -> StoreCopy:
+        """Return a copy that the store can be restored from."""
+        return StoreCopy(copy.deepcopy(self.objects), self.revision)
+
+    def restore(self, earlier: StoreCopy) -> None:
+        """Go back to a copy: revisions repeat, and a new era begins."""
+        self.objects = copy.deepcopy(earlier.objects)
+        self.revision = earlier.revision
+        self.forget()
+        self.era = (self.era or 0) + 1
+        for request, *_ in self.waiting:
+            request.send(410, {})
+        self.waiting.clear()
+
     def list(self, kind: str, after: str) -> Any:
         """Return the page of a list that follows the name `after`."""
         names = sorted(n for n in self.objects.get(kind, {}) if n > after)
@@ -84,7 +114,7 @@
         self, request: Any, kind: str, revision: int, wait_ms: int
     ) -> None:
         """Answer a watch at once, at the next change or after `wait_ms`."""
-        if revision < self.forgotten:
+        if not self.forgotten <= revision <= self.revision:
             request.send(410, {})
         elif any(at > revision and k == kind for at, k, _ in self.history):
             self._answer_watch(request, kind, revision)
@@ -160,6 +190,8 @@
             return
         body = orjson.dumps(document)
         self.setResponseCode(status)
+        if self.store.era is not None:
+            self.setHeader(b"store-era", b"%d" % self.store.era)
         self.setHeader(b"content-length", b"%d" % len(body))
         self.write(body)
         self.finish()
--- a/tools/soak/environment.py
+++ b/tools/soak/environment.py
@@ -49,6 +49,7 @@
         draining_since_ms: When the leaf's draining was stored, or None.
         slow_s: Time added to each run.
         fail_fraction: Fraction of requests that the leaf resets after running.
+        born_ms: Unix time in ms of the leaf's start.
     """
 
     leaf: StandInLeaf
@@ -60,6 +61,7 @@
     draining_since_ms: float | None = None
     slow_s: float = 0.0
     fail_fraction: float = 0.0
+    born_ms: int = 0
 
 
 class SoakEnvironment:
@@ -128,6 +130,7 @@
         address = (HOST, port.getHost().port)
         link = Link(self.reactor, HOST, address)
         soak_leaf = SoakLeaf(leaf, service, data_centre, port, link)
+        soak_leaf.born_ms = self.clock.wall_ms()
         leaf.behave = lambda request: self._run_request(soak_leaf, request)
         self.leafs[leaf.leaf_id] = soak_leaf
         if self.version:
@@ -153,6 +156,7 @@
             soak_leaf.data_centre,
             draining=soak_leaf.draining_since_ms is not None,
             cold_ms=max(0, int(cold_ms)),
+            born_ms=soak_leaf.born_ms,
         )
         self.store.put("servers", soak_leaf.leaf.leaf_id, spec)
 
--- a/tools/soak/gateways.py
+++ b/tools/soak/gateways.py
@@ -42,6 +42,7 @@
         vm: VM name.
         host: Loopback address.
         store_link: Proxy between the gateway and the store.
+        source: Folder of the package to run, such as an earlier version.
         process: Child process, or None while the gateway is down.
         disturbed_ms: Time of the last SIGKILL, SIGSTOP or SIGCONT.
         start_count: Number of starts so far.
@@ -56,8 +57,10 @@
         folder: pathlib.Path,
         seeds: list[str],
         internal_port: int,
+        source: pathlib.Path = ROOT / "src",
     ) -> None:
         self.reactor = reactor
+        self.source = source
         self.clock = SystemClock()
         self.vm = f"vm-{number}"
         self.host = host_for(number)
@@ -113,7 +116,7 @@
                 [sys.executable, "-m", "oriolegate", "gateway"],
                 env=os.environ
                 | {
-                    "PYTHONPATH": str(ROOT / "src"),
+                    "PYTHONPATH": str(self.source),
                     "ORIOLEGATE_BOOT": str(self.settings_path),
                 },
                 stdout=log,
--- a/tools/soak/proxy.py
+++ b/tools/soak/proxy.py
@@ -140,6 +140,13 @@
         for connection in list(self.client_connections):
             connection.transport.abortConnection()
 
+    def reopen(self) -> None:
+        """Listen again at the same address after `close`."""
+        host, number = self.address
+        self.port = self.reactor.listenTCP(
+            number, ProxyFactory(self), interface=host
+        )
+
     def close(self) -> None:
         """Stop listening and reset all connections."""
         self.port.stopListening()
