Log why a crash is not reported and why a request is not refused

Each crash is now logged with the reason for no report, a leaf that is alive after all too, a request that is accepted despite reports with their number and attempts, and an answer that withdraws reports with its status; a counter has the events. No decision changes.

--- a/src/oriolegate/crashes/crash_ledger.py
+++ b/src/oriolegate/crashes/crash_ledger.py
@@ -8,6 +8,8 @@
 VM withdraws the reports about it.
 """
 
+import enum
+
 import attrs
 
 from oriolegate.exchange.messages import CallerCall
@@ -46,6 +48,33 @@
     attempt_id: str
 
 
+class Unreported(enum.Enum):
+    """Why a crash is not reported although a request may have caused it."""
+
+    HARMLESS = "a leaf has answered the request"
+    ENOUGH_REPORTS = "the request has enough reports"
+    QUOTA = "this VM has reported too much"
+
+
+@attrs.frozen
+class Suspicion:
+    """What the known reports say about a request.
+
+    Attributes:
+        fingerprint: Fingerprint of the request.
+        reports: Number of reports about it.
+        attempts: Number of attempts during which leafs crashed.
+        is_harmless: Whether a leaf has answered it.
+        must_refuse: Whether it must not be sent to any leaf.
+    """
+
+    fingerprint: int
+    reports: int
+    attempts: int
+    is_harmless: bool
+    must_refuse: bool
+
+
 class CrashLedger:
     """All crash reports known to this VM.
 
@@ -72,19 +101,28 @@
             del self.lost_requests[next(iter(self.lost_requests))]
         self.lost_requests.setdefault(leaf_id, set()).add(lost)
 
-    def record_leaf_alive(self, leaf_id: str) -> None:
-        """Record that a leaf is up: only its connection was lost."""
-        self.lost_requests.pop(leaf_id, None)
+    def record_leaf_alive(self, leaf_id: str) -> frozenset[LostRequest]:
+        """Record that a leaf is up: only its connection was lost.
+
+        Returns:
+            The requests that are not blamed.
+        """
+        return frozenset(self.lost_requests.pop(leaf_id, ()))
 
-    def record_leaf_crash(self, leaf_id: str) -> list[LostRequest]:
-        """Record that a leaf crashed and return the requests to report."""
-        candidates = self.lost_requests.pop(leaf_id, set())
-        return [
-            lost
-            for lost in candidates
-            if lost.fingerprint not in self.harmless
-            and len(self.reports.get(lost.fingerprint, ())) <= CRASHES_TO_REFUSE
-        ]
+    def record_leaf_crash(self, leaf_id: str) -> frozenset[LostRequest]:
+        """Record that a leaf crashed and return the requests that may be why.
+
+        `unreported_reason` says which of them need no report.
+        """
+        return frozenset(self.lost_requests.pop(leaf_id, ()))
+
+    def unreported_reason(self, lost: LostRequest) -> Unreported | None:
+        """Return why a crash needs no report, or None if it needs one."""
+        if lost.fingerprint in self.harmless:
+            return Unreported.HARMLESS
+        if len(self.reports.get(lost.fingerprint, ())) > CRASHES_TO_REFUSE:
+            return Unreported.ENOUGH_REPORTS
+        return None
 
     def record_answer(self, call: CallerCall) -> tuple[str, ...]:
         """Record that a leaf answered a request, which proves it harmless.
@@ -129,18 +167,26 @@
         for name in self.reports.pop(request_fingerprint):
             del self.fingerprints[name]
 
-    def must_refuse(self, call: CallerCall) -> bool:
-        """Return whether a request must not be sent to any leaf."""
+    def suspicion(self, call: CallerCall) -> Suspicion | None:
+        """Return what the reports say about a request, or None without any."""
         if not self.reports:
-            return False
+            return None
         request_fingerprint = call_fingerprint(call)
         reports = self.reports.get(request_fingerprint)
-        if reports is None or request_fingerprint in self.harmless:
-            return False
+        if reports is None:
+            return None
+        is_harmless = request_fingerprint in self.harmless
         crashes = sorted(reports.values(), key=lambda report: report.wall_ms)
-        return any(
-            _proves_cause(crashes[first : first + CRASHES_TO_REFUSE])
-            for first in range(len(crashes) - CRASHES_TO_REFUSE + 1)
+        return Suspicion(
+            request_fingerprint,
+            len(crashes),
+            len({report.attempt_id for report in crashes}),
+            is_harmless,
+            not is_harmless
+            and any(
+                _proves_cause(crashes[first : first + CRASHES_TO_REFUSE])
+                for first in range(len(crashes) - CRASHES_TO_REFUSE + 1)
+            ),
         )
 
 
--- a/src/oriolegate/runtime/crash_reporter.py
+++ b/src/oriolegate/runtime/crash_reporter.py
@@ -7,6 +7,8 @@
 from oriolegate.clock import Clock
 from oriolegate.crashes.crash_ledger import CrashLedger
 from oriolegate.crashes.crash_ledger import LostRequest
+from oriolegate.crashes.crash_ledger import Unreported
+from oriolegate.metrics import MetricsRegistry
 from oriolegate.models.site import CrashReport
 from oriolegate.models.site import LeafEntry
 from oriolegate.models.stored import Collection
@@ -47,22 +49,51 @@
         client: StoreClient,
         vm: str,
         ledger: CrashLedger,
+        metrics: MetricsRegistry,
     ) -> None:
         self.reactor = reactor
         self.clock = clock
         self.client = client
         self.vm = vm
         self.ledger = ledger
+        self.metrics = metrics
         self.written_ms: collections.deque[float] = collections.deque()
 
     def on_liveness_known(self, leaf: LeafEntry, is_alive: bool) -> None:
         """Report the lost requests of a leaf if it has crashed."""
         if is_alive:
-            self.ledger.record_leaf_alive(leaf.leaf_id)
+            for lost in self.ledger.record_leaf_alive(leaf.leaf_id):
+                self._count("leaf alive")
+                self._log(leaf, lost).info(
+                    "leaf lost a connection but is alive; request not blamed"
+                )
             return
         for lost in self.ledger.record_leaf_crash(leaf.leaf_id):
-            if self._consume_report_quota():
+            reason = self.ledger.unreported_reason(lost)
+            if reason is None and not self._consume_report_quota():
+                reason = Unreported.QUOTA
+            if reason is None:
                 self._report(leaf, lost)
+                continue
+            self._count("unreported")
+            self._log(leaf, lost).bind(reason=reason.value).info(
+                "leaf crashed with a request in flight; request not reported"
+            )
+
+    def _log(
+        self, leaf: LeafEntry, lost: LostRequest
+    ) -> structured_log.BoundLog:
+        return log.bind(
+            id=lost.attempt_id,
+            leaf=leaf.leaf_id,
+            service=leaf.service,
+            fingerprint=f"{lost.fingerprint:016x}",
+        )
+
+    def _count(self, event: str) -> None:
+        self.metrics.counter(
+            "oriolegate_crash_reports_total", event=event
+        ).add()
 
     def _consume_report_quota(self) -> bool:
         now_ms = self.clock.now_ms()
@@ -86,12 +117,8 @@
             wall_ms=self.clock.wall_ms(),
         )
         self.ledger.add_report(name, report)
-        log.bind(
-            id=lost.attempt_id,
-            leaf=leaf.leaf_id,
-            service=leaf.service,
-            fingerprint=f"{lost.fingerprint:016x}",
-        ).warning(
+        self._count("reported")
+        self._log(leaf, lost).warning(
             "leaf crashed with a request in flight; reporting the request"
         )
         self._write(name, report, tries=1)
@@ -103,7 +130,9 @@
                 isinstance(outcome, HttpResponse)
                 and outcome.status in WRITTEN_STATUSES
             ):
+                self._count("written")
                 return
+            self._count("write failed")
             reason = outcome if isinstance(outcome, str) else outcome.status
             log.bind(name=name, reason=reason, tries=tries).warning(
                 "writing a crash report failed; retrying while tries remain"
@@ -121,6 +150,7 @@
     def withdraw(self, names: tuple[str, ...]) -> None:
         """Remove reports about a request that a leaf has answered."""
         for name in names:
+            self._count("withdrawn")
             self._remove(name)
 
     def _remove(self, name: str) -> None:
--- a/src/oriolegate/runtime/exchange_runner.py
+++ b/src/oriolegate/runtime/exchange_runner.py
@@ -145,7 +145,8 @@
         if route is None:
             self._refuse(request, call, STATUS_NOT_FOUND, "no route")
             return
-        if self.crashes.must_refuse(call):
+        suspicion = self.crashes.suspicion(call)
+        if suspicion is not None and suspicion.must_refuse:
             self._refuse(
                 request,
                 call,
@@ -154,6 +155,8 @@
                 CRASHING_RETRY_MS,
             )
             return
+        if suspicion is not None:
+            self.request_log.log_suspicious(call, suspicion)
         exchange = Exchange(
             call,
             route,
@@ -260,9 +263,7 @@
         if isinstance(result, LeafAnswer):
             if exchange.answered_count == 0:
                 # The first answer already shows that the request is harmless.
-                self.on_reports_withdrawn(
-                    self.crashes.record_answer(exchange.call)
-                )
+                self._withdraw_reports(exchange, effect, result)
             effects = exchange.on_answer(now_ms, effect.send, result)
         else:
             self._update_leaf_state(exchange, effect, result)
@@ -271,6 +272,20 @@
             )
         self._execute(running, effects)
 
+    def _withdraw_reports(
+        self, exchange: Exchange, effect: SendToLeaf, answer: LeafAnswer
+    ) -> None:
+        """Withdraw the crash reports about a request that a leaf answered."""
+        names = self.crashes.record_answer(exchange.call)
+        if names:
+            log.bind(
+                id=exchange.call.attempt_id,
+                leaf=effect.leaf.leaf_id,
+                status=answer.status,
+                reports=len(names),
+            ).info("leaf answered a request with crash reports; withdrawn")
+        self.on_reports_withdrawn(names)
+
     def _update_leaf_state(
         self, exchange: Exchange, effect: SendToLeaf, result: NoAnswer
     ) -> None:
--- a/src/oriolegate/runtime/gateway_composition.py
+++ b/src/oriolegate/runtime/gateway_composition.py
@@ -156,7 +156,9 @@
         RequestLog(configuration, registry),
         crashes,
     )
-    reporter = CrashReporter(reactor, clock, store_client, settings.vm, crashes)
+    reporter = CrashReporter(
+        reactor, clock, store_client, settings.vm, crashes, registry
+    )
     checker.on_liveness_known = reporter.on_liveness_known
     runner.on_reports_withdrawn = reporter.withdraw
     return GatewayParts(
--- a/src/oriolegate/runtime/request_log.py
+++ b/src/oriolegate/runtime/request_log.py
@@ -3,6 +3,7 @@
 from typing import Any
 
 from oriolegate import structured_log
+from oriolegate.crashes.crash_ledger import Suspicion
 from oriolegate.exchange.exchange import Exchange
 from oriolegate.exchange.messages import AnswerGathered
 from oriolegate.exchange.messages import CallerCall
@@ -40,6 +41,16 @@
         ).info("request refused")
         self._count(refusal.status)
 
+    def log_suspicious(self, call: CallerCall, suspicion: Suspicion) -> None:
+        """Log a request that is sent although leafs crashed during it."""
+        log.bind(
+            id=call.attempt_id,
+            fingerprint=f"{suspicion.fingerprint:016x}",
+            reports=suspicion.reports,
+            attempts=suspicion.attempts,
+            is_harmless=suspicion.is_harmless,
+        ).info("request with crash reports accepted")
+
     def log_ended(
         self, now_ms: float, exchange: Exchange, reply: Reply
     ) -> None:
--- a/src/oriolegate/runtime/site_sinks.py
+++ b/src/oriolegate/runtime/site_sinks.py
@@ -183,7 +183,7 @@
     def remove(self, now_ms: float, name: str, by_list: bool) -> None:
         """Remove a crash report that is no longer valid."""
         self.ledger.remove_report(name)
-        log.bind(name=name).info("crash report removed")
+        log.bind(name=name, by_list=by_list).info("crash report removed")
 
     def commit(self, now_ms: float, revision: int) -> None:
         """Do nothing; `put` and `remove` have applied every report."""
--- a/tests/crashes/test_crash_ledger.py
+++ b/tests/crashes/test_crash_ledger.py
@@ -29,7 +29,15 @@
         )
 
     def must_refuse(self):
-        return self.ledger.must_refuse(self.call)
+        suspicion = self.ledger.suspicion(self.call)
+        return suspicion is not None and suspicion.must_refuse
+
+    def reported(self, leaf_id):
+        return [
+            lost
+            for lost in self.ledger.record_leaf_crash(leaf_id)
+            if self.ledger.unreported_reason(lost) is None
+        ]
 
     def test_a_retry_has_the_same_fingerprint(self):
         retry = build.call(time_left_ms=7.0)
@@ -75,23 +83,23 @@
         self.lose_request("l1")
         self.lose_request("l2")
         self.ledger.record_leaf_alive("l1")
-        self.assertEqual(self.ledger.record_leaf_crash("l1"), [])
+        self.assertEqual(self.reported("l1"), [])
         self.assertEqual(
-            self.ledger.record_leaf_crash("l2"),
+            self.reported("l2"),
             [LostRequest(self.fingerprint, "a1")],
         )
-        self.assertEqual(self.ledger.record_leaf_crash("l2"), [])
+        self.assertEqual(self.reported("l2"), [])
 
     def test_no_more_reports_are_written_than_needed(self):
         for number in range(crash_ledger.CRASHES_TO_REFUSE + 1):
             self.report(f"l{number}", f"a{number}")
         self.lose_request("l9")
-        self.assertEqual(self.ledger.record_leaf_crash("l9"), [])
+        self.assertEqual(self.reported("l9"), [])
 
     def test_answered_requests_are_not_reported(self):
         self.ledger.record_answer(self.call)
         self.lose_request("l1")
-        self.assertEqual(self.ledger.record_leaf_crash("l1"), [])
+        self.assertEqual(self.reported("l1"), [])
 
     def test_a_removed_report_no_longer_counts(self):
         for number in range(3):
--- a/tests/runtime/test_crash_reporter.py
+++ b/tests/runtime/test_crash_reporter.py
@@ -8,6 +8,7 @@
 from oriolegate.crashes import crash_ledger
 from oriolegate.crashes.crash_ledger import CrashLedger
 from oriolegate.crashes.crash_ledger import LostRequest
+from oriolegate.metrics import MetricsRegistry
 from oriolegate.network.http_reader import HttpResponse
 from oriolegate.runtime import crash_reporter
 from oriolegate.runtime.crash_reporter import CrashReporter
@@ -33,7 +34,12 @@
         self.store = FakeStore()
         self.ledger = CrashLedger()
         self.reporter = CrashReporter(
-            self.reactor, self.clock, self.store, "vm-1", self.ledger
+            self.reactor,
+            self.clock,
+            self.store,
+            "vm-1",
+            self.ledger,
+            MetricsRegistry(),
         )
         self.call = build.call()
         self.fingerprint = crash_ledger.call_fingerprint(self.call)
