--- a/tests/crashes/test_crash_ledger.py
+++ b/tests/crashes/test_crash_ledger.py
@@ -79,6 +79,32 @@
         self.report("l9", "a9", wall_ms=gap_ms * 5 + 1)
         self.assertTrue(self.must_refuse())
 
+    def test_crashes_in_a_second_attempt_count_after_many_in_the_first(self):
+        for number in range(10):
+            self.lose_request(f"l{number}", "a1")
+            if self.reported(f"l{number}"):
+                self.report(f"l{number}", "a1")
+        self.lose_request("m1", "a2")
+        self.assertEqual(
+            self.reported("m1"), [LostRequest(self.fingerprint, "a2")]
+        )
+        self.report("m1", "a2")
+        self.assertTrue(self.must_refuse())
+
+    def test_crashes_count_however_seldom_the_request_comes(self):
+        for number in range(3):
+            wall_ms = 120_000 * number
+            self.report(f"l{number}", f"a{number}", wall_ms=wall_ms)
+        self.assertTrue(self.must_refuse())
+
+    def test_a_request_that_a_leaf_once_answered_can_still_be_refused(self):
+        self.ledger.record_answer(self.call)
+        for number in range(4):
+            self.lose_request(f"l{number}", f"a{number}")
+            if self.reported(f"l{number}"):
+                self.report(f"l{number}", f"a{number}")
+        self.assertTrue(self.must_refuse())
+
     def test_only_requests_of_crashed_leafs_are_reported(self):
         self.lose_request("l1")
         self.lose_request("l2")
--- a/tests/following/test_follower.py
+++ b/tests/following/test_follower.py
@@ -185,6 +185,9 @@
         allowed_ms = self.recovery_ms + self.drain_ms
         self.assertLess(dropped_ms + SEND_DELAY_MS, allowed_ms)
 
+    def test_crash_reports_are_known_in_time(self):
+        self.assertLess(self.detected_ms(Collection.CRASHES), self.recovery_ms)
+
     def test_configurations_are_applied_in_time(self):
         allowed_ms = self.recovery_ms + self.config_apply_ms
         for collection in (Collection.CONFIGURATION, Collection.EVACUATIONS):
--- a/tests/platform/test_gateway.py
+++ b/tests/platform/test_gateway.py
@@ -570,6 +570,23 @@
         ]
         self.assertEqual(run_paths, [b"/one/good"])
 
+    @on_site
+    async def test_an_error_answer_does_not_withdraw_crash_reports(self, site):
+        call = attrs.evolve(build.call(), target=b"/one/bad")
+        fingerprint = crash_ledger.call_fingerprint(call)
+        for number in range(2):
+            report = CrashReport(fingerprint, f"a{number}", "l", "vm-9", 0)
+            content = crash_entry.encode(report)
+            site.store.put("oriolegate-crashes", f"{number}", content)
+        ledger = site.process.parts.runner.crashes
+        await site.wait_until(
+            lambda: len(ledger.reports.get(fingerprint, ())) == 2
+        )
+        for leaf in site.leafs.values():
+            leaf.behave = lambda request: request.answer(b"", 500)
+        self.assertEqual((await site.get(b"/one/bad")).status, 500)
+        self.assertEqual(len(ledger.reports.get(fingerprint, ())), 2)
+
     @on_site
     async def test_a_store_outage_after_a_start_raises_retry_after(self, site):
         site.process.parts.configuration.table = None
--- a/tests/runtime/test_crash_reporter.py
+++ b/tests/runtime/test_crash_reporter.py
@@ -73,6 +73,27 @@
             self.store.calls, ["POST"] * crash_reporter.MAX_ATTEMPTS
         )
 
+    def test_a_report_is_written_after_a_long_outage_of_the_store(self):
+        self.store.status = 503
+        self.lose_request("l1")
+        self.reporter.on_liveness_known(build.leaf("l1"), is_alive=False)
+        for _ in range(60):
+            self.reactor.advance(1.0)
+        self.store.status = 201
+        self.store.calls.clear()
+        for _ in range(40):
+            self.reactor.advance(0.1)
+        self.assertEqual(self.store.calls, ["POST"])
+
+    def test_a_crash_counts_here_although_no_more_reports_are_written(self):
+        for number in range(100):
+            self.lose_request("l1", fingerprint=number)
+        self.reporter.on_liveness_known(build.leaf("l1"), is_alive=False)
+        for leaf_id in ("l2", "l3", "l4"):
+            self.lose_request(leaf_id, attempt_id=leaf_id)
+            self.reporter.on_liveness_known(build.leaf(leaf_id), is_alive=False)
+        self.assertTrue(self.ledger.suspicion(self.call).must_refuse)
+
     def test_a_report_already_written_by_another_vm_is_not_retried(self):
         self.store.status = 409
         self.lose_request("l1")
--- a/tools/soak/crash_play.py
+++ b/tools/soak/crash_play.py
@@ -42,15 +42,13 @@
 CALLER_COUNT = 6
 MORE_LEAFS = 2
 START_S = 2.0
-CRASH_AFTER_S = 0.015
 DOWN_S = 2.0
 ENTRY_REMOVED_S = 3.6
-SAME_ID_DOWN_S = 0.3
+SAME_ID_DOWN_S = 0.05
 # Age of the copy that the store comes back from, and how long it is away.
 COPY_AGE_S = 5.0
 AWAY_S = 0.8
 REWRITE_S = 1.0
-TIMEOUT_MS = 1_700
 STATUS_REFUSED = 503
 
 
@@ -67,6 +65,8 @@
         gap_s: Time between two of its attempts.
         error_fraction: How often a leaf answers it with 500 and lives on.
         keeps_id: Whether a crashed leaf comes back at once under its id.
+        patience_ms: How long its caller waits.
+        crash_after_s: How long a leaf runs it before the crash.
         attempt_vms: Gateway that each attempt was sent to.
         events: What happened, with the time since the first crash.
     """
@@ -79,6 +79,8 @@
     gap_s: float = 0.4
     error_fraction: float = 0.0
     keeps_id: bool = False
+    patience_ms: float = 1_700.0
+    crash_after_s: float = 0.015
     attempt_vms: dict[str, str] = attrs.field(factory=dict)
     events: list[str] = attrs.field(factory=list)
 
@@ -124,7 +126,9 @@
         if self.rng.random() < self.error_fraction:
             request.answer(b"", 500)
             return
-        reactor.callLater(CRASH_AFTER_S, self._crash, soak_leaf, attempt, vm)
+        reactor.callLater(
+            self.crash_after_s, self._crash, soak_leaf, attempt, vm
+        )
 
     def _crash(self, soak_leaf: SoakLeaf, attempt: str, vm: str) -> None:
         leafs = self.environment.leafs
@@ -190,7 +194,7 @@
         done: defer.Deferred[Any] = defer.Deferred()
         call = HttpCall(data, done.callback, accepts=lambda response: True)
         pool.send(call)
-        timer = reactor.callLater(TIMEOUT_MS / 1_000, done.callback, None)
+        timer = reactor.callLater(self.patience_ms / 1_000, done.callback, None)
         result = await done
         if timer.active():
             timer.cancel()
@@ -303,6 +307,17 @@
     play.keeps_id = True
 
 
+async def impatient(play: CrashPlay) -> None:
+    """Let the caller leave before the leaf crashes."""
+    play.patience_ms = 60.0
+    play.crash_after_s = 0.1
+
+
+async def slow_crash(play: CrashPlay) -> None:
+    """Let leafs crash after the request was sent to a second one."""
+    play.crash_after_s = 0.4
+
+
 async def seldom(play: CrashPlay) -> None:
     """Send the request only now and then."""
     play.gap_s = 16.0
@@ -319,6 +334,8 @@
     "errors": (errors, 25.0),
     "many-shards": (many_shards, 20.0),
     "same-id": (same_id, 20.0),
+    "impatient": (impatient, 20.0),
+    "slow-crash": (slow_crash, 20.0),
     "seldom": (seldom, 110.0),
 }
 
@@ -328,6 +345,7 @@
 ) -> CrashPlay:
     """Run one play; return it with its judge."""
     disturb, seconds = PLAYS[name]
+    seconds = arguments.seconds or seconds
     environment = SoakEnvironment(reactor, random.Random(seed))
     first = arguments.first_vm
     numbers = range(first, first + GATEWAY_COUNT)
@@ -420,6 +438,7 @@
     parser.add_argument("--plays", help="such as calm,errors; default: all")
     parser.add_argument("--seeds", type=int, default=1, help="seeds, each play")
     parser.add_argument("--first-vm", type=int, default=60)
+    parser.add_argument("--seconds", type=float, help="length of each play")
     parser.add_argument("--gap", type=float, help="seconds between attempts")
     parser.add_argument(
         "--once", action="store_true", help="send it on a route run once"
