Count crash reports by attempt before leaving further ones out

Callers saw nothing; leafs crashed one after the other: a request over four shards crashes more than four leafs in its first attempt, the four reports written about it are all of that attempt, which refuses nothing, and as four were known no VM reported those of any later attempt.

A report is now left out only if the known ones already refuse the request, or three are of the same attempt. So a second attempt always adds the one report that decides.

--- a/src/oriolegate/crashes/crash_ledger.py
+++ b/src/oriolegate/crashes/crash_ledger.py
@@ -8,6 +8,7 @@
 VM withdraws the reports about it.
 """
 
+from collections.abc import Collection
 import enum
 
 import attrs
@@ -120,7 +121,9 @@
         """Return why a crash needs no report, or None if it needs one."""
         if lost.fingerprint in self.harmless:
             return Unreported.HARMLESS
-        if len(self.reports.get(lost.fingerprint, ())) > CRASHES_TO_REFUSE:
+        reports = self.reports.get(lost.fingerprint, {}).values()
+        of_attempt = [r for r in reports if r.attempt_id == lost.attempt_id]
+        if len(of_attempt) >= CRASHES_TO_REFUSE or _prove_cause(reports):
             return Unreported.ENOUGH_REPORTS
         return None
 
@@ -176,20 +179,24 @@
         if reports is None:
             return None
         is_harmless = request_fingerprint in self.harmless
-        crashes = sorted(reports.values(), key=lambda report: report.wall_ms)
         return Suspicion(
             request_fingerprint,
-            len(crashes),
-            len({report.attempt_id for report in crashes}),
+            len(reports),
+            len({report.attempt_id for report in reports.values()}),
             is_harmless,
-            not is_harmless
-            and any(
-                _proves_cause(crashes[first : first + CRASHES_TO_REFUSE])
-                for first in range(len(crashes) - CRASHES_TO_REFUSE + 1)
-            ),
+            not is_harmless and _prove_cause(reports.values()),
         )
 
 
+def _prove_cause(reports: Collection[CrashReport]) -> bool:
+    """Return whether the reports show that the request is the cause."""
+    crashes = sorted(reports, key=lambda report: report.wall_ms)
+    return any(
+        _proves_cause(crashes[first : first + CRASHES_TO_REFUSE])
+        for first in range(len(crashes) - CRASHES_TO_REFUSE + 1)
+    )
+
+
 def _proves_cause(crashes: list[CrashReport]) -> bool:
     """Return whether consecutive crashes show that the request is the cause."""
     attempts = {report.attempt_id for report in crashes}
