Clear a request of crashes only by a success, and only until the next one

Leafs crashed on under a request that had crashed three: any response of a leaf, such as the 500 of one that fails part of its requests, marked it as harmless for good on that VM, and withdrew the reports on all.

Only a signed 2xx clears a request now, and a crash that the VM sees during it ends that. Such an answer can't come from a leaf that crashes under the request, which is why this works. Reports of other VMs still don't stop a request that has succeeded here, so that one more success heals a wrong refusal everywhere.

--- a/src/oriolegate/crashes/crash_ledger.py
+++ b/src/oriolegate/crashes/crash_ledger.py
@@ -1,11 +1,11 @@
 """Crash reports about requests whose leafs crashed while running them.
 
 A leaf that crashes drops all requests that it runs, so each of them may be the
-cause. A request that no leaf has answered, and during which leafs crashed in
-more than one attempt, is refused: sending such a request again would crash one
-leaf after another. All VMs share the reports, since the
-caller may retry the request at any VM. The first answer to the request at any
-VM withdraws the reports about it.
+cause. A request during which leafs crashed in more than one attempt, with no
+success in between, is refused: sending it again would crash leaf after leaf. All
+VMs share the reports, since the caller may retry the request at any VM. A
+success at any VM withdraws the reports about the request; an error does not,
+since a leaf may fail a request without running it.
 """
 
 from collections.abc import Collection
@@ -48,7 +48,7 @@
 class Unreported(enum.Enum):
     """Why a crash is not reported although a request may have caused it."""
 
-    HARMLESS = "a leaf has answered the request"
+    HARMLESS = "the request has just succeeded"
     ENOUGH_REPORTS = "the request has enough reports"
     QUOTA = "this VM has reported too much"
 
@@ -61,7 +61,7 @@
         fingerprint: Fingerprint of the request.
         reports: Number of reports about it.
         attempts: Number of attempts during which leafs crashed.
-        is_harmless: Whether a leaf has answered it.
+        is_harmless: Whether it succeeded here and no leaf crashed since.
         must_refuse: Whether it must not be sent to any leaf.
     """
 
@@ -78,8 +78,9 @@
     Attributes:
         reports: Reports by fingerprint of the request and name of the report.
         fingerprints: Fingerprint by name of the report.
-        harmless: Fingerprints of requests that a leaf has answered, oldest
-            first.
+        harmless: Fingerprints of requests that succeeded here and during which
+            this VM has seen no crash since, oldest first. Other VMs' reports
+            don't stop them: one more success withdraws the reports.
         lost_requests: Requests whose connection was lost, by leaf id, until it
             is known whether the leaf crashed.
     """
@@ -92,8 +93,6 @@
 
     def record_lost_request(self, leaf_id: str, lost: LostRequest) -> None:
         """Record a request during which the connection to a leaf was lost."""
-        if lost.fingerprint in self.harmless:
-            return
         if len(self.lost_requests) >= MAX_LOST:
             del self.lost_requests[next(iter(self.lost_requests))]
         self.lost_requests.setdefault(leaf_id, set()).add(lost)
@@ -109,13 +108,17 @@
     def record_leaf_crash(self, leaf_id: str) -> frozenset[LostRequest]:
         """Record that a leaf crashed and return the requests that may be why.
 
-        `unreported_reason` says which of them need no report.
+        `judge_report` says which of them need no report.
         """
         return frozenset(self.lost_requests.pop(leaf_id, ()))
 
-    def unreported_reason(self, lost: LostRequest) -> Unreported | None:
-        """Return why a crash needs no report, or None if it needs one."""
+    def judge_report(self, lost: LostRequest) -> Unreported | None:
+        """Return why a crash needs no report, or None if it needs one.
+
+        The next crash during a harmless request is reported.
+        """
         if lost.fingerprint in self.harmless:
+            del self.harmless[lost.fingerprint]
             return Unreported.HARMLESS
         reports = self.reports.get(lost.fingerprint, {}).values()
         of_attempt = [r for r in reports if r.attempt_id == lost.attempt_id]
@@ -123,8 +126,8 @@
             return Unreported.ENOUGH_REPORTS
         return None
 
-    def record_answer(self, call: CallerCall) -> tuple[str, ...]:
-        """Record that a leaf answered a request, which proves it harmless.
+    def record_success(self, call: CallerCall) -> tuple[str, ...]:
+        """Record that a leaf ran a request successfully.
 
         Returns:
             Names of the reports about it, which are withdrawn.
--- a/src/oriolegate/runtime/crash_reporter.py
+++ b/src/oriolegate/runtime/crash_reporter.py
@@ -69,7 +69,7 @@
                 )
             return
         for lost in self.ledger.record_leaf_crash(leaf.leaf_id):
-            reason = self.ledger.unreported_reason(lost)
+            reason = self.ledger.judge_report(lost)
             if reason is None and not self._consume_report_quota():
                 reason = Unreported.QUOTA
             if reason is None:
@@ -148,7 +148,7 @@
         self.client.call(call, CALL_TIMEOUT_MS, done)
 
     def withdraw(self, names: tuple[str, ...]) -> None:
-        """Remove reports about a request that a leaf has answered."""
+        """Remove reports about a request that has succeeded."""
         for name in names:
             self._count("withdrawn")
             self._remove(name)
--- a/src/oriolegate/runtime/exchange_runner.py
+++ b/src/oriolegate/runtime/exchange_runner.py
@@ -81,7 +81,7 @@
         limits: Limits on callers' requests.
         on_arrival: Called before each request is handled.
         on_reports_withdrawn: Called with the names of crash reports about a
-            request that a leaf has answered.
+            request that has succeeded.
         running: Open exchanges by request.
     """
 
@@ -261,9 +261,9 @@
         now_ms = self.clock.now_ms()
         exchange = running.exchange
         if isinstance(result, LeafAnswer):
-            if exchange.answered_count == 0:
-                # The first answer already shows that the request is harmless.
-                self._withdraw_reports(exchange, effect, result)
+            if result.is_success and exchange.answered_count == 0:
+                # The first success already shows that the request is harmless.
+                self._withdraw_reports(exchange, effect)
             effects = exchange.on_answer(now_ms, effect.send, result)
         else:
             self._update_leaf_state(exchange, effect, result)
@@ -272,18 +272,15 @@
             )
         self._execute(running, effects)
 
-    def _withdraw_reports(
-        self, exchange: Exchange, effect: SendToLeaf, answer: LeafAnswer
-    ) -> None:
-        """Withdraw the crash reports about a request that a leaf answered."""
-        names = self.crashes.record_answer(exchange.call)
+    def _withdraw_reports(self, exchange: Exchange, effect: SendToLeaf) -> None:
+        """Withdraw the crash reports about a request that has succeeded."""
+        names = self.crashes.record_success(exchange.call)
         if names:
             log.bind(
                 id=exchange.call.attempt_id,
                 leaf=effect.leaf.leaf_id,
-                status=answer.status,
                 reports=len(names),
-            ).info("leaf answered a request with crash reports; withdrawn")
+            ).info("request with crash reports succeeded; reports withdrawn")
         self.on_reports_withdrawn(names)
 
     def _update_leaf_state(
--- a/tests/crashes/test_crash_ledger.py
+++ b/tests/crashes/test_crash_ledger.py
@@ -36,7 +36,7 @@
         return [
             lost
             for lost in self.ledger.record_leaf_crash(leaf_id)
-            if self.ledger.unreported_reason(lost) is None
+            if self.ledger.judge_report(lost) is None
         ]
 
     def test_a_retry_has_the_same_fingerprint(self):
@@ -64,7 +64,7 @@
     def test_a_request_that_a_leaf_has_answered_is_never_refused(self):
         for number in range(5):
             self.report(f"l{number}", f"a{number}")
-        withdrawn = self.ledger.record_answer(self.call)
+        withdrawn = self.ledger.record_success(self.call)
         self.assertEqual(len(withdrawn), 5)
         self.assertFalse(self.must_refuse())
         for number in range(5):
@@ -75,7 +75,7 @@
         for number in range(6):
             self.report(f"l{number}", f"a{number}", wall_ms=100 * number)
             if number % 2:
-                self.ledger.record_answer(self.call)
+                self.ledger.record_success(self.call)
             self.assertFalse(self.must_refuse())
 
     def test_crashes_in_a_second_attempt_count_after_many_in_the_first(self):
@@ -97,7 +97,7 @@
         self.assertTrue(self.must_refuse())
 
     def test_a_request_that_a_leaf_once_answered_can_still_be_refused(self):
-        self.ledger.record_answer(self.call)
+        self.ledger.record_success(self.call)
         for number in range(4):
             self.lose_request(f"l{number}", f"a{number}")
             if self.reported(f"l{number}"):
@@ -122,7 +122,7 @@
         self.assertEqual(self.reported("l9"), [])
 
     def test_answered_requests_are_not_reported(self):
-        self.ledger.record_answer(self.call)
+        self.ledger.record_success(self.call)
         self.lose_request("l1")
         self.assertEqual(self.reported("l1"), [])
 
@@ -144,7 +144,7 @@
                 f"l{number}", LostRequest(number, "a1")
             )
         for number in range(crash_ledger.MAX_HARMLESS + 10):
-            self.ledger.record_answer(
+            self.ledger.record_success(
                 attrs.evolve(self.call, body=b"%d" % number)
             )
         for number in range(crash_ledger.MAX_LOST + 10):
--- a/tests/runtime/test_crash_reporter.py
+++ b/tests/runtime/test_crash_reporter.py
@@ -111,7 +111,7 @@
     def test_reports_of_an_answered_request_are_removed_from_the_store(self):
         self.lose_request("l1")
         self.reporter.on_liveness_known(build.leaf("l1"), is_alive=False)
-        self.reporter.withdraw(self.ledger.record_answer(self.call))
+        self.reporter.withdraw(self.ledger.record_success(self.call))
         self.assertEqual(self.store.calls, ["POST", "DELETE"])
 
     def test_reports_are_limited_when_many_leafs_crash_at_once(self):
