Keep a crash report until the store has it, however long that takes

A VM gave a report up after four tries, 3 s when the store refuses at once, so that an outage left each VM with its own crashes alone and every one of them had to let leafs crash anew; beyond 20 reports in 10 s it did not even count a crash itself; and a flood of suspects dropped the oldest request's reports, a refused one's too. A failed removal was never made again.

Cause: a report was sent as a message, though it is state that the store has to hold. crashes/report_queue.py keeps each operation until the store confirms it, the most suspect request's first, one at a time with a backoff of 2 s at most while the store fails, so that an outage costs a call a backoff (before: four a report). The limit on writes delays them and no longer drops them; every crash counts at once on the VM that saw it; suspects with the fewest reports go first.

--- a/src/oriolegate/crashes/crash_ledger.py
+++ b/src/oriolegate/crashes/crash_ledger.py
@@ -2,8 +2,8 @@
 
 A leaf that crashes drops all requests that it runs, so each of them may be the
 cause. A request during which leafs crashed in more than one attempt, with no
-success in between, is refused: sending it again would crash leaf after leaf. All
-VMs share the reports, since the caller may retry the request at any VM. A
+success in between, is refused: sending it again would crash leaf after leaf.
+All VMs share the reports, since the caller may retry the request at any VM. A
 success at any VM withdraws the reports about the request; an error does not,
 since a leaf may fail a request without running it.
 """
@@ -50,7 +50,6 @@
 
     HARMLESS = "the request has just succeeded"
     ENOUGH_REPORTS = "the request has enough reports"
-    QUOTA = "this VM has reported too much"
 
 
 @attrs.frozen
@@ -151,7 +150,7 @@
         """
         if report.fingerprint not in self.reports:
             if len(self.reports) >= MAX_SUSPECTS:
-                self._drop_reports(next(iter(self.reports)))
+                self._drop_reports(self._least_suspect())
             self.reports[report.fingerprint] = {}
         self.reports[report.fingerprint][name] = report
         self.fingerprints[name] = report.fingerprint
@@ -165,6 +164,14 @@
         if not self.reports[request_fingerprint]:
             del self.reports[request_fingerprint]
 
+    def _least_suspect(self) -> int:
+        """Return the oldest request among those with the fewest reports."""
+        return min(self.reports, key=lambda known: len(self.reports[known]))
+
+    def count_reports(self, request_fingerprint: int) -> int:
+        """Return the number of reports about a request."""
+        return len(self.reports.get(request_fingerprint, ()))
+
     def _drop_reports(self, request_fingerprint: int) -> None:
         for name in self.reports.pop(request_fingerprint):
             del self.fingerprints[name]
--- a/src/oriolegate/runtime/crash_reporter.py
+++ b/src/oriolegate/runtime/crash_reporter.py
@@ -1,13 +1,16 @@
 """Reports requests that may have crashed leafs to the other VMs."""
 
-import collections
+import random
 from typing import Any
 
 from oriolegate import structured_log
 from oriolegate.clock import Clock
 from oriolegate.crashes.crash_ledger import CrashLedger
 from oriolegate.crashes.crash_ledger import LostRequest
-from oriolegate.crashes.crash_ledger import Unreported
+from oriolegate.crashes.report_queue import Operation
+from oriolegate.crashes.report_queue import RemoveReport
+from oriolegate.crashes.report_queue import ReportQueue
+from oriolegate.crashes.report_queue import WriteReport
 from oriolegate.metrics import MetricsRegistry
 from oriolegate.models.site import CrashReport
 from oriolegate.models.site import LeafEntry
@@ -16,30 +19,27 @@
 from oriolegate.network.store_client import StoreClient
 from oriolegate.platform import crash_entry
 from oriolegate.platform import store_calls
+from oriolegate.platform.store_calls import StoreCall
 
 log = structured_log.get_logger("crashes")
 
 MS_PER_S = 1_000.0
 CALL_TIMEOUT_MS = 1_500.0
-# Statuses after which the report exists: written by this VM, or earlier by
+# Statuses after which a report exists: written by this VM, or earlier by
 # another VM (409) that noticed the same crash.
 WRITTEN_STATUSES = (200, 201, 409)
-# All VMs must know of a crash within 5 s; failed writes are retried until then.
-RETRY_INTERVAL_S = 1.0
-MAX_ATTEMPTS = 4
+# Statuses after which a report does not exist.
+REMOVED_STATUSES = (200, 204, 404)
 # Lifetime of a report, and so of a refusal: time for an operator to react.
 REPORT_TTL_S = 600.0
-# Limit on the reports that a VM writes within a window. Each write is a billed
-# call, and when many leafs crash at once, requests are rarely the cause.
-MAX_REPORTS = 20
-REPORT_WINDOW_MS = 10_000.0
 
 
 class CrashReporter:
     """Reports lost requests once it is known that their leaf crashed.
 
     Attributes:
-        written_ms: Times of the reports written within `REPORT_WINDOW_MS`.
+        queue: Operations that the store has still to confirm.
+        timer: Timer of the next look at the queue, or None.
     """
 
     def __init__(
@@ -50,6 +50,7 @@
         vm: str,
         ledger: CrashLedger,
         metrics: MetricsRegistry,
+        rng: random.Random,
     ) -> None:
         self.reactor = reactor
         self.clock = clock
@@ -57,7 +58,8 @@
         self.vm = vm
         self.ledger = ledger
         self.metrics = metrics
-        self.written_ms: collections.deque[float] = collections.deque()
+        self.queue = ReportQueue(rng, ledger.count_reports)
+        self.timer: Any = None
 
     def on_liveness_known(self, leaf: LeafEntry, is_alive: bool) -> None:
         """Report the lost requests of a leaf if it has crashed."""
@@ -70,8 +72,6 @@
             return
         for lost in self.ledger.record_leaf_crash(leaf.leaf_id):
             reason = self.ledger.judge_report(lost)
-            if reason is None and not self._consume_report_quota():
-                reason = Unreported.QUOTA
             if reason is None:
                 self._report(leaf, lost)
                 continue
@@ -79,6 +79,7 @@
             self._log(leaf, lost).bind(reason=reason.value).info(
                 "leaf crashed with a request in flight; request not reported"
             )
+        self._make_operations()
 
     def _log(
         self, leaf: LeafEntry, lost: LostRequest
@@ -95,17 +96,6 @@
             "oriolegate_crash_reports_total", event=event
         ).add()
 
-    def _consume_report_quota(self) -> bool:
-        now_ms = self.clock.now_ms()
-        while (
-            self.written_ms and now_ms - self.written_ms[0] >= REPORT_WINDOW_MS
-        ):
-            self.written_ms.popleft()
-        if len(self.written_ms) >= MAX_REPORTS:
-            return False
-        self.written_ms.append(now_ms)
-        return True
-
     def _report(self, leaf: LeafEntry, lost: LostRequest) -> None:
         # Unique per request and incarnation of the leaf.
         name = f"{lost.fingerprint:016x}-{leaf.leaf_id}-{leaf.born_ms}"
@@ -121,45 +111,59 @@
         self._log(leaf, lost).warning(
             "leaf crashed with a request in flight; reporting the request"
         )
-        self._write(name, report, tries=1)
-        self.reactor.callLater(REPORT_TTL_S, self._remove, name)
+        self.queue.add(WriteReport(name, report))
+        self.reactor.callLater(REPORT_TTL_S, self.withdraw, (name,))
 
-    def _write(self, name: str, report: CrashReport, tries: int) -> None:
+    def withdraw(self, names: tuple[str, ...]) -> None:
+        """Remove reports that have expired or whose request has succeeded."""
+        for name in names:
+            self._count("withdrawn")
+            self.ledger.remove_report(name)
+            self.queue.add(RemoveReport(name))
+        self._make_operations()
+
+    def _make_operations(self) -> None:
+        """Make all store operations that are due."""
+        while True:
+            now_ms = self.clock.now_ms()
+            operation = self.queue.next_operation(now_ms)
+            if operation is None:
+                break
+            self._make_operation(operation)
+        due_ms = self.queue.next_due_ms(now_ms)
+        if due_ms is not None and self.timer is None:
+            delay_s = max(0.0, due_ms - now_ms) / MS_PER_S
+            self.timer = self.reactor.callLater(delay_s, self._on_timer)
+
+    def _on_timer(self) -> None:
+        self.timer = None
+        self._make_operations()
+
+    def _make_operation(self, operation: Operation) -> None:
         def done(outcome: HttpResponse | str) -> None:
             if (
                 isinstance(outcome, HttpResponse)
-                and outcome.status in WRITTEN_STATUSES
+                and outcome.status in expected_statuses
             ):
-                self._count("written")
-                return
-            self._count("write failed")
-            reason = outcome if isinstance(outcome, str) else outcome.status
-            log.bind(name=name, reason=reason, tries=tries).warning(
-                "writing a crash report failed; retrying while tries remain"
-            )
-            if tries < MAX_ATTEMPTS:
-                self.reactor.callLater(
-                    RETRY_INTERVAL_S, self._write, name, report, tries + 1
+                self._count(event)
+                self.queue.on_succeeded(operation)
+            else:
+                self._count("call failed")
+                reason = outcome if isinstance(outcome, str) else outcome.status
+                log.bind(
+                    name=operation.name, reason=reason, call=event
+                ).warning("store call for a crash report failed; retrying")
+                self.queue.on_failed(self.clock.now_ms(), operation)
+            self._make_operations()
+
+        call: StoreCall
+        match operation:
+            case WriteReport(name, report):
+                call = store_calls.create_call(
+                    Collection.CRASHES, name, crash_entry.encode(report)
                 )
-
-        call = store_calls.create_call(
-            Collection.CRASHES, name, crash_entry.encode(report)
-        )
-        self.client.call(call, CALL_TIMEOUT_MS, done)
-
-    def withdraw(self, names: tuple[str, ...]) -> None:
-        """Remove reports about a request that has succeeded."""
-        for name in names:
-            self._count("withdrawn")
-            self._remove(name)
-
-    def _remove(self, name: str) -> None:
-        def done(outcome: HttpResponse | str) -> None:
-            result = outcome if isinstance(outcome, str) else outcome.status
-            log.bind(name=name, outcome=result).info(
-                "removal of crash report finished"
-            )
-
-        self.ledger.remove_report(name)
-        call = store_calls.delete_call(Collection.CRASHES, name)
+                expected_statuses, event = WRITTEN_STATUSES, "written"
+            case RemoveReport(name):
+                call = store_calls.delete_call(Collection.CRASHES, name)
+                expected_statuses, event = REMOVED_STATUSES, "removed"
         self.client.call(call, CALL_TIMEOUT_MS, done)
--- a/src/oriolegate/runtime/gateway_composition.py
+++ b/src/oriolegate/runtime/gateway_composition.py
@@ -157,7 +157,7 @@
         crashes,
     )
     reporter = CrashReporter(
-        reactor, clock, store_client, settings.vm, crashes, registry
+        reactor, clock, store_client, settings.vm, crashes, registry, rng
     )
     checker.on_liveness_known = reporter.on_liveness_known
     runner.on_reports_withdrawn = reporter.withdraw
--- a/tests/crashes/test_crash_ledger.py
+++ b/tests/crashes/test_crash_ledger.py
@@ -136,6 +136,14 @@
         self.ledger.remove_report(f"{self.fingerprint}-l2")
         self.assertEqual(self.ledger.reports, {})
 
+    def test_a_refused_request_stays_refused_among_many_suspects(self):
+        for number in range(3):
+            self.report(f"l{number}", f"a{number}")
+        for number in range(crash_ledger.MAX_SUSPECTS + 10):
+            report = CrashReport(number, "a1", "l1", "vm-1", 0)
+            self.ledger.add_report(str(number), report)
+        self.assertTrue(self.must_refuse())
+
     def test_all_collections_are_bounded(self):
         for number in range(crash_ledger.MAX_SUSPECTS + 10):
             report = CrashReport(number, "a1", "l1", "vm-1", 0)
