Detect a dead watch of the crash reports within the contact time

A watch whose answer was lost returns nothing more, and the one of the crash reports was given up only after 11.6 s with its backoff; the users count from 5 s. The watch now lasts 3 s, so that it ends 4.6 s after the connection died at the latest; a reader makes 0.23 calls a second more.

--- a/src/oriolegate/following/follower.py
+++ b/src/oriolegate/following/follower.py
@@ -22,14 +22,14 @@
 # How long the store may delay the answer to a watch without a change. A dead
 # connection may go unnoticed that long plus the timeout of the call. Changes
 # missed meanwhile must arrive within a bound of 4 s, counted from 5 s after the
-# connection died; removed leafs are used for 2 s more. Members have no such
-# bound; crash reports arrive only while a request crashes leafs.
+# connection died; removed leafs are used for 2 s more. Crash reports must be
+# known 5 s after that; members have no such bound.
 WATCH_MS = {
     Collection.LEAFS: 4_000,
     Collection.CONFIGURATION: 6_000,
     Collection.EVACUATIONS: 6_000,
     Collection.MEMBERS: 25_000,
-    Collection.CRASHES: 10_000,
+    Collection.CRASHES: 3_000,
 }
 # Duration of the first watch after a failed call: on a dead connection it takes
 # hardly longer than the timeout of a call.
