Blame a request whose caller left for a crash soon after

A caller that leaves before its leaf crashes made the request untraceable: its connection is closed on purpose, so that no loss is ever noticed, while some leafs go on with the request and crash.

Requests that had arrived at a leaf when their caller left, and had no answer, are now blamed if the leaf is found crashed within 5 s. The new test of the gateway failed before. Sends given up at a deadline aren't blamed: they lie at leafs that hang or are out of reach.

--- a/src/oriolegate/crashes/crash_ledger.py
+++ b/src/oriolegate/crashes/crash_ledger.py
@@ -28,6 +28,10 @@
 MAX_HARMLESS = 2_000
 MAX_SUSPECTS = 200
 MAX_LOST = 500
+# How long before a crash a request may have been abandoned to be its cause.
+# Some leafs go on with a request whose connection was closed.
+ABANDONED_BLAME_MS = 5_000.0
+MAX_ABANDONED_PER_LEAF = 20
 
 
 def call_fingerprint(call: CallerCall) -> int:
@@ -82,6 +86,8 @@
             don't stop them: one more success withdraws the reports.
         lost_requests: Requests whose connection was lost, by leaf id, until it
             is known whether the leaf crashed.
+        abandoned_requests: Requests whose caller left while a leaf ran them, by
+            leaf id, with the time.
     """
 
     def __init__(self) -> None:
@@ -89,6 +95,7 @@
         self.fingerprints: dict[str, int] = {}
         self.harmless: dict[int, None] = {}
         self.lost_requests: dict[str, set[LostRequest]] = {}
+        self.abandoned_requests: dict[str, dict[LostRequest, float]] = {}
 
     def record_lost_request(self, leaf_id: str, lost: LostRequest) -> None:
         """Record a request during which the connection to a leaf was lost."""
@@ -96,6 +103,17 @@
             del self.lost_requests[next(iter(self.lost_requests))]
         self.lost_requests.setdefault(leaf_id, set()).add(lost)
 
+    def record_abandoned_request(
+        self, now_ms: float, leaf_id: str, lost: LostRequest
+    ) -> None:
+        """Record a request whose caller left while a leaf may have run it."""
+        of_leaf = self.abandoned_requests.setdefault(leaf_id, {})
+        if len(self.abandoned_requests) > MAX_LOST:
+            del self.abandoned_requests[next(iter(self.abandoned_requests))]
+        if len(of_leaf) >= MAX_ABANDONED_PER_LEAF:
+            del of_leaf[next(iter(of_leaf))]
+        of_leaf[lost] = now_ms
+
     def record_leaf_alive(self, leaf_id: str) -> frozenset[LostRequest]:
         """Record that a leaf is up: only its connection was lost.
 
@@ -104,12 +122,22 @@
         """
         return frozenset(self.lost_requests.pop(leaf_id, ()))
 
-    def record_leaf_crash(self, leaf_id: str) -> frozenset[LostRequest]:
+    def record_leaf_crash(
+        self, now_ms: float, leaf_id: str
+    ) -> frozenset[LostRequest]:
         """Record that a leaf crashed and return the requests that may be why.
 
         `judge_report` says which of them need no report.
         """
-        return frozenset(self.lost_requests.pop(leaf_id, ()))
+        abandoned = self.abandoned_requests.pop(leaf_id, {})
+        recently_abandoned = {
+            lost
+            for lost, at_ms in abandoned.items()
+            if now_ms - at_ms <= ABANDONED_BLAME_MS
+        }
+        return frozenset(
+            self.lost_requests.pop(leaf_id, set()) | recently_abandoned
+        )
 
     def judge_report(self, lost: LostRequest) -> Unreported | None:
         """Return why a crash needs no report, or None if it needs one.
--- a/src/oriolegate/network/leaf_client.py
+++ b/src/oriolegate/network/leaf_client.py
@@ -33,9 +33,15 @@
 class OpenSend:
     """A request in flight to a leaf."""
 
+    leaf_id: str
     pool: HttpPool
     call: HttpCall
 
+    @property
+    def has_arrived(self) -> bool:
+        """Whether the leaf may have received the request."""
+        return self.call.connection is not None
+
 
 def accepts_any(response: HttpResponse) -> bool:
     """Accept every response; health checks carry no attempt id."""
@@ -121,7 +127,7 @@
         )
         pool = self._get_pool(leaf)
         pool.send(http_call)
-        return OpenSend(pool, http_call)
+        return OpenSend(leaf.leaf_id, pool, http_call)
 
     def abandon(self, open_send: OpenSend) -> None:
         """Close the connection of a send, so that its leaf stops working."""
@@ -155,4 +161,4 @@
             leaf_protocol.health_request(leaf, path), on_result, accepts_any
         )
         pool.send(call)
-        return OpenSend(pool, call)
+        return OpenSend(leaf.leaf_id, pool, call)
--- a/src/oriolegate/runtime/crash_reporter.py
+++ b/src/oriolegate/runtime/crash_reporter.py
@@ -70,7 +70,8 @@
                     "leaf lost a connection but is alive; request not blamed"
                 )
             return
-        for lost in self.ledger.record_leaf_crash(leaf.leaf_id):
+        now_ms = self.clock.now_ms()
+        for lost in self.ledger.record_leaf_crash(now_ms, leaf.leaf_id):
             reason = self.ledger.judge_report(lost)
             if reason is None:
                 self._report(leaf, lost)
--- a/src/oriolegate/runtime/exchange_runner.py
+++ b/src/oriolegate/runtime/exchange_runner.py
@@ -194,11 +194,26 @@
         running = self.running.get(request)
         if running is not None:
             now_ms = self.clock.now_ms()
+            self._record_abandoned_call(running, now_ms)
             self._execute(
                 running, running.exchange.on_caller_disconnected(now_ms)
             )
             self._log_reply(running)
 
+    def _record_abandoned_call(
+        self, running: RunningExchange, now_ms: float
+    ) -> None:
+        """Record that leafs may yet crash under a request without a caller."""
+        exchange = running.exchange
+        if exchange.answered_count:
+            return
+        lost = self._lost_request(exchange.call)
+        for open_send in running.sends.values():
+            if open_send.has_arrived:
+                self.crashes.record_abandoned_request(
+                    now_ms, open_send.leaf_id, lost
+                )
+
     def answer_all(self) -> None:
         """Answer every open request with the results received so far."""
         now_ms = self.clock.now_ms()
@@ -317,12 +332,14 @@
         if exchange.answered_count:
             # Another leaf ran a part of the request without crashing.
             return
-        call = exchange.call
-        fingerprint = crash_ledger.call_fingerprint(call)
         self.crashes.record_lost_request(
-            leaf_id, LostRequest(fingerprint, call.attempt_id)
+            leaf_id, self._lost_request(exchange.call)
         )
 
+    def _lost_request(self, call: CallerCall) -> LostRequest:
+        fingerprint = crash_ledger.call_fingerprint(call)
+        return LostRequest(fingerprint, call.attempt_id)
+
     def _set_timer(self, running: RunningExchange) -> None:
         exchange = running.exchange
         timer = running.timer
--- a/tests/crashes/test_crash_ledger.py
+++ b/tests/crashes/test_crash_ledger.py
@@ -32,10 +32,10 @@
         suspicion = self.ledger.suspicion(self.call)
         return suspicion is not None and suspicion.must_refuse
 
-    def reported(self, leaf_id):
+    def reported(self, leaf_id, now_ms=0.0):
         return [
             lost
-            for lost in self.ledger.record_leaf_crash(leaf_id)
+            for lost in self.ledger.record_leaf_crash(now_ms, leaf_id)
             if self.ledger.judge_report(lost) is None
         ]
 
@@ -126,6 +126,16 @@
         self.lose_request("l1")
         self.assertEqual(self.reported("l1"), [])
 
+    def test_an_abandoned_request_is_blamed_for_a_crash_soon_after(self):
+        lost = LostRequest(self.fingerprint, "a1")
+        blame_ms = crash_ledger.ABANDONED_BLAME_MS
+        for leaf_id in ("l1", "l2"):
+            self.ledger.record_abandoned_request(0.0, leaf_id, lost)
+            self.ledger.record_leaf_alive(leaf_id)
+        self.assertEqual(self.reported("l1", blame_ms), [lost])
+        self.assertEqual(self.reported("l1", blame_ms), [])
+        self.assertEqual(self.reported("l2", blame_ms + 1.0), [])
+
     def test_a_removed_report_no_longer_counts(self):
         for number in range(3):
             self.report(f"l{number}", f"a{number}")
@@ -156,12 +166,20 @@
                 attrs.evolve(self.call, body=b"%d" % number)
             )
         for number in range(crash_ledger.MAX_LOST + 10):
-            self.ledger.record_lost_request(
-                f"m{number}", LostRequest(-1 - number, "a1")
-            )
+            lost = LostRequest(-1 - number, "a1")
+            self.ledger.record_lost_request(f"m{number}", lost)
+            self.ledger.record_abandoned_request(0.0, f"m{number}", lost)
+        for number in range(crash_ledger.MAX_ABANDONED_PER_LEAF + 10):
+            lost = LostRequest(number, "a1")
+            self.ledger.record_abandoned_request(0.0, "m", lost)
         self.assertEqual(len(self.ledger.reports), crash_ledger.MAX_SUSPECTS)
         self.assertEqual(
             len(self.ledger.fingerprints), crash_ledger.MAX_SUSPECTS
         )
         self.assertEqual(len(self.ledger.harmless), crash_ledger.MAX_HARMLESS)
         self.assertEqual(len(self.ledger.lost_requests), crash_ledger.MAX_LOST)
+        abandoned = self.ledger.abandoned_requests
+        self.assertEqual(len(abandoned), crash_ledger.MAX_LOST)
+        self.assertEqual(
+            len(abandoned["m"]), crash_ledger.MAX_ABANDONED_PER_LEAF
+        )
--- a/tests/platform/test_gateway.py
+++ b/tests/platform/test_gateway.py
@@ -587,6 +587,29 @@
         self.assertEqual((await site.get(b"/one/bad")).status, 500)
         self.assertEqual(len(ledger.reports.get(fingerprint, ())), 2)
 
+    @on_site
+    async def test_a_crash_after_the_caller_left_is_blamed_on_its_request(
+        self, site
+    ):
+        leaf = site.leafs["s1-dc-a"]
+        port = site.ports[1 + list(site.leafs).index(leaf.leaf_id)]
+        leaf.behave = lambda request: None
+        site.leafs["s1-dc-b"].behave = lambda request: request.answer(b"fine")
+        data = documents.caller_request("GET", "/one/bad", "a1", 1_200)
+        call = HttpCall(data, lambda result: None, lambda response: True)
+        site.caller_pool.send(call)
+        await site.wait_until(lambda: leaf.requests)
+        site.caller_pool.cancel(call)
+        ledger = site.process.parts.runner.crashes
+        await site.wait_until(lambda: not site.process.parts.runner.running)
+        port.stopListening()
+        leaf.crash()
+        await site.get(b"/one/good")
+        await site.wait_until(lambda: ledger.reports)
+        call = attrs.evolve(build.call(), target=b"/one/bad")
+        fingerprint = crash_ledger.call_fingerprint(call)
+        self.assertEqual(set(ledger.reports), {fingerprint})
+
     @on_site
     async def test_a_store_outage_after_a_start_raises_retry_after(self, site):
         site.process.parts.configuration.table = None
