Follow a store that comes back from an older copy

After a drill the store's revisions go back and repeat. Followers took its lists for those of a lagging replica and listed every 300 ms in vain, until the revision had passed their own: new crash reports were not read, and once it had passed, all reports that the copy lacked were removed on every VM, the one that had written them included. A refused request then crashed leafs anew.

Revisions are tagged with the era that the store states, which orders all comparisons, those between VMs too.

--- a/src/oriolegate/crashes/crash_ledger.py
+++ b/src/oriolegate/crashes/crash_ledger.py
@@ -183,6 +183,13 @@
         self.reports[report.fingerprint][name] = report
         self.fingerprints[name] = report.fingerprint
 
+    def find_report(self, name: str) -> CrashReport | None:
+        """Return a report by its name, or None if there is none."""
+        request_fingerprint = self.fingerprints.get(name)
+        if request_fingerprint is None:
+            return None
+        return self.reports[request_fingerprint][name]
+
     def remove_report(self, name: str) -> None:
         """Remove a report that was withdrawn or has expired."""
         request_fingerprint = self.fingerprints.pop(name, None)
--- a/src/oriolegate/following/follower.py
+++ b/src/oriolegate/following/follower.py
@@ -3,6 +3,10 @@
 Decides the next store call and when it is due; the caller makes the calls.
 A list replaces the view only once all its pages have arrived. Data older than
 the view is never applied.
+
+All revisions are tagged with the store's era. In a new era the store may lack
+objects that it had; they stay in the view for a time, since whoever wrote them
+writes them again.
 """
 
 import enum
@@ -11,6 +15,7 @@
 
 import attrs
 
+from oriolegate.following import store_era
 from oriolegate.models.stored import ChangeBatch
 from oriolegate.models.stored import Collection
 from oriolegate.models.stored import ListPage
@@ -34,6 +39,17 @@
 # Duration of the first watch after a failed call: on a dead connection it takes
 # hardly longer than the timeout of a call.
 PROBE_WATCH_MS = 20
+# How long objects that a new era lacks stay in the view. Leafs and the operator
+# write theirs again within about two seconds, and a watch returns them up to
+# 0.8 s later; VMs write theirs as soon as they miss them. A crash report stays
+# for its lifetime, since the VM that wrote it may be gone.
+ABSENT_GRACE_MS = {
+    Collection.LEAFS: 3_000.0,
+    Collection.CONFIGURATION: 3_000.0,
+    Collection.EVACUATIONS: 3_000.0,
+    Collection.MEMBERS: 6_000.0,
+    Collection.CRASHES: 600_000.0,
+}
 # First and maximum backoff after a failed call: short after one lost answer,
 # cheap during an outage, and well below the 5 s after which bounds apply again.
 FIRST_RETRY_MS = 300.0
@@ -92,6 +108,10 @@
         """Add or update an object."""
         ...
 
+    def put_restored(self, now_ms: float, item: StoredObject) -> None:
+        """Update an object from a restored store, which may hold less."""
+        ...
+
     def remove(self, now_ms: float, name: str, by_list: bool) -> None:
         """Remove an object.
 
@@ -103,6 +123,10 @@
         """
         ...
 
+    def on_absent(self, now_ms: float, name: str) -> None:
+        """Handle that a new era lacks an object, which stays for a time."""
+        ...
+
     def commit(self, now_ms: float, revision: int) -> None:
         """End a complete list or batch of changes."""
         ...
@@ -124,6 +148,7 @@
         listed: Objects of the pages received so far, by name.
         list_revision: Revision of the list's first page, or None before it.
         list_may_lag: Whether the current list may be seconds old.
+        absent: When to remove each object that the current era lacks, by name.
     """
 
     def __init__(
@@ -145,6 +170,7 @@
         self.listed: dict[str, StoredObject] = {}
         self.list_revision: int | None = None
         self.list_may_lag = True
+        self.absent: dict[str, float] = {}
 
     def start(self) -> StoreQuery:
         """Return the first call."""
@@ -192,29 +218,57 @@
         for name in [
             name for name in self.revisions if name not in self.listed
         ]:
-            del self.revisions[name]
-            self.sink.remove(now_ms, name, by_list=True)
+            if not self._is_of_earlier_era(name):
+                del self.revisions[name]
+                self.sink.remove(now_ms, name, by_list=True)
         for item in self.listed.values():
             self._put(now_ms, item)
         self.listed = {}
+        self._record_absent(now_ms)
         self.sink.commit(now_ms, self.revision)
 
+    def _is_of_earlier_era(self, name: str) -> bool:
+        era = store_era.era_of(self.revision)
+        return store_era.era_of(self.revisions[name]) < era
+
+    def _record_absent(self, now_ms: float) -> None:
+        """Record objects that were not seen in the era of the view."""
+        for name in self.revisions:
+            if name not in self.absent and self._is_of_earlier_era(name):
+                grace_ms = ABSENT_GRACE_MS[self.collection]
+                self.absent[name] = now_ms + grace_ms
+                self.sink.on_absent(now_ms, name)
+
+    def remove_absent(self, now_ms: float) -> None:
+        """Remove objects that have been absent for too long."""
+        due = [name for name, due_ms in self.absent.items() if now_ms >= due_ms]
+        for name in due:
+            del self.absent[name]
+            del self.revisions[name]
+            self.sink.remove(now_ms, name, by_list=True)
+        if due:
+            self.sink.commit(now_ms, self.revision)
+
     def _put(self, now_ms: float, item: StoredObject) -> None:
         if item.revision > self.revisions.get(item.name, -1):
             self.revisions[item.name] = item.revision
             self.sink.put(now_ms, item)
+            if not self._is_of_earlier_era(item.name):
+                self.absent.pop(item.name, None)
 
     def on_changes(self, now_ms: float, batch: ChangeBatch) -> StoreQuery:
         """Apply the changes that a watch returned."""
         self._succeeded(now_ms)
+        self.revision = max(self.revision, batch.revision)
         for change in batch.changes:
             name = change.item.name
             if not change.removed:
                 self._put(now_ms, change.item)
             elif change.item.revision >= self.revisions.get(name, 0):
                 self.revisions.pop(name, None)
+                self.absent.pop(name, None)
                 self.sink.remove(now_ms, name, by_list=False)
-        self.revision = max(self.revision, batch.revision)
+        self._record_absent(now_ms)
         if batch.changes:
             self.sink.commit(now_ms, self.revision)
         delay_ms = BETWEEN_WATCHES_MS if batch.changes else 0.0
@@ -250,6 +304,10 @@
     def on_history_missing(self, now_ms: float) -> StoreQuery:
         """List again, since the store lacks the changes since `revision`."""
         self._succeeded(now_ms)
+        return self.list_again()
+
+    def list_again(self) -> StoreQuery:
+        """List now, such as when the store begins a new era."""
         return self._restart_list(0.0, may_lag=False)
 
     def on_malformed_answer(self) -> StoreQuery:
--- a/src/oriolegate/following/view_cache.py
+++ b/src/oriolegate/following/view_cache.py
@@ -8,6 +8,7 @@
 
 import attrs
 
+from oriolegate.following import store_era
 from oriolegate.following.follower import CollectionSink
 from oriolegate.models.stored import Change
 from oriolegate.models.stored import ChangeBatch
@@ -26,6 +27,11 @@
     change: Change
 
 
+def _is_older_by_era(known: StoredObject, item: StoredObject) -> bool:
+    known_era = store_era.era_of(known.revision)
+    return known_era < store_era.era_of(item.revision)
+
+
 class ViewCache:
     """Stores all objects and recent changes of a collection for peers.
 
@@ -47,10 +53,21 @@
         self.uncommitted: list[Change] = []
 
     def put(self, now_ms: float, item: StoredObject) -> None:
-        """Add or update an object."""
+        """Add or update an object.
+
+        An object that a new era holds unchanged is no change for the sink.
+        """
+        known = self.objects.get(item.name)
         self.objects[item.name] = item
         self.uncommitted.append(Change(item, removed=False))
-        self.sink.put(now_ms, item)
+        if known is None or not _is_older_by_era(known, item):
+            self.sink.put(now_ms, item)
+        elif known.content != item.content:
+            self.sink.put_restored(now_ms, item)
+
+    def put_restored(self, now_ms: float, item: StoredObject) -> None:
+        """Add or update an object; `put` sees which ones were restored."""
+        self.put(now_ms, item)
 
     def remove(self, now_ms: float, name: str, by_list: bool) -> None:
         """Remove an object."""
@@ -59,6 +76,10 @@
             self.uncommitted.append(Change(item, removed=True))
         self.sink.remove(now_ms, name, by_list)
 
+    def on_absent(self, now_ms: float, name: str) -> None:
+        """Pass on that a new era lacks an object."""
+        self.sink.on_absent(now_ms, name)
+
     def commit(self, now_ms: float, revision: int) -> None:
         """End a complete list or batch of changes."""
         if self.revision == 0:
--- a/src/oriolegate/models/stored.py
+++ b/src/oriolegate/models/stored.py
@@ -22,7 +22,8 @@
 
     Attributes:
         name: Name within the collection.
-        revision: The store's revision at the last change of the object.
+        revision: The store's revision at the last change of the object, tagged
+            with the era (`following.store_era`), like all revisions here.
         content: Content as written, undecoded.
     """
 
--- a/src/oriolegate/network/store_client.py
+++ b/src/oriolegate/network/store_client.py
@@ -1,27 +1,46 @@
 """Client of the platform's store, over pooled connections."""
 
+from collections.abc import Callable
 from typing import Any
 
+from oriolegate import structured_log
 from oriolegate.clock import Clock
+from oriolegate.exceptions import MalformedEntryError
+from oriolegate.following.store_era import Observation
+from oriolegate.following.store_era import StoreEra
 from oriolegate.network.http_client import CancelCall
 from oriolegate.network.http_client import Done
 from oriolegate.network.http_client import HttpClient
+from oriolegate.network.http_reader import HttpResponse
+from oriolegate.platform import store_calls
 from oriolegate.platform.store_calls import StoreCall
 
+log = structured_log.get_logger("store")
+
 
 class StoreClient:
     """Makes calls to the store, each with a timeout.
 
     Attributes:
         client: HTTP client for the address of the store.
+        era: Era of the store.
+        on_new_era: Called when an answer states a new era, before the call's
+            own `done`; it may cancel the call.
         calls_total: Calls made so far; each call is billed.
     """
 
     def __init__(
-        self, reactor: Any, clock: Clock, address: tuple[str, int]
+        self,
+        reactor: Any,
+        clock: Clock,
+        address: tuple[str, int],
+        era: StoreEra,
     ) -> None:
         self.client = HttpClient(reactor, clock, address)
+        self.era = era
+        self.on_new_era: Callable[[], None] = lambda: None
         self.calls_total = 0
+        self.has_logged_malformed_era = False
 
     def call(
         self, call: StoreCall, timeout_ms: float, done: Done
@@ -39,7 +58,46 @@
             A function that cancels the call.
         """
         self.calls_total += 1
-        return self.client.send(self._encode(call), timeout_ms, done)
+        is_cancelled = False
+
+        def on_outcome(outcome: HttpResponse | str) -> None:
+            if isinstance(outcome, HttpResponse):
+                outcome = self._check_era(outcome)
+            if not is_cancelled:
+                done(outcome)
+
+        def cancel() -> None:
+            nonlocal is_cancelled
+            is_cancelled = True
+            cancel_call()
+
+        cancel_call = self.client.send(
+            self._encode(call), timeout_ms, on_outcome
+        )
+        return cancel
+
+    def _check_era(self, response: HttpResponse) -> HttpResponse | str:
+        """Return the response, or why it is ignored."""
+        match self.era.observe(self._decode_era(response)):
+            case Observation.EARLIER:
+                return "answer of an earlier era of the store"
+            case Observation.NEW:
+                log.bind(era=self.era.number).warning(
+                    "store states a new era; listing all collections anew"
+                )
+                self.on_new_era()
+        return response
+
+    def _decode_era(self, response: HttpResponse) -> int | None:
+        try:
+            return store_calls.decode_era(response)
+        except MalformedEntryError as error:
+            if not self.has_logged_malformed_era:
+                self.has_logged_malformed_era = True
+                log.bind(reason=error.message).warning(
+                    "invalid era in an answer of the store; ignored"
+                )
+            return None
 
     def _encode(self, call: StoreCall) -> bytes:
         host, port = self.client.pool.address
--- a/src/oriolegate/network/view_wire.py
+++ b/src/oriolegate/network/view_wire.py
@@ -3,6 +3,10 @@
 One request covers all collections: `GET /view?LEAFS=12&...&wait_ms=900`. JSON
 over the process's existing HTTP client and server is used instead of CBOR over
 websockets, since memory is paid for on every machine.
+
+Once the store states eras, revisions are tagged with them, and the path is
+`/updates`: VMs of versions that know no eras reject it, and are rejected at
+`/view`, so that the two read the store instead of each other.
 """
 
 from collections.abc import Mapping
@@ -20,6 +24,7 @@
 from oriolegate.models.stored import StoredObject
 
 PATH = b"/view"
+PATH_WITH_ERAS = b"/updates"
 WAIT_FIELD = "wait_ms"
 # Requests the view even if the store can't confirm it now.
 UNCONFIRMED_FIELD = "unconfirmed"
@@ -33,11 +38,13 @@
         revisions: Revision that the requesting VM has of each collection.
         wait_ms: How long the response may wait for updates.
         unconfirmed: Whether a view that the store can't confirm is accepted.
+        has_eras: Whether revisions are tagged with the store's era.
     """
 
     revisions: Mapping[Collection, int]
     wait_ms: int
     unconfirmed: bool = False
+    has_eras: bool = False
 
 
 Updates = Mapping[Collection, ChangeBatch | ListPage]
@@ -59,8 +66,9 @@
     if request.unconfirmed:
         fields[UNCONFIRMED_FIELD] = 1
     query = urllib.parse.urlencode(fields)
+    path = PATH_WITH_ERAS if request.has_eras else PATH
     return (
-        f"GET {PATH.decode()}?{query} HTTP/1.1\r\nHost: {host}:{port}\r\n\r\n"
+        f"GET {path.decode()}?{query} HTTP/1.1\r\nHost: {host}:{port}\r\n\r\n"
     ).encode()
 
 
@@ -70,7 +78,8 @@
     Raises:
         PeerMessageError: If a field is missing, unknown or not a number.
     """
-    query = target.partition(b"?")[2].decode("latin-1")
+    path, _, encoded = target.partition(b"?")
+    query = encoded.decode("latin-1")
     try:
         fields = {
             name: int(value) for name, value in urllib.parse.parse_qsl(query)
@@ -80,7 +89,13 @@
         revisions = {Collection[n]: v for n, v in fields.items()}
     except (KeyError, ValueError) as error:
         raise PeerMessageError(f"not a request for updates: {error}") from error
-    return UpdatesRequest(revisions, wait_ms, unconfirmed)
+    has_eras = path == PATH_WITH_ERAS
+    return UpdatesRequest(revisions, wait_ms, unconfirmed, has_eras)
+
+
+def is_updates_request(target: bytes) -> bool:
+    """Return whether a path and query request updates."""
+    return target.partition(b"?")[0] in (PATH, PATH_WITH_ERAS)
 
 
 def _encode_object(item: StoredObject) -> list[Any]:
--- a/src/oriolegate/placement/leaf_directory.py
+++ b/src/oriolegate/placement/leaf_directory.py
@@ -25,6 +25,8 @@
 # How long a leaf of a readmitted data centre counts as cold: the leaf writes
 # its entry within a heartbeat of 1.2 s, and views are up to 0.8 s behind.
 READMISSION_MS = 2_000.0
+# Limit on the drained incarnations that are remembered.
+MAX_DRAINED = 1_000
 # Assumed network round-trip times.
 SAME_DATA_CENTRE_MS = 0.5
 SAME_REGION_MS = 1.5
@@ -75,6 +77,8 @@
         members_by_region: Number of members in each region.
         members_known: Whether the member list is current.
         evacuated: Data centres that get no requests.
+        drained: Id and start of leafs that drained and were dropped, oldest
+            first; the entry that a restored store has of one is obsolete.
         hold_until_ms: Until when no leaf is chosen, because this process was
             paused and the store has not confirmed the view since.
         has_connection: Returns whether an idle connection to a leaf is
@@ -99,6 +103,7 @@
         self.members_by_region: Mapping[str, int] = {}
         self.members_known = False
         self.evacuated: set[str] = set()
+        self.drained: dict[tuple[str, int], None] = {}
         self.hold_until_ms = float("-inf")
         self.has_connection: Callable[[str], bool] = lambda leaf_id: True
 
@@ -133,6 +138,8 @@
 
     def put(self, now_ms: float, entry: LeafEntry) -> LeafRecord:
         """Add or update a leaf from its entry."""
+        if (entry.leaf_id, entry.born_ms) in self.drained:
+            entry = attrs.evolve(entry, draining=True)
         record = self.leafs.get(entry.leaf_id)
         if record is None or record.entry.service != entry.service:
             self._drop(entry.leaf_id)
@@ -147,6 +154,24 @@
         record.cold_until_ms = now_ms + entry.cold_left_ms
         return record
 
+    def put_restored(self, now_ms: float, entry: LeafEntry) -> LeafRecord:
+        """Update a leaf from an entry that may be older than the one known.
+
+        No leaf goes back to an earlier incarnation, from draining to ready or
+        from cold to warm until it writes its entry again.
+        """
+        known = self.leafs.get(entry.leaf_id)
+        if known is None or entry.born_ms > known.entry.born_ms:
+            return self.put(now_ms, entry)
+        if entry.born_ms < known.entry.born_ms or known.entry.draining:
+            return known
+        cold_until_ms = known.cold_until_ms
+        was_suspect = known.suspect
+        record = self.put(now_ms, entry)
+        record.cold_until_ms = max(record.cold_until_ms, cold_until_ms)
+        record.suspect = was_suspect
+        return record
+
     def _add(self, entry: LeafEntry) -> LeafRecord:
         distance_ms = self._distance_ms(entry.data_centre)
         record = LeafRecord(
@@ -164,6 +189,10 @@
         record = self.leafs.pop(leaf_id, None)
         if record is None:
             return
+        if record.entry.draining and record.entry.born_ms:
+            self.drained[leaf_id, record.entry.born_ms] = None
+            if len(self.drained) > MAX_DRAINED:
+                del self.drained[next(iter(self.drained))]
         service_leafs = self.by_service[record.entry.service]
         del service_leafs[leaf_id]
         if not service_leafs:
--- a/src/oriolegate/platform/header_names.py
+++ b/src/oriolegate/platform/header_names.py
@@ -14,3 +14,5 @@
 COLD_LEFT_MS = b"warmup-ms"
 PART_SIGNATURES = b"part-seals"
 MISSING_PARTS = b"missing-parts"
+# Era of the store: rises each time that it comes back from an older copy.
+STORE_ERA = b"store-era"
--- a/src/oriolegate/platform/store_calls.py
+++ b/src/oriolegate/platform/store_calls.py
@@ -7,11 +7,14 @@
 import orjson
 
 from oriolegate.exceptions import MalformedEntryError
+from oriolegate.following import store_era
 from oriolegate.models.stored import Change
 from oriolegate.models.stored import ChangeBatch
 from oriolegate.models.stored import Collection
 from oriolegate.models.stored import ListPage
 from oriolegate.models.stored import StoredObject
+from oriolegate.network.http_reader import HttpResponse
+from oriolegate.platform import header_names
 
 PATHS = {
     Collection.LEAFS: "/objects/servers",
@@ -23,6 +26,8 @@
 # The store no longer has all changes since the revision of a watch.
 STATUS_HISTORY_GONE = 410
 STATUS_OK = 200
+# Tagged revisions, which are exchanged as JSON numbers, stay within 63 bits.
+MAX_ERA = 2**22
 
 
 @attrs.frozen
@@ -58,9 +63,11 @@
 def watch_call(
     collection: Collection, revision: int, wait_ms: int
 ) -> StoreCall:
-    """Return the call that waits for changes after a revision."""
+    """Return the call that waits for changes after a tagged revision."""
     # The field `watch` is the revision, not a flag.
-    query = urllib.parse.urlencode({"watch": revision, "wait_ms": wait_ms})
+    query = urllib.parse.urlencode(
+        {"watch": store_era.plain(revision), "wait_ms": wait_ms}
+    )
     return StoreCall("GET", f"{PATHS[collection]}?{query}")
 
 
@@ -85,6 +92,20 @@
     return f"{PATHS[collection]}/{urllib.parse.quote(name, safe='')}"
 
 
+def decode_era(response: HttpResponse) -> int | None:
+    """Return the era that a response states, or None if it states none.
+
+    Raises:
+        MalformedEntryError: The header is no positive integer.
+    """
+    value = response.header(header_names.STORE_ERA)
+    if value is None:
+        return None
+    if not value.isdigit() or int(value) > MAX_ERA:
+        raise MalformedEntryError("the era is not a positive integer")
+    return int(value)
+
+
 def _json_object(body: bytes) -> dict[str, Any]:
     try:
         document = orjson.loads(body)
@@ -105,7 +126,7 @@
     return value
 
 
-def _stored_object(value: Any) -> StoredObject | None:
+def _stored_object(value: Any, era: int) -> StoredObject | None:
     """Decode one object; return None if it lacks a name or revision."""
     if not isinstance(value, dict) or not isinstance(value.get("meta"), dict):
         return None
@@ -114,12 +135,16 @@
     revision = meta.get("revision")
     if not isinstance(name, str) or not isinstance(revision, int):
         return None
-    return StoredObject(name, revision, value.get("spec"))
+    return StoredObject(name, store_era.tag(era, revision), value.get("spec"))
 
 
-def decode_page(body: bytes) -> ListPage:
+def decode_page(body: bytes, era: int) -> ListPage:
     """Decode the response to `list_call`; skip invalid objects.
 
+    Args:
+        body: Body of the response.
+        era: The store's era, with which all revisions are tagged.
+
     Raises:
         MalformedEntryError: The response is not a page.
     """
@@ -127,17 +152,21 @@
     items = document.get("items")
     if not isinstance(items, list):
         raise MalformedEntryError("`items` is missing or not a list")
-    decoded = (_stored_object(value) for value in items)
+    decoded = (_stored_object(value, era) for value in items)
     return ListPage(
         tuple(stored for stored in decoded if stored is not None),
         bool(document.get("has_more")),
-        _revision(document),
+        store_era.tag(era, _revision(document)),
     )
 
 
-def decode_changes(body: bytes) -> ChangeBatch:
+def decode_changes(body: bytes, era: int) -> ChangeBatch:
     """Decode the response to `watch_call`; skip invalid changes.
 
+    Args:
+        body: Body of the response.
+        era: The store's era, with which all revisions are tagged.
+
     Raises:
         MalformedEntryError: The response is not a batch of changes.
     """
@@ -149,7 +178,7 @@
     for event in events:
         if not isinstance(event, dict):
             continue
-        stored = _stored_object(event.get("object"))
+        stored = _stored_object(event.get("object"), era)
         if stored is not None:
             changes.append(Change(stored, bool(event.get("deleted"))))
-    return ChangeBatch(tuple(changes), _revision(document))
+    return ChangeBatch(tuple(changes), store_era.tag(era, _revision(document)))
--- a/src/oriolegate/runtime/crash_reporter.py
+++ b/src/oriolegate/runtime/crash_reporter.py
@@ -115,6 +115,15 @@
         self.queue.add(WriteReport(name, report))
         self.reactor.callLater(REPORT_TTL_S, self.withdraw, (name,))
 
+    def on_report_absent(self, name: str, report: CrashReport) -> None:
+        """Write a report of this VM again that a restored store lacks."""
+        if report.vm == self.vm:
+            log.bind(name=name).info(
+                "restored store lacks a crash report; writing it again"
+            )
+            self.queue.add(WriteReport(name, report))
+            self._make_operations()
+
     def withdraw(self, names: tuple[str, ...]) -> None:
         """Remove reports that have expired or whose request has succeeded."""
         for name in names:
--- a/src/oriolegate/runtime/gateway.py
+++ b/src/oriolegate/runtime/gateway.py
@@ -149,7 +149,7 @@
             respond(503, b"not ready\n")
 
     def _answer_internal(self, target: bytes, respond: Respond) -> None:
-        if target.startswith(view_wire.PATH):
+        if view_wire.is_updates_request(target):
             self.parts.views.handle(target, respond)
             return
         text = metrics_module.render_text(self.parts.metrics.snapshot())
@@ -178,6 +178,8 @@
         self._check_pause()
         now_ms = self.clock.now_ms()
         parts = self.parts
+        for follower in parts.followers.values():
+            follower.remove_absent(now_ms)
         for leaf_id in parts.directory.drop_expired(now_ms):
             parts.leaf_client.drop(leaf_id)
         last_confirmed_ms = self._last_confirmed_ms()
--- a/src/oriolegate/runtime/gateway_composition.py
+++ b/src/oriolegate/runtime/gateway_composition.py
@@ -13,6 +13,7 @@
 from oriolegate.following.follower import Follower
 from oriolegate.following.source_choice import Peer
 from oriolegate.following.source_choice import SourceChoice
+from oriolegate.following.store_era import StoreEra
 from oriolegate.following.view_cache import ViewCache
 from oriolegate.metrics import MetricsRegistry
 from oriolegate.models.site import MemberEntry
@@ -93,10 +94,14 @@
     registry = MetricsRegistry()
     leaf_client = LeafClient(reactor, clock)
     directory.has_connection = leaf_client.has_idle
-    store_client = StoreClient(reactor, clock, settings.store_address)
+    era = StoreEra()
+    store_client = StoreClient(reactor, clock, settings.store_address, era)
     configuration = ConfigurationSink(directory)
 
     crashes = CrashLedger()
+    reporter = CrashReporter(
+        reactor, clock, store_client, settings.vm, crashes, registry, rng
+    )
     members = MemberRegistration(reactor, clock, store_client, settings, rng)
     choice = SourceChoice(settings.vm)
 
@@ -123,15 +128,17 @@
         Collection.LEAFS: LeafSink(directory),
         Collection.CONFIGURATION: configuration,
         Collection.EVACUATIONS: EvacuationSink(directory),
-        Collection.MEMBERS: MemberSink(settings.vm, on_members_changed),
-        Collection.CRASHES: CrashSink(crashes),
+        Collection.MEMBERS: MemberSink(
+            settings.vm, on_members_changed, members.on_entry_absent
+        ),
+        Collection.CRASHES: CrashSink(crashes, reporter.on_report_absent),
     }
     caches = {collection: ViewCache(sink) for collection, sink in sinks.items()}
     followers = {
         collection: Follower(collection, cache, rng)
         for collection, cache in caches.items()
     }
-    store = StoreRunner(reactor, clock, store_client, followers)
+    store = StoreRunner(reactor, clock, store_client, followers, era)
     views = ViewServer(
         reactor,
         caches,
@@ -144,7 +151,14 @@
         for host in settings.seeds
         if host != settings.host
     )
-    feed = PeerFeed(reactor, clock, choice, followers, store, seeds)
+    feed = PeerFeed(reactor, clock, choice, followers, store, era, seeds)
+
+    def on_new_era() -> None:
+        # At the first answer of all there is nothing to list anew.
+        if any(follower.revision for follower in followers.values()):
+            feed.confirm_with_store()
+
+    store_client.on_new_era = on_new_era
     checker = LeafChecker(reactor, clock, leaf_client, directory, rng)
     runner = ExchangeRunner(
         reactor,
@@ -156,9 +170,6 @@
         RequestLog(configuration, registry),
         crashes,
     )
-    reporter = CrashReporter(
-        reactor, clock, store_client, settings.vm, crashes, registry, rng
-    )
     checker.on_liveness_known = reporter.on_liveness_known
     runner.on_reports_withdrawn = reporter.withdraw
     return GatewayParts(
--- a/src/oriolegate/runtime/member_registration.py
+++ b/src/oriolegate/runtime/member_registration.py
@@ -25,6 +25,8 @@
 # Statuses after which the entry exists: created, or written by an earlier
 # start of this VM (409).
 WRITTEN_STATUSES = (200, 201, 409)
+# Longest delay before an entry is written again that a restored store lacks.
+MAX_REWRITE_DELAY_S = 1.0
 # Entries are renewed about twice an hour, so that entries of lost VMs can be
 # recognised: a VM that missed three renewals is lost.
 RENEW_INTERVAL_S = 1_800.0
@@ -69,6 +71,12 @@
         if all(entry.vm != self.settings.vm for entry in members):
             self._write()
 
+    def on_entry_absent(self) -> None:
+        """Write this VM's entry again, since a restored store lacks it."""
+        # Random, so that the VMs don't write together.
+        delay_s = MAX_REWRITE_DELAY_S * self.rng.random()
+        self.reactor.callLater(delay_s, self._write)
+
     def _content(self) -> dict[str, Any]:
         settings = self.settings
         return member_entry.encode(
--- a/src/oriolegate/runtime/peer_feed.py
+++ b/src/oriolegate/runtime/peer_feed.py
@@ -9,6 +9,7 @@
 from oriolegate.following.follower import Follower
 from oriolegate.following.source_choice import Peer
 from oriolegate.following.source_choice import SourceChoice
+from oriolegate.following.store_era import StoreEra
 from oriolegate.models.stored import ChangeBatch
 from oriolegate.models.stored import Collection
 from oriolegate.models.stored import ListPage
@@ -53,6 +54,7 @@
         choice: SourceChoice,
         followers: dict[Collection, Follower],
         store: StoreRunner,
+        era: StoreEra,
         seeds: tuple[Peer, ...] = (),
     ) -> None:
         self.reactor = reactor
@@ -60,6 +62,7 @@
         self.choice = choice
         self.followers = followers
         self.store = store
+        self.era = era
         self.seeds = seeds
         self.seed_query_count = 0
         self.peer: Peer | None = None
@@ -107,10 +110,17 @@
             follower.failures for follower in self.followers.values()
         ):
             return
-        seed = self.seeds[self.seed_query_count % len(self.seeds)]
+        round_number, index = divmod(self.seed_query_count, len(self.seeds))
+        seed = self.seeds[index]
         self.seed_query_count += 1
         revisions = dict.fromkeys(self.followers, 0)
-        request = view_wire.UpdatesRequest(revisions, 0, unconfirmed=True)
+        request = view_wire.UpdatesRequest(
+            revisions,
+            0,
+            unconfirmed=True,
+            # Whether the seed's version knows eras is seen by trying.
+            has_eras=round_number % 2 == 0,
+        )
         data = view_wire.encode_request(seed.host, seed.port, request)
 
         def done(outcome: HttpResponse | str) -> None:
@@ -143,7 +153,9 @@
         # The first request to a peer does not wait for updates, to learn at
         # once whether the peer answers.
         wait_ms = MAX_WAIT_MS if peer == self.peer else 0
-        request = view_wire.UpdatesRequest(revisions, wait_ms)
+        request = view_wire.UpdatesRequest(
+            revisions, wait_ms, has_eras=self.era.number > 0
+        )
         data = view_wire.encode_request(peer.host, peer.port, request)
 
         def done(outcome: HttpResponse | str) -> None:
--- a/src/oriolegate/runtime/site_sinks.py
+++ b/src/oriolegate/runtime/site_sinks.py
@@ -6,9 +6,12 @@
 from oriolegate.crashes.crash_ledger import CrashLedger
 from oriolegate.exceptions import MalformedEntryError
 from oriolegate.models.site import Configuration
+from oriolegate.models.site import CrashReport
+from oriolegate.models.site import LeafEntry
 from oriolegate.models.site import MemberEntry
 from oriolegate.models.stored import StoredObject
 from oriolegate.placement.leaf_directory import LeafDirectory
+from oriolegate.placement.leaf_record import LeafRecord
 from oriolegate.platform import crash_entry
 from oriolegate.platform import documents
 from oriolegate.platform import member_entry
@@ -54,13 +57,25 @@
 
     def put(self, now_ms: float, item: StoredObject) -> None:
         """Add or update a leaf; treat an invalid entry as removed."""
+        self._put(now_ms, item, self.directory.put)
+
+    def put_restored(self, now_ms: float, item: StoredObject) -> None:
+        """Update a leaf from an entry that may be older than the one known."""
+        self._put(now_ms, item, self.directory.put_restored)
+
+    def _put(
+        self,
+        now_ms: float,
+        item: StoredObject,
+        put: Callable[[float, LeafEntry], LeafRecord],
+    ) -> None:
         try:
             entry = documents.decode_leaf_entry(item.name, item.content)
         except MalformedEntryError as error:
             self.invalid_entries.log_once(item, error)
             self.directory.on_entry_removed(now_ms, item.name)
             return
-        self.directory.put(now_ms, entry)
+        put(now_ms, entry)
         if self.is_synchronized:
             log.bind(
                 leaf=item.name,
@@ -77,6 +92,9 @@
         self.directory.on_entry_removed(now_ms, name)
         log.bind(leaf=name, by_list=by_list).info("leaf entry removed")
 
+    def on_absent(self, now_ms: float, name: str) -> None:
+        """Do nothing; leafs write their entries again."""
+
     def commit(self, now_ms: float, revision: int) -> None:
         """Log the first list as a whole; `put` logs later changes."""
         if not self.is_synchronized:
@@ -129,12 +147,19 @@
             routes=len(configuration.routes),
         ).info("configuration in force")
 
+    def put_restored(self, now_ms: float, item: StoredObject) -> None:
+        """Apply an entry of a restored store like any other."""
+        self.put(now_ms, item)
+
     def remove(self, now_ms: float, name: str, by_list: bool) -> None:
         """Keep the configuration in force, since no other replaces it."""
         log.bind(name=name).warning(
             "configuration object removed; keeping the one in force"
         )
 
+    def on_absent(self, now_ms: float, name: str) -> None:
+        """Do nothing; the operator writes it again."""
+
     def commit(self, now_ms: float, revision: int) -> None:
         """Do nothing; `put` has applied every configuration."""
 
@@ -152,11 +177,18 @@
             "data centre evacuated"
         )
 
+    def put_restored(self, now_ms: float, item: StoredObject) -> None:
+        """Apply an entry of a restored store like any other."""
+        self.put(now_ms, item)
+
     def remove(self, now_ms: float, name: str, by_list: bool) -> None:
         """Resume sending requests to a data centre."""
         self.directory.readmit(now_ms, name)
         log.bind(data_centre=name).info("data centre in use again")
 
+    def on_absent(self, now_ms: float, name: str) -> None:
+        """Do nothing; the operator writes it again."""
+
     def commit(self, now_ms: float, revision: int) -> None:
         """Do nothing; `put` and `remove` have applied every entry."""
 
@@ -164,8 +196,13 @@
 class CrashSink:
     """Applies crash reports to the crash ledger."""
 
-    def __init__(self, ledger: CrashLedger) -> None:
+    def __init__(
+        self,
+        ledger: CrashLedger,
+        on_report_absent: Callable[[str, CrashReport], None],
+    ) -> None:
         self.ledger = ledger
+        self.on_report_absent = on_report_absent
         self.invalid_entries = InvalidEntryLog("crashes")
 
     def put(self, now_ms: float, item: StoredObject) -> None:
@@ -180,11 +217,21 @@
             "crash reported"
         )
 
+    def put_restored(self, now_ms: float, item: StoredObject) -> None:
+        """Apply an entry of a restored store like any other."""
+        self.put(now_ms, item)
+
     def remove(self, now_ms: float, name: str, by_list: bool) -> None:
         """Remove a crash report that is no longer valid."""
         self.ledger.remove_report(name)
         log.bind(name=name, by_list=by_list).info("crash report removed")
 
+    def on_absent(self, now_ms: float, name: str) -> None:
+        """Let the VM that wrote a report write it again."""
+        report = self.ledger.find_report(name)
+        if report is not None:
+            self.on_report_absent(name, report)
+
     def commit(self, now_ms: float, revision: int) -> None:
         """Do nothing; `put` and `remove` have applied every report."""
 
@@ -193,13 +240,22 @@
     """Collects the entries of the VMs that are members."""
 
     def __init__(
-        self, vm: str, on_change: Callable[[tuple[MemberEntry, ...]], None]
+        self,
+        vm: str,
+        on_change: Callable[[tuple[MemberEntry, ...]], None],
+        on_own_entry_absent: Callable[[], None],
     ) -> None:
         self.vm = vm
         self.on_change = on_change
+        self.on_own_entry_absent = on_own_entry_absent
         self.invalid_entries = InvalidEntryLog("members")
         self.entries: dict[str, MemberEntry] = {}
 
+    def on_absent(self, now_ms: float, name: str) -> None:
+        """Let this VM write its own entry again."""
+        if name == self.vm:
+            self.on_own_entry_absent()
+
     def commit(self, now_ms: float, revision: int) -> None:
         """Report the member list, even if it is empty."""
         log.bind(count=len(self.entries), revision=revision).info(
@@ -216,6 +272,10 @@
             return
         self.entries[item.name] = entry
 
+    def put_restored(self, now_ms: float, item: StoredObject) -> None:
+        """Apply an entry of a restored store like any other."""
+        self.put(now_ms, item)
+
     def remove(self, now_ms: float, name: str, by_list: bool) -> None:
         """Remove a VM's entry."""
         self.entries.pop(name, None)
--- a/src/oriolegate/runtime/store_runner.py
+++ b/src/oriolegate/runtime/store_runner.py
@@ -9,10 +9,12 @@
 from oriolegate import structured_log
 from oriolegate.clock import Clock
 from oriolegate.exceptions import MalformedEntryError
+from oriolegate.following import store_era
 from oriolegate.following.follower import Follower
 from oriolegate.following.follower import ListQuery
 from oriolegate.following.follower import StoreQuery
 from oriolegate.following.follower import WatchQuery
+from oriolegate.following.store_era import StoreEra
 from oriolegate.models.stored import Collection
 from oriolegate.network.http_client import CancelCall
 from oriolegate.network.http_reader import HttpResponse
@@ -35,6 +37,7 @@
 
     Attributes:
         followers: Follower of each collection.
+        era: Era of the store.
         on_call_ended: Called after each answer and each failed call.
         paused: Whether a peer is followed instead of the store.
         timers: Timer of the next call, by collection.
@@ -49,11 +52,13 @@
         clock: Clock,
         client: StoreClient,
         followers: Mapping[Collection, Follower],
+        era: StoreEra,
     ) -> None:
         self.reactor = reactor
         self.clock = clock
         self.client = client
         self.followers = followers
+        self.era = era
         self.on_call_ended: Callable[[], None] = lambda: None
         self.paused = False
         self.timers: dict[Collection, Any] = {}
@@ -142,6 +147,11 @@
 
     def _call(self, follower: Follower, request: StoreQuery) -> None:
         collection = follower.collection
+        if (
+            isinstance(request, WatchQuery)
+            and store_era.era_of(request.revision) < self.era.number
+        ):
+            request = follower.list_again()
         match request:
             case ListQuery(_, after, may_lag):
                 call = store_calls.list_call(collection, after, may_lag=may_lag)
@@ -204,8 +214,12 @@
     ) -> StoreQuery:
         now_ms = self.clock.now_ms()
         if isinstance(request, ListQuery):
-            return follower.on_page(now_ms, store_calls.decode_page(body))
-        return follower.on_changes(now_ms, store_calls.decode_changes(body))
+            return follower.on_page(
+                now_ms, store_calls.decode_page(body, self.era.number)
+            )
+        return follower.on_changes(
+            now_ms, store_calls.decode_changes(body, self.era.number)
+        )
 
     def _on_failure(self, follower: Follower, reason: str) -> StoreQuery:
         next_request = follower.on_failure()
@@ -216,7 +230,8 @@
             reason=reason,
             failures=follower.failures,
             view_age_ms=round(min(age_ms, 1e9)),
-            revision=follower.revision,
+            revision=store_era.plain(follower.revision),
+            era=self.era.number,
             next_ms=round(next_request.delay_ms),
         ).warning(
             "store call failed; retrying"
--- a/src/oriolegate/runtime/view_server.py
+++ b/src/oriolegate/runtime/view_server.py
@@ -8,6 +8,7 @@
 
 from oriolegate import structured_log
 from oriolegate.exceptions import PeerMessageError
+from oriolegate.following import store_era
 from oriolegate.following.view_cache import ViewCache
 from oriolegate.models.stored import Collection
 from oriolegate.network import view_wire
@@ -69,6 +70,9 @@
             )
             respond(STATUS_BAD_REQUEST, b"")
             return
+        if not self._is_comparable(request):
+            respond(STATUS_UNAVAILABLE, b"")
+            return
         peer = WaitingPeer(request.revisions, respond)
         if request.unconfirmed and all(
             cache.revision for cache in self.caches.values()
@@ -85,6 +89,23 @@
         wait_s = min(request.wait_ms, MAX_WAIT_MS) / MS_PER_S
         peer.timer = self.reactor.callLater(wait_s, self._on_wait_timeout, peer)
 
+    def _is_comparable(self, request: view_wire.UpdatesRequest) -> bool:
+        """Return whether the eras of a peer's revisions and of ours agree.
+
+        A view of an earlier era than the peer's is of no use to it, and a peer
+        that knows no eras can't compare revisions of several.
+        """
+        eras = {
+            collection: store_era.era_of(cache.revision)
+            for collection, cache in self.caches.items()
+        }
+        if not request.has_eras and any(eras.values()):
+            return False
+        return all(
+            store_era.era_of(revision) <= eras[collection]
+            for collection, revision in request.revisions.items()
+        )
+
     def _has_updates(self, peer: WaitingPeer) -> bool:
         return any(
             self.caches[collection].revision > revision
--- a/tests/following/test_follower.py
+++ b/tests/following/test_follower.py
@@ -7,6 +7,7 @@
 from hypothesis import strategies
 
 from oriolegate.following import follower
+from oriolegate.following import store_era
 from oriolegate.following.follower import Follower
 from oriolegate.following.follower import ListQuery
 from oriolegate.following.follower import WatchQuery
@@ -26,13 +27,20 @@
     def __init__(self):
         self.contents = {}
         self.commits = 0
+        self.absent = []
 
     def put(self, now_ms, item):
         self.contents[item.name] = item.content
 
+    def put_restored(self, now_ms, item):
+        self.put(now_ms, item)
+
     def remove(self, now_ms, name, by_list):
         self.contents.pop(name, None)
 
+    def on_absent(self, now_ms, name):
+        self.absent.append(name)
+
     def commit(self, now_ms, revision):
         self.commits += 1
 
@@ -163,6 +171,71 @@
         self.assertEqual(set(self.sink.contents), {"b"})
 
 
+class NewEraTest(unittest.TestCase):
+    def setUp(self):
+        self.sink = Sink()
+        self.follower = Follower(
+            Collection.EVACUATIONS, self.sink, random.Random(1)
+        )
+        self.follower.start()
+        self.grace_ms = follower.ABSENT_GRACE_MS[Collection.EVACUATIONS]
+        items = (item("a", self.tag(1, 9)), item("b", self.tag(1, 100)))
+        self.follower.on_page(0.0, page(self.tag(1, 110), *items))
+
+    def tag(self, era, revision):
+        return store_era.tag(era, revision)
+
+    def restore(self):
+        """List a store that came back at revision 80, without `b`."""
+        self.follower.list_again()
+        restored = item("a", self.tag(2, 9))
+        return self.follower.on_page(0.0, page(self.tag(2, 80), restored))
+
+    def test_a_store_that_comes_back_older_is_followed_at_once(self):
+        self.follower.on_history_missing(0.0)
+        query = self.restore()
+        self.assertIsInstance(query, WatchQuery)
+        self.assertEqual(query.revision, self.tag(2, 80))
+
+    def test_an_object_that_a_new_era_lacks_stays_for_a_while(self):
+        self.restore()
+        self.assertEqual(self.sink.absent, ["b"])
+        self.follower.remove_absent(self.grace_ms - 1.0)
+        self.assertEqual(set(self.sink.contents), {"a", "b"})
+        self.follower.remove_absent(self.grace_ms)
+        self.assertEqual(set(self.sink.contents), {"a"})
+
+    def test_an_object_that_is_written_again_stays(self):
+        self.restore()
+        again = Change(item("b", self.tag(2, 81), "again"), removed=False)
+        self.follower.on_changes(10.0, ChangeBatch((again,), self.tag(2, 81)))
+        self.follower.remove_absent(self.grace_ms)
+        self.assertEqual(self.sink.contents["b"], "again")
+        self.assertEqual(self.follower.absent, {})
+
+    def test_changes_that_a_peer_read_in_a_new_era_end_the_earlier_one(self):
+        change = Change(item("a", self.tag(2, 9)), removed=False)
+        self.follower.on_changes(0.0, ChangeBatch((change,), self.tag(2, 80)))
+        self.assertEqual(self.sink.absent, ["b"])
+        self.assertEqual(self.follower.revision, self.tag(2, 80))
+
+    def test_another_drill_in_the_grace_time_does_not_prolong_it(self):
+        self.restore()
+        self.follower.list_again()
+        restored = item("a", self.tag(3, 9))
+        self.follower.on_page(
+            self.grace_ms / 2, page(self.tag(3, 40), restored)
+        )
+        self.follower.remove_absent(self.grace_ms)
+        self.assertEqual(set(self.sink.contents), {"a"})
+
+    def test_a_removal_in_the_new_era_is_applied_at_once(self):
+        self.restore()
+        self.follower.list_again()
+        self.follower.on_page(1.0, page(self.tag(2, 90)))
+        self.assertEqual(set(self.sink.contents), {"b"})
+
+
 class DeadConnectionTest(unittest.TestCase):
     """A dead connection is detected before a bound is exceeded."""
 
--- a/tests/following/test_view_cache.py
+++ b/tests/following/test_view_cache.py
@@ -6,6 +6,7 @@
 from hypothesis import given
 from hypothesis import strategies
 
+from oriolegate.following import store_era
 from oriolegate.following import view_cache
 from oriolegate.following.follower import Follower
 from oriolegate.following.view_cache import ViewCache
@@ -40,6 +41,17 @@
         update = self.cache.since(0)
         self.assertEqual(update, ListPage((item("a", 3),), False, 10))
 
+    def test_an_object_unchanged_in_a_new_era_is_passed_to_peers_only(self):
+        self.cache.sink.contents.clear()
+        restored = StoredObject("a", store_era.tag(1, 2), "a@3")
+        self.cache.put(0.0, restored)
+        self.cache.commit(0.0, store_era.tag(1, 8))
+        self.assertEqual(self.cache.sink.contents, {})
+        update = self.cache.since(10)
+        self.assertEqual(update.changes, (Change(restored, removed=False),))
+        self.cache.put(0.0, item("a", store_era.tag(1, 9)))
+        self.assertEqual(set(self.cache.sink.contents), {"a"})
+
     def test_a_peer_that_lags_gets_the_changes(self):
         self.cache.put(0.0, item("b", 11))
         self.cache.remove(0.0, "a", by_list=False)
--- /dev/null
+++ b/tests/network/test_store_client.py
@@ -0,0 +1,72 @@
+"""Tests of the eras that answers of the store state."""
+
+import unittest
+
+from oriolegate.clock import FakeClock
+from oriolegate.following.store_era import StoreEra
+from oriolegate.network.http_reader import HttpResponse
+from oriolegate.network.store_client import StoreClient
+from oriolegate.platform.store_calls import StoreCall
+
+
+class FakeHttpClient:
+    """Keeps the calls, which the test answers."""
+
+    def __init__(self, address):
+        self.pool = self
+        self.address = address
+        self.open_calls = []
+
+    def send(self, data, timeout_ms, done):
+        self.open_calls.append(done)
+        return lambda: None
+
+    def answer(self, era, status=200):
+        headers = [] if era is None else [(b"store-era", era)]
+        self.open_calls.pop(0)(HttpResponse(status, headers, b""))
+
+
+class StoreClientTest(unittest.TestCase):
+    def setUp(self):
+        self.era = StoreEra()
+        self.client = StoreClient(None, FakeClock(), ("h", 1), self.era)
+        self.http = self.client.client = FakeHttpClient(("h", 1))
+        self.eras = []
+        self.client.on_new_era = lambda: self.eras.append(self.era.number)
+        self.outcomes = []
+
+    def call(self, era, status=200):
+        cancel = self.client.call(
+            StoreCall("GET", "/objects/config"), 1.0, self.outcomes.append
+        )
+        self.http.answer(era, status)
+        return cancel
+
+    def test_a_new_era_is_seen_in_any_answer(self):
+        for era, status in ((b"1", 200), (b"2", 410), (b"3", 503)):
+            self.call(era, status)
+        self.assertEqual(self.eras, [1, 2, 3])
+        self.assertEqual([o.status for o in self.outcomes], [200, 410, 503])
+
+    def test_an_answer_of_an_earlier_era_is_a_failure(self):
+        self.call(b"2")
+        self.call(b"1")
+        self.assertEqual(self.eras, [2])
+        self.assertIsInstance(self.outcomes[-1], str)
+
+    def test_a_missing_or_invalid_era_keeps_the_known_one(self):
+        self.call(b"2")
+        for era in (None, b"", b"x", b"-1", b"1.5", b"9" * 30):
+            self.call(era)
+        self.assertEqual(self.era.number, 2)
+        self.assertEqual(self.eras, [2])
+        self.assertEqual(len(self.outcomes), 7)
+        self.assertTrue(all(o.status == 200 for o in self.outcomes))
+
+    def test_a_call_that_the_new_era_cancels_is_not_completed(self):
+        cancel = self.client.call(
+            StoreCall("GET", "/objects/config"), 1.0, self.outcomes.append
+        )
+        self.client.on_new_era = cancel
+        self.http.answer(b"1")
+        self.assertEqual(self.outcomes, [])
--- a/tests/placement/test_leaf_directory.py
+++ b/tests/placement/test_leaf_directory.py
@@ -27,6 +27,34 @@
     return choice if isinstance(choice, NoLeaf) else choice.entry.leaf_id
 
 
+class RestoredEntriesTest(unittest.TestCase):
+    def setUp(self):
+        self.directory = build.directory(
+            [build.leaf("a", born_ms=5, cold_left_ms=1_000.0)]
+        )
+
+    def restore(self, **changes):
+        entry = build.leaf("a", **{"born_ms": 5} | changes)
+        return self.directory.put_restored(0.0, entry)
+
+    def test_a_leaf_stays_cold_until_it_writes_its_entry_again(self):
+        self.assertTrue(self.restore().is_cold(999.0))
+        self.directory.put(0.0, build.leaf("a", born_ms=5))
+        self.assertFalse(self.directory.leafs["a"].is_cold(999.0))
+
+    def test_a_leaf_stays_in_its_incarnation(self):
+        self.assertEqual(self.restore(born_ms=4).entry.born_ms, 5)
+        self.assertEqual(self.restore(born_ms=6).entry.born_ms, 6)
+
+    def test_a_draining_leaf_does_not_return(self):
+        self.directory.put(0.0, build.leaf("a", born_ms=5, draining=True))
+        self.assertTrue(self.restore().entry.draining)
+        self.directory.on_entry_removed(0.0, "a")
+        self.assertEqual(self.directory.drop_expired(0.0), ["a"])
+        self.assertTrue(self.restore().entry.draining)
+        self.assertFalse(self.restore(born_ms=6).entry.draining)
+
+
 class ChoiceTest(unittest.TestCase):
     def setUp(self):
         self.directory = build.directory(
--- a/tests/platform/test_gateway.py
+++ b/tests/platform/test_gateway.py
@@ -610,6 +610,59 @@
         fingerprint = crash_ledger.call_fingerprint(call)
         self.assertEqual(set(ledger.reports), {fingerprint})
 
+    @on_site
+    async def test_a_refused_request_stays_refused_after_the_store_was_restored(
+        self, site
+    ):
+        site.store.era = 1
+        vm = site.process.settings.vm
+        earlier = site.store.make_copy()
+        call = attrs.evolve(build.call(), target=b"/one/bad")
+        fingerprint = crash_ledger.call_fingerprint(call)
+        for number in range(3):
+            report = CrashReport(fingerprint, f"a{number}", "l", vm, 0)
+            content = crash_entry.encode(report)
+            site.store.put("oriolegate-crashes", f"{number}", content)
+        ledger = site.process.parts.runner.crashes
+        await site.wait_until(
+            lambda: len(ledger.reports.get(fingerprint, ())) == 3
+        )
+        site.store.restore(earlier)
+        await site.wait_until(
+            lambda: len(site.store.objects.get("oriolegate-crashes", ())) == 3,
+            seconds=2.5,
+        )
+        self.assertEqual((await site.get(b"/one/bad")).status, 503)
+        self.assertEqual((await site.get(b"/one/good")).status, 200)
+
+    @on_site
+    async def test_the_view_survives_a_store_that_comes_back_older(self, site):
+        site.store.era = 1
+        earlier = site.store.make_copy()
+        added, _ = self.add_leaf(site, "s1-new", "s1")
+        site.store.put("config", "main", configuration(5))
+        leaving = site.store.objects["servers"]["s1-dc-b"]["spec"]
+        site.store.put("servers", "s1-dc-b", leaving | {"state": "draining"})
+        parts = site.process.parts
+        directory = parts.directory
+        await site.wait_until(
+            lambda: (
+                directory.leafs["s1-dc-b"].entry.draining
+                and parts.configuration.table.configuration.version == 5
+            )
+        )
+        site.store.restore(earlier)
+        await sleep(1.5)
+        self.assertIn(added.leaf_id, directory.leafs)
+        self.assertTrue(directory.leafs["s1-dc-b"].entry.draining)
+        self.assertEqual(parts.configuration.table.configuration.version, 5)
+        # A change in the new era arrives although revisions repeat.
+        site.store.put("config", "main", configuration(6))
+        await site.wait_until(
+            lambda: parts.configuration.table.configuration.version == 6,
+            seconds=2.0,
+        )
+
     @on_site
     async def test_a_store_outage_after_a_start_raises_retry_after(self, site):
         site.process.parts.configuration.table = None
--- a/tests/platform/test_store_calls.py
+++ b/tests/platform/test_store_calls.py
@@ -34,7 +34,7 @@
 class ResponseTest(unittest.TestCase):
     def test_a_page_is_decoded(self):
         body = {"items": [OBJECT], "has_more": True, "as_of": 9}
-        page = store_calls.decode_page(orjson.dumps(body))
+        page = store_calls.decode_page(orjson.dumps(body), 0)
         self.assertEqual(page.items, (StoredObject("a", 3, {"x": 1}),))
         self.assertTrue(page.more_follow)
         self.assertEqual(page.revision, 9)
@@ -45,17 +45,17 @@
             {"object": OBJECT, "deleted": True},
         ]
         body = {"events": events, "as_of": 9}
-        batch = store_calls.decode_changes(orjson.dumps(body))
+        batch = store_calls.decode_changes(orjson.dumps(body), 0)
         self.assertEqual([c.removed for c in batch.changes], [False, True])
 
     def test_objects_without_a_name_are_skipped(self):
         items = [4, {}, {"meta": {"name": 4, "revision": 1}}, OBJECT]
         body = {"items": items, "has_more": False, "as_of": 9}
-        page = store_calls.decode_page(orjson.dumps(body))
+        page = store_calls.decode_page(orjson.dumps(body), 0)
         self.assertEqual([item.name for item in page.items], ["a"])
 
     @given(strategies.binary(max_size=40))
     def test_invalid_responses_are_rejected(self, body):
         for decode in (store_calls.decode_page, store_calls.decode_changes):
             with self.assertRaises(MalformedEntryError):
-                decode(body)
+                decode(body, 0)
--- a/tests/runtime/test_peer_feed.py
+++ b/tests/runtime/test_peer_feed.py
@@ -9,6 +9,7 @@
 from oriolegate.following.follower import Follower
 from oriolegate.following.source_choice import Peer
 from oriolegate.following.source_choice import SourceChoice
+from oriolegate.following.store_era import StoreEra
 from oriolegate.models.stored import Collection
 from oriolegate.network.http_reader import HttpResponse
 from oriolegate.runtime.peer_feed import PeerFeed
@@ -58,7 +59,12 @@
         for follower in followers.values():
             follower.complete = True
         self.feed = PeerFeed(
-            self.reactor, self.clock, self.choice, followers, self.store
+            self.reactor,
+            self.clock,
+            self.choice,
+            followers,
+            self.store,
+            StoreEra(),
         )
         self.client = FakeClient(NO_UPDATES)
         self.feed._get_client = lambda peer: self.client
--- a/tests/runtime/test_store_runner.py
+++ b/tests/runtime/test_store_runner.py
@@ -9,6 +9,7 @@
 from oriolegate.clock import FakeClock
 from oriolegate.following import follower as follower_module
 from oriolegate.following.follower import Follower
+from oriolegate.following.store_era import StoreEra
 from oriolegate.models.stored import Collection
 from oriolegate.network.http_reader import HttpResponse
 from oriolegate.runtime import store_runner
@@ -54,7 +55,7 @@
             for collection in Collection
         }
         self.runner = StoreRunner(
-            self.reactor, FakeClock(), self.store, self.followers
+            self.reactor, FakeClock(), self.store, self.followers, StoreEra()
         )
         self.runner.start()
         self.advance(0.0)
--- a/tools/soak/crash_play.py
+++ b/tools/soak/crash_play.py
@@ -360,7 +360,7 @@
             folder,
             hosts[:3],
             internal_port,
-            arguments.source,
+            (arguments.mixed if number % 2 else None) or arguments.source,
         )
         for number in numbers
     ]
@@ -451,6 +451,11 @@
         default=ROOT / "src",
         help="folder of the package, such as that of an earlier version",
     )
+    parser.add_argument(
+        "--mixed",
+        type=pathlib.Path,
+        help="folder of the package for every other gateway",
+    )
     statuses: list[int] = []
     running = defer.ensureDeferred(run_all(parser.parse_args()))
 
