Blame requests for crashes that no reset tells of

A leaf behind a link that is cut in one direction, or one that crashes in silence, still gets requests while nothing comes back from it, neither an answer nor a reset. Its sends were given up at the stall limit or the deadline and never blamed, and no VM looked whether the leaf still lived: the crashing request went on to one leaf after another and was refused by nobody.

Each send without an answer that is given up is now blamed if its leaf is found crashed within 5 s, and a leaf that was silent for 450 ms is checked then, one check at a time. The test of the gateway failed before.

--- a/src/oriolegate/crashes/crash_ledger.py
+++ b/src/oriolegate/crashes/crash_ledger.py
@@ -28,8 +28,9 @@
 MAX_HARMLESS = 2_000
 MAX_SUSPECTS = 200
 MAX_LOST = 500
-# How long before a crash a request may have been abandoned to be its cause.
-# Some leafs go on with a request whose connection was closed.
+# How long before a crash is found a request may have been abandoned to be its
+# cause. Some leafs go on with a request whose connection was closed, and no
+# reset arrives from a leaf behind a link that is cut in one direction.
 ABANDONED_BLAME_MS = 5_000.0
 MAX_ABANDONED_PER_LEAF = 20
 
@@ -86,7 +87,7 @@
             don't stop them: one more success withdraws the reports.
         lost_requests: Requests whose connection was lost, by leaf id, until it
             is known whether the leaf crashed.
-        abandoned_requests: Requests whose caller left while a leaf ran them, by
+        abandoned_requests: Requests given up while a leaf may have run them, by
             leaf id, with the time.
     """
 
@@ -106,7 +107,7 @@
     def record_abandoned_request(
         self, now_ms: float, leaf_id: str, lost: LostRequest
     ) -> None:
-        """Record a request whose caller left while a leaf may have run it."""
+        """Record a request given up while a leaf may have run it."""
         of_leaf = self.abandoned_requests.setdefault(leaf_id, {})
         if len(self.abandoned_requests) > MAX_LOST:
             del self.abandoned_requests[next(iter(self.abandoned_requests))]
--- a/src/oriolegate/network/leaf_client.py
+++ b/src/oriolegate/network/leaf_client.py
@@ -31,11 +31,19 @@
 
 @attrs.define(eq=False)
 class OpenSend:
-    """A request in flight to a leaf."""
+    """A request in flight to a leaf.
+
+    Attributes:
+        leaf_id: The receiving leaf.
+        pool: Pool of its connections.
+        call: The HTTP call.
+        started_ms: When it was given to the pool.
+    """
 
     leaf_id: str
     pool: HttpPool
     call: HttpCall
+    started_ms: float
 
     @property
     def has_arrived(self) -> bool:
@@ -78,6 +86,12 @@
         if pool is not None:
             pool.close()
 
+    def close_idle(self, leaf_id: str) -> None:
+        """Close idle connections to a leaf, so that the next one is new."""
+        pool = self.pools.get(leaf_id)
+        if pool is not None:
+            pool.close()
+
     def has_idle(self, leaf_id: str) -> bool:
         """Return whether the pool has an idle connection to a leaf."""
         pool = self.pools.get(leaf_id)
@@ -127,7 +141,7 @@
         )
         pool = self._get_pool(leaf)
         pool.send(http_call)
-        return OpenSend(leaf.leaf_id, pool, http_call)
+        return OpenSend(leaf.leaf_id, pool, http_call, self.clock.now_ms())
 
     def abandon(self, open_send: OpenSend) -> None:
         """Close the connection of a send, so that its leaf stops working."""
@@ -161,4 +175,4 @@
             leaf_protocol.health_request(leaf, path), on_result, accepts_any
         )
         pool.send(call)
-        return OpenSend(leaf.leaf_id, pool, call)
+        return OpenSend(leaf.leaf_id, pool, call, self.clock.now_ms())
--- a/src/oriolegate/runtime/exchange_runner.py
+++ b/src/oriolegate/runtime/exchange_runner.py
@@ -10,6 +10,7 @@
 from oriolegate.crashes import crash_ledger
 from oriolegate.crashes.crash_ledger import CrashLedger
 from oriolegate.crashes.crash_ledger import LostRequest
+from oriolegate.exchange import part_sender
 from oriolegate.exchange import replying
 from oriolegate.exchange.exchange import Exchange
 from oriolegate.exchange.messages import AbandonSend
@@ -194,25 +195,25 @@
         running = self.running.get(request)
         if running is not None:
             now_ms = self.clock.now_ms()
-            self._record_abandoned_call(running, now_ms)
             self._execute(
                 running, running.exchange.on_caller_disconnected(now_ms)
             )
             self._log_reply(running)
 
-    def _record_abandoned_call(
-        self, running: RunningExchange, now_ms: float
+    def _record_abandoned_send(
+        self, exchange: Exchange, open_send: OpenSend
     ) -> None:
-        """Record that leafs may yet crash under a request without a caller."""
-        exchange = running.exchange
-        if exchange.answered_count:
+        """Record that a leaf may have crashed, or may yet crash, unnoticed."""
+        if exchange.answered_count or not open_send.has_arrived:
             return
-        lost = self._lost_request(exchange.call)
-        for open_send in running.sends.values():
-            if open_send.has_arrived:
-                self.crashes.record_abandoned_request(
-                    now_ms, open_send.leaf_id, lost
-                )
+        now_ms = self.clock.now_ms()
+        self.crashes.record_abandoned_request(
+            now_ms, open_send.leaf_id, self._lost_request(exchange.call)
+        )
+        record = self.context.directory.leafs.get(open_send.leaf_id)
+        waited_ms = now_ms - open_send.started_ms
+        if record is not None and waited_ms > part_sender.UNRESPONSIVE_MS:
+            self.checker.check_liveness(record)
 
     def answer_all(self) -> None:
         """Answer every open request with the results received so far."""
@@ -246,6 +247,7 @@
                 case AbandonSend(send):
                     open_send = running.sends.pop(send, None)
                     if open_send is not None:
+                        self._record_abandoned_send(running.exchange, open_send)
                         self.client.abandon(open_send)
                 case RelayAnswer() | AnswerGathered() | Refuse():
                     call = running.exchange.call
@@ -315,7 +317,7 @@
                 id=exchange.call.attempt_id,
             ).info("leaf rejected a connection; checking whether it is alive")
             record.record_rejection(self.clock.now_ms())
-            self.checker.check_after_rejection(record)
+            self.checker.check_liveness_later(record)
         elif result.outcome in (SendOutcome.UNSENT, SendOutcome.MAY_HAVE_RUN):
             self.checker.suspect(record, result.detail)
         elif result.outcome is SendOutcome.WRONG_LEAF:
--- a/src/oriolegate/runtime/leaf_checker.py
+++ b/src/oriolegate/runtime/leaf_checker.py
@@ -30,6 +30,7 @@
 # has had time to close the connections of other VMs.
 REJECTION_CHECK_DELAY_MS = 250.0
 DEFAULT_HEALTH_PATH = "/health"
+TIMED_OUT = NoAnswer(SendOutcome.MAY_HAVE_RUN, "no answer in time")
 
 
 class LeafChecker:
@@ -75,7 +76,7 @@
         ).info("leaf suspected of a restart; checking its health")
         # The first check is immediate: most resets concern a connection, not
         # the leaf, and no request uses the leaf until the check.
-        self._check(record)
+        self._check(record, is_first=True)
 
     def _check_later(self, record: LeafRecord, max_interval_ms: float) -> None:
         delay_ms = max_interval_ms * (0.5 + 0.5 * self.rng.random())
@@ -86,7 +87,7 @@
         is_known = self.directory.leafs.get(leaf_id) is record
         return not is_known or not record.suspect
 
-    def check_after_rejection(self, record: LeafRecord) -> None:
+    def check_liveness_later(self, record: LeafRecord) -> None:
         """Check later whether a leaf that rejected a connection has crashed.
 
         The leaf stays in use until the check finds it unreachable.
@@ -98,17 +99,33 @@
             REJECTION_CHECK_DELAY_MS / MS_PER_S, self._check_liveness, record
         )
 
-    def _check_liveness(self, record: LeafRecord) -> None:
+    def check_liveness(self, record: LeafRecord) -> None:
+        """Check whether a leaf that does not respond has crashed.
+
+        The leaf stays in use until the check finds it unreachable.
+        """
+        if record.entry.leaf_id in self.checking:
+            return
+        self.checking.add(record.entry.leaf_id)
+        self._check_liveness(record)
+
+    def _check_liveness(
+        self, record: LeafRecord, *, is_repeated: bool = False
+    ) -> None:
         leaf_id = record.entry.leaf_id
         if record.suspect:
             # The leaf is suspected by now: check it until it is healthy.
             self._check(record)
             return
-        self.checking.discard(leaf_id)
         if self.directory.leafs.get(leaf_id) is not record:
+            self.checking.discard(leaf_id)
             return
 
         def on_report(report: HealthReport | NoAnswer) -> None:
+            if report == TIMED_OUT and not is_repeated:
+                self._check_liveness(record, is_repeated=True)
+                return
+            self.checking.discard(leaf_id)
             self._report_liveness(record, report)
             if (
                 isinstance(report, NoAnswer)
@@ -118,13 +135,16 @@
 
         self._request_health(record, on_report)
 
-    def _check(self, record: LeafRecord) -> None:
+    def _check(self, record: LeafRecord, *, is_first: bool = False) -> None:
         if self._is_resolved(record):
             self.checking.discard(record.entry.leaf_id)
             return
 
         def on_report(report: HealthReport | NoAnswer) -> None:
-            self._on_check_report(record, report)
+            if is_first and report == TIMED_OUT:
+                self._check(record)
+            else:
+                self._on_check_report(record, report)
 
         self._request_health(record, on_report)
 
@@ -146,7 +166,10 @@
         def on_timeout() -> None:
             if open_check is not None:
                 self.client.abandon(open_check)
-            done(NoAnswer(SendOutcome.MAY_HAVE_RUN, "no answer in time"))
+            # The leaf may be gone without a reset, so that its connections
+            # never answer: only a new one shows whether it is up.
+            self.client.close_idle(record.entry.leaf_id)
+            done(TIMED_OUT)
 
         timer = self.reactor.callLater(CHECK_TIMEOUT_MS / MS_PER_S, on_timeout)
         open_check = self.client.check_health(record.entry, path, on_answer)
--- a/tests/platform/test_gateway.py
+++ b/tests/platform/test_gateway.py
@@ -610,6 +610,24 @@
         fingerprint = crash_ledger.call_fingerprint(call)
         self.assertEqual(set(ledger.reports), {fingerprint})
 
+    @on_site
+    async def test_a_crash_that_nobody_hears_of_is_blamed_on_its_request(
+        self, site
+    ):
+        leaf = site.leafs["s1-dc-a"]
+        port = site.ports[1 + list(site.leafs).index(leaf.leaf_id)]
+        leaf.behave = lambda request: port.stopListening()
+        site.leafs["s1-dc-b"].behave = lambda request: None
+        response = await site.get(b"/one/bad")
+        self.assertEqual(response.status, 504)
+        site.leafs["s1-dc-b"].behave = lambda request: request.answer(b"fine")
+        await site.get(b"/one/good", attempt="a2")
+        ledger = site.process.parts.runner.crashes
+        await site.wait_until(lambda: ledger.reports)
+        call = attrs.evolve(build.call(), target=b"/one/bad")
+        fingerprint = crash_ledger.call_fingerprint(call)
+        self.assertEqual(set(ledger.reports), {fingerprint})
+
     @on_site
     async def test_a_refused_request_stays_refused_after_the_store_was_restored(
         self, site
--- a/tests/runtime/test_leaf_checker.py
+++ b/tests/runtime/test_leaf_checker.py
@@ -21,6 +21,7 @@
         self.reactor = reactor
         self.reports = []
         self.checked_at_s = []
+        self.closed_idle = []
 
     def check_health(self, leaf, path, done):
         self.checked_at_s.append(self.reactor.seconds())
@@ -30,6 +31,9 @@
     def abandon(self, open_check):
         pass
 
+    def close_idle(self, leaf_id):
+        self.closed_idle.append(leaf_id)
+
 
 class LeafCheckerTest(unittest.TestCase):
     def setUp(self):
@@ -52,6 +56,36 @@
     def set_members(self, count):
         self.directory.members = frozenset(f"vm-{n}" for n in range(count))
 
+    def test_a_check_without_an_answer_is_repeated_on_a_new_connection(self):
+        self.set_members(1_000)
+        self.checker.suspect(self.record, "reset")
+        self.run_for(leaf_checker.CHECK_TIMEOUT_MS / 1_000 + 0.02)
+        self.assertEqual(self.client.closed_idle, ["a"])
+        self.run_for(0.1)
+        self.assertEqual(len(self.client.checked_at_s), 2)
+        # Later checks keep to their interval.
+        self.run_for(1.5)
+        self.assertEqual(len(self.client.checked_at_s), 2)
+
+    def test_an_unresponsive_leaf_is_checked_twice_and_stays_in_use(self):
+        for _ in range(3):
+            self.checker.check_liveness(self.record)
+        self.run_for(5.0)
+        self.assertEqual(len(self.client.checked_at_s), 2)
+        self.assertEqual(self.client.closed_idle, ["a", "a"])
+        self.assertFalse(self.record.suspect)
+        self.assertEqual(self.checker.checking, set())
+
+    def test_an_unresponsive_leaf_that_is_unreachable_has_crashed(self):
+        crashed = []
+        self.checker.on_liveness_known = lambda leaf, is_alive: crashed.append(
+            is_alive
+        )
+        self.client.reports = [NoAnswer(SendOutcome.UNSENT, "refused")]
+        self.checker.check_liveness(self.record)
+        self.assertEqual(crashed[0], False)
+        self.assertTrue(self.record.suspect)
+
     def test_a_healthy_leaf_is_in_use_again_after_one_check(self):
         self.client.reports = [HealthReport("a", True, 0.0)]
         self.checker.suspect(self.record, "reset")
@@ -68,7 +102,7 @@
         self.client.reports = [
             NoAnswer(SendOutcome.MAY_HAVE_RUN, "reset", True)
         ]
-        self.checker.check_after_rejection(self.record)
+        self.checker.check_liveness_later(self.record)
         self.run_for(1.0)
         self.assertFalse(self.record.suspect)
         self.assertEqual(len(self.client.checked_at_s), 1)
@@ -79,14 +113,14 @@
             alive
         )
         self.client.reports = [NoAnswer(SendOutcome.UNSENT, "refused")]
-        self.checker.check_after_rejection(self.record)
+        self.checker.check_liveness_later(self.record)
         self.run_for(1.0)
         self.assertTrue(self.record.suspect)
         self.assertEqual(reported, [False])
 
     def test_a_leaf_suspected_after_a_rejection_is_checked(self):
         self.client.reports = [HealthReport("a", True, 0.0)]
-        self.checker.check_after_rejection(self.record)
+        self.checker.check_liveness_later(self.record)
         self.checker.suspect(self.record, "reset")
         self.run_for(1.0)
         self.assertFalse(self.record.suspect)
--- a/tools/soak/crash_play.py
+++ b/tools/soak/crash_play.py
@@ -65,6 +65,7 @@
         gap_s: Time between two of its attempts.
         error_fraction: How often a leaf answers it with 500 and lives on.
         keeps_id: Whether a crashed leaf comes back at once under its id.
+        is_silent: Whether a crashed leaf's connections stay open.
         patience_ms: How long its caller waits.
         crash_after_s: How long a leaf runs it before the crash.
         attempt_vms: Gateway that each attempt was sent to.
@@ -79,6 +80,7 @@
     gap_s: float = 0.4
     error_fraction: float = 0.0
     keeps_id: bool = False
+    is_silent: bool = False
     patience_ms: float = 1_700.0
     crash_after_s: float = 0.015
     attempt_vms: dict[str, str] = attrs.field(factory=dict)
@@ -138,8 +140,12 @@
         self.judge.crashes_ms.append(self.now_ms())
         self.note(f"{name} crashes under {attempt} by {vm}")
         soak_leaf.port.stopListening()
-        soak_leaf.link.close()
-        soak_leaf.leaf.crash()
+        if self.is_silent:
+            soak_leaf.link.mode = LinkMode.SILENT
+            soak_leaf.link.port.stopListening()
+        else:
+            soak_leaf.link.close()
+            soak_leaf.leaf.crash()
         if self.keeps_id:
             reactor.callLater(SAME_ID_DOWN_S, self._start_again, soak_leaf)
             return
@@ -313,6 +319,11 @@
     play.crash_after_s = 0.1
 
 
+async def silent(play: CrashPlay) -> None:
+    """Let leafs crash so that nobody hears of it, as behind a one-way cut."""
+    play.is_silent = True
+
+
 async def slow_crash(play: CrashPlay) -> None:
     """Let leafs crash after the request was sent to a second one."""
     play.crash_after_s = 0.4
@@ -335,6 +346,7 @@
     "many-shards": (many_shards, 20.0),
     "same-id": (same_id, 20.0),
     "impatient": (impatient, 20.0),
+    "silent": (silent, 25.0),
     "slow-crash": (slow_crash, 20.0),
     "seldom": (seldom, 110.0),
 }
