Give the leafs of each soak run ids of their own

Traced by the new log lines: VM vm-80 logged "request with crash reports succeeded" for attempt x423, a signed answer of leaf s1-dcc-3, which had crashed four seconds before. Two more plays ran beside it; one had got the port and had a leaf of the same name, which it did not crash for that path. Ids now hold the process id.

--- a/tools/soak/environment.py
+++ b/tools/soak/environment.py
@@ -1,5 +1,6 @@
 """Environment of the gateways in a soak: store, leafs, links and callers."""
 
+import os
 import random
 from typing import Any
 
@@ -34,6 +35,7 @@
     "one": (documents.IDEMPOTENT, "GET"),
     "once": (documents.NON_IDEMPOTENT, "POST"),
 }
+MAX_LEAFS = 10_000
 CANCEL_FRACTION = 0.03
 
 
@@ -85,7 +87,9 @@
         self.leafs: dict[str, SoakLeaf] = {}
         self.shard_sets: list[frozenset[str]] = []
         self.version = 0
-        self.leaf_number = 0
+        # Unique on the machine: a run beside this one may get the port of a
+        # crashed leaf, and must not answer in its name.
+        self.leaf_number = os.getpid() * MAX_LEAFS
         self.attempt_count = 0
         self.stopped = False
         for service in (*SHARDS, *NEXT_SHARDS):
