Tell in each era anew which objects the store lacks

A crash report that was written again after one drill and lost in the next, before the watch had returned it, was not written a third time: the follower told only once that an object was absent. It now tells once an era. The new test failed before. The first view of an era alone is looked through for absent objects, no longer every batch of changes.

--- a/src/oriolegate/crashes/crash_ledger.py
+++ b/src/oriolegate/crashes/crash_ledger.py
@@ -22,7 +22,7 @@
 # The crashes must belong to at least this many attempts: during one attempt,
 # many leafs may crash at once for another reason.
 ATTEMPTS_TO_REFUSE = 2
-# Limits on the requests stored as harmless (a leaf answered), as suspect (with
+# Limits on the requests stored as harmless (they succeeded), as suspect (with
 # crash reports), and as lost (with a lost connection) until it is known whether
 # the leaf crashed: seconds of one VM's traffic.
 MAX_HARMLESS = 2_000
@@ -44,7 +44,7 @@
 
 @attrs.frozen
 class LostRequest:
-    """A request whose connection was lost while a leaf may have run it."""
+    """A request without an answer that a leaf may have been running."""
 
     fingerprint: int
     attempt_id: str
--- a/src/oriolegate/following/follower.py
+++ b/src/oriolegate/following/follower.py
@@ -148,6 +148,7 @@
         listed: Objects of the pages received so far, by name.
         list_revision: Revision of the list's first page, or None before it.
         list_may_lag: Whether the current list may be seconds old.
+        era: Era of the view.
         absent: When to remove each object that the current era lacks, by name.
     """
 
@@ -170,6 +171,7 @@
         self.listed: dict[str, StoredObject] = {}
         self.list_revision: int | None = None
         self.list_may_lag = True
+        self.era = 0
         self.absent: dict[str, float] = {}
 
     def start(self) -> StoreQuery:
@@ -232,11 +234,15 @@
         return store_era.era_of(self.revisions[name]) < era
 
     def _record_absent(self, now_ms: float) -> None:
-        """Record objects that were not seen in the era of the view."""
+        """Record which objects the first view of an era lacks."""
+        era = store_era.era_of(self.revision)
+        if era == self.era:
+            return
+        self.era = era
+        due_ms = now_ms + ABSENT_GRACE_MS[self.collection]
         for name in self.revisions:
-            if name not in self.absent and self._is_of_earlier_era(name):
-                grace_ms = ABSENT_GRACE_MS[self.collection]
-                self.absent[name] = now_ms + grace_ms
+            if self._is_of_earlier_era(name):
+                self.absent.setdefault(name, due_ms)
                 self.sink.on_absent(now_ms, name)
 
     def remove_absent(self, now_ms: float) -> None:
--- a/tests/following/test_follower.py
+++ b/tests/following/test_follower.py
@@ -229,6 +229,16 @@
         self.follower.remove_absent(self.grace_ms)
         self.assertEqual(set(self.sink.contents), {"a"})
 
+    def test_each_era_tells_anew_which_objects_it_lacks(self):
+        self.restore()
+        self.follower.list_again()
+        restored = item("a", self.tag(3, 9))
+        self.follower.on_page(10.0, page(self.tag(3, 40), restored))
+        # What was written again after the first drill may be lost once more.
+        self.assertEqual(self.sink.absent, ["b", "b"])
+        self.follower.on_changes(20.0, ChangeBatch((), self.tag(3, 41)))
+        self.assertEqual(self.sink.absent, ["b", "b"])
+
     def test_a_removal_in_the_new_era_is_applied_at_once(self):
         self.restore()
         self.follower.list_again()
