Restore the store from copies in the soak

`--restores N` brings the store back from copies of random age N times during the faults of a seed; `--first-vm` lets soaks run beside each other.

--- a/tools/soak/__main__.py
+++ b/tools/soak/__main__.py
@@ -98,12 +98,25 @@
 
 
 async def run_seed(
-    seed: int, faulty_s: float, folder: pathlib.Path
+    seed: int,
+    faulty_s: float,
+    folder: pathlib.Path,
+    restore_count: int = 0,
+    first_vm: int = 0,
 ) -> promises.PromiseChecker:
-    """Run one seed; return its checker."""
+    """Run one seed; return its checker.
+
+    Args:
+        seed: Seed of all draws.
+        faulty_s: Time with faults.
+        folder: For settings and logs.
+        restore_count: How often the store comes back from an older copy.
+        first_vm: Number of the first gateway, which decides its address.
+    """
     rng = random.Random(seed)
     environment = SoakEnvironment(reactor, rng)
-    hosts = [gateway_module.host_for(number) for number in range(GATEWAY_COUNT)]
+    numbers = range(first_vm, first_vm + GATEWAY_COUNT)
+    hosts = [gateway_module.host_for(number) for number in numbers]
     # The internal port is the same on all VMs.
     (internal_port,) = gateway_module.free_ports("0.0.0.0", 1)
     gateways = [
@@ -116,7 +129,7 @@
             hosts[:3],
             internal_port,
         )
-        for number in range(GATEWAY_COUNT)
+        for number in numbers
     ]
     for process in gateways:
         # The processes must also end when the soak itself is stopped.
@@ -130,9 +143,9 @@
     ]
     # For the leaf faults that are directed at one service; see `FaultInjector`.
     focus_rng = random.Random(f"focus {seed}")
-    FaultInjector(environment, gateways, rng, focus_rng).schedule(
-        faulty_s, FAULT_COUNT
-    )
+    injector = FaultInjector(environment, gateways, rng, focus_rng)
+    injector.schedule(faulty_s, FAULT_COUNT)
+    injector.schedule_restores(faulty_s, restore_count)
     await environment.sleep(faulty_s + SETTLE_S)
     await check_recovered(environment, gateways)
     environment.stopped = True
@@ -170,7 +183,13 @@
         with tempfile.TemporaryDirectory() as name:
             folder = pathlib.Path(arguments.keep or name) / f"seed-{seed}"
             folder.mkdir(parents=True, exist_ok=True)
-            checker = await run_seed(seed, arguments.seconds, folder)
+            checker = await run_seed(
+                seed,
+                arguments.seconds,
+                folder,
+                arguments.restores,
+                arguments.first_vm,
+            )
         totals += checker.counts
         broken_seeds += bool(checker.violations)
         print(f"seed {seed}: {len(checker.violations)} broken", flush=True)
@@ -194,6 +213,18 @@
         action="store_true",
         help="first run the seeds that have failed before",
     )
+    parser.add_argument(
+        "--restores",
+        type=int,
+        default=0,
+        help="how often the store comes back from an older copy",
+    )
+    parser.add_argument(
+        "--first-vm",
+        type=int,
+        default=0,
+        help="number of the first gateway, to run soaks beside each other",
+    )
     parser.add_argument(
         "--keep", help="folder in which settings and logs are kept"
     )
--- a/tools/soak/crash_play.py
+++ b/tools/soak/crash_play.py
@@ -213,27 +213,13 @@
 
     async def restore_store(self) -> None:
         """Bring the store back from a copy that is some seconds old."""
-        store = self.environment.store
-        earlier = store.make_copy()
-        await self.environment.sleep(COPY_AGE_S)
-        self.disturb(AWAY_S)
-        self.note("store away")
-        store.refuse = 503
-        await self.environment.sleep(AWAY_S)
-        store.refuse = None
-        store.restore(earlier)
-        self.note(f"store back at revision {store.revision}, era {store.era}")
-        await self.environment.sleep(REWRITE_S)
-        self._rewrite()
-
-    def _rewrite(self) -> None:
-        """Write again what the operator and the leafs had written."""
-        environment = self.environment
-        known = environment.store.objects["servers"]
-        for name in set(known) - set(environment.leafs):
-            environment.store.delete("servers", name)
-        for soak_leaf in environment.leafs.values():
-            environment.write_entry(soak_leaf)
+        now_ms = self.now_ms()
+        away_ms = now_ms + COPY_AGE_S * 1_000
+        self.judge.disturbances.append(
+            Disturbance(away_ms, away_ms + AWAY_S * 1_000)
+        )
+        await self.environment.restore_store(COPY_AGE_S, AWAY_S, REWRITE_S)
+        self.note(f"store restored, era {self.environment.store.era}")
 
     async def set_links(
         self, gateways: list[GatewayProcess], mode: LinkMode, seconds: float
--- a/tools/soak/environment.py
+++ b/tools/soak/environment.py
@@ -73,6 +73,7 @@
         checker: Records what is seen and checks the promises.
         shard_sets: Shards of every configuration written so far.
         version: Newest configuration version.
+        configuration: Content of the newest configuration.
     """
 
     def __init__(self, reactor: Any, rng: random.Random) -> None:
@@ -86,6 +87,7 @@
         )
         self.leafs: dict[str, SoakLeaf] = {}
         self.shard_sets: list[frozenset[str]] = []
+        self.configuration: dict[str, Any] = {}
         self.version = 0
         # Unique on the machine: a run beside this one may get the port of a
         # crashed leaf, and must not answer in its name.
@@ -122,8 +124,41 @@
         spec = documents.configuration_spec(
             self.version, routes, (*SHARDS, *NEXT_SHARDS)
         )
+        self.configuration = spec
         self.store.put("config", "main", spec)
 
+    # Store
+
+    async def restore_store(
+        self, age_s: float, away_s: float = 0.3, rewrite_s: float = 1.0
+    ) -> None:
+        """Bring the store back from a copy made now.
+
+        Args:
+            age_s: Age of the copy when the store goes away.
+            away_s: How long the store refuses all calls.
+            rewrite_s: Time from its return until the operator and the leafs
+                have written again what the copy lacks.
+        """
+        store = self.store
+        store.era = store.era or 1
+        earlier = store.make_copy()
+        await self.sleep(age_s)
+        store.refuse = 503
+        await self.sleep(away_s)
+        store.refuse = None
+        store.restore(earlier)
+        await self.sleep(rewrite_s)
+        if not self.stopped:
+            self._rewrite()
+
+    def _rewrite(self) -> None:
+        self.store.put("config", "main", self.configuration)
+        for name in set(self.store.objects["servers"]) - set(self.leafs):
+            self.store.delete("servers", name)
+        for soak_leaf in self.leafs.values():
+            self.write_entry(soak_leaf)
+
     # Leafs
 
     def add_leaf(self, service: str, data_centre: str) -> SoakLeaf:
--- a/tools/soak/faults.py
+++ b/tools/soak/faults.py
@@ -11,6 +11,7 @@
 from tools.soak.environment import SoakLeaf
 from tools.soak.gateways import GatewayProcess
 from tools.soak.proxy import LinkMode
+from twisted.internet import defer
 
 FOCUS_FRACTION = 0.5
 
@@ -59,6 +60,15 @@
                 start_s, self._start_fault, kind, duration_s
             )
 
+    def schedule_restores(self, period_s: float, count: int) -> None:
+        """Restore the store from copies, again and again within a time."""
+        for index in range(count):
+            start_s = period_s * index / count
+            age_s = self.focus_rng.uniform(0.0, 0.6 * period_s / count)
+            self._call_later(
+                start_s, lambda age_s=age_s: self.store_restored(age_s)
+            )
+
     def _start_fault(
         self, kind: Callable[[float], None], duration_s: float
     ) -> None:
@@ -154,6 +164,16 @@
         self._record_view_fault()
         self.environment.store.forget()
 
+    def store_restored(self, duration_s: float) -> None:
+        """Bring the store back from a copy that is `duration_s` old."""
+        environment = self.environment
+        environment.checker.counts["fault store_restored"] += 1
+        self._record_view_fault()
+        restoring = defer.ensureDeferred(
+            environment.restore_store(duration_s, rewrite_s=0.8)
+        )
+        restoring.addCallback(lambda _: self._record_view_fault())
+
     def leaf_link(self, duration_s: float) -> None:
         """Disturb the link to one leaf."""
         link = self._choose_leaf().link
