--- a/tools/soak/environment.py
+++ b/tools/soak/environment.py
@@ -214,7 +214,9 @@
 
     def _replace_crashed(self, name: str, soak_leaf: SoakLeaf) -> None:
         if not self.stopped:
-            self.store.delete("servers", name)
+            # A store restored from a copy may lack the entry.
+            if name in self.store.objects["servers"]:
+                self.store.delete("servers", name)
             self.add_leaf(soak_leaf.service, soak_leaf.data_centre)
 
     def _run_request(self, soak_leaf: SoakLeaf, request: LeafRequest) -> None:
