Log the size and duration of large answers, and of partial ones

The logs couldn't tell whether a call to the store or to a peer that timed out had received nothing or most of its answer, nor how long a large answer took to arrive and to apply.

--- a/src/oriolegate/network/http_client.py
+++ b/src/oriolegate/network/http_client.py
@@ -16,6 +16,12 @@
 CancelCall = Callable[[], None]
 
 
+def _timeout_reason(call: HttpCall) -> str:
+    if call.received_bytes == 0:
+        return "no answer in time"
+    return f"answer incomplete in time; {call.received_bytes} bytes received"
+
+
 class HttpClient:
     """Sends requests to one address over a connection pool."""
 
@@ -55,7 +61,7 @@
 
         def on_timeout() -> None:
             self.pool.cancel(call)
-            done("no answer in time")
+            done(_timeout_reason(call))
 
         call = HttpCall(data, on_result, accepts=lambda response: True)
         timer = self.reactor.callLater(timeout_ms / MS_PER_S, on_timeout)
--- a/src/oriolegate/network/http_connection.py
+++ b/src/oriolegate/network/http_connection.py
@@ -74,6 +74,7 @@
         is_head: Whether this is a HEAD request, whose response has no body.
         connection: Connection on which the request was sent, or None.
         cancelled: Whether the result is no longer needed.
+        received_bytes: Bytes received since the request was sent.
     """
 
     data: bytes
@@ -82,6 +83,7 @@
     is_head: bool = False
     connection: "HttpConnection | None" = None
     cancelled: bool = False
+    received_bytes: int = 0
 
 
 class ConnectionOwner(Protocol):
@@ -166,6 +168,7 @@
             # Unsolicited bytes belong to no request.
             self.transport.abortConnection()
             return
+        self.call.received_bytes += len(data)
         try:
             responses = self.reader.feed(data)
         except UpstreamMessageError as malformed:
--- a/src/oriolegate/runtime/peer_feed.py
+++ b/src/oriolegate/runtime/peer_feed.py
@@ -16,6 +16,7 @@
 from oriolegate.network import view_wire
 from oriolegate.network.http_client import HttpClient
 from oriolegate.network.http_reader import HttpResponse
+from oriolegate.runtime import large_answers
 from oriolegate.runtime.store_runner import StoreRunner
 
 log = structured_log.get_logger("feed")
@@ -158,8 +159,17 @@
         )
         data = view_wire.encode_request(peer.host, peer.port, request)
 
+        sent_at_ms = self.clock.now_ms()
+
         def done(outcome: HttpResponse | str) -> None:
+            received_at_ms = self.clock.now_ms()
             self._on_response(peer, outcome)
+            large_answers.log_if_large(
+                log.bind(peer=peer.vm),
+                outcome,
+                received_at_ms - sent_at_ms,
+                self.clock.now_ms() - received_at_ms,
+            )
 
         self._get_client(peer).send(data, wait_ms + ANSWER_TIMEOUT_MS, done)
 
--- a/src/oriolegate/runtime/store_runner.py
+++ b/src/oriolegate/runtime/store_runner.py
@@ -20,6 +20,7 @@
 from oriolegate.network.http_reader import HttpResponse
 from oriolegate.network.store_client import StoreClient
 from oriolegate.platform import store_calls
+from oriolegate.runtime import large_answers
 
 log = structured_log.get_logger("store")
 
@@ -160,9 +161,18 @@
                 call = store_calls.watch_call(collection, revision, wait_ms)
                 timeout_ms = wait_ms + CALL_TIMEOUT_MS
 
+        sent_at_ms = self.clock.now_ms()
+
         def done(outcome: HttpResponse | str) -> None:
             self.calls.pop(collection, None)
+            received_at_ms = self.clock.now_ms()
             next_request = self._handle_outcome(follower, request, outcome)
+            large_answers.log_if_large(
+                log.bind(collection=collection.name),
+                outcome,
+                received_at_ms - sent_at_ms,
+                self.clock.now_ms() - received_at_ms,
+            )
             if follower.failures and self.parked:
                 self._pass_probe_on(follower, next_request)
             else:
