--- a/tests/platform/stand_in_store.py
+++ b/tests/platform/stand_in_store.py
@@ -33,10 +33,12 @@
         era: Number of the store's current lifetime, in all responses; None to
             leave it out.
         calls: Method and target of all calls, in order.
+        reactor: Runs the timers of waiting watches.
         waiting: Open watches as (request, kind, revision, unique object).
     """
 
-    def __init__(self) -> None:
+    def __init__(self, reactor: Any = reactor) -> None:
+        self.reactor = reactor
         self.objects: dict[str, dict[str, Any]] = {}
         self.history: list[tuple[int, str, Any]] = []
         self.revision = 1
@@ -121,7 +123,7 @@
         else:
             entry = (request, kind, revision, object())
             self.waiting.append(entry)
-            timer = reactor.callLater(
+            timer = self.reactor.callLater(
                 wait_ms / 1_000, self._on_watch_timeout, entry
             )
             request.notifyFinish().addErrback(
--- /dev/null
+++ b/tests/virtual_network.py
@@ -0,0 +1,272 @@
+"""A network in virtual time whose hosts have links of a limited rate.
+
+Hosts offer the part of a reactor that the gateway uses. Connections that are
+busy at the same time share a link fairly, and bytes take a fixed delay.
+"""
+
+import collections
+from collections.abc import Callable
+from typing import Any
+
+from twisted.internet import error
+from twisted.internet import task
+from twisted.python import failure
+
+from oriolegate.clock import Clock
+
+SEGMENT_BYTES = 8_192
+WALL_OFFSET_MS = 1_700_000_000_000
+
+
+class Link:
+    """Sends the segments of connections in turn, at a limited rate."""
+
+    def __init__(self, reactor: task.Clock, rate_bytes_per_s: float) -> None:
+        self.reactor = reactor
+        self.rate_bytes_per_s = rate_bytes_per_s
+        self.queues: dict[Any, collections.deque] = {}
+        self.is_busy = False
+        self.sent_bytes = 0
+
+    def send(self, flow: Any, data: bytes, deliver: Callable) -> None:
+        """Queue a segment; `deliver` is called once the link has sent it."""
+        self.queues.setdefault(flow, collections.deque()).append(
+            (data, deliver)
+        )
+        if not self.is_busy:
+            self._send_next()
+
+    def drop(self, flow: Any) -> None:
+        """Discard what a closed connection has not sent yet."""
+        self.queues.pop(flow, None)
+
+    def _send_next(self) -> None:
+        self.is_busy = bool(self.queues)
+        if not self.is_busy:
+            return
+        flow = next(iter(self.queues))
+        queue = self.queues.pop(flow)
+        data, deliver = queue.popleft()
+        if queue:
+            self.queues[flow] = queue
+        self.sent_bytes += len(data)
+        self.reactor.callLater(
+            len(data) / self.rate_bytes_per_s, self._on_sent, data, deliver
+        )
+
+    def _on_sent(self, data: bytes, deliver: Callable) -> None:
+        deliver(data)
+        self._send_next()
+
+
+class NoSocket:
+    """Accepts any socket option."""
+
+    def setsockopt(self, *option: Any) -> None:
+        """Do nothing."""
+
+
+class Transport:
+    """One end of a connection."""
+
+    disconnecting = False
+
+    def __init__(self, host: "Host", protocol: Any) -> None:
+        self.host = host
+        self.protocol = protocol
+        self.other: Transport | None = None
+        self.connected = True
+        self.queued_bytes = 0
+
+    def write(self, data: bytes) -> None:
+        """Send bytes over both links and the network between them."""
+        if not self.connected:
+            return
+        for start in range(0, len(data), SEGMENT_BYTES):
+            segment = data[start : start + SEGMENT_BYTES]
+            self.queued_bytes += len(segment)
+            self.host.outgoing.send(self, segment, self._on_left)
+
+    def writeSequence(self, parts: list[bytes]) -> None:  # noqa: N802
+        """Send several pieces of bytes."""
+        self.write(b"".join(parts))
+
+    def writeSomeData(self, data: bytes) -> int:  # noqa: N802
+        """Send all bytes."""
+        self.write(data)
+        return len(data)
+
+    def _on_left(self, segment: bytes) -> None:
+        self.queued_bytes -= len(segment)
+        self.host.reactor.callLater(
+            self.host.network.delay_s, self._on_arrived, segment
+        )
+        if self.disconnecting and not self.queued_bytes:
+            self._close(error.ConnectionDone())
+
+    def _on_arrived(self, segment: bytes) -> None:
+        if self.other.connected:
+            self.other.host.incoming.send(
+                self.other, segment, self.other.deliver
+            )
+
+    def deliver(self, segment: bytes) -> None:
+        """Pass received bytes to the protocol."""
+        if self.connected:
+            self.protocol.dataReceived(segment)
+
+    def loseConnection(self) -> None:  # noqa: N802 (Twisted's name)
+        """Close once all bytes have left."""
+        if self.queued_bytes:
+            self.disconnecting = True
+        else:
+            self._close(error.ConnectionDone())
+
+    def abortConnection(self) -> None:  # noqa: N802 (Twisted's name)
+        """Close at once."""
+        self._close(error.ConnectionLost())
+
+    def _close(self, reason: Exception) -> None:
+        if not self.connected:
+            return
+        self.host.outgoing.drop(self)
+        self.host.incoming.drop(self)
+        call_later = self.host.reactor.callLater
+        call_later(0.0, self._on_lost, reason)
+        call_later(self.host.network.delay_s, self.other._on_lost, reason)
+
+    def _on_lost(self, reason: Exception) -> None:
+        if self.connected:
+            self.connected = False
+            self.protocol.connectionLost(failure.Failure(reason))
+
+    def setTcpNoDelay(self, enabled: bool) -> None:  # noqa: N802
+        """Do nothing."""
+
+    setTcpKeepAlive = setTcpNoDelay  # noqa: N815 (Twisted's name)
+
+    def registerProducer(self, producer: Any, streaming: bool) -> None:  # noqa: N802
+        """Do nothing; the buffer is unlimited."""
+
+    def unregisterProducer(self) -> None:  # noqa: N802 (Twisted's name)
+        """Do nothing."""
+
+    def pauseProducing(self) -> None:  # noqa: N802 (Twisted's name)
+        """Do nothing."""
+
+    resumeProducing = pauseProducing  # noqa: N815 (Twisted's name)
+
+    def getHandle(self) -> NoSocket:  # noqa: N802 (Twisted's name)
+        """Return a socket that accepts any option."""
+        return NoSocket()
+
+    def getHost(self) -> None:  # noqa: N802 (Twisted's name)
+        """Return no address."""
+
+    getPeer = getHost  # noqa: N815 (Twisted's name)
+
+
+class ListeningPort:
+    """A port that accepts connections until it stops."""
+
+    def __init__(self, network: "VirtualNetwork", address: Any) -> None:
+        self.network = network
+        self.address = address
+
+    def stopListening(self) -> None:  # noqa: N802 (Twisted's name)
+        """Refuse further connections."""
+        self.network.listeners.pop(self.address, None)
+
+
+class Host:
+    """A host of the network; offers `callLater`, `connectTCP`, `listenTCP`.
+
+    Attributes:
+        incoming: Link for received bytes.
+        outgoing: Link for sent bytes.
+    """
+
+    def __init__(
+        self, network: "VirtualNetwork", name: str, rate_bytes_per_s: float
+    ) -> None:
+        self.network = network
+        self.reactor = network.reactor
+        self.name = name
+        self.incoming = Link(network.reactor, rate_bytes_per_s)
+        self.outgoing = Link(network.reactor, rate_bytes_per_s)
+        self.callLater = network.reactor.callLater
+
+    def listenTCP(  # noqa: N802 (Twisted's name)
+        self, port: int, factory: Any, backlog: int = 50, interface: str = ""
+    ) -> ListeningPort:
+        """Accept connections to a port of this host."""
+        address = (self.name, port)
+        self.network.listeners[address] = (self, factory)
+        return ListeningPort(self.network, address)
+
+    def connectTCP(  # noqa: N802 (Twisted's name)
+        self, host: str, port: int, factory: Any, timeout: float = 30.0
+    ) -> None:
+        """Open a connection after one round trip."""
+        round_trip_s = 2.0 * self.network.delay_s
+        self.callLater(round_trip_s, self._connect, (host, port), factory)
+
+    def _connect(self, address: tuple[str, int], factory: Any) -> None:
+        listener = self.network.listeners.get(address)
+        if listener is None:
+            reason = failure.Failure(error.ConnectionRefusedError())
+            factory.clientConnectionFailed(None, reason)
+            return
+        server_host, server_factory = listener
+        server_protocol = server_factory.buildProtocol(None)
+        # Otherwise its timeouts run on the global reactor.
+        server_protocol.callLater = self.callLater
+        server = Transport(server_host, server_protocol)
+        client = Transport(self, factory.buildProtocol(None))
+        server.other, client.other = client, server
+        server.protocol.makeConnection(server)
+        client.protocol.makeConnection(client)
+
+
+class VirtualClock(Clock):
+    """The network's time as a clock."""
+
+    def __init__(self, reactor: task.Clock) -> None:
+        self.reactor = reactor
+
+    def now_ms(self) -> float:
+        """Return the time since the start."""
+        return self.reactor.seconds() * 1_000.0
+
+    boot_ms = now_ms
+
+    def wall_ms(self) -> int:
+        """Return the time since the Unix epoch."""
+        return WALL_OFFSET_MS + int(self.now_ms())
+
+
+class VirtualNetwork:
+    """Hosts and the connections between them.
+
+    Attributes:
+        delay_s: Time that bytes take between two hosts.
+        listeners: Host and factory of each listening address.
+    """
+
+    def __init__(self, delay_s: float) -> None:
+        self.reactor = task.Clock()
+        self.clock = VirtualClock(self.reactor)
+        self.delay_s = delay_s
+        self.listeners: dict[tuple[str, int], tuple[Host, Any]] = {}
+
+    def add_host(self, name: str, rate_bytes_per_s: float) -> Host:
+        """Add a host whose link has a rate in each direction."""
+        return Host(self, name, rate_bytes_per_s)
+
+    def run_for(self, seconds: float) -> None:
+        """Run all events of the next seconds, each at its own time."""
+        end_s = self.reactor.seconds() + seconds
+        calls = self.reactor.calls
+        while calls and calls[0].getTime() <= end_s:
+            self.reactor.advance(calls[0].getTime() - self.reactor.seconds())
+        self.reactor.advance(end_s - self.reactor.seconds())
