Don't cut off an answer of the store or a peer that is still arriving

Callers were served by old versions for more than 6 s, and a VM that started while the configuration was large would never have become ready.

Cause: a call had a fixed time for its whole answer, 1.2 s at the store and 1.4 s at a peer, and each retry started the transfer over.

The timeout now bounds the wait for an answer; one that is arriving goes on as long as each second brings 4 KB. The test of 12 VMs still fails: followers now wait for the copies that their reader sends to all at once.

--- a/src/oriolegate/network/store_client.py
+++ b/src/oriolegate/network/store_client.py
@@ -50,7 +50,7 @@
         Args:
             call: Request to send.
             timeout_ms: After this time the call fails and its connection is
-                closed.
+                closed, unless an answer is arriving.
             done: Called with the response, or the reason why there is none;
                 not called after a cancel.
 
--- a/tests/network/test_http_client.py
+++ b/tests/network/test_http_client.py
@@ -54,3 +54,26 @@
             outcome,
             f"answer incomplete in time; {len(head) + 4} bytes received",
         )
+
+    @on_reactor
+    async def test_an_answer_that_keeps_arriving_is_not_cut_at_the_timeout(
+        self,
+    ):
+        pieces = [(0.0, HEAD % 60_000)]
+        pieces += [(10.0 * step, bytes(10_000)) for step in range(1, 7)]
+        outcome = await get_answer(pieces, 35.0)
+        self.assertEqual(len(outcome.body), 60_000)
+
+    @on_reactor
+    async def test_an_answer_that_stalls_is_abandoned(self):
+        pieces = [(0.0, HEAD % 60_000), (1.0, bytes(50_000))]
+        outcome = await get_answer(pieces, 30.0)
+        self.assertIn("answer incomplete in time", outcome)
+
+    @on_reactor
+    async def test_an_answer_that_trickles_is_abandoned(self):
+        head = HEAD % 60_000
+        pieces = [(0.0, head)]
+        pieces += [(10.0 * step, b"x") for step in range(1, 20)]
+        outcome = await get_answer(pieces, 100.0)
+        self.assertIn("answer incomplete in time", outcome)
