Send configurations to peers compressed

Callers were served by version 14 more than 6 s after version 18 was acknowledged.

Cause: the reader of a data centre sent the configuration in full, encoded anew, to each of up to 12 followers at once over its own link.

Peers of earlier versions get it plain; earlier versions reject the new field, so that followers read the store beside them.

--- a/src/oriolegate/network/view_wire.py
+++ b/src/oriolegate/network/view_wire.py
@@ -22,12 +22,20 @@
 from oriolegate.models.stored import Collection
 from oriolegate.models.stored import ListPage
 from oriolegate.models.stored import StoredObject
+from oriolegate.network import object_packing
+from oriolegate.network.object_packing import ObjectPacker
 
 PATH = b"/view"
 PATH_WITH_ERAS = b"/updates"
 WAIT_FIELD = "wait_ms"
 # Requests the view even if the store can't confirm it now.
 UNCONFIRMED_FIELD = "unconfirmed"
+# States that the peer accepts compressed objects.
+PACKED_FIELD = "packed"
+# A configuration may have a megabyte, of which a few per cent remain.
+PACKED_COLLECTIONS = frozenset({Collection.CONFIGURATION})
+# Position of the compressed content, after name, revision and plain content.
+PACKED_INDEX = 3
 
 
 @attrs.frozen
@@ -39,12 +47,14 @@
         wait_ms: How long the response may wait for updates.
         unconfirmed: Whether a view that the store can't confirm is accepted.
         has_eras: Whether revisions are tagged with the store's era.
+        accepts_packed: Whether objects may be compressed.
     """
 
     revisions: Mapping[Collection, int]
     wait_ms: int
     unconfirmed: bool = False
     has_eras: bool = False
+    accepts_packed: bool = False
 
 
 Updates = Mapping[Collection, ChangeBatch | ListPage]
@@ -65,6 +75,8 @@
     fields[WAIT_FIELD] = request.wait_ms
     if request.unconfirmed:
         fields[UNCONFIRMED_FIELD] = 1
+    if request.accepts_packed:
+        fields[PACKED_FIELD] = 1
     query = urllib.parse.urlencode(fields)
     path = PATH_WITH_ERAS if request.has_eras else PATH
     return (
@@ -86,11 +98,14 @@
         }
         wait_ms = fields.pop(WAIT_FIELD)
         unconfirmed = bool(fields.pop(UNCONFIRMED_FIELD, 0))
+        accepts_packed = bool(fields.pop(PACKED_FIELD, 0))
         revisions = {Collection[n]: v for n, v in fields.items()}
     except (KeyError, ValueError) as error:
         raise PeerMessageError(f"not a request for updates: {error}") from error
     has_eras = path == PATH_WITH_ERAS
-    return UpdatesRequest(revisions, wait_ms, unconfirmed, has_eras)
+    return UpdatesRequest(
+        revisions, wait_ms, unconfirmed, has_eras, accepts_packed
+    )
 
 
 def is_updates_request(target: bytes) -> bool:
@@ -98,17 +113,36 @@
     return target.partition(b"?")[0] in (PATH, PATH_WITH_ERAS)
 
 
-def _encode_object(item: StoredObject) -> list[Any]:
-    return [item.name, item.revision, item.content]
+def _encode_object(
+    item: StoredObject, packer: ObjectPacker | None
+) -> list[Any]:
+    if packer is None:
+        return [item.name, item.revision, item.content]
+    return [item.name, item.revision, None, packer.pack(item)]
+
+
+def _decode_object(fields: list[Any]) -> StoredObject:
+    if len(fields) <= PACKED_INDEX:
+        return StoredObject(*fields)
+    name, revision, _, packed = fields
+    return StoredObject(name, revision, object_packing.unpack(packed))
 
 
-def encode_updates(updates: Updates) -> bytes:
-    """Encode updates as the body of a response."""
+def encode_updates(
+    updates: Updates, large_packer: ObjectPacker | None = None
+) -> bytes:
+    """Encode updates as the body of a response.
+
+    Args:
+        updates: Updates by collection.
+        large_packer: Compresses large objects, or None to send them plain.
+    """
     document: dict[str, Any] = {}
     for collection, update in updates.items():
+        packer = large_packer if collection in PACKED_COLLECTIONS else None
         match update:
             case ListPage(items, _, revision):
-                all_items = [_encode_object(item) for item in items]
+                all_items = [_encode_object(item, packer) for item in items]
                 document[collection.name] = {
                     "revision": revision,
                     "all": all_items,
@@ -117,7 +151,7 @@
                 document[collection.name] = {
                     "revision": revision,
                     "changes": [
-                        [change.removed, *_encode_object(change.item)]
+                        [change.removed, *_encode_object(change.item, packer)]
                         for change in changes
                     ],
                 }
@@ -145,11 +179,11 @@
 def _decode_view(view: Mapping[str, Any]) -> ChangeBatch | ListPage:
     revision = int(view["revision"])
     if "all" in view:
-        items = tuple(StoredObject(*fields) for fields in view["all"])
+        items = tuple(_decode_object(fields) for fields in view["all"])
         return ListPage(items, False, revision)
     return ChangeBatch(
         tuple(
-            Change(StoredObject(*fields), bool(removed))
+            Change(_decode_object(fields), bool(removed))
             for removed, *fields in view["changes"]
         ),
         revision,
--- a/src/oriolegate/runtime/peer_feed.py
+++ b/src/oriolegate/runtime/peer_feed.py
@@ -3,6 +3,8 @@
 from collections.abc import Callable
 from typing import Any
 
+import attrs
+
 from oriolegate import structured_log
 from oriolegate.clock import Clock
 from oriolegate.exceptions import PeerMessageError
@@ -36,6 +38,22 @@
 STATUS_UNCONFIRMED = 503
 
 
+@attrs.frozen
+class SeedQueryVariant:
+    """What a version of a seed knows of the wire format."""
+
+    has_eras: bool
+    accepts_packed: bool
+
+
+# Which version a seed has is seen by trying, the newest first.
+SEED_QUERY_VARIANTS = (
+    SeedQueryVariant(has_eras=True, accepts_packed=True),
+    SeedQueryVariant(has_eras=True, accepts_packed=False),
+    SeedQueryVariant(has_eras=False, accepts_packed=False),
+)
+
+
 class PeerFeed:
     """Polls a peer for updates; without a peer, resumes the store runner.
 
@@ -115,12 +133,13 @@
         seed = self.seeds[index]
         self.seed_query_count += 1
         revisions = dict.fromkeys(self.followers, 0)
+        variant = SEED_QUERY_VARIANTS[round_number % len(SEED_QUERY_VARIANTS)]
         request = view_wire.UpdatesRequest(
             revisions,
             0,
             unconfirmed=True,
-            # Whether the seed's version knows eras is seen by trying.
-            has_eras=round_number % 2 == 0,
+            has_eras=variant.has_eras,
+            accepts_packed=variant.accepts_packed,
         )
         data = view_wire.encode_request(seed.host, seed.port, request)
 
@@ -155,7 +174,10 @@
         # once whether the peer answers.
         wait_ms = MAX_WAIT_MS if peer == self.peer else 0
         request = view_wire.UpdatesRequest(
-            revisions, wait_ms, has_eras=self.era.number > 0
+            revisions,
+            wait_ms,
+            has_eras=self.era.number > 0,
+            accepts_packed=True,
         )
         data = view_wire.encode_request(peer.host, peer.port, request)
 
--- a/src/oriolegate/runtime/view_server.py
+++ b/src/oriolegate/runtime/view_server.py
@@ -12,6 +12,7 @@
 from oriolegate.following.view_cache import ViewCache
 from oriolegate.models.stored import Collection
 from oriolegate.network import view_wire
+from oriolegate.network.object_packing import ObjectPacker
 
 log = structured_log.get_logger("views")
 
@@ -29,7 +30,7 @@
 class WaitingPeer:
     """A long-poll request of a peer that waits for updates."""
 
-    revisions: Mapping[Collection, int]
+    request: view_wire.UpdatesRequest
     respond: Respond
     timer: Any = None
 
@@ -42,6 +43,7 @@
         is_confirmed: Returns whether the view may be served as confirmed by
             the store.
         waiting: Requests of peers that wait for updates.
+        packer: Compresses large objects.
     """
 
     def __init__(
@@ -54,6 +56,7 @@
         self.caches = caches
         self.is_confirmed = is_confirmed
         self.waiting: list[WaitingPeer] = []
+        self.packer = ObjectPacker()
 
     def handle(self, target: bytes, respond: Respond) -> None:
         """Answer a request now, or once there are updates.
@@ -73,7 +76,7 @@
         if not self._is_comparable(request):
             respond(STATUS_UNAVAILABLE, b"")
             return
-        peer = WaitingPeer(request.revisions, respond)
+        peer = WaitingPeer(request, respond)
         if request.unconfirmed and all(
             cache.revision for cache in self.caches.values()
         ):
@@ -110,7 +113,7 @@
         return any(
             self.caches[collection].revision > revision
             and self._has_change_after(collection, revision)
-            for collection, revision in peer.revisions.items()
+            for collection, revision in peer.request.revisions.items()
         )
 
     def _has_change_after(self, collection: Collection, revision: int) -> bool:
@@ -122,10 +125,11 @@
     def _answer(self, peer: WaitingPeer) -> None:
         updates = {
             collection: self.caches[collection].since(revision)
-            for collection, revision in peer.revisions.items()
+            for collection, revision in peer.request.revisions.items()
             if self.caches[collection].revision > revision
         }
-        peer.respond(STATUS_OK, view_wire.encode_updates(updates))
+        packer = self.packer if peer.request.accepts_packed else None
+        peer.respond(STATUS_OK, view_wire.encode_updates(updates, packer))
 
     def _on_wait_timeout(self, peer: WaitingPeer) -> None:
         self.waiting.remove(peer)
--- a/tests/network/test_view_wire.py
+++ b/tests/network/test_view_wire.py
@@ -4,6 +4,7 @@
 
 from hypothesis import given
 from hypothesis import strategies
+import orjson
 
 from oriolegate.exceptions import PeerMessageError
 from oriolegate.models.stored import Change
@@ -12,6 +13,7 @@
 from oriolegate.models.stored import ListPage
 from oriolegate.models.stored import StoredObject
 from oriolegate.network import view_wire
+from oriolegate.network.object_packing import ObjectPacker
 
 ITEM = StoredObject("a", 3, {"x": [1, None]})
 
@@ -20,7 +22,9 @@
     def test_a_request_survives_encoding_and_decoding(self):
         revisions = {Collection.LEAFS: 7, Collection.MEMBERS: 0}
         for unconfirmed in (False, True):
-            request = view_wire.UpdatesRequest(revisions, 900, unconfirmed)
+            request = view_wire.UpdatesRequest(
+                revisions, 900, unconfirmed, accepts_packed=not unconfirmed
+            )
             data = view_wire.encode_request("10.0.0.1", 7740, request)
             target = data.split(b" ")[1]
             self.assertEqual(view_wire.decode_request(target), request)
@@ -30,8 +34,24 @@
             Collection.LEAFS: ChangeBatch((Change(ITEM, removed=True),), 9),
             Collection.CONFIGURATION: ListPage((ITEM,), False, 8),
         }
-        decoded = view_wire.decode_updates(view_wire.encode_updates(updates))
-        self.assertEqual(decoded, updates)
+        for packer in (None, ObjectPacker()):
+            body = view_wire.encode_updates(updates, packer)
+            self.assertEqual(view_wire.decode_updates(body), updates)
+
+    def test_a_large_configuration_is_sent_compressed(self):
+        content = {"routes": [{"name": f"route{n}"} for n in range(5_000)]}
+        item = StoredObject("main", 3, content)
+        updates = {Collection.CONFIGURATION: ListPage((item,), False, 3)}
+        plain = view_wire.encode_updates(updates)
+        packed = view_wire.encode_updates(updates, ObjectPacker())
+        self.assertLess(len(packed), len(plain) / 4)
+        self.assertEqual(view_wire.decode_updates(packed), updates)
+
+    def test_an_invalid_packed_object_is_rejected(self):
+        for text in (1, "%", "AAAA"):
+            view = {"revision": 3, "all": [["main", 3, None, text]]}
+            with self.assertRaises(PeerMessageError):
+                view_wire.decode_updates(orjson.dumps({"LEAFS": view}))
 
     def test_invalid_requests_are_rejected(self):
         for target in (b"/view", b"/view?LEAFS=x&wait_ms=1", b"/view?A=1"):
