Keep only the last change of an object for peers

A gateway's memory grew with each version of a large configuration, towards the limit at which the process is killed and its callers' requests are lost.

Cause: the last 2,000 changes are kept for peers, and a changed object as a whole with each of them; a peer that lagged also got each version of the configuration in full. The last change of each object says the same, so the others are dropped.

The new test failed before: 10 changes kept of 2 objects.

--- a/src/oriolegate/following/view_cache.py
+++ b/src/oriolegate/following/view_cache.py
@@ -4,8 +4,6 @@
 objects if the stored changes do not reach back that far.
 """
 
-import collections
-
 import attrs
 
 from oriolegate.following import store_era
@@ -15,7 +13,8 @@
 from oriolegate.models.stored import ListPage
 from oriolegate.models.stored import StoredObject
 
-# Changes stored for peers; a peer that lags further behind gets all objects.
+# Objects whose last change is stored for peers; a peer that lags further behind
+# gets all objects.
 MAX_CHANGES = 2_000
 
 
@@ -40,7 +39,8 @@
         revision: The store's revision of the view, or 0 before the first list.
         oldest_revision: All changes after this revision are stored.
         objects: Object by name.
-        changes: Recent changes, oldest first.
+        changes: Last change of each recently changed object, by name, oldest
+            first.
         uncommitted: Changes since the last commit.
     """
 
@@ -49,7 +49,7 @@
         self.revision = 0
         self.oldest_revision = 0
         self.objects: dict[str, StoredObject] = {}
-        self.changes: collections.deque[TaggedChange] = collections.deque()
+        self.changes: dict[str, TaggedChange] = {}
         self.uncommitted: list[Change] = []
 
     def put(self, now_ms: float, item: StoredObject) -> None:
@@ -87,13 +87,24 @@
             self.oldest_revision = revision
             self.uncommitted = []
         for change in self.uncommitted:
-            self.changes.append(TaggedChange(revision, change))
+            # Inserted anew, so that the order remains that of the changes.
+            self.changes.pop(change.item.name, None)
+            self.changes[change.item.name] = TaggedChange(revision, change)
         self.uncommitted = []
         self.revision = revision
         while len(self.changes) > MAX_CHANGES:
-            self.oldest_revision = self.changes.popleft().revision
+            oldest = self.changes.pop(next(iter(self.changes)))
+            self.oldest_revision = oldest.revision
         self.sink.commit(now_ms, revision)
 
+    def has_change_after(self, revision: int) -> bool:
+        """Return whether `since` would return any object."""
+        if revision < self.oldest_revision:
+            return True
+        if not self.changes:
+            return False
+        return next(reversed(self.changes.values())).revision > revision
+
     def since(self, revision: int) -> ChangeBatch | ListPage:
         """Return the changes since a revision if stored, else all objects."""
         if revision < self.oldest_revision:
@@ -101,7 +112,7 @@
         return ChangeBatch(
             tuple(
                 tagged.change
-                for tagged in self.changes
+                for tagged in self.changes.values()
                 if tagged.revision > revision
             ),
             self.revision,
--- a/src/oriolegate/runtime/view_server.py
+++ b/src/oriolegate/runtime/view_server.py
@@ -112,16 +112,10 @@
     def _has_updates(self, peer: WaitingPeer) -> bool:
         return any(
             self.caches[collection].revision > revision
-            and self._has_change_after(collection, revision)
+            and self.caches[collection].has_change_after(revision)
             for collection, revision in peer.request.revisions.items()
         )
 
-    def _has_change_after(self, collection: Collection, revision: int) -> bool:
-        cache = self.caches[collection]
-        if revision < cache.oldest_revision:
-            return True
-        return bool(cache.changes) and cache.changes[-1].revision > revision
-
     def _answer(self, peer: WaitingPeer) -> None:
         updates = {
             collection: self.caches[collection].since(revision)
--- a/tests/following/test_view_cache.py
+++ b/tests/following/test_view_cache.py
@@ -66,9 +66,26 @@
         )
         self.assertEqual(self.cache.since(12).changes, ())
 
+    def test_a_change_that_another_one_replaced_is_not_kept(self):
+        for revision in range(11, 20):
+            self.cache.put(0.0, item("b", revision))
+            self.cache.commit(0.0, revision)
+        self.cache.remove(0.0, "a", by_list=False)
+        self.cache.commit(0.0, 20)
+        self.assertEqual(len(self.cache.changes), 2)
+        self.assertEqual(
+            self.cache.since(10).changes,
+            (
+                Change(item("b", 19), removed=False),
+                Change(item("a", 3), removed=True),
+            ),
+        )
+        self.assertTrue(self.cache.has_change_after(19))
+        self.assertFalse(self.cache.has_change_after(20))
+
     def test_changes_are_kept_up_to_a_limit(self):
         for revision in range(11, 20 + view_cache.MAX_CHANGES):
-            self.cache.put(0.0, item("b", revision))
+            self.cache.put(0.0, item(f"b{revision}", revision))
             self.cache.commit(0.0, revision)
         self.assertEqual(len(self.cache.changes), view_cache.MAX_CHANGES)
         self.assertIsInstance(self.cache.since(10), ListPage)
