Tell peers the current revision also without changes

Cause: a follower got a revision only with a change. A collection that had not changed for longer than the store's history, 20 s, was watched from a revision that the store no longer had. Answers between VMs now state the revision up to which the view is current.

The new test failed before: the VM listed the configuration again after its peer's planned stop.

--- a/src/oriolegate/runtime/gateway_composition.py
+++ b/src/oriolegate/runtime/gateway_composition.py
@@ -142,6 +142,7 @@
     views = ViewServer(
         reactor,
         caches,
+        followers,
         # A stopping VM reports its view as unconfirmed, so that its peers
         # switch to another source before the VM exits.
         lambda: store.is_confirmed and not members.is_leaving,
--- a/src/oriolegate/runtime/view_server.py
+++ b/src/oriolegate/runtime/view_server.py
@@ -9,6 +9,7 @@
 from oriolegate import structured_log
 from oriolegate.exceptions import PeerMessageError
 from oriolegate.following import store_era
+from oriolegate.following.follower import Follower
 from oriolegate.following.view_cache import ViewCache
 from oriolegate.models.stored import Collection
 from oriolegate.network import view_wire
@@ -40,6 +41,8 @@
 
     Attributes:
         caches: View of each collection.
+        followers: Follower of each collection, which knows up to which
+            revision the view is current.
         is_confirmed: Returns whether the view may be served as confirmed by
             the store.
         waiting: Requests of peers that wait for updates.
@@ -50,10 +53,12 @@
         self,
         reactor: Any,
         caches: Mapping[Collection, ViewCache],
+        followers: Mapping[Collection, Follower],
         is_confirmed: Callable[[], bool],
     ) -> None:
         self.reactor = reactor
         self.caches = caches
+        self.followers = followers
         self.is_confirmed = is_confirmed
         self.waiting: list[WaitingPeer] = []
         self.packer = ObjectPacker()
@@ -117,10 +122,15 @@
         )
 
     def _answer(self, peer: WaitingPeer) -> None:
+        # Without changes too, a peer learns the current revision: the store
+        # has no history for a watch from an old one.
         updates = {
-            collection: self.caches[collection].since(revision)
+            collection: attrs.evolve(
+                self.caches[collection].since(revision),
+                revision=self.followers[collection].revision,
+            )
             for collection, revision in peer.request.revisions.items()
-            if self.caches[collection].revision > revision
+            if self.followers[collection].revision > revision
         }
         packer = self.packer if peer.request.accepts_packed else None
         peer.respond(STATUS_OK, view_wire.encode_updates(updates, packer))
--- a/tests/runtime/test_large_configuration.py
+++ b/tests/runtime/test_large_configuration.py
@@ -23,6 +23,8 @@
 IN_FORCE_S = 6.0
 # Bound on coming into contact after a start.
 READY_S = 5.0
+# How far back the store's history of changes reaches.
+HISTORY_S = 20
 SHARDS = tuple(f"service{number}" for number in range(36))
 
 
@@ -101,3 +103,26 @@
         fleet.add_gateway("late", first_start=False)
         fleet.network.run_for(READY_S)
         self.assertTrue(fleet.gateways["late"].ready)
+
+    def test_a_vm_that_loses_its_peer_does_not_list_it_again(self):
+        fleet = start_fleet(2)
+        revisions = []
+        for second in range(60):
+            fleet.store.put("others", f"o{second}", {})
+            fleet.network.run_for(1.0)
+            revisions.append(fleet.store.revision)
+            fleet.store.forgotten = revisions[max(0, second - HISTORY_S)]
+        reader, follower = sorted(
+            fleet.gateways.values(), key=lambda vm: vm.parts.store.paused
+        )
+        self.assertTrue(follower.parts.store.paused)
+        fleet.store.calls.clear()
+        reader.plan_stop()
+        fleet.network.run_for(5.0)
+        self.assertFalse(follower.parts.store.paused)
+        lists = [
+            call
+            for call in fleet.store.calls
+            if call.startswith("GET /objects/config") and "watch" not in call
+        ]
+        self.assertEqual(lists, [])
