Decode only the routes of a configuration that changed

Routes whose documents are equal to those of the version before are now kept. Validation is the same: a document that is kept was checked when it was decoded. The new test failed before, as every route was a new object.

--- a/src/oriolegate/platform/documents.py
+++ b/src/oriolegate/platform/documents.py
@@ -164,22 +164,56 @@
     )
 
 
-def configuration(spec: Any) -> Configuration:
-    """Decode an accepted configuration.
+class ConfigurationDecoder:
+    """Decodes successive configurations.
 
-    Raises:
-        MalformedEntryError: Any part of the configuration is missing or
-            invalid.
+    Routes that did not change are not decoded again: a configuration may have
+    thousands, and decoding blocks the process.
+
+    Attributes:
+        documents: The routes last decoded, as they were written.
+        routes: The routes last decoded.
     """
-    source = _mapping(spec, "the configuration")
-    services = [
-        _service(value) for value in _list(source.get("services"), "services")
-    ]
-    return Configuration(
-        version=_integer(source, "version"),
-        routes=tuple(
-            _route(value) for value in _list(source.get("routes"), "routes")
-        ),
-        services={service.name: service for service in services},
-        limits=_limits(source.get("limits") or {}),
-    )
+
+    def __init__(self) -> None:
+        self.documents: list[Any] = []
+        self.routes: tuple[Route, ...] = ()
+
+    def decode(self, spec: Any) -> Configuration:
+        """Decode an accepted configuration.
+
+        Raises:
+            MalformedEntryError: Any part of the configuration is missing or
+                invalid.
+        """
+        source = _mapping(spec, "the configuration")
+        services = [
+            _service(value)
+            for value in _list(source.get("services"), "services")
+        ]
+        documents = _list(source.get("routes"), "routes")
+        configuration = Configuration(
+            version=_integer(source, "version"),
+            routes=self._decode_routes(documents),
+            services={service.name: service for service in services},
+            limits=_limits(source.get("limits") or {}),
+        )
+        self.documents = documents
+        self.routes = configuration.routes
+        return configuration
+
+    def _decode_routes(self, documents: list[Any]) -> tuple[Route, ...]:
+        known = {
+            route.name: (document, route)
+            for document, route in zip(self.documents, self.routes, strict=True)
+        }
+
+        def decode(document: Any) -> Route:
+            name = document.get("name") if isinstance(document, dict) else None
+            if isinstance(name, str) and name in known:
+                known_document, route = known[name]
+                if known_document == document:
+                    return route
+            return _route(document)
+
+        return tuple(decode(document) for document in documents)
--- a/src/oriolegate/runtime/site_sinks.py
+++ b/src/oriolegate/runtime/site_sinks.py
@@ -115,6 +115,7 @@
 
     def __init__(self, directory: LeafDirectory) -> None:
         self.directory = directory
+        self.decoder = documents.ConfigurationDecoder()
         self.invalid_entries = InvalidEntryLog("configuration")
         self.table: RouteTable | None = None
         self.in_force_at_ms = 0.0
@@ -125,7 +126,7 @@
         if item.name != CONFIGURATION_NAME:
             return
         try:
-            configuration = documents.configuration(item.content)
+            configuration = self.decoder.decode(item.content)
         except MalformedEntryError as error:
             self.invalid_entries.log_once(item, error)
             return
--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -90,6 +90,10 @@
 )
 
 
+def decode_configuration(content):
+    return documents.ConfigurationDecoder().decode(content)
+
+
 class LeafEntryTest(unittest.TestCase):
     def test_a_complete_entry_is_decoded(self):
         entry = documents.decode_leaf_entry("i-1", LEAF)
@@ -129,20 +133,20 @@
 
 class ConfigurationTest(unittest.TestCase):
     def test_a_gather_route_is_decoded(self):
-        route = documents.configuration(CONFIGURATION).routes[0]
+        route = decode_configuration(CONFIGURATION).routes[0]
         self.assertEqual(route.host, "h.example")
         self.assertEqual(route.shards, ("s1", "s2"))
         self.assertEqual((route.record_limit, route.min_coverage), (5, 0.75))
         self.assertEqual(route.split, ())
 
     def test_a_split_route_is_decoded(self):
-        route = documents.configuration(CONFIGURATION).routes[1]
+        route = decode_configuration(CONFIGURATION).routes[1]
         self.assertIs(route.repeatability, Repeatability.NON_IDEMPOTENT)
         self.assertEqual([part.weight for part in route.split], [3.0, 1.0])
         self.assertEqual(route.home_regions, {"north"})
 
     def test_services_and_limits_are_decoded(self):
-        configuration = documents.configuration(CONFIGURATION)
+        configuration = decode_configuration(CONFIGURATION)
         self.assertEqual(configuration.services["s1"].cold_per_s, 2.5)
         self.assertEqual(configuration.limits.body_bytes, 1000)
 
@@ -158,12 +162,32 @@
             content = copy.deepcopy(CONFIGURATION)
             change(content)
             with self.assertRaises(MalformedEntryError):
-                documents.configuration(content)
+                decode_configuration(content)
+
+    def test_only_changed_routes_are_decoded_again(self):
+        decoder = documents.ConfigurationDecoder()
+        first = decoder.decode(CONFIGURATION).routes
+        content = copy.deepcopy(CONFIGURATION)
+        content["routes"].reverse()
+        content["routes"][0]["timeout_ms"] = 7
+        second = decoder.decode(content).routes
+        self.assertEqual(second, decode_configuration(content).routes)
+        self.assertIs(second[1], first[0])
+        self.assertEqual(second[0].timeout_ms, 7.0)
+
+    def test_an_invalid_configuration_does_not_affect_the_next_one(self):
+        decoder = documents.ConfigurationDecoder()
+        first = decoder.decode(CONFIGURATION)
+        content = copy.deepcopy(CONFIGURATION)
+        content["routes"][0]["timeout_ms"] = "soon"
+        with self.assertRaises(MalformedEntryError):
+            decoder.decode(content)
+        self.assertEqual(decoder.decode(CONFIGURATION), first)
 
     @given(ARBITRARY_VALUES)
     def test_arbitrary_values_raise_malformed_entry_error(self, value):
         with self.assertRaises(MalformedEntryError):
-            documents.configuration(value)
+            decode_configuration(value)
 
 
 class MemberEntryTest(unittest.TestCase):
