--- a/tests/runtime/test_large_configuration.py
+++ b/tests/runtime/test_large_configuration.py
@@ -1,24 +1,12 @@
 """Tests of a large configuration on slow links, with whole gateways."""
 
-import random
 import unittest
 
-import attrs
-
-from oriolegate.models.site import Bounds
-from oriolegate.models.site import NodeSettings
-from oriolegate.runtime import gateway
-from oriolegate.runtime import gateway_composition
-from tests import virtual_network
 from tests.platform import stand_in_documents as documents
-from tests.platform.stand_in_store import StandInStore
-from tests.platform.stand_in_store import StoreFactory
+from tests.virtual_fleet import VirtualFleet
 
-STORE_ADDRESS = ("store", 1)
-STORE_RATE_BYTES_PER_S = 125e6
 # A third of a link of 10 Mbit/s; requests use the rest.
 VM_RATE_BYTES_PER_S = 0.44e6
-DELAY_S = 0.0005
 # Bound on applying a configuration, from its acknowledgement.
 IN_FORCE_S = 6.0
 # Bound on coming into contact after a start.
@@ -37,53 +25,9 @@
     )
 
 
-@attrs.define(eq=False)
-class Fleet:
-    """Gateways of one data centre and their store."""
-
-    network: virtual_network.VirtualNetwork
-    store: StandInStore
-    gateways: dict[str, gateway.Gateway]
-
-    def versions(self):
-        return {
-            vm: process.parts.configuration.table.configuration.version
-            for vm, process in self.gateways.items()
-            if process.parts.configuration.table
-        }
-
-    def add_gateway(self, vm, *, first_start=True):
-        settings = NodeSettings(
-            vm=vm,
-            data_centre="dc-a",
-            regions={"dc-a": "north"},
-            host=vm,
-            caller_address=(vm, 1),
-            ready_address=(vm, 2),
-            internal_ports=(3, 3),
-            store_address=STORE_ADDRESS,
-            seeds=(),
-            first_start=first_start,
-            bounds=Bounds(),
-        )
-        host = self.network.add_host(vm, VM_RATE_BYTES_PER_S)
-        rng = random.Random(vm)
-        clock = self.network.clock
-        parts = gateway_composition.build_parts(host, clock, settings, rng)
-        self.gateways[vm] = gateway.Gateway(host, clock, settings, parts)
-        self.gateways[vm].start()
-
-
 def start_fleet(vm_count, routes=50):
-    network = virtual_network.VirtualNetwork(DELAY_S)
-    store = StandInStore(network.reactor)
-    host = network.add_host(STORE_ADDRESS[0], STORE_RATE_BYTES_PER_S)
-    host.listenTCP(STORE_ADDRESS[1], StoreFactory(store))
-    store.put("config", "main", configuration(1, routes))
-    fleet = Fleet(network, store, {})
-    for number in range(vm_count):
-        fleet.add_gateway(f"vm{number}")
-    network.run_for(10.0)
+    fleet = VirtualFleet(configuration(1, routes))
+    fleet.start(vm_count, VM_RATE_BYTES_PER_S)
     return fleet
 
 
@@ -92,7 +36,7 @@
         fleet = start_fleet(12)
         self.assertEqual(set(fleet.versions().values()), {1})
         for version, routes in ((2, 500), (3, 1_000), (4, 1_500)):
-            fleet.store.put("config", "main", configuration(version, routes))
+            fleet.configure(configuration(version, routes))
             fleet.network.run_for(IN_FORCE_S)
             self.assertEqual(
                 fleet.versions(), dict.fromkeys(fleet.gateways, version)
@@ -100,7 +44,7 @@
 
     def test_a_vm_that_starts_while_it_is_in_force_becomes_ready(self):
         fleet = start_fleet(2, routes=1_500)
-        fleet.add_gateway("late", first_start=False)
+        fleet.add_gateway("late", VM_RATE_BYTES_PER_S, first_start=False)
         fleet.network.run_for(READY_S)
         self.assertTrue(fleet.gateways["late"].ready)
 
