Continue a list of the store at the page whose call failed

A VM that started while the store lost answers took long until it could serve by a list of its own.

A failed page discarded those before it, so that a list of seven pages had to succeed seven times in a row. The page is now requested again, up to five times in a row, about 11 s: the watch from the revision of the first page returns what changed since, as it does between the pages of any list.

--- a/src/oriolegate/following/follower.py
+++ b/src/oriolegate/following/follower.py
@@ -54,6 +54,9 @@
 # cheap during an outage, and well below the 5 s after which bounds apply again.
 FIRST_RETRY_MS = 300.0
 MAX_RETRY_MS = 1_600.0
+# Failed calls in a row after which a list of several pages is begun again: its
+# first pages are then about 11 s old, half as old as the store's history.
+MAX_RESUMED_FAILURES = 5
 # Maximum backoff until the first list is complete; until then no request is
 # served.
 MAX_START_RETRY_MS = 300.0
@@ -146,6 +149,7 @@
         failures: Number of failed calls since `confirmed_ms`.
         mode: Kind of the current call.
         listed: Objects of the pages received so far, by name.
+        list_after: Name after which the next page of the list starts.
         list_revision: Revision of the list's first page, or None before it.
         list_may_lag: Whether the current list may be seconds old.
         era: Era of the view.
@@ -169,6 +173,7 @@
         self.failures = 0
         self.mode = Mode.LISTING
         self.listed: dict[str, StoredObject] = {}
+        self.list_after = ""
         self.list_revision: int | None = None
         self.list_may_lag = True
         self.era = 0
@@ -190,6 +195,7 @@
     ) -> StoreQuery:
         self.mode = Mode.LISTING
         self.listed = {}
+        self.list_after = ""
         self.list_revision = None
         self.list_may_lag = may_lag
         return ListQuery(delay_ms, "", may_lag)
@@ -206,7 +212,8 @@
         for item in page.items:
             self.listed[item.name] = item
         if page.more_follow and page.items:
-            return ListQuery(0.0, page.items[-1].name, self.list_may_lag)
+            self.list_after = page.items[-1].name
+            return ListQuery(0.0, self.list_after, self.list_may_lag)
         if self.list_revision < self.revision:
             # The page came from a lagging replica: the view is newer.
             return self._restart_list(FIRST_RETRY_MS, may_lag=False)
@@ -326,7 +333,9 @@
         self.failures += 1
         if self.mode is Mode.WATCHING:
             return WatchQuery(self._backoff_ms(), self.revision, PROBE_WATCH_MS)
-        return self._restart_list(self._backoff_ms())
+        if self.failures > MAX_RESUMED_FAILURES:
+            return self._restart_list(self._backoff_ms())
+        return ListQuery(self._backoff_ms(), self.list_after, self.list_may_lag)
 
     def _backoff_ms(self) -> float:
         max_backoff_ms = MAX_RETRY_MS if self.complete else MAX_START_RETRY_MS
