Let leafs of the soak limit their requests

The soak plays leafs, or all of a service, that name a limit, and judges it over all gateways as the users' rule counts it; what a disturbed link held up doesn't count.

--- a/tests/tools/test_soak.py
+++ b/tests/tools/test_soak.py
@@ -51,6 +51,15 @@
             self.checker.on_cold_arrival(100.0 * number, "s1-dca-1")
         self.assertEqual(self.broken_promises(), ["cold leafs are spared"])
 
+    def test_too_many_requests_to_a_limited_leaf_are_a_violation(self):
+        known_ms = promises.LIMIT_KNOWN_MS
+        bound = int(1.5 * 2.0 * 4.0) + 5
+        for number in range(bound + 1):
+            self.assertEqual(self.broken_promises(), [])
+            at_ms = known_ms + 1.0 + 100.0 * number
+            self.checker.on_limited_arrival(at_ms, "s1-dca-1", 2.0, 0.0)
+        self.assertEqual(self.broken_promises(), ["limits are kept"])
+
     def test_a_late_request_to_a_draining_leaf_is_a_violation(self):
         late_ms = promises.DRAIN_MS + 1.0
         self.checker.on_arrival_at_draining_leaf(late_ms, "s1-dca-1", 0.0)
--- a/tools/soak/__main__.py
+++ b/tools/soak/__main__.py
@@ -102,6 +102,7 @@
     faulty_s: float,
     folder: pathlib.Path,
     restore_count: int = 0,
+    limit_count: int = 0,
     first_vm: int = 0,
 ) -> promises.PromiseChecker:
     """Run one seed; return its checker.
@@ -111,6 +112,7 @@
         faulty_s: Time with faults.
         folder: For settings and logs.
         restore_count: How often the store comes back from an older copy.
+        limit_count: How often leafs limit their requests for a time.
         first_vm: Number of the first gateway, which decides its address.
     """
     rng = random.Random(seed)
@@ -146,6 +148,7 @@
     injector = FaultInjector(environment, gateways, rng, focus_rng)
     injector.schedule(faulty_s, FAULT_COUNT)
     injector.schedule_restores(faulty_s, restore_count)
+    injector.schedule_limits(faulty_s, limit_count)
     await environment.sleep(faulty_s + SETTLE_S)
     await check_recovered(environment, gateways)
     environment.stopped = True
@@ -188,6 +191,7 @@
                 arguments.seconds,
                 folder,
                 arguments.restores,
+                arguments.limits,
                 arguments.first_vm,
             )
         totals += checker.counts
@@ -219,6 +223,12 @@
         default=0,
         help="how often the store comes back from an older copy",
     )
+    parser.add_argument(
+        "--limits",
+        type=int,
+        default=0,
+        help="how often leafs limit their requests for a time",
+    )
     parser.add_argument(
         "--first-vm",
         type=int,
--- a/tools/soak/environment.py
+++ b/tools/soak/environment.py
@@ -52,6 +52,9 @@
         slow_s: Time added to each run.
         fail_fraction: Fraction of requests that the leaf resets after running.
         born_ms: Unix time in ms of the leaf's start.
+        limit_per_s: Requests per second that its answers name, or None.
+        limited_since_ms: When it first named the limit.
+        link_disturbed_ms: When its link was last disturbed.
     """
 
     leaf: StandInLeaf
@@ -64,6 +67,9 @@
     slow_s: float = 0.0
     fail_fraction: float = 0.0
     born_ms: int = 0
+    limit_per_s: float | None = None
+    limited_since_ms: float = 0.0
+    link_disturbed_ms: float = float("-inf")
 
 
 class SoakEnvironment:
@@ -231,6 +237,13 @@
             self.checker.on_arrival_at_draining_leaf(
                 now_ms, leaf_id, soak_leaf.draining_since_ms
             )
+        if soak_leaf.limit_per_s is not None:
+            self.checker.on_limited_arrival(
+                now_ms,
+                leaf_id,
+                soak_leaf.limit_per_s,
+                max(soak_leaf.limited_since_ms, soak_leaf.link_disturbed_ms),
+            )
         records = [self.rng.randbytes(16) for _ in range(3)]
         body = b"".join(records)
         self.checker.answers[leaf_id, attempt] = body
@@ -238,11 +251,27 @@
         if self.rng.random() < soak_leaf.fail_fraction:
             self.reactor.callLater(work_s, request.reset)
         else:
-            self.reactor.callLater(work_s, self._answer, request, body)
+            self.reactor.callLater(
+                work_s, self._answer, soak_leaf, request, body
+            )
+
+    def _answer(
+        self, soak_leaf: SoakLeaf, request: LeafRequest, body: bytes
+    ) -> None:
+        if not request.connection.transport.connected:
+            return
+        limit = soak_leaf.limit_per_s
+        request.answer(
+            body, Server_Limit=None if limit is None else f"{limit:.2f}"
+        )
 
-    def _answer(self, request: LeafRequest, body: bytes) -> None:
-        if request.connection.transport.connected:
-            request.answer(body)
+    def limit_requests(
+        self, soak_leaf: SoakLeaf, limit_per_s: float | None
+    ) -> None:
+        """Let a leaf name a limit in its answers, or none."""
+        soak_leaf.limit_per_s = limit_per_s
+        soak_leaf.limited_since_ms = self.clock.now_ms()
+        self.checker.limited_arrivals_ms.pop(soak_leaf.leaf.leaf_id, None)
 
     # Callers
 
--- a/tools/soak/faults.py
+++ b/tools/soak/faults.py
@@ -69,6 +69,18 @@
                 start_s, lambda age_s=age_s: self.store_restored(age_s)
             )
 
+    def schedule_limits(self, period_s: float, count: int) -> None:
+        """Let leafs, or all of a service, limit their requests for a time."""
+        for _ in range(count):
+            start_s = self.focus_rng.uniform(0.0, 0.4 * period_s)
+            duration_s = self.focus_rng.uniform(
+                0.4 * period_s, period_s - start_s
+            )
+            self._call_later(
+                start_s,
+                lambda duration_s=duration_s: self.leaf_limit(duration_s),
+            )
+
     def _start_fault(
         self, kind: Callable[[float], None], duration_s: float
     ) -> None:
@@ -176,9 +188,15 @@
 
     def leaf_link(self, duration_s: float) -> None:
         """Disturb the link to one leaf."""
-        link = self._choose_leaf().link
+        soak_leaf = self._choose_leaf()
+        link = soak_leaf.link
         link.set_mode(self.rng.choice(list(LinkMode)))
-        self._call_later(duration_s, lambda: link.set_mode(LinkMode.PASS))
+
+        def heal() -> None:
+            soak_leaf.link_disturbed_ms = self.environment.clock.now_ms()
+            link.set_mode(LinkMode.PASS)
+
+        self._call_later(duration_s, heal)
 
     def leaf_crash(self, duration_s: float) -> None:
         """Crash one leaf, or all of a service; replacements start."""
@@ -206,6 +224,26 @@
         soak_leaf.slow_s = self.rng.uniform(0.05, 1.0)
         self._call_later(duration_s, lambda: setattr(soak_leaf, "slow_s", 0.0))
 
+    def leaf_limit(self, duration_s: float) -> None:
+        """Let one leaf, or all of a service, limit their requests."""
+        environment = self.environment
+        environment.checker.counts["fault leaf_limit"] += 1
+        leafs = list(environment.leafs.values())
+        chosen = self.focus_rng.choice(leafs)
+        limit_per_s = self.focus_rng.uniform(0.5, 20.0)
+        if self.focus_rng.random() < FOCUS_FRACTION:
+            limited = [leaf for leaf in leafs if leaf.service == chosen.service]
+        else:
+            limited = [chosen]
+
+        def end() -> None:
+            for leaf in limited:
+                environment.limit_requests(leaf, None)
+
+        for leaf in limited:
+            environment.limit_requests(leaf, limit_per_s)
+        self._call_later(duration_s, end)
+
     def leaf_fails(self, duration_s: float) -> None:
         """Make a leaf reset a fraction of its requests after running them."""
         soak_leaf = self._choose_leaf()
--- a/tools/soak/promises.py
+++ b/tools/soak/promises.py
@@ -13,6 +13,13 @@
 # A gateway's view of the leafs may be wrong for this long after a fault that
 # affects the view.
 VIEW_SETTLE_MS = 5_000.0
+# A leaf that limits its requests gets in this time at most this many times
+# what the limit allows, and some more, over all gateways.
+LIMIT_WINDOW_MS = 4_000.0
+LIMIT_FACTOR = 1.5
+LIMIT_SLACK = 5
+# Gateways must keep to a limit this long after the leaf first named it.
+LIMIT_KNOWN_MS = 5_000.0
 # Tolerance for timers and for processes that share a machine.
 ANSWER_TOLERANCE_MS = 500.0
 # Records in the merged answer of a scatter-gather request.
@@ -44,6 +51,8 @@
         at_most_once: Attempts that aren't idempotent.
         view_faults_ms: Times of faults that affect the view of a gateway.
         cold_arrivals_ms: Arrival times at cold leafs, by leaf.
+        limited_arrivals_ms: Arrival times at leafs that limit their requests,
+            by leaf.
         violations: Broken promises, each with a detail.
         counts: Number of events by kind.
     """
@@ -54,6 +63,7 @@
     at_most_once: set[str] = attrs.field(factory=set)
     view_faults_ms: list[float] = attrs.field(factory=list)
     cold_arrivals_ms: dict[str, list[float]] = attrs.field(factory=dict)
+    limited_arrivals_ms: dict[str, list[float]] = attrs.field(factory=dict)
     violations: list[tuple[str, str]] = attrs.field(factory=list)
     counts: collections.Counter[str] = attrs.field(factory=collections.Counter)
 
@@ -86,6 +96,29 @@
                 "cold leafs are spared", f"{leaf} got {recent_count}"
             )
 
+    def on_limited_arrival(
+        self, now_ms: float, leaf: str, limit_per_s: float, since_ms: float
+    ) -> None:
+        """Check the rate of requests to a leaf that limits them.
+
+        Args:
+            now_ms: Time of the arrival.
+            leaf: The leaf.
+            limit_per_s: Requests per second that its answers name.
+            since_ms: When it first named the limit, or when requests that a
+                disturbed link held up may last have arrived together.
+        """
+        times = self.limited_arrivals_ms.setdefault(leaf, [])
+        times.append(now_ms)
+        from_ms = max(now_ms - LIMIT_WINDOW_MS, since_ms + LIMIT_KNOWN_MS)
+        count = sum(at_ms > from_ms for at_ms in times)
+        allowed_per_s = LIMIT_FACTOR * limit_per_s
+        bound = allowed_per_s * LIMIT_WINDOW_MS / 1_000.0 + LIMIT_SLACK
+        if count > bound and self.has_settled(now_ms):
+            self.record_violation(
+                "limits are kept", f"{leaf} got {count} of {bound:.0f}"
+            )
+
     def has_settled(self, now_ms: float) -> bool:
         """Return whether views must be right by now, long after all faults."""
         return (
