Stop using a leaf that announces that it leaves

A leaf that left got requests until the store's entry said so, up to the end of its time, and without an entry until it was gone, so that callers' requests were lost with it.

All such statements now arrive as one typed notice with each response, health answers included; an announced leaving makes the incarnation count as drained, which a later entry doesn't take back.

--- /dev/null
+++ b/src/oriolegate/models/leaf_notice.py
@@ -0,0 +1,20 @@
+"""What a leaf says of itself in a response, besides the answer."""
+
+import attrs
+
+
+@attrs.frozen
+class LeafNotice:
+    """Statements of a leaf that hold until its next response.
+
+    Attributes:
+        limit_per_s: Requests per second that it accepts from all VMs together,
+            or None without a limit.
+        is_leaving: Whether this incarnation of the leaf is about to stop.
+    """
+
+    limit_per_s: float | None = None
+    is_leaving: bool = False
+
+
+NO_NOTICE = LeafNotice()
--- a/src/oriolegate/network/leaf_client.py
+++ b/src/oriolegate/network/leaf_client.py
@@ -9,6 +9,7 @@
 from oriolegate.exchange.messages import CallerCall
 from oriolegate.exchange.messages import LeafAnswer
 from oriolegate.exchange.messages import SendOutcome
+from oriolegate.models.leaf_notice import LeafNotice
 from oriolegate.models.site import LeafEntry
 from oriolegate.network.http_connection import Answered
 from oriolegate.network.http_connection import Broken
@@ -68,16 +69,16 @@
 
     Attributes:
         pools: Connection pools by leaf id.
-        on_request_limit: Called for each response of a leaf, with its id and
-            the requests per second that it accepts, or None without a limit.
+        on_notice: Called for each response of a leaf, with its id and what it
+            says of itself.
     """
 
     def __init__(self, reactor: Any, clock: Clock) -> None:
         self.reactor = reactor
         self.clock = clock
         self.pools: dict[str, HttpPool] = {}
-        self.on_request_limit: Callable[[str, float | None], None] = (
-            lambda leaf_id, limit_per_s: None
+        self.on_notice: Callable[[str, LeafNotice], None] = (
+            lambda leaf_id, notice: None
         )
 
     def _get_pool(self, leaf: LeafEntry) -> HttpPool:
@@ -139,7 +140,7 @@
                 case Answered(response):
                     answer = leaf_protocol.decode_response(response)
                     if not _is_of_another_leaf(answer):
-                        self._report_limit(leaf, response)
+                        self._report_notice(leaf, response)
                     done(answer)
                 case NotSent(detail):
                     done(NoAnswer(SendOutcome.UNSENT, detail))
@@ -158,9 +159,8 @@
         pool.send(http_call)
         return OpenSend(leaf.leaf_id, pool, http_call, self.clock.now_ms())
 
-    def _report_limit(self, leaf: LeafEntry, response: HttpResponse) -> None:
-        limit_per_s = leaf_protocol.decode_request_limit(response)
-        self.on_request_limit(leaf.leaf_id, limit_per_s)
+    def _report_notice(self, leaf: LeafEntry, response: HttpResponse) -> None:
+        self.on_notice(leaf.leaf_id, leaf_protocol.decode_notice(response))
 
     def abandon(self, open_send: OpenSend) -> None:
         """Close the connection of a send, so that its leaf stops working."""
@@ -185,7 +185,7 @@
                 case Answered(response):
                     report = leaf_protocol.decode_health_response(response)
                     if report.leaf_id == leaf.leaf_id:
-                        self._report_limit(leaf, response)
+                        self._report_notice(leaf, response)
                     done(report)
                 case NotSent(detail):
                     done(NoAnswer(SendOutcome.UNSENT, detail))
--- a/src/oriolegate/placement/leaf_directory.py
+++ b/src/oriolegate/placement/leaf_directory.py
@@ -7,6 +7,7 @@
 
 import attrs
 
+from oriolegate.models.leaf_notice import LeafNotice
 from oriolegate.models.site import Bounds
 from oriolegate.models.site import LeafEntry
 from oriolegate.models.site import Service
@@ -51,6 +52,14 @@
     UNSURE = "just resumed"
 
 
+class LeafChange(enum.Enum):
+    """A change of a leaf that one of its responses states, for the log."""
+
+    LIMITED = "leaf limits its requests; keeping to a part of the limit"
+    UNLIMITED = "leaf no longer limits its requests"
+    LEAVING = "leaf announces that it leaves; not used any more"
+
+
 @attrs.frozen
 class LeafCriteria:
     """Criteria for the choice of a leaf.
@@ -79,8 +88,8 @@
         members_by_region: Number of members in each region.
         members_known: Whether the member list is current.
         evacuated: Data centres that get no requests.
-        drained: Id and start of leafs that drained and were dropped, oldest
-            first; the entry that a restored store has of one is obsolete.
+        drained: Id and start of leafs that drained, oldest first; an entry
+            that calls one ready is obsolete.
         hold_until_ms: Until when no leaf is chosen, because this process was
             paused and the store has not confirmed the view since.
         has_connection: Returns whether an idle connection to a leaf is
@@ -192,15 +201,21 @@
         record = self.leafs.pop(leaf_id, None)
         if record is None:
             return
-        if record.entry.draining and record.entry.born_ms:
-            self.drained[leaf_id, record.entry.born_ms] = None
-            if len(self.drained) > MAX_DRAINED:
-                del self.drained[next(iter(self.drained))]
+        if record.entry.draining:
+            self._remember_drained(record.entry)
         service_leafs = self.by_service[record.entry.service]
         del service_leafs[leaf_id]
         if not service_leafs:
             del self.by_service[record.entry.service]
 
+    def _remember_drained(self, entry: LeafEntry) -> None:
+        """Never use an incarnation again, whatever its entry says later."""
+        if not entry.born_ms:
+            return
+        self.drained[entry.leaf_id, entry.born_ms] = None
+        if len(self.drained) > MAX_DRAINED:
+            del self.drained[next(iter(self.drained))]
+
     def on_process_paused(self, now_ms: float) -> None:
         """Handle a pause of this process, in which leafs may become cold."""
         self.hold_until_ms = now_ms + CONFIRMATION_WAIT_MS
@@ -266,34 +281,40 @@
                     self.vm, self.members, record.entry.leaf_id
                 )
 
-    def set_request_limit(
-        self, now_ms: float, leaf_id: str, limit_per_s: float | None
-    ) -> bool:
-        """Set the limit that an answer of a leaf names.
-
-        Args:
-            now_ms: Current time.
-            leaf_id: The leaf that answered.
-            limit_per_s: Requests per second that the leaf accepts from all VMs
-                together, or None if it names no limit.
-
-        Returns:
-            Whether the leaf began or ceased to limit its requests.
-        """
+    def apply_notice(
+        self, now_ms: float, leaf_id: str, notice: LeafNotice
+    ) -> list[LeafChange]:
+        """Apply what a leaf says of itself, and return what changed."""
         record = self.leafs.get(leaf_id)
         if record is None:
-            return False
+            return []
+        changes = []
+        if self._set_limit(now_ms, record, notice.limit_per_s):
+            is_limited = record.request_limit is not None
+            changes.append(
+                LeafChange.LIMITED if is_limited else LeafChange.UNLIMITED
+            )
+        if notice.is_leaving and not record.entry.draining:
+            self._remember_drained(record.entry)
+            record.entry = attrs.evolve(record.entry, draining=True)
+            changes.append(LeafChange.LEAVING)
+        return changes
+
+    def _set_limit(
+        self, now_ms: float, record: LeafRecord, limit_per_s: float | None
+    ) -> bool:
+        """Set a leaf's limit; return whether it began or ended."""
         known = record.request_limit
         if known is not None and limit_per_s is not None:
             known.per_s = limit_per_s
             return False
-        if limit_per_s is not None:
-            record.request_limit = request_limit.create(
-                now_ms, self.vm, self.members, leaf_id, limit_per_s
-            )
-            return True
-        record.request_limit = None
-        return known is not None
+        if limit_per_s is None:
+            record.request_limit = None
+            return known is not None
+        record.request_limit = request_limit.create(
+            now_ms, self.vm, self.members, record.entry.leaf_id, limit_per_s
+        )
+        return True
 
     def choose(
         self, now_ms: float, criteria: LeafCriteria
--- a/src/oriolegate/platform/header_names.py
+++ b/src/oriolegate/platform/header_names.py
@@ -14,6 +14,8 @@
 COLD_LEFT_MS = b"warmup-ms"
 # Requests per second that the leaf accepts from all VMs together.
 REQUEST_LIMIT = b"server-limit"
+# The leaf is about to stop.
+LEAVING = b"server-leaving"
 PART_SIGNATURES = b"part-seals"
 MISSING_PARTS = b"missing-parts"
 # Era of the store: rises each time that it comes back from an older copy.
--- a/src/oriolegate/platform/leaf_protocol.py
+++ b/src/oriolegate/platform/leaf_protocol.py
@@ -6,6 +6,8 @@
 from oriolegate.exchange.messages import Headers
 from oriolegate.exchange.messages import LeafAnswer
 from oriolegate.exchange.messages import SendOutcome
+from oriolegate.models.leaf_notice import LeafNotice
+from oriolegate.models.leaf_notice import NO_NOTICE
 from oriolegate.models.site import LeafEntry
 from oriolegate.network.http_reader import HttpResponse
 from oriolegate.platform import header_names
@@ -36,6 +38,7 @@
 NOT_RUN_STATUSES = (408, 429, 503)
 # Highest limit that a leaf may name.
 MAX_LIMIT_PER_S = 1_000_000.0
+IS_LEAVING = b"1"
 BODY_METHODS = (b"POST", b"PUT", b"PATCH")
 
 
@@ -122,14 +125,7 @@
     )
 
 
-def decode_request_limit(response: HttpResponse) -> float | None:
-    """Return the requests per second that a leaf accepts from all VMs.
-
-    Returns None if the response names no limit or no valid one.
-    """
-    value = response.header(header_names.REQUEST_LIMIT)
-    if value is None:
-        return None
+def _decode_limit(value: bytes) -> float | None:
     try:
         limit_per_s = float(value)
     except ValueError:
@@ -138,6 +134,17 @@
     return limit_per_s if 0.0 <= limit_per_s <= MAX_LIMIT_PER_S else None
 
 
+def decode_notice(response: HttpResponse) -> LeafNotice:
+    """Return what a leaf says of itself; invalid values count as unsaid."""
+    notice = NO_NOTICE
+    for name, value in response.headers:
+        if name == header_names.REQUEST_LIMIT:
+            notice = attrs.evolve(notice, limit_per_s=_decode_limit(value))
+        elif name == header_names.LEAVING:
+            notice = attrs.evolve(notice, is_leaving=value == IS_LEAVING)
+    return notice
+
+
 def is_answer_to(response: HttpResponse, attempt_id: str) -> bool:
     """Return whether a response answers the attempt `attempt_id`."""
     echoed = response.header(header_names.ATTEMPT_ID)
--- a/src/oriolegate/runtime/gateway_composition.py
+++ b/src/oriolegate/runtime/gateway_composition.py
@@ -17,11 +17,13 @@
 from oriolegate.following.store_era import StoreEra
 from oriolegate.following.view_cache import ViewCache
 from oriolegate.metrics import MetricsRegistry
+from oriolegate.models.leaf_notice import LeafNotice
 from oriolegate.models.site import MemberEntry
 from oriolegate.models.site import NodeSettings
 from oriolegate.models.stored import Collection
 from oriolegate.network.leaf_client import LeafClient
 from oriolegate.network.store_client import StoreClient
+from oriolegate.placement.leaf_directory import LeafChange
 from oriolegate.placement.leaf_directory import LeafDirectory
 from oriolegate.placement.route_latency import RouteLatencies
 from oriolegate.retries.retry_budget import RetryBudget
@@ -164,16 +166,16 @@
 
     store_client.on_new_era = on_new_era
 
-    def on_request_limit(leaf_id: str, limit_per_s: float | None) -> None:
+    def on_notice(leaf_id: str, notice: LeafNotice) -> None:
         now_ms = clock.now_ms()
-        if directory.set_request_limit(now_ms, leaf_id, limit_per_s):
-            log.bind(leaf=leaf_id, limit_per_s=limit_per_s).info(
-                "leaf limits its requests; keeping to a part of the limit"
-                if limit_per_s is not None
-                else "leaf no longer limits its requests"
+        for change in directory.apply_notice(now_ms, leaf_id, notice):
+            log.bind(leaf=leaf_id, limit_per_s=notice.limit_per_s).info(
+                change.value
             )
+            if change is LeafChange.LEAVING:
+                leaf_client.close_idle(leaf_id)
 
-    leaf_client.on_request_limit = on_request_limit
+    leaf_client.on_notice = on_notice
     checker = LeafChecker(reactor, clock, leaf_client, directory, rng)
     runner = ExchangeRunner(
         reactor,
--- a/tests/network/test_leaf_client.py
+++ b/tests/network/test_leaf_client.py
@@ -12,12 +12,14 @@
 SIGNED = (b"server-seal", b"x.1")
 
 
-class RequestLimitTest(unittest.TestCase):
+class NoticeTest(unittest.TestCase):
     def setUp(self):
         self.client = LeafClient(None, FakeClock())
         self.client._get_pool = lambda leaf: self
         self.limits = []
-        self.client.on_request_limit = lambda *limit: self.limits.append(limit)
+        self.client.on_notice = lambda leaf_id, notice: self.limits.append(
+            (leaf_id, notice.limit_per_s)
+        )
 
     def send(self, call):
         """Answer a call at once, in place of a pool."""
--- a/tests/placement/test_leaf_directory.py
+++ b/tests/placement/test_leaf_directory.py
@@ -2,9 +2,11 @@
 
 import unittest
 
+from oriolegate.models.leaf_notice import LeafNotice
 from oriolegate.placement import cold_leaf_quota
 from oriolegate.placement import leaf_directory
 from oriolegate.placement import leaf_record
+from oriolegate.placement.leaf_directory import LeafChange
 from oriolegate.placement.leaf_directory import LeafCriteria
 from oriolegate.placement.leaf_directory import NoLeaf
 from tests import site_builders as build
@@ -183,7 +185,8 @@
         )
 
     def use_up(self, leaf_id):
-        self.directory.set_request_limit(0.0, leaf_id, 0.0)
+        notice = LeafNotice(limit_per_s=0.0)
+        self.directory.apply_notice(0.0, leaf_id, notice)
         self.assertTrue(self.directory.leafs[leaf_id].is_limited(0.0))
 
     def test_a_leaf_whose_limit_is_used_up_is_not_chosen(self):
@@ -210,10 +213,14 @@
 
     def test_the_beginning_and_the_end_of_a_limit_are_reported(self):
         changes = [
-            self.directory.set_request_limit(0.0, "near", limit)
+            self.directory.apply_notice(
+                0.0, "near", LeafNotice(limit_per_s=limit)
+            )
             for limit in (None, 5.0, 6.0, None, None)
         ]
-        self.assertEqual(changes, [False, True, False, True, False])
+        self.assertEqual(
+            changes, [[], [LeafChange.LIMITED], [], [LeafChange.UNLIMITED], []]
+        )
 
     def test_a_leaf_that_restarted_under_its_id_has_no_limit(self):
         self.use_up("near")
@@ -221,6 +228,41 @@
         self.assertFalse(self.directory.leafs["near"].is_limited(0.0))
 
 
+class LeavingTest(unittest.TestCase):
+    def setUp(self):
+        self.directory = build.directory(
+            [
+                build.leaf("near", born_ms=5),
+                build.leaf("far", data_centre="dc-b"),
+            ]
+        )
+
+    def leave(self):
+        notice = LeafNotice(is_leaving=True)
+        return self.directory.apply_notice(0.0, "near", notice)
+
+    def test_a_leaf_that_announces_its_leaving_is_not_chosen(self):
+        self.assertEqual(self.leave(), [LeafChange.LEAVING])
+        self.assertEqual(self.leave(), [])
+        self.assertEqual(chosen(self.directory), "far")
+        self.assertIs(chosen(self.directory, tried=("far",)), NoLeaf.NONE_LEFT)
+
+    def test_a_later_entry_or_answer_does_not_bring_it_back(self):
+        self.leave()
+        self.directory.put(1.0, build.leaf("near", born_ms=5))
+        self.directory.apply_notice(1.0, "near", LeafNotice())
+        self.assertEqual(chosen(self.directory, 1.0), "far")
+        self.directory.on_entry_removed(2.0, "near")
+        self.assertEqual(self.directory.drop_expired(2.0), ["near"])
+        self.directory.put(3.0, build.leaf("near", born_ms=5))
+        self.assertEqual(chosen(self.directory, 3.0), "far")
+
+    def test_its_next_incarnation_is_used(self):
+        self.leave()
+        self.directory.put(1.0, build.leaf("near", born_ms=6))
+        self.assertEqual(chosen(self.directory, 1.0), "near")
+
+
 class ColdTest(unittest.TestCase):
     def setUp(self):
         self.directories = []
--- a/tests/platform/test_leaf_protocol.py
+++ b/tests/platform/test_leaf_protocol.py
@@ -6,6 +6,7 @@
 
 from oriolegate.exchange.messages import LeafAnswer
 from oriolegate.exchange.messages import SendOutcome
+from oriolegate.models.leaf_notice import NO_NOTICE
 from oriolegate.network.http_reader import HttpResponse
 from oriolegate.platform import leaf_protocol
 from tests import site_builders as build
@@ -95,21 +96,30 @@
             self.assertIs(leaf_protocol.is_answer_to(echo, "a1"), is_answer)
 
 
-class RequestLimitTest(unittest.TestCase):
-    def decode(self, value):
-        return leaf_protocol.decode_request_limit(
-            response(headers=[(b"server-limit", value)])
-        )
+class NoticeTest(unittest.TestCase):
+    def decode(self, name, value):
+        return leaf_protocol.decode_notice(response(headers=[(name, value)]))
 
     def test_a_decimal_limit_is_decoded(self):
-        self.assertEqual(self.decode(b"12.50"), 12.5)
-        self.assertEqual(self.decode(b"0"), 0.0)
-        self.assertIsNone(leaf_protocol.decode_request_limit(response()))
+        for value, limit_per_s in ((b"12.50", 12.5), (b"0", 0.0)):
+            notice = self.decode(b"server-limit", value)
+            self.assertEqual(notice.limit_per_s, limit_per_s)
 
     def test_an_invalid_limit_counts_as_none(self):
         for value in (b"", b"x", b"-1", b"nan", b"inf", b"1e9", b"\xff"):
             with self.subTest(value=value):
-                self.assertIsNone(self.decode(value))
+                notice = self.decode(b"server-limit", value)
+                self.assertIsNone(notice.limit_per_s)
+
+    def test_a_leaf_that_leaves_says_so(self):
+        self.assertTrue(self.decode(b"server-leaving", b"1").is_leaving)
+        for value in (b"0", b"", b"yes"):
+            self.assertFalse(self.decode(b"server-leaving", value).is_leaving)
+
+    def test_an_ordinary_response_says_nothing(self):
+        self.assertEqual(
+            leaf_protocol.decode_notice(response(headers=SIGNED)), NO_NOTICE
+        )
 
 
 class HealthTest(unittest.TestCase):
--- a/tests/runtime/test_limited_leafs.py
+++ b/tests/runtime/test_limited_leafs.py
@@ -1,10 +1,10 @@
 """Tests of leafs that limit their requests, with whole gateways."""
 
 import bisect
-import random
 import unittest
 
 from tests.platform import stand_in_documents as documents
+from tests.virtual_fleet import CallerLoad
 from tests.virtual_fleet import FAST_BYTES_PER_S
 from tests.virtual_fleet import VirtualFleet
 
@@ -68,77 +68,45 @@
             for number in range(leaf_count)
         ]
         self.fleet.start(vm_count, FAST_BYTES_PER_S)
-        self.rng = random.Random(1)
-        self.outcomes = []
-        self.load_per_s = 0.0
-
-    @property
-    def now_s(self):
-        return self.fleet.network.reactor.seconds()
-
-    def call(self):
-        vm = self.rng.choice(list(self.fleet.gateways))
-        sent_s = self.now_s
-
-        def done(outcome):
-            status = getattr(outcome, "status", outcome)
-            self.outcomes.append((sent_s, self.now_s - sent_s, status, outcome))
-
-        attempt = f"a{len(self.outcomes)}-{self.rng.random()}"
-        self.fleet.call(vm, "/one/x", attempt, done)
-
-    def run_load(self, per_s, seconds):
-        for _ in range(int(per_s * seconds)):
-            self.call()
-            self.fleet.network.run_for(1.0 / per_s)
-        self.fleet.network.run_for(1.0)
-
-    def outcomes_since(self, from_s):
-        return [o for o in self.outcomes if o[0] >= from_s]
-
-    def served_fraction(self, from_s):
-        outcomes = self.outcomes_since(from_s)
-        return sum(status == 200 for _, _, status, _ in outcomes) / len(
-            outcomes
-        )
+        self.load = CallerLoad(self.fleet, "/one/x")
 
     def test_a_leaf_gets_at_most_its_limit_while_others_have_room(self):
         self.start(8, 3)
-        self.run_load(60.0, 2.0)
+        self.load.run(60.0, 2.0)
         for leaf in self.leafs[:2]:
             leaf.limit_per_s = 10.0
-        limited_s = self.now_s
-        self.run_load(60.0, 14.0)
+        limited_s = self.load.now_s
+        self.load.run(60.0, 14.0)
         for leaf in self.leafs[:2]:
             self.assertLessEqual(leaf.worst_excess(limited_s + CONTACT_S), 0.0)
-        self.assertGreater(self.served_fraction(limited_s), 0.99)
+        self.assertGreater(self.load.served_fraction(limited_s), 0.99)
 
     def test_a_leaf_with_a_limit_below_one_request_a_vm_is_not_exceeded(self):
         self.start(24, 2)
         self.leafs[0].limit_per_s = 1.5
-        start_s = self.now_s
-        self.run_load(60.0, 14.0)
+        start_s = self.load.now_s
+        self.load.run(60.0, 14.0)
         self.assertLessEqual(
             self.leafs[0].worst_excess(start_s + CONTACT_S), 0.0
         )
-        self.assertGreater(self.served_fraction(start_s), 0.99)
+        self.assertGreater(self.load.served_fraction(start_s), 0.99)
 
     def test_requests_beyond_all_limits_are_rejected_at_once(self):
         self.start(8, 3)
         for leaf in self.leafs:
             leaf.limit_per_s = 10.0
-        start_s = self.now_s
-        self.run_load(60.0, 14.0)
+        start_s = self.load.now_s
+        self.load.run(60.0, 14.0)
         from_s = start_s + CONTACT_S
         for leaf in self.leafs:
             self.assertLessEqual(leaf.worst_excess(from_s), 0.0)
-        outcomes = self.outcomes_since(from_s)
-        rejected = [o for o in outcomes if o[2] == STATUS_UNAVAILABLE]
-        for _, took_s, _, response in rejected:
-            self.assertLess(took_s, 0.05)
-            self.assertIsNotNone(response.header(b"retry-after"))
+        outcomes = self.load.since(from_s)
+        rejected = [o for o in outcomes if o.status == STATUS_UNAVAILABLE]
+        for outcome in rejected:
+            self.assertLess(outcome.took_s, 0.05)
+            self.assertIsNotNone(outcome.response.header(b"retry-after"))
         served = len(outcomes) - len(rejected)
-        self.assertTrue(all(o[2] == 200 for o in outcomes if o not in rejected))
+        self.assertEqual(sum(o.status == 200 for o in outcomes), served)
         # 30 requests a second of the 60 are allowed.
         self.assertGreater(served / len(outcomes), 0.4)
 
@@ -147,11 +115,11 @@
             with self.subTest(vm_count=vm_count):
                 self.start(vm_count, 2)
                 self.leafs[0].limit_per_s = 3.0
-                self.run_load(40.0, 6.0)
+                self.load.run(40.0, 6.0)
                 self.leafs[0].limit_per_s = None
-                self.run_load(40.0, 30.0)
+                self.load.run(40.0, 30.0)
                 self.fleet.store.delete("servers", "l1")
-                self.run_load(40.0, 4.0)
-                from_s = self.now_s
-                self.run_load(40.0, 6.0)
-                self.assertGreater(self.served_fraction(from_s), 0.99)
+                self.load.run(40.0, 4.0)
+                from_s = self.load.now_s
+                self.load.run(40.0, 6.0)
+                self.assertGreater(self.load.served_fraction(from_s), 0.99)
--- a/tests/virtual_fleet.py
+++ b/tests/virtual_fleet.py
@@ -3,6 +3,8 @@
 import random
 from typing import Any
 
+import attrs
+
 from oriolegate.models.site import Bounds
 from oriolegate.models.site import NodeSettings
 from oriolegate.network.http_client import HttpClient
@@ -95,12 +97,28 @@
         leaf = StandInLeaf(leaf_id)
         host = self.network.add_host(leaf_id, FAST_BYTES_PER_S)
         host.listenTCP(LEAF_PORT, LeafFactory(leaf))
-        address = (leaf_id, LEAF_PORT)
-        entry = documents.leaf_spec(service, address, data_centre)
+        entry = self.leaf_spec(leaf_id, service, data_centre=data_centre)
         self.store.put("servers", leaf_id, entry)
         self.leafs[leaf_id] = leaf
         return leaf
 
+    def leaf_spec(
+        self,
+        leaf_id: str,
+        service: str,
+        *,
+        data_centre: str = "dc-a",
+        cold_ms: int = 0,
+    ) -> dict[str, Any]:
+        """Return the entry that a leaf writes to the store."""
+        return documents.leaf_spec(
+            service,
+            (leaf_id, LEAF_PORT),
+            data_centre,
+            cold_ms=cold_ms,
+            born_ms=1,
+        )
+
     def call(self, vm: str, path: str, attempt: str, done: Any) -> None:
         """Send a caller's request; `done` gets the response or a reason."""
         client = self.clients.get(vm)
@@ -118,3 +136,69 @@
             for vm, process in self.gateways.items()
             if process.parts.configuration.table
         }
+
+
+@attrs.frozen
+class Outcome:
+    """What a caller got.
+
+    Attributes:
+        sent_s: When the request was sent.
+        took_s: Time until the response.
+        status: HTTP status, or None without a response.
+        response: The response, or the reason why there is none.
+    """
+
+    sent_s: float
+    took_s: float
+    status: int | None
+    response: Any
+
+
+class CallerLoad:
+    """Sends requests for one path to random VMs at a constant rate.
+
+    Attributes:
+        outcomes: Outcomes of all requests that have ended.
+    """
+
+    def __init__(self, fleet: VirtualFleet, path: str) -> None:
+        self.fleet = fleet
+        self.path = path
+        self.rng = random.Random(1)
+        self.sent_count = 0
+        self.outcomes: list[Outcome] = []
+
+    @property
+    def now_s(self) -> float:
+        """The virtual time."""
+        return self.fleet.network.reactor.seconds()
+
+    def _send(self) -> None:
+        sent_s = self.now_s
+        self.sent_count += 1
+
+        def done(response: Any) -> None:
+            status = getattr(response, "status", None)
+            self.outcomes.append(
+                Outcome(sent_s, self.now_s - sent_s, status, response)
+            )
+
+        vm = self.rng.choice(list(self.fleet.gateways))
+        self.fleet.call(vm, self.path, f"a{self.sent_count}", done)
+
+    def run(self, per_s: float, seconds: float) -> None:
+        """Send requests for some seconds and wait for the last ones."""
+        for _ in range(int(per_s * seconds)):
+            self._send()
+            self.fleet.network.run_for(1.0 / per_s)
+        self.fleet.network.run_for(1.0)
+
+    def since(self, from_s: float) -> list[Outcome]:
+        """Return the outcomes of requests sent from a time on."""
+        return [o for o in self.outcomes if o.sent_s >= from_s]
+
+    def served_fraction(self, from_s: float) -> float:
+        """Return which part of the requests from a time on succeeded."""
+        outcomes = self.since(from_s)
+        return sum(o.status == 200 for o in outcomes) / len(outcomes)
