Send nothing to a leaf in the time for which it wants no requests

A leaf that turned a request away with a Retry-After got the next one at once, and callers' requests were turned away with it although another leaf, or a later time, would have served them.

It is part of the leaf's notice now: the VM sends nothing in that time, hedges, retries and health checks included, and returns with one request at a time, spread by a hash. If all leafs of a service want none, the request is rejected at once with the time until the first one may be used.

--- a/src/oriolegate/exchange/part.py
+++ b/src/oriolegate/exchange/part.py
@@ -49,6 +49,7 @@
             due, or None.
         hedge_blocker: Why a due hedge could not be sent yet, or empty.
         wait_reason: Why no leaf could take the part, or empty.
+        usable_at_ms: When a leaf may take the part, if that is known, or None.
     """
 
     service: str
@@ -64,6 +65,7 @@
     hedge_at_ms: float | None = None
     hedge_blocker: str = ""
     wait_reason: str = ""
+    usable_at_ms: float | None = None
 
     @property
     def is_waiting(self) -> bool:
--- a/src/oriolegate/exchange/part_sender.py
+++ b/src/oriolegate/exchange/part_sender.py
@@ -19,7 +19,7 @@
 from oriolegate.exchange.timing import Deadlines
 from oriolegate.models.site import Repeatability
 from oriolegate.models.site import Route
-from oriolegate.placement import leaf_directory
+from oriolegate.placement.leaf_directory import LeafCriteria
 from oriolegate.placement.leaf_directory import LeafDirectory
 from oriolegate.placement.leaf_directory import NoLeaf
 from oriolegate.placement.leaf_record import LeafRecord
@@ -124,19 +124,23 @@
             self.ended_count += 1
 
     def _choose(self, now_ms: float, part: Part) -> LeafRecord | NoLeaf:
-        return self.context.directory.choose(
-            now_ms,
-            leaf_directory.LeafCriteria(
-                part.service,
-                part.tried,
-                self.route.home_regions,
-                self.route_latency.typical_ms,
-            ),
+        return self.context.directory.choose(now_ms, self._criteria(part))
+
+    def _criteria(self, part: Part) -> LeafCriteria:
+        return LeafCriteria(
+            part.service,
+            part.tried,
+            self.route.home_regions,
+            self.route_latency.typical_ms,
         )
 
     def _wait_or_end(self, now_ms: float, part: Part, cause: NoLeaf) -> None:
         may_wait = cause in (NoLeaf.ALL_FULL, NoLeaf.UNSURE)
         part.wait_reason = cause.value
+        if cause in (NoLeaf.ALL_QUIET, NoLeaf.NONE_LEFT):
+            part.usable_at_ms = self.context.directory.earliest_use_ms(
+                self._criteria(part)
+            )
         if may_wait and now_ms < self.deadlines.queue_until_ms:
             self.ensure_timer_by(now_ms + timing.PLACEMENT_RETRY_MS)
             return
@@ -172,6 +176,7 @@
         part.possible_runs += 1
         part.arrivals += 1
         part.wait_reason = ""
+        part.usable_at_ms = None
         leaf.outstanding[id(send)] = now_ms
         leaf.record_send(now_ms)
         part.hedge_at_ms = None
--- a/src/oriolegate/exchange/replying.py
+++ b/src/oriolegate/exchange/replying.py
@@ -61,6 +61,11 @@
     preferred_ms = LONGEST_RETRY_AFTER_MS
     if reasons <= BUSY_REASONS:
         preferred_ms = BUSY_RETRY_AFTER_MS
+    usable_at_ms = [
+        part.usable_at_ms for part in parts if part.usable_at_ms is not None
+    ]
+    if usable_at_ms:
+        preferred_ms = max(BUSY_RETRY_AFTER_MS, max(usable_at_ms) - now_ms)
     left_ms = max(0.0, limit_ms - now_ms)
     retry_after_ms = min(preferred_ms, left_ms * RETRY_AFTER_FRACTION)
     if any(part.possible_runs for part in parts):
--- a/src/oriolegate/membership/rendezvous.py
+++ b/src/oriolegate/membership/rendezvous.py
@@ -4,6 +4,8 @@
 import hashlib
 
 SCORE_BYTES = 8
+# Number of values of `stable_hash`.
+HASH_RANGE = 2.0 ** (8 * SCORE_BYTES)
 
 
 def stable_hash(*parts: str) -> int:
@@ -15,6 +17,11 @@
     return int.from_bytes(digest.digest(), "big")
 
 
+def hash_fraction(*parts: str) -> float:
+    """Return a number from 0 to 1 that is the same in every process."""
+    return stable_hash(*parts) / HASH_RANGE
+
+
 def ranked(key: str, names: Iterable[str]) -> list[str]:
     """Return the names in their order of preference for a key.
 
--- a/src/oriolegate/models/leaf_notice.py
+++ b/src/oriolegate/models/leaf_notice.py
@@ -11,10 +11,12 @@
         limit_per_s: Requests per second that it accepts from all VMs together,
             or None without a limit.
         is_leaving: Whether this incarnation of the leaf is about to stop.
+        quiet_ms: For how long it wants no request from this VM, or None.
     """
 
     limit_per_s: float | None = None
     is_leaving: bool = False
+    quiet_ms: float | None = None
 
 
 NO_NOTICE = LeafNotice()
--- a/src/oriolegate/placement/connection_assignment.py
+++ b/src/oriolegate/placement/connection_assignment.py
@@ -15,8 +15,6 @@
 # Connections are assigned as if this many times the known members ran; the
 # member list is a second behind when machines are added.
 MEMBER_FACTOR = 1.2
-# Number of values of `rendezvous.stable_hash`.
-HASH_RANGE = 2.0**64
 
 
 @attrs.frozen
@@ -60,4 +58,4 @@
     """Return whether a VM is in the fraction of VMs with connections."""
     if fraction >= 1.0:
         return True
-    return rendezvous.stable_hash(leaf_id, vm) / HASH_RANGE < fraction
+    return rendezvous.hash_fraction(leaf_id, vm) < fraction
--- a/src/oriolegate/placement/leaf_directory.py
+++ b/src/oriolegate/placement/leaf_directory.py
@@ -7,6 +7,7 @@
 
 import attrs
 
+from oriolegate.membership import rendezvous
 from oriolegate.models.leaf_notice import LeafNotice
 from oriolegate.models.site import Bounds
 from oriolegate.models.site import LeafEntry
@@ -27,6 +28,10 @@
 # How long a leaf of a readmitted data centre counts as cold: the leaf writes
 # its entry within a heartbeat of 1.2 s, and views are up to 0.8 s behind.
 READMISSION_MS = 2_000.0
+# The VMs return to a leaf that wanted no requests within this fraction of the
+# time, and at most this time.
+RETURN_SPREAD = 0.25
+MAX_RETURN_SPREAD_MS = 1_000.0
 # Limit on the drained incarnations that are remembered.
 MAX_DRAINED = 1_000
 # Assumed network round-trip times.
@@ -49,6 +54,7 @@
     ALL_COLD = "all leafs cold"
     ALL_FULL = "all leafs full"
     ALL_LIMITED = "all leafs at their limits"
+    ALL_QUIET = "all leafs want no requests"
     UNSURE = "just resumed"
 
 
@@ -57,6 +63,7 @@
 
     LIMITED = "leaf limits its requests; keeping to a part of the limit"
     UNLIMITED = "leaf no longer limits its requests"
+    QUIET = "leaf wants no requests for a time; none are sent"
     LEAVING = "leaf announces that it leaves; not used any more"
 
 
@@ -160,6 +167,8 @@
             record.slowness = 1.0
             record.failure_rate = 0.0
             record.request_limit = None
+            record.quiet_until_ms = float("-inf")
+            record.is_returning = False
         record.entry = entry
         record.suspect = False
         record.entry_removed_at_ms = None
@@ -294,12 +303,45 @@
             changes.append(
                 LeafChange.LIMITED if is_limited else LeafChange.UNLIMITED
             )
+        if self._set_quiet(now_ms, record, notice.quiet_ms):
+            changes.append(LeafChange.QUIET)
         if notice.is_leaving and not record.entry.draining:
             self._remember_drained(record.entry)
             record.entry = attrs.evolve(record.entry, draining=True)
             changes.append(LeafChange.LEAVING)
         return changes
 
+    def _set_quiet(
+        self, now_ms: float, record: LeafRecord, quiet_ms: float | None
+    ) -> bool:
+        """Set a leaf's quiet time; return whether it began."""
+        if quiet_ms is None:
+            if now_ms >= record.quiet_until_ms:
+                record.is_returning = False
+            return False
+        was_quiet = now_ms < record.quiet_until_ms
+        # The VMs were turned away together, and must not return together.
+        position = rendezvous.hash_fraction(record.entry.leaf_id, self.vm)
+        spread_ms = min(MAX_RETURN_SPREAD_MS, RETURN_SPREAD * quiet_ms)
+        until_ms = now_ms + quiet_ms + position * spread_ms
+        record.quiet_until_ms = max(record.quiet_until_ms, until_ms)
+        record.is_returning = True
+        return not was_quiet
+
+    def earliest_use_ms(self, criteria: LeafCriteria) -> float | None:
+        """Return when the first leaf that wants no requests may be used.
+
+        Returns None if no leaf of the service wants none.
+        """
+        return min(
+            (
+                record.quiet_until_ms
+                for record in self.by_service.get(criteria.service, {}).values()
+                if record.is_returning and self._is_allowed(record, criteria)
+            ),
+            default=None,
+        )
+
     def _set_limit(
         self, now_ms: float, record: LeafRecord, limit_per_s: float | None
     ) -> bool:
@@ -348,9 +390,11 @@
             return NoLeaf.ALL_FULL
         cold = [record for record in usable if record.is_cold(now_ms)]
         chosen = self._choose_cold(now_ms, cold)
-        if warm and isinstance(chosen, NoLeaf):
-            return NoLeaf.ALL_LIMITED
-        return chosen
+        if not warm or not isinstance(chosen, NoLeaf):
+            return chosen
+        if any(now_ms < record.quiet_until_ms for record in warm):
+            return NoLeaf.ALL_QUIET
+        return NoLeaf.ALL_LIMITED
 
     def _fastest(
         self, now_ms: float, free: list[LeafRecord], criteria: LeafCriteria
--- a/src/oriolegate/placement/leaf_record.py
+++ b/src/oriolegate/placement/leaf_record.py
@@ -47,6 +47,9 @@
         entry_removed_at_ms: When the leaf's entry was removed, or None.
         request_limit: This VM's part of the requests that the leaf accepts, or
             None if the leaf names no limit.
+        quiet_until_ms: Until when the leaf wants no request from this VM.
+        is_returning: Whether the quiet time may be over, which one request at
+            a time shows.
         last_cold_send_ms: When this VM last used the leaf while it was cold.
         outstanding: Start time of each open send, by id of the send.
         slowness: Average work time relative to the route's typical work time.
@@ -65,6 +68,8 @@
     suspect: bool = False
     entry_removed_at_ms: float | None = None
     request_limit: RequestLimit | None = None
+    quiet_until_ms: float = float("-inf")
+    is_returning: bool = False
     last_cold_send_ms: float = float("-inf")
     outstanding: dict[int, float] = attrs.field(factory=dict)
     slowness: float = 1.0
@@ -82,7 +87,11 @@
         return len(self.outstanding) >= self.capacity
 
     def is_limited(self, now_ms: float) -> bool:
-        """Return whether this VM's part of the leaf's limit is used up."""
+        """Return whether the leaf wants no further request from this VM now."""
+        if self.is_returning and (
+            now_ms < self.quiet_until_ms or self.outstanding
+        ):
+            return True
         return self.request_limit is not None and not self.request_limit.allows(
             now_ms
         )
--- a/src/oriolegate/platform/leaf_protocol.py
+++ b/src/oriolegate/platform/leaf_protocol.py
@@ -32,13 +32,18 @@
     header_names.TIME_LEFT_MS,
     header_names.EXPECTED_LEAF,
 }
+MS_PER_S = 1_000.0
 STATUS_MISDIRECTED = 421
+STATUS_UNAVAILABLE = 503
 # Statuses that promise the caller that its request never runs. If a leaf sends
 # one, it is trusted only together with the header `header_names.NOT_RUN`.
 NOT_RUN_STATUSES = (408, 429, 503)
 # Highest limit that a leaf may name.
 MAX_LIMIT_PER_S = 1_000_000.0
 IS_LEAVING = b"1"
+# Longest time for which a leaf may ask for no requests: after it, the leaf is
+# asked again.
+MAX_QUIET_MS = 60_000.0
 BODY_METHODS = (b"POST", b"PUT", b"PATCH")
 
 
@@ -134,6 +139,14 @@
     return limit_per_s if 0.0 <= limit_per_s <= MAX_LIMIT_PER_S else None
 
 
+def _decode_quiet(value: bytes) -> float | None:
+    try:
+        quiet_ms = float(value) * MS_PER_S
+    except ValueError:
+        return None
+    return min(quiet_ms, MAX_QUIET_MS) if quiet_ms > 0.0 else None
+
+
 def decode_notice(response: HttpResponse) -> LeafNotice:
     """Return what a leaf says of itself; invalid values count as unsaid."""
     notice = NO_NOTICE
@@ -142,6 +155,11 @@
             notice = attrs.evolve(notice, limit_per_s=_decode_limit(value))
         elif name == header_names.LEAVING:
             notice = attrs.evolve(notice, is_leaving=value == IS_LEAVING)
+        elif (
+            name == header_names.RETRY_AFTER
+            and response.status == STATUS_UNAVAILABLE
+        ):
+            notice = attrs.evolve(notice, quiet_ms=_decode_quiet(value))
     return notice
 
 
--- a/src/oriolegate/runtime/leaf_checker.py
+++ b/src/oriolegate/runtime/leaf_checker.py
@@ -153,7 +153,16 @@
         record: LeafRecord,
         done: Callable[[HealthReport | NoAnswer], None],
     ) -> None:
-        """Send a health request with a timeout."""
+        """Send a health request with a timeout.
+
+        If the leaf wants no requests from this VM, that time passes first.
+        """
+        quiet_ms = record.quiet_until_ms - self.clock.now_ms()
+        if quiet_ms > 0.0:
+            self.reactor.callLater(
+                quiet_ms / MS_PER_S, self._request_health, record, done
+            )
+            return
         record.record_send(self.clock.now_ms())
         service = self.directory.services.get(record.entry.service)
         path = service.check_path if service else DEFAULT_HEALTH_PATH
--- a/tests/exchange/test_exchange.py
+++ b/tests/exchange/test_exchange.py
@@ -9,6 +9,7 @@
 from oriolegate.exchange.messages import Refuse
 from oriolegate.exchange.messages import RelayAnswer
 from oriolegate.exchange.messages import SendOutcome
+from oriolegate.models.leaf_notice import LeafNotice
 from oriolegate.models.site import Repeatability
 from tests import site_builders as build
 
@@ -50,6 +51,16 @@
             exchange.on_answer(9.0, 2, failure), [RelayAnswer(failure)]
         )
 
+    def test_a_refusal_states_when_a_quiet_leaf_may_be_used(self):
+        for leaf_id in ("near", "far"):
+            self.context.directory.apply_notice(
+                0.0, leaf_id, LeafNotice(quiet_ms=400.0)
+            )
+        _, (reply,) = self.start()
+        self.assertIsInstance(reply, Refuse)
+        self.assertEqual(reply.status, 503)
+        self.assertTrue(400.0 <= reply.retry_after_ms <= 500.0, reply)
+
     def test_a_client_error_of_a_leaf_is_not_retried(self):
         exchange, _ = self.start()
         answer = build.answer(status=404)
--- a/tests/placement/test_leaf_directory.py
+++ b/tests/placement/test_leaf_directory.py
@@ -228,6 +228,47 @@
         self.assertFalse(self.directory.leafs["near"].is_limited(0.0))
 
 
+class QuietTest(unittest.TestCase):
+    def setUp(self):
+        self.directory = build.directory(
+            [build.leaf("near"), build.leaf("far", data_centre="dc-b")]
+        )
+
+    def ask_for_quiet(self, leaf_id, quiet_ms=1_000.0):
+        return self.directory.apply_notice(
+            0.0, leaf_id, LeafNotice(quiet_ms=quiet_ms)
+        )
+
+    def test_a_leaf_is_not_chosen_in_its_quiet_time(self):
+        self.assertEqual(self.ask_for_quiet("near"), [LeafChange.QUIET])
+        self.assertEqual(self.ask_for_quiet("near"), [])
+        self.assertEqual(chosen(self.directory, 999.0), "far")
+        self.ask_for_quiet("far", 500.0)
+        self.assertIs(chosen(self.directory, 400.0), NoLeaf.ALL_QUIET)
+
+    def test_an_answer_to_an_earlier_request_does_not_end_it(self):
+        self.ask_for_quiet("near")
+        self.directory.apply_notice(10.0, "near", LeafNotice())
+        self.assertEqual(chosen(self.directory, 999.0), "far")
+
+    def test_the_first_answer_after_it_ends_the_return_one_by_one(self):
+        self.ask_for_quiet("near")
+        later_ms = 1_000.0 * (1.0 + leaf_directory.RETURN_SPREAD)
+        self.assertEqual(chosen(self.directory, later_ms), "near")
+        near = self.directory.leafs["near"]
+        near.outstanding = {1: later_ms}
+        self.assertEqual(chosen(self.directory, later_ms), "far")
+        self.directory.apply_notice(later_ms, "near", LeafNotice())
+        self.assertFalse(near.is_limited(later_ms))
+
+    def test_the_first_use_of_a_quiet_service_is_known(self):
+        self.assertIsNone(self.directory.earliest_use_ms(criteria()))
+        self.ask_for_quiet("near", 4_000.0)
+        self.ask_for_quiet("far", 1_000.0)
+        at_ms = self.directory.earliest_use_ms(criteria())
+        self.assertTrue(1_000.0 <= at_ms <= 1_250.0, at_ms)
+
+
 class LeavingTest(unittest.TestCase):
     def setUp(self):
         self.directory = build.directory(
--- a/tests/platform/test_leaf_protocol.py
+++ b/tests/platform/test_leaf_protocol.py
@@ -116,6 +116,23 @@
         for value in (b"0", b"", b"yes"):
             self.assertFalse(self.decode(b"server-leaving", value).is_leaving)
 
+    def test_only_a_rejection_asks_for_quiet(self):
+        for status, value, quiet_ms in (
+            (503, b"1.5", 1_500.0),
+            (503, b"999999999", leaf_protocol.MAX_QUIET_MS),
+            (503, b"inf", leaf_protocol.MAX_QUIET_MS),
+            (503, b"-1", None),
+            (503, b"0", None),
+            (503, b"nan", None),
+            (503, b"Fri, 04 Dec 2026 11:00:00 GMT", None),
+            (200, b"1.5", None),
+        ):
+            with self.subTest(status=status, value=value):
+                notice = leaf_protocol.decode_notice(
+                    response(status, [(b"retry-after", value)])
+                )
+                self.assertEqual(notice.quiet_ms, quiet_ms)
+
     def test_an_ordinary_response_says_nothing(self):
         self.assertEqual(
             leaf_protocol.decode_notice(response(headers=SIGNED)), NO_NOTICE
--- a/tests/runtime/test_leaf_checker.py
+++ b/tests/runtime/test_leaf_checker.py
@@ -56,6 +56,14 @@
     def set_members(self, count):
         self.directory.members = frozenset(f"vm-{n}" for n in range(count))
 
+    def test_a_leaf_that_wants_no_requests_is_checked_afterwards(self):
+        self.record.quiet_until_ms = 2_000.0
+        self.checker.suspect(self.record, "reset")
+        self.run_for(1.9)
+        self.assertEqual(self.client.checked_at_s, [])
+        self.run_for(0.2)
+        self.assertEqual(len(self.client.checked_at_s), 1)
+
     def test_a_check_without_an_answer_is_repeated_on_a_new_connection(self):
         self.set_members(1_000)
         self.checker.suspect(self.record, "reset")
