Bound the bytes of responses that are being received

A leaf that sent bytes without end could take a gateway's memory until it was killed, and with it the requests of all its callers.

Cause: only a body had a limit, 16 MiB for each response and none for all of them; a head, trailers, chunk extensions and interim responses had none. A response now has 64 KiB outside its body, an answer of a leaf 2 MiB, and all incomplete answers of leafs share 4 MiB, beyond which the largest is abandoned.

Before, the reader accepted 180 MB of headers and its process grew to 3.5 GB (a script); the new tests of the reader can't be built on the code before, which has no limit to set.

--- a/src/oriolegate/network/http_connection.py
+++ b/src/oriolegate/network/http_connection.py
@@ -13,6 +13,9 @@
 from oriolegate.exceptions import UpstreamMessageError
 from oriolegate.network.http_reader import HttpResponse
 from oriolegate.network.http_reader import ResponseReader
+from oriolegate.network.receive_limits import DEFAULT_LIMITS
+from oriolegate.network.receive_limits import ReceiveBuffer
+from oriolegate.network.receive_limits import ReceiveLimits
 
 # TCP keepalive and TCP_USER_TIMEOUT: a connection ends after unanswered probes
 # or this time without an acknowledgement, so that an unreachable peer is
@@ -123,13 +126,20 @@
         keep_alive_ms: Idle timeout that the server announced, or None.
         opened_at_ms: When the connection was opened.
         has_answered: Whether any response was received on the connection.
+        buffer: Buffer that incomplete responses share, or None.
         unmatched_responses: Responses that did not match the call in flight.
     """
 
-    def __init__(self, owner: ConnectionOwner, clock: Clock) -> None:
+    def __init__(
+        self,
+        owner: ConnectionOwner,
+        clock: Clock,
+        limits: ReceiveLimits = DEFAULT_LIMITS,
+    ) -> None:
         self.owner = owner
         self.clock = clock
-        self.reader = ResponseReader()
+        self.buffer = limits.buffer
+        self.reader = ResponseReader(limits.max_body_bytes)
         self.call: HttpCall | None = None
         self.idle_since_ms = 0.0
         self.keep_alive_ms: float | None = None
@@ -175,9 +185,21 @@
             self._finish_call(Broken(malformed.message))
             self.transport.abortConnection()
             return
+        if self.buffer is not None:
+            self._update_buffer(self.buffer)
         for response in responses:
             self._on_response(response)
 
+    def _update_buffer(self, buffer: ReceiveBuffer) -> None:
+        if self.reader.in_progress:
+            buffer.update(self, self.reader.fed_bytes, self._abandon_response)
+        else:
+            buffer.release(self)
+
+    def _abandon_response(self) -> None:
+        self.transport.abortConnection()
+        self._finish_call(Broken("too many bytes of responses at once"))
+
     def _on_response(self, response: HttpResponse) -> None:
         self.has_answered = True
         call = self.call
@@ -225,6 +247,8 @@
 
     def connectionLost(self, reason: Any = None) -> None:  # noqa: N802
         """Report the result of the call in flight, if any."""
+        if self.buffer is not None:
+            self.buffer.release(self)
         self.owner.on_lost(self)
         if self.call is None:
             return
@@ -250,7 +274,9 @@
         clock: Clock,
         call: HttpCall,
         on_failure: Callable[[HttpCall, str], None],
+        limits: ReceiveLimits = DEFAULT_LIMITS,
     ) -> None:
+        self.limits = limits
         self.owner = owner
         self.clock = clock
         self.call = call
@@ -258,7 +284,7 @@
 
     def buildProtocol(self, addr: object) -> HttpConnection:  # noqa: N802
         """Create the protocol of the connection."""
-        connection = HttpConnection(self.owner, self.clock)
+        connection = HttpConnection(self.owner, self.clock, self.limits)
         connection.call = self.call
         return connection
 
--- a/src/oriolegate/network/http_pool.py
+++ b/src/oriolegate/network/http_pool.py
@@ -12,6 +12,8 @@
 from oriolegate.network.http_connection import HttpConnection
 from oriolegate.network.http_connection import HttpFactory
 from oriolegate.network.http_connection import NotSent
+from oriolegate.network.receive_limits import DEFAULT_LIMITS
+from oriolegate.network.receive_limits import ReceiveLimits
 
 # An idle connection is reused until this long before the server's idle timeout,
 # so that a request does not race with the server's close.
@@ -29,6 +31,7 @@
         busy: Connections with a request in flight.
         opened_total: Connections opened so far.
         connect_timeout_s: Timeout of opening a connection.
+        limits: Limits on responses.
     """
 
     def __init__(
@@ -37,7 +40,9 @@
         clock: Clock,
         address: tuple[str, int],
         connect_timeout_s: float = CONNECT_TIMEOUT_S,
+        limits: ReceiveLimits = DEFAULT_LIMITS,
     ) -> None:
+        self.limits = limits
         self.reactor = reactor
         self.clock = clock
         self.address = address
@@ -56,7 +61,9 @@
         self.opened_total += 1
         self.reactor.connectTCP(
             *self.address,
-            HttpFactory(self, self.clock, call, self._on_connect_failed),
+            HttpFactory(
+                self, self.clock, call, self._on_connect_failed, self.limits
+            ),
             timeout=self.connect_timeout_s,
         )
 
--- a/src/oriolegate/network/http_reader.py
+++ b/src/oriolegate/network/http_reader.py
@@ -4,9 +4,13 @@
 import httptools
 
 from oriolegate.exceptions import UpstreamMessageError
+from oriolegate.network.receive_limits import DEFAULT_MAX_BODY_BYTES
 
-# Larger than any response that a route may have.
-MAX_BODY_BYTES = 16 * 1024 * 1024
+# Most bytes of a response that belong to no body, interim responses included,
+# beside this many for each byte of the body: a body may come in chunks of one
+# byte.
+MAX_HEAD_BYTES = 64 * 1024
+MAX_FRAMING_FACTOR = 8
 # Headers that state where the body ends.
 FRAMING_HEADERS = (b"content-length", b"transfer-encoding")
 
@@ -42,9 +46,13 @@
         in_progress: Whether part of a response was received.
         completed: Complete responses not yet returned by `feed`.
         expect_no_body: Whether the request in flight is a HEAD.
+        max_body_bytes: Longest body.
+        fed_bytes: Bytes since the last complete response.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, max_body_bytes: int = DEFAULT_MAX_BODY_BYTES) -> None:
+        self.max_body_bytes = max_body_bytes
+        self.fed_bytes = 0
         self.parser = httptools.HttpResponseParser(self)
         self.completed: list[HttpResponse] = []
         self.current = HttpResponse()
@@ -59,9 +67,10 @@
         """Parse received bytes and return the responses they complete.
 
         Raises:
-            UpstreamMessageError: If the bytes are not valid HTTP or a body
-                is too large.
+            UpstreamMessageError: If the bytes are not valid HTTP, or a head or
+                a body is too large.
         """
+        self.fed_bytes += len(data)
         try:
             self.parser.feed_data(data)
         except httptools.HttpParserUpgrade as error:
@@ -74,8 +83,17 @@
             ) from error
         completed = self.completed
         self.completed = []
+        if completed:
+            self.fed_bytes = 0
+        elif self._is_head_too_large():
+            raise UpstreamMessageError("the response head is too large")
         return completed
 
+    def _is_head_too_large(self) -> bool:
+        outside_bytes = self.fed_bytes - self.size_bytes
+        allowed_bytes = MAX_HEAD_BYTES + MAX_FRAMING_FACTOR * self.size_bytes
+        return outside_bytes > allowed_bytes
+
     def finish_on_close(self) -> HttpResponse | None:
         """Return the response that the closed connection ends, if any."""
         if not self.in_progress or not self.ends_with_connection:
@@ -119,7 +137,7 @@
     def on_body(self, data: bytes) -> None:
         """Store part of the body (parser callback)."""
         self.size_bytes += len(data)
-        if self.size_bytes > MAX_BODY_BYTES:
+        if self.size_bytes > self.max_body_bytes:
             raise ValueError("the response body is too large")
         self.chunks.append(data)
 
--- a/src/oriolegate/network/leaf_client.py
+++ b/src/oriolegate/network/leaf_client.py
@@ -18,6 +18,8 @@
 from oriolegate.network.http_connection import Result
 from oriolegate.network.http_pool import HttpPool
 from oriolegate.network.http_reader import HttpResponse
+from oriolegate.network.receive_limits import ReceiveBuffer
+from oriolegate.network.receive_limits import ReceiveLimits
 from oriolegate.platform import leaf_protocol
 from oriolegate.platform.leaf_protocol import HealthReport
 from oriolegate.platform.leaf_protocol import NoAnswer
@@ -28,6 +30,10 @@
 # another leaf within a target of 400 ms. A longer timeout is no remedy for a
 # lost SYN, which is retransmitted only after a second.
 LEAF_CONNECT_TIMEOUT_S = 0.25
+# Longest body of a leaf's answer, and most bytes of all answers that are being
+# received.
+MAX_ANSWER_BYTES = 2 * 1024 * 1024
+MAX_BUFFERED_BYTES = 4 * 1024 * 1024
 
 
 @attrs.define(eq=False)
@@ -69,6 +75,7 @@
 
     Attributes:
         pools: Connection pools by leaf id.
+        limits: Limits on responses of leafs.
         on_notice: Called for each response of a leaf, with its id and what it
             says of itself.
     """
@@ -77,6 +84,9 @@
         self.reactor = reactor
         self.clock = clock
         self.pools: dict[str, HttpPool] = {}
+        self.limits = ReceiveLimits(
+            MAX_ANSWER_BYTES, ReceiveBuffer(MAX_BUFFERED_BYTES)
+        )
         self.on_notice: Callable[[str, LeafNotice], None] = (
             lambda leaf_id, notice: None
         )
@@ -88,7 +98,11 @@
             if pool is not None:
                 pool.close()
             pool = HttpPool(
-                self.reactor, self.clock, address, LEAF_CONNECT_TIMEOUT_S
+                self.reactor,
+                self.clock,
+                address,
+                LEAF_CONNECT_TIMEOUT_S,
+                self.limits,
             )
             self.pools[leaf.leaf_id] = pool
         return pool
--- a/tests/network/test_http_reader.py
+++ b/tests/network/test_http_reader.py
@@ -76,3 +76,42 @@
         data = WITH_LENGTH.replace(b"X-A: 1", b"Connection: close")
         (response,) = self.reader.feed(data)
         self.assertFalse(response.keep_alive)
+
+    def feed_until_rejected(self, start, piece):
+        """Feed one piece again and again; return the bytes accepted."""
+        self.reader.feed(start)
+        for count in range(100_000):
+            try:
+                self.reader.feed(piece)
+            except UpstreamMessageError:
+                return count * len(piece)
+        raise AssertionError("bytes without end were accepted")
+
+    def test_bytes_without_end_are_rejected_wherever_they_come(self):
+        chunked = CHUNKED[: CHUNKED.index(b"2\r\n")]
+        for start, piece in (
+            (b"HTTP/1.1 200 OK\r\n", b"A: b\r\n" * 100),
+            (b"HTTP/1.1 200 OK\r\nA: ", b"b" * 1_000),
+            (b"HTTP/1.1 200 OK\r\n", b"n" * 1_000),
+            (b"", b"HTTP/1.1 100 Continue\r\n\r\n" * 20),
+            (chunked + b"2;", b"x" * 1_000),
+            (chunked + b"2\r\nab\r\n0\r\n", b"T: x\r\n" * 100),
+            (b"HTTP/1.1 200 ", b"O" * 1_000),
+        ):
+            with self.subTest(start=start, piece=piece[:10]):
+                self.reader = ResponseReader(max_body_bytes=100_000)
+                accepted = self.feed_until_rejected(start, piece)
+                self.assertLess(accepted, 200_000)
+
+    def test_a_body_without_end_is_rejected_at_its_limit(self):
+        self.reader = ResponseReader(max_body_bytes=100_000)
+        start = b"HTTP/1.1 200 OK\r\n\r\n"
+        accepted = self.feed_until_rejected(start, b"x" * 1_000)
+        self.assertEqual(accepted, 100_000)
+
+    def test_a_long_body_in_chunks_of_one_byte_is_read(self):
+        self.reader.feed(CHUNKED[: CHUNKED.index(b"2\r\n")])
+        for _ in range(2_000):
+            self.reader.feed(b"1\r\nx\r\n" * 100)
+        (response,) = self.reader.feed(b"0\r\n\r\n")
+        self.assertEqual(len(response.body), 200_000)
