--- a/tests/virtual_fleet.py
+++ b/tests/virtual_fleet.py
@@ -35,6 +35,7 @@
     Attributes:
         network: Connects the hosts.
         store: The stand-in store.
+        hosts: Host of each VM.
         gateways: Gateway by VM.
         leafs: Stand-in leafs by id.
     """
@@ -45,6 +46,7 @@
         host = self.network.add_host(STORE_ADDRESS[0], FAST_BYTES_PER_S)
         host.listenTCP(STORE_ADDRESS[1], StoreFactory(self.store))
         self.callers = self.network.add_host("callers", FAST_BYTES_PER_S)
+        self.hosts: dict[str, virtual_network.Host] = {}
         self.gateways: dict[str, gateway.Gateway] = {}
         self.leafs: dict[str, StandInLeaf] = {}
         self.clients: dict[str, HttpClient] = {}
@@ -83,6 +85,7 @@
             bounds=Bounds(),
         )
         host = self.network.add_host(vm, rate_bytes_per_s)
+        self.hosts[vm] = host
         clock = self.network.clock
         parts = gateway_composition.build_parts(
             host, clock, settings, random.Random(vm)
@@ -90,6 +93,11 @@
         self.gateways[vm] = gateway.Gateway(host, clock, settings, parts)
         self.gateways[vm].start()
 
+    def kill(self, vm: str) -> None:
+        """Let a VM lose its power."""
+        self.hosts[vm].kill()
+        del self.gateways[vm]
+
     def add_leaf(
         self, leaf_id: str, service: str, data_centre: str = "dc-a"
     ) -> StandInLeaf:
@@ -187,12 +195,12 @@
         vm = self.rng.choice(list(self.fleet.gateways))
         self.fleet.call(vm, self.path, f"a{self.sent_count}", done)
 
-    def run(self, per_s: float, seconds: float) -> None:
-        """Send requests for some seconds and wait for the last ones."""
-        for _ in range(int(per_s * seconds)):
+    def run(self, per_s: float, seconds: float, wait_s: float = 1.0) -> None:
+        """Send requests for some seconds, then wait for the last ones."""
+        for _ in range(round(per_s * seconds)):
             self._send()
             self.fleet.network.run_for(1.0 / per_s)
-        self.fleet.network.run_for(1.0)
+        self.fleet.network.run_for(wait_s)
 
     def since(self, from_s: float) -> list[Outcome]:
         """Return the outcomes of requests sent from a time on."""
--- a/tests/virtual_network.py
+++ b/tests/virtual_network.py
@@ -66,6 +66,16 @@
         """Do nothing."""
 
 
+class NoProtocol:
+    """Ignores all events of a connection."""
+
+    def dataReceived(self, data: bytes) -> None:  # noqa: N802
+        """Do nothing."""
+
+    def connectionLost(self, reason: Any) -> None:  # noqa: N802
+        """Do nothing."""
+
+
 class Transport:
     """One end of a connection."""
 
@@ -184,6 +194,8 @@
     Attributes:
         incoming: Link for received bytes.
         outgoing: Link for sent bytes.
+        is_dead: Whether the host has lost its power.
+        transports: Its ends of all connections so far.
     """
 
     def __init__(
@@ -194,7 +206,29 @@
         self.name = name
         self.incoming = Link(network.reactor, rate_bytes_per_s)
         self.outgoing = Link(network.reactor, rate_bytes_per_s)
-        self.callLater = network.reactor.callLater
+        self.is_dead = False
+        self.transports: list[Transport] = []
+
+    def callLater(  # noqa: N802 (Twisted's name)
+        self, delay_s: float, call: Callable, *args: Any, **kwargs: Any
+    ) -> Any:
+        """Call a function later, unless the host has lost its power."""
+
+        def run() -> None:
+            if not self.is_dead:
+                call(*args, **kwargs)
+
+        return self.reactor.callLater(delay_s, run)
+
+    def kill(self) -> None:
+        """End all that runs on this host, and reset its connections."""
+        self.is_dead = True
+        for address, (host, _) in list(self.network.listeners.items()):
+            if host is self:
+                del self.network.listeners[address]
+        for transport in self.transports:
+            transport.protocol = NoProtocol()
+            transport.abortConnection()
 
     def listenTCP(  # noqa: N802 (Twisted's name)
         self, port: int, factory: Any, backlog: int = 50, interface: str = ""
@@ -212,6 +246,8 @@
         self.callLater(round_trip_s, self._connect, (host, port), factory)
 
     def _connect(self, address: tuple[str, int], factory: Any) -> None:
+        if self.is_dead:
+            return
         listener = self.network.listeners.get(address)
         if listener is None:
             reason = failure.Failure(error.ConnectionRefusedError())
@@ -224,6 +260,8 @@
         server = Transport(server_host, server_protocol)
         client = Transport(self, factory.buildProtocol(None))
         server.other, client.other = client, server
+        server_host.transports.append(server)
+        self.transports.append(client)
         server.protocol.makeConnection(server)
         client.protocol.makeConnection(client)
 
