Start the fleet of the in-force measurement at its own addresses

tools/measure_in_force.py ended with a TypeError at its start, listed in KNOWN-RED.txt: it gave a port as the host, by position. The addresses are named now. The tool failed at each start before.

--- a/tools/measure_in_force.py
+++ b/tools/measure_in_force.py
@@ -34,7 +34,9 @@
     "anga-pamoja": "route forecast to studio-desk",
     "consortium": "route levies to cobro-core",
 }
-ADDRESSES = fleet.FleetAddresses(7900, 8500, "127.0.1")
+ADDRESSES = fleet.FleetAddresses(
+    platform_port=7900, first_leaf_port=8500, vm_network="127.0.1"
+)
 
 
 @attrs.frozen
