--- a/src/oriolegate/network/http_reader.py
+++ b/src/oriolegate/network/http_reader.py
@@ -78,6 +78,10 @@
                 "the server switches to another protocol"
             ) from error
         except (httptools.HttpParserError, ValueError) as error:
+            if self.size_bytes > self.max_body_bytes:
+                raise UpstreamMessageError(
+                    "the response body is too large"
+                ) from error
             raise UpstreamMessageError(
                 f"malformed HTTP response: {error}"
             ) from error
--- a/src/oriolegate/runtime/gateway_composition.py
+++ b/src/oriolegate/runtime/gateway_composition.py
@@ -169,9 +169,11 @@
     def on_notice(leaf_id: str, notice: LeafNotice) -> None:
         now_ms = clock.now_ms()
         for change in directory.apply_notice(now_ms, leaf_id, notice):
-            log.bind(leaf=leaf_id, limit_per_s=notice.limit_per_s).info(
-                change.value
-            )
+            log.bind(
+                leaf=leaf_id,
+                limit_per_s=notice.limit_per_s,
+                quiet_ms=notice.quiet_ms,
+            ).info(change.value)
             if change is LeafChange.LEAVING:
                 leaf_client.close_idle(leaf_id)
 
--- a/tests/network/test_http_reader.py
+++ b/tests/network/test_http_reader.py
@@ -108,6 +108,8 @@
         start = b"HTTP/1.1 200 OK\r\n\r\n"
         accepted = self.feed_until_rejected(start, b"x" * 1_000)
         self.assertEqual(accepted, 100_000)
+        with self.assertRaisesRegex(UpstreamMessageError, "body is too large"):
+            ResponseReader(max_body_bytes=2).feed(WITH_LENGTH)
 
     def test_a_long_body_in_chunks_of_one_byte_is_read(self):
         self.reader.feed(CHUNKED[: CHUNKED.index(b"2\r\n")])
