Name the check of a leaf that declines requests for what it does

is_limited also covered quiet times; it is is_declining now. No change of behaviour: the tests of placement, of whole gateways and the random plays pass as before.

--- a/src/oriolegate/models/leaf_notice.py
+++ b/src/oriolegate/models/leaf_notice.py
@@ -5,7 +5,7 @@
 
 @attrs.frozen
 class LeafNotice:
-    """Statements of a leaf that hold until its next response.
+    """What one response of a leaf states.
 
     Attributes:
         limit_per_s: Requests per second that it accepts from all VMs together,
--- a/src/oriolegate/placement/leaf_directory.py
+++ b/src/oriolegate/placement/leaf_directory.py
@@ -382,11 +382,11 @@
         free = [
             record
             for record in warm
-            if not record.is_full(now_ms) and not record.is_limited(now_ms)
+            if not record.is_full(now_ms) and not record.is_declining(now_ms)
         ]
         if free:
             return self._fastest(now_ms, free, criteria)
-        if any(not record.is_limited(now_ms) for record in warm):
+        if any(not record.is_declining(now_ms) for record in warm):
             return NoLeaf.ALL_FULL
         cold = [record for record in usable if record.is_cold(now_ms)]
         chosen = self._choose_cold(now_ms, cold)
@@ -430,7 +430,7 @@
             if (
                 record.suspect
                 or record.is_full(now_ms)
-                or record.is_limited(now_ms)
+                or record.is_declining(now_ms)
             ):
                 continue
             since_ms = now_ms - record.last_cold_send_ms
--- a/src/oriolegate/placement/leaf_record.py
+++ b/src/oriolegate/placement/leaf_record.py
@@ -86,7 +86,7 @@
             return True
         return len(self.outstanding) >= self.capacity
 
-    def is_limited(self, now_ms: float) -> bool:
+    def is_declining(self, now_ms: float) -> bool:
         """Return whether the leaf wants no further request from this VM now."""
         if self.is_returning and (
             now_ms < self.quiet_until_ms or self.outstanding
--- a/tests/placement/test_leaf_directory.py
+++ b/tests/placement/test_leaf_directory.py
@@ -187,7 +187,7 @@
     def use_up(self, leaf_id):
         notice = LeafNotice(limit_per_s=0.0)
         self.directory.apply_notice(0.0, leaf_id, notice)
-        self.assertTrue(self.directory.leafs[leaf_id].is_limited(0.0))
+        self.assertTrue(self.directory.leafs[leaf_id].is_declining(0.0))
 
     def test_a_leaf_whose_limit_is_used_up_is_not_chosen(self):
         self.use_up("near")
@@ -225,7 +225,7 @@
     def test_a_leaf_that_restarted_under_its_id_has_no_limit(self):
         self.use_up("near")
         self.directory.put(0.0, build.leaf("near", born_ms=7))
-        self.assertFalse(self.directory.leafs["near"].is_limited(0.0))
+        self.assertFalse(self.directory.leafs["near"].is_declining(0.0))
 
 
 class QuietTest(unittest.TestCase):
@@ -259,7 +259,7 @@
         near.outstanding = {1: later_ms}
         self.assertEqual(chosen(self.directory, later_ms), "far")
         self.directory.apply_notice(later_ms, "near", LeafNotice())
-        self.assertFalse(near.is_limited(later_ms))
+        self.assertFalse(near.is_declining(later_ms))
 
     def test_the_first_use_of_a_quiet_service_is_known(self):
         self.assertIsNone(self.directory.earliest_use_ms(criteria()))
