Pass on removals at the revision of the view

Cause: a VM passed on a removed entry at the revision at which it knew the entry, and nothing at all if it did not know it. A VM that had read a newer state of the entry from the store, before it followed that VM, ignored such a removal, or never got it, and went on using the leaf until its next whole list. This takes a chain: the peer follows a third VM, whose answer brings several changes of an entry as one. So it shows after cuts and restarts, while leafs are replaced one after the other and VMs turn from the store to peers.

Change: a removal is passed on whether or not the entry was known, at the revision of the view that lacks it, and without the content of the entry.

Two assertions of ViewCacheTest expected the old revision of the entry; they now expect that of the view.

--- a/src/oriolegate/following/view_cache.py
+++ b/src/oriolegate/following/view_cache.py
@@ -16,6 +16,9 @@
 # Objects whose last change is stored for peers; a peer that lags further behind
 # gets all objects.
 MAX_CHANGES = 2_000
+# Stands for the revision of a removal until the commit states that of the view:
+# the object is absent there, whichever state of it a peer knows.
+REMOVED_AT_COMMIT = 0
 
 
 @attrs.frozen
@@ -70,10 +73,15 @@
         self.put(now_ms, item)
 
     def remove(self, now_ms: float, name: str, by_list: bool) -> None:
-        """Remove an object."""
-        item = self.objects.pop(name, None)
-        if item is not None:
-            self.uncommitted.append(Change(item, removed=True))
+        """Remove an object.
+
+        A peer may have read an entry from the store that this view lacks or
+        has in an older state, so each removal is passed on.
+        """
+        self.objects.pop(name, None)
+        self.uncommitted.append(
+            Change(StoredObject(name, REMOVED_AT_COMMIT, None), removed=True)
+        )
         self.sink.remove(now_ms, name, by_list)
 
     def on_absent(self, now_ms: float, name: str) -> None:
@@ -89,6 +97,9 @@
         for change in self.uncommitted:
             # Inserted anew, so that the order remains that of the changes.
             self.changes.pop(change.item.name, None)
+            if change.removed:
+                item = attrs.evolve(change.item, revision=revision)
+                change = attrs.evolve(change, item=item)
             self.changes[change.item.name] = TaggedChange(revision, change)
         self.uncommitted = []
         self.revision = revision
--- a/src/oriolegate/network/view_wire.py
+++ b/src/oriolegate/network/view_wire.py
@@ -137,7 +137,7 @@
 def _encode_object(
     item: StoredObject, packer: ObjectPacker | None
 ) -> list[Any]:
-    if packer is None:
+    if packer is None or item.content is None:
         return [item.name, item.revision, item.content]
     return [item.name, item.revision, None, packer.pack(item)]
 
--- a/tests/following/test_view_cache.py
+++ b/tests/following/test_view_cache.py
@@ -31,6 +31,10 @@
     return StoredObject(name, revision, f"{name}@{revision}")
 
 
+def removal(name, revision):
+    return Change(StoredObject(name, revision, None), removed=True)
+
+
 class ViewCacheTest(unittest.TestCase):
     def setUp(self):
         self.cache = ViewCache(Sink())
@@ -61,7 +65,7 @@
             update.changes,
             (
                 Change(item("b", 11), removed=False),
-                Change(item("a", 3), removed=True),
+                removal("a", 12),
             ),
         )
         self.assertEqual(self.cache.since(12).changes, ())
@@ -77,7 +81,7 @@
             self.cache.since(10).changes,
             (
                 Change(item("b", 19), removed=False),
-                Change(item("a", 3), removed=True),
+                removal("a", 20),
             ),
         )
         self.assertTrue(self.cache.has_change_after(19))
@@ -130,3 +134,84 @@
             peer.on_changes(0.0, update)
         else:
             peer.on_complete_list(0.0, update, 0.0)
+
+
+SWITCHING_STEPS = strategies.lists(
+    strategies.tuples(
+        strategies.sampled_from("ab"),
+        strategies.booleans(),
+        strategies.sets(strategies.sampled_from(["first", "second", "store"])),
+    ),
+    max_size=30,
+)
+
+
+class SwitchingTest(unittest.TestCase):
+    """A VM reads the store, then follows a peer that follows another one."""
+
+    def setUp(self):
+        self.caches = [ViewCache(Sink()) for _ in range(3)]
+        self.first, self.second, self.last = (
+            Follower(Collection.LEAFS, cache, random.Random(1))
+            for cache in self.caches
+        )
+        self.log, self.stored, self.revision = [], {}, 1
+        for follower in (self.first, self.second, self.last):
+            follower.start()
+            follower.on_page(0.0, ListPage((), False, 1))
+
+    def change(self, name, removed):
+        self.revision += 1
+        if not removed:
+            self.stored[name] = item(name, self.revision)
+            change = Change(self.stored[name], removed=False)
+        elif name in self.stored:
+            change = Change(self.stored.pop(name), removed=True)
+        else:
+            return
+        self.log.append((self.revision, change))
+
+    def read_store(self, follower):
+        changes = tuple(c for at, c in self.log if at > follower.revision)
+        follower.on_changes(0.0, ChangeBatch(changes, self.revision))
+
+    def follow(self, follower, cache):
+        follower.on_changes(0.0, cache.since(follower.revision))
+
+    def test_a_removal_reaches_a_vm_with_a_newer_entry(self):
+        self.change("a", removed=False)
+        self.read_store(self.first)
+        self.follow(self.second, self.caches[0])
+        self.change("a", removed=False)
+        self.read_store(self.last)
+        self.change("a", removed=True)
+        self.read_store(self.first)
+        self.follow(self.second, self.caches[0])
+        self.follow(self.last, self.caches[1])
+        self.assertEqual(self.caches[2].sink.contents, {})
+
+    def test_a_removal_is_passed_on_by_a_vm_without_the_entry(self):
+        self.change("a", removed=False)
+        self.read_store(self.last)
+        self.change("a", removed=True)
+        self.read_store(self.first)
+        self.follow(self.second, self.caches[0])
+        self.follow(self.last, self.caches[1])
+        self.assertEqual(self.caches[2].sink.contents, {})
+
+    @given(SWITCHING_STEPS)
+    def test_the_view_equals_the_store_whatever_was_followed(self, steps):
+        self.setUp()
+        for name, removed, sources in steps:
+            self.change(name, removed)
+            if "first" in sources:
+                self.read_store(self.first)
+            if "second" in sources:
+                self.follow(self.second, self.caches[0])
+            if "store" in sources:
+                self.read_store(self.last)
+        self.read_store(self.first)
+        self.follow(self.second, self.caches[0])
+        self.follow(self.last, self.caches[1])
+        expected = {name: kept.content for name, kept in self.stored.items()}
+        self.assertEqual(self.caches[2].sink.contents, expected)
