Play a removal behind cuts on the virtual network

A VM that knew more than the peer that it follows must lose a removed leaf. Random cuts now also change and remove entries, and the plays last long enough to see a change that never arrives.

--- a/tests/runtime/test_view_age.py
+++ b/tests/runtime/test_followed_views.py
@@ -1,4 +1,4 @@
-"""Tests of how old the views are that VMs pass on, with whole gateways."""
+"""Tests of the views that VMs pass on to each other, with whole gateways."""
 
 import random
 import unittest
@@ -27,6 +27,8 @@
 # time from the choice of a leaf to the arrival there.
 NEWS_MS = 8_000.0 - 500.0
 CUT_COUNT = 25
+CHANGES_AFTER_CUT_S = 1.0
+CALM_S = (0.2, 2.0, 8.5)
 SEEDS = range(1, 13)
 
 
@@ -69,11 +71,15 @@
             name in self.fleet.store.objects["servers"]
             and self.rng.random() < 0.4
         ):
-            self.fleet.store.delete("servers", name)
-            self._record(name)
+            self.remove(number)
         else:
             self.put(number)
 
+    def remove(self, number):
+        """Remove the entry of a leaf."""
+        self.fleet.store.delete("servers", f"leaf-{number}")
+        self._record(f"leaf-{number}")
+
     def _record(self, name):
         self.changed_ms[name] = self.fleet.network.clock.now_ms()
 
@@ -122,6 +128,32 @@
                 self.assertFalse(views.is_confirmed())
 
 
+class RemovalTest(unittest.TestCase):
+    def test_a_removal_reaches_a_vm_that_knew_more_than_its_peer(self):
+        fleet = start_fleet()
+        network = fleet.network
+        changes = Changes(fleet)
+        reader, second, third, *_ = ranked_vms(fleet)
+        changes.put(1)
+        network.run_for(2.0)
+        # The third VM has only the store, and the second one has nothing.
+        for cut in ((reader, second), (reader, third), (STORE, second)):
+            network.cut(*cut)
+        network.run_for(4.0)
+        changes.put(1)
+        network.run_for(2.0)
+        network.cut(STORE, third)
+        changes.remove(1)
+        # The second VM gets both changes as one, and the third follows it.
+        network.heal(reader, second)
+        network.run_for(15.0)
+        for cut in ((reader, third), (STORE, second), (STORE, third)):
+            network.heal(*cut)
+        network.run_for(NEWS_MS / 1_000.0)
+        for vm in fleet.gateways:
+            self.assertEqual(changes.missing(vm), [])
+
+
 class RandomCutsTest(unittest.TestCase):
     """Cuts one-way paths at random; VMs follow each other or the store."""
 
@@ -148,11 +180,12 @@
         for cut in cuts:
             self.network.heal(*cut)
         self.healed_ms = self.network.clock.now_ms()
-        self.run_steps(self.rng.uniform(0.0, 9.0))
+        self.run_steps(CHANGES_AFTER_CUT_S)
+        self.run_steps(self.rng.choice(CALM_S), with_changes=False)
 
-    def run_steps(self, seconds):
+    def run_steps(self, seconds, *, with_changes=True):
         for step in range(round(seconds / STEP_S)):
-            if step % STEPS_PER_CHANGE == 0:
+            if with_changes and step % STEPS_PER_CHANGE == 0:
                 self.changes.make_any()
             self.network.run_for(STEP_S)
             for vm in self.fleet.gateways:
@@ -168,7 +201,7 @@
             due_ms = max(missing_ms, self.healed_ms) + NEWS_MS
             self.assertLess(now_ms, due_ms)
 
-    def test_no_vm_takes_its_view_for_newer_than_it_is(self):
+    def test_each_vm_gets_the_news_in_time_and_knows_the_age_of_its_view(self):
         for seed in SEEDS:
             with self.subTest(seed=seed):
                 self.play(seed)
