Match answers of leafs to their query in serve

Cause: `serve` compared shard and attempt of an answer with those it had sent, but not the query id that leafs repeat. A late second copy of an answer, on a connection that was in use again for the same shard, became the answer of the next caller's query. After any mismatch the connection went on, so that each later query on it got the answer before its own.

Change: an answer that repeats other ids than those sent is skipped, the request waits for its own answer, and the connection is closed after it. An answer that repeats no ids still fails the request, and its connection is closed too.

The gateway compares the attempt id already.

--- a/src/oriolegate/network/leaf_connection.py
+++ b/src/oriolegate/network/leaf_connection.py
@@ -14,13 +14,28 @@
 
 @attrs.define(eq=False)
 class PendingRequest:
-    """A sub-request or cancellation that is in flight or still to be sent."""
+    """A sub-request or cancellation that is in flight or still to be sent.
+
+    Attributes:
+        sub: The sub-request.
+        query: Query id as sent to the leaf, which repeats it in its answer.
+        data: Bytes of the request.
+        is_cancel: Whether this is a cancellation, whose answer repeats no ids.
+    """
 
     sub: SubRequestId
+    query: bytes
     data: bytes
     is_cancel: bool = False
 
 
+def _is_foreign(answer: WireAnswer, pending: PendingRequest) -> bool:
+    """Return whether an answer repeats the ids of another request."""
+    sub = pending.sub
+    ids = (answer.query, answer.shard, answer.attempt)
+    return bool(answer.query) and ids != (pending.query, sub.shard, sub.attempt)
+
+
 class ConnectionOwner(Protocol):
     """Receives the events of connections; implemented by `LeafPool`."""
 
@@ -51,6 +66,8 @@
     Attributes:
         pending: Request in flight, or None while the connection is idle.
         closing: Whether this process closed the connection itself.
+        has_foreign_answer: Whether an answer to another request arrived, such
+            as a late second copy; more of them may follow.
     """
 
     def __init__(self, pool: ConnectionOwner) -> None:
@@ -58,6 +75,7 @@
         self.reader = upstream_wire.AnswerReader()
         self.pending: PendingRequest | None = None
         self.closing = False
+        self.has_foreign_answer = False
 
     def close(self) -> None:
         """Close the connection; a request in flight is lost."""
@@ -96,17 +114,26 @@
             self.transport.abortConnection()
             return
         for answer in answers:
-            pending = self.pending
-            self.pending = None
-            if pending is None:
+            self._on_answer(answer)
+
+    def _on_answer(self, answer: WireAnswer) -> None:
+        pending = self.pending
+        if pending is None:
+            self.transport.abortConnection()
+            return
+        if _is_foreign(answer, pending):
+            self.has_foreign_answer = True
+            if not answer.keep_alive:
                 self.transport.abortConnection()
-                return
-            if answer.keep_alive:
-                self.pool.on_idle(self)
-            else:
-                self.close()
-            if not pending.is_cancel:
-                self.pool.on_answer(pending.sub, answer)
+            return
+        self.pending = None
+        has_ids = bool(answer.query) or pending.is_cancel
+        if answer.keep_alive and has_ids and not self.has_foreign_answer:
+            self.pool.on_idle(self)
+        else:
+            self.close()
+        if not pending.is_cancel:
+            self.pool.on_answer(pending.sub, answer)
 
     def connectionLost(self, reason: object = None) -> None:  # noqa: N802
         """Notify the pool that the connection is closed."""
--- a/src/oriolegate/network/upstream_client.py
+++ b/src/oriolegate/network/upstream_client.py
@@ -70,11 +70,13 @@
             )
             return
         data = upstream_wire.encode_sub_request(self.process, effect)
-        pool.send(PendingRequest(effect.sub, data))
+        query = upstream_wire.query_id(self.process, effect.sub)
+        pool.send(PendingRequest(effect.sub, query, data))
 
     def cancel(self, effect: CancelSub) -> None:
         """Cancel a sub-request if its leaf is still known."""
         pool = self.pools.get(effect.leaf)
         if pool is not None:
             data = upstream_wire.encode_cancellation(self.process, effect.sub)
-            pool.cancel(PendingRequest(effect.sub, data, is_cancel=True))
+            query = upstream_wire.query_id(self.process, effect.sub)
+            pool.cancel(PendingRequest(effect.sub, query, data, is_cancel=True))
--- a/src/oriolegate/network/upstream_wire.py
+++ b/src/oriolegate/network/upstream_wire.py
@@ -144,6 +144,11 @@
         self.answers.append(answer)
 
 
+def query_id(process: bytes, sub: SubRequestId) -> bytes:
+    """Return the id of a query, which is unique across VMs."""
+    return b"%b.%d" % (process, sub.query)
+
+
 def encode_sub_request(process: bytes, effect: SendSub) -> bytes:
     """Return the HTTP request of a sub-request.
 
@@ -160,12 +165,11 @@
     )
     return (
         b"POST /query HTTP/1.1\r\nHost: leaf\r\n"
-        b"X-Query: %b.%d\r\nX-Shard: %d\r\nX-Attempt: %d\r\n"
+        b"X-Query: %b\r\nX-Shard: %d\r\nX-Attempt: %d\r\n"
         b"X-Index-Version: %d\r\nX-Deadline-Ms: %d\r\n%b"
         b"Content-Length: %d\r\n\r\n%b"
         % (
-            process,
-            sub.query,
+            query_id(process, sub),
             sub.shard,
             sub.attempt,
             effect.index_version,
@@ -181,9 +185,9 @@
     """Return the HTTP request that cancels a sub-request."""
     return (
         b"POST /cancel HTTP/1.1\r\nHost: leaf\r\n"
-        b"X-Query: %b.%d\r\nX-Shard: %d\r\nX-Attempt: %d\r\n"
+        b"X-Query: %b\r\nX-Shard: %d\r\nX-Attempt: %d\r\n"
         b"Content-Length: 0\r\n\r\n"
-        % (process, sub.query, sub.shard, sub.attempt)
+        % (query_id(process, sub), sub.shard, sub.attempt)
     )
 
 
