Tell late copies of health answers from answers to requests

Cause: health checks share their connections with callers' requests, and carry no attempt id. A late second copy of a health answer, on a connection in use again, was taken for the answer to the request (unsigned, so the request counted as failed and perhaps run), and a late answer to a request for a health report of a leaf without an id. A caller never got a foreign success: those bear a signature, and the attempt id is compared.

Change: an unsigned answer that names its leaf but no attempt answers no request, and an answer that repeats an attempt id answers no health check.

Both tests failed before: "NoAnswer" instead of the body, and the leaf id "".

--- a/src/oriolegate/network/leaf_client.py
+++ b/src/oriolegate/network/leaf_client.py
@@ -58,11 +58,6 @@
         return self.call.connection is not None
 
 
-def accepts_any(response: HttpResponse) -> bool:
-    """Accept every response; health checks carry no attempt id."""
-    return True
-
-
 def _is_of_another_leaf(answer: LeafAnswer | NoAnswer) -> bool:
     return (
         isinstance(answer, NoAnswer)
@@ -208,7 +203,9 @@
 
         pool = self._get_pool(leaf)
         call = HttpCall(
-            leaf_protocol.health_request(leaf, path), on_result, accepts_any
+            leaf_protocol.health_request(leaf, path),
+            on_result,
+            leaf_protocol.is_health_response,
         )
         pool.send(call)
         return OpenSend(leaf.leaf_id, pool, call, self.clock.now_ms())
--- a/src/oriolegate/platform/leaf_protocol.py
+++ b/src/oriolegate/platform/leaf_protocol.py
@@ -164,9 +164,24 @@
 
 
 def is_answer_to(response: HttpResponse, attempt_id: str) -> bool:
-    """Return whether a response answers the attempt `attempt_id`."""
+    """Return whether a response answers the attempt `attempt_id`.
+
+    A late copy of a response to a health check doesn't.
+    """
     echoed = response.header(header_names.ATTEMPT_ID)
-    return echoed is None or echoed == attempt_id.encode("latin-1")
+    if echoed is None:
+        is_signed = response.header(header_names.SIGNATURE) is not None
+        names_leaf = response.header(header_names.LEAF_ID) is not None
+        return is_signed or not names_leaf
+    return echoed == attempt_id.encode("latin-1")
+
+
+def is_health_response(response: HttpResponse) -> bool:
+    """Return whether a response may answer a health check.
+
+    A late copy of an answer to a caller's request doesn't.
+    """
+    return response.header(header_names.ATTEMPT_ID) is None
 
 
 def end_to_end_headers(headers: Headers | list[tuple[bytes, bytes]]) -> Headers:
--- a/tests/network/test_leaf_client.py
+++ b/tests/network/test_leaf_client.py
@@ -2,11 +2,16 @@
 
 import unittest
 
+import attrs
+
 from oriolegate.clock import FakeClock
 from oriolegate.network.http_connection import Answered
 from oriolegate.network.http_reader import HttpResponse
 from oriolegate.network.leaf_client import LeafClient
+from tests import repeating_server
 from tests import site_builders as build
+from tests import virtual_network
+from tests.repeating_server import RepeatingServer
 
 LIMIT = (b"server-limit", b"2.5")
 SIGNED = (b"server-seal", b"x.1")
@@ -51,3 +56,54 @@
         self.check_health(LIMIT, (b"instance-id", b"b"))
         self.check_health(LIMIT)
         self.assertEqual(self.limits, [])
+
+
+def respond_as_leaf(request):
+    """Answer as a leaf: repeat the attempt id, or state the leaf's id."""
+    for line in request.split(b"\r\n"):
+        if line.startswith(b"Attempt-Id:"):
+            headers = line + b"\r\nServer-Seal: x.1\r\n"
+            return repeating_server.answer(line.split()[1], headers)
+    return repeating_server.answer(b"healthy", b"Instance-Id: a\r\n")
+
+
+class LateCopyTest(unittest.TestCase):
+    """A leaf repeats each answer late, on a connection in use again."""
+
+    def setUp(self):
+        self.network = virtual_network.VirtualNetwork(0.001)
+        server = RepeatingServer(self.network, "leaf")
+        server.respond = respond_as_leaf
+        host = self.network.add_host("vm", 1e6)
+        self.client = LeafClient(host, self.network.clock)
+        name, port = server.address
+        self.leaf = attrs.evolve(build.leaf("a"), host=name, port=port)
+
+    def request(self, attempt):
+        call = attrs.evolve(build.call(), attempt_id=attempt)
+        head = f"GET /x HTTP/1.1\r\nAttempt-Id: {attempt}".encode()
+        answers = []
+        self.client.send(self.leaf, call, head, 900.0, answers.append)
+        self.network.run_for(1.0)
+        return answers
+
+    def check_health(self):
+        reports = []
+        self.client.check_health(self.leaf, "/health", reports.append)
+        self.network.run_for(1.0)
+        return reports
+
+    def test_each_request_gets_its_own_answer(self):
+        for attempt in ("a1", "a2", "a3"):
+            (answer,) = self.request(attempt)
+            self.assertEqual(answer.body, attempt.encode())
+
+    def test_a_late_answer_to_a_request_is_no_health_report(self):
+        self.request("a1")
+        (report,) = self.check_health()
+        self.assertEqual(report.leaf_id, "a")
+
+    def test_a_late_health_report_is_no_answer_to_a_request(self):
+        self.check_health()
+        (answer,) = self.request("a1")
+        self.assertEqual(answer.body, b"a1")
