Share connections to the store only where a late copy does no harm

Cause: answers of the store don't state their call, and all calls shared one pool of connections. A late second copy of an answer would have become that of another collection's watch, or have confirmed a write that failed.

Change: reads share connections only with reads of the same collection, where revisions show what is old; a write closes its connection.

--- a/src/oriolegate/network/store_client.py
+++ b/src/oriolegate/network/store_client.py
@@ -18,11 +18,22 @@
 log = structured_log.get_logger("store")
 
 
+# Key of the client for all writes; reads have one client for each path.
+WRITES = "writes"
+
+
 class StoreClient:
     """Makes calls to the store, each with a timeout.
 
+    An answer of the store doesn't state its call. If the store sent a second
+    copy of an answer late, on a connection that is in use again, the copy must
+    do no harm: reads share connections only with reads of the same collection,
+    whose revisions show what is old, and each write has a connection of its
+    own.
+
     Attributes:
-        client: HTTP client for the address of the store.
+        address: IP address and port of the store.
+        clients: HTTP client by path of the calls.
         era: Era of the store.
         on_new_era: Called when an answer states a new era, before the call's
             own `done`; it may cancel the call.
@@ -36,7 +47,10 @@
         address: tuple[str, int],
         era: StoreEra,
     ) -> None:
-        self.client = HttpClient(reactor, clock, address)
+        self.reactor = reactor
+        self.clock = clock
+        self.address = address
+        self.clients: dict[str, HttpClient] = {}
         self.era = era
         self.on_new_era: Callable[[], None] = lambda: None
         self.calls_total = 0
@@ -59,10 +73,16 @@
         """
         self.calls_total += 1
         is_cancelled = False
+        is_read = call.method == "GET"
+        client = self._get_client(
+            call.target.partition("?")[0] if is_read else WRITES
+        )
 
         def on_outcome(outcome: HttpResponse | str) -> None:
             if isinstance(outcome, HttpResponse):
                 outcome = self._check_era(outcome)
+            if not is_read:
+                client.pool.close()
             if not is_cancelled:
                 done(outcome)
 
@@ -71,11 +91,21 @@
             is_cancelled = True
             cancel_call()
 
-        cancel_call = self.client.send(
-            self._encode(call), timeout_ms, on_outcome
-        )
+        cancel_call = client.send(self._encode(call), timeout_ms, on_outcome)
         return cancel
 
+    def _get_client(self, key: str) -> HttpClient:
+        client = self.clients.get(key)
+        if client is None:
+            client = HttpClient(self.reactor, self.clock, self.address)
+            self.clients[key] = client
+        return client
+
+    def close(self) -> None:
+        """Close idle connections; calls in flight continue."""
+        for client in self.clients.values():
+            client.pool.close()
+
     def _check_era(self, response: HttpResponse) -> HttpResponse | str:
         """Return the response, or why it is ignored."""
         match self.era.observe(self._decode_era(response)):
@@ -100,7 +130,7 @@
             return None
 
     def _encode(self, call: StoreCall) -> bytes:
-        host, port = self.client.pool.address
+        host, port = self.address
         lines = [
             f"{call.method} {call.target} HTTP/1.1",
             f"Host: {host}:{port}",
--- a/tests/network/test_store_client.py
+++ b/tests/network/test_store_client.py
@@ -7,6 +7,8 @@
 from oriolegate.network.http_reader import HttpResponse
 from oriolegate.network.store_client import StoreClient
 from oriolegate.platform.store_calls import StoreCall
+from tests import virtual_network
+from tests.repeating_server import RepeatingServer
 
 
 class FakeHttpClient:
@@ -30,7 +32,8 @@
     def setUp(self):
         self.era = StoreEra()
         self.client = StoreClient(None, FakeClock(), ("h", 1), self.era)
-        self.http = self.client.client = FakeHttpClient(("h", 1))
+        self.http = FakeHttpClient(("h", 1))
+        self.client.clients["/objects/config"] = self.http
         self.eras = []
         self.client.on_new_era = lambda: self.eras.append(self.era.number)
         self.outcomes = []
@@ -70,3 +73,33 @@
         self.client.on_new_era = cancel
         self.http.answer(b"1")
         self.assertEqual(self.outcomes, [])
+
+
+class LateCopyTest(unittest.TestCase):
+    """The store repeats each answer late, on a connection in use again."""
+
+    def setUp(self):
+        network = virtual_network.VirtualNetwork(0.001)
+        self.network = network
+        self.server = RepeatingServer(network, "store")
+        host = network.add_host("vm", 1e6)
+        self.client = StoreClient(
+            host, network.clock, self.server.address, StoreEra()
+        )
+
+    def call(self, method, target):
+        outcomes = []
+        self.client.call(StoreCall(method, target), 900.0, outcomes.append)
+        self.network.run_for(1.0)
+        return outcomes[0].body
+
+    def test_an_answer_is_never_taken_for_that_of_another_collection(self):
+        for _ in range(3):
+            for kind in (b"config", b"servers", b"evacuations"):
+                body = self.call("GET", f"/objects/{kind.decode()}?watch=1")
+                self.assertIn(kind, body)
+
+    def test_an_answer_is_never_taken_for_that_of_another_write(self):
+        for name in ("a", "b", "c"):
+            body = self.call("DELETE", f"/objects/members/{name}")
+            self.assertTrue(body.endswith(name.encode()), body)
--- a/tests/platform/test_gateway.py
+++ b/tests/platform/test_gateway.py
@@ -108,7 +108,7 @@
             pool.close()
         self.process.parts.store.pause()
         self.process.parts.feed.stop()
-        self.process.parts.store_client.client.pool.close()
+        self.process.parts.store_client.close()
         for port in [*self.ports, *self.process.ports]:
             await defer.maybeDeferred(port.stopListening)
         for channel in list(self.process.caller_factory.channels):
@@ -496,7 +496,7 @@
         finally:
             second.parts.store.pause()
             second.parts.feed.stop()
-            second.parts.store_client.client.pool.close()
+            second.parts.store_client.close()
             for port in second.ports:
                 await defer.maybeDeferred(port.stopListening)
 
