Answer what waits in sockets when a VM stops

Cause: at a planned stop the gateway closed connections without a request as idle, also when the bytes of one waited in the socket, and closed its port together with the connections that it had not accepted yet. Closing resets both, so requests that had just been accepted were cut off without an answer. `serve` closed its port in the same way.

Change: a connection with unread bytes is not idle, and the connections that wait at a port are accepted before the port is closed, in both programs.

--- a/src/oriolegate/network/caller_server.py
+++ b/src/oriolegate/network/caller_server.py
@@ -13,6 +13,7 @@
 
 from oriolegate.exchange.messages import Headers
 from oriolegate.models.site import CallerLimits
+from oriolegate.network import graceful_close
 
 MS_PER_S = 1_000.0
 # Callers reuse a connection for up to four fifths of the configured idle time.
@@ -211,8 +212,12 @@
 
     @property
     def is_idle(self) -> bool:
-        """Whether no request on this connection is open or incomplete."""
-        return not self.requests and not self._buffer
+        """Whether no request on this connection is open, begun or unread."""
+        return (
+            not self.requests
+            and not self._buffer
+            and not graceful_close.has_unread_bytes(self.transport)
+        )
 
 
 class CallerFactory(protocol.ServerFactory):
--- a/src/oriolegate/runtime/gateway.py
+++ b/src/oriolegate/runtime/gateway.py
@@ -12,6 +12,7 @@
 from oriolegate.membership.pause_detector import PauseDetector
 from oriolegate.models.site import NodeSettings
 from oriolegate.models.stored import Collection
+from oriolegate.network import graceful_close
 from oriolegate.network import view_wire
 from oriolegate.network.caller_server import CallerFactory
 from oriolegate.network.caller_server import InternalHttpFactory
@@ -29,8 +30,6 @@
 # list is read once all VMs have written their entries; the VMs start within
 # 0.3 s of each other.
 FIRST_LISTS_DELAY_S = 0.5
-# Large, since all callers of a failed VM reconnect at the same time.
-LISTEN_BACKLOG = 512
 # Maximum age of a confirmation for the member list to count as current.
 MEMBERS_TRUSTED_MS = 8_000.0
 # Fraction of the grace time after SIGTERM before idle connections are closed:
@@ -128,7 +127,7 @@
                 port,
                 self.caller_factory,
                 interface=host,
-                backlog=LISTEN_BACKLOG,
+                backlog=graceful_close.LISTEN_BACKLOG,
             ),
             listen(
                 ready_port,
@@ -268,6 +267,7 @@
         """Stop listening, so that new callers connect to other VMs."""
         if self.accepting:
             self.accepting = False
+            graceful_close.accept_waiting(self.ports[0])
             self.ports[0].stopListening()
 
     def _end(self, since_ms: float, connections: int) -> None:
--- a/src/oriolegate/runtime/process.py
+++ b/src/oriolegate/runtime/process.py
@@ -8,6 +8,7 @@
 
 from oriolegate.claims import messages as claims_messages
 from oriolegate.logging_setup import get_logger
+from oriolegate.network import graceful_close
 from oriolegate.network.claim_store import ClaimStore
 from oriolegate.quarantine import messages as quarantine_messages
 from oriolegate.runtime.document_runner import DocumentRunner
@@ -205,6 +206,7 @@
 
     def stop_accepting(self) -> None:
         """Close the callers' port; open connections are still served."""
+        graceful_close.accept_waiting(self.caller_port)
         self.caller_port.stopListening()
         self.caller_port = None
 
--- a/tests/platform/test_gateway.py
+++ b/tests/platform/test_gateway.py
@@ -2,6 +2,7 @@
 
 import functools
 import random
+import socket
 import unittest
 
 import attrs
@@ -743,6 +744,53 @@
         self.assertIsNone(response.header(b"retry-after"))
         await exited
 
+    def send_unread(self, site, *, connection=None):
+        """Send a request that this process has not read yet."""
+        if connection is None:
+            address = site.process.settings.caller_address
+            connection = socket.create_connection(address, 2.0)
+        data = documents.caller_request("GET", "/one/x", "a1", 1_200, b"")
+        connection.sendall(data)
+        return connection
+
+    async def statuses(self, connections):
+        await sleep(0.2)
+        statuses = []
+        for connection in connections:
+            try:
+                statuses.append(int(connection.recv(1_000).split()[1]))
+            except (IndexError, OSError):
+                statuses.append(None)
+            connection.close()
+        return statuses
+
+    @on_site
+    async def test_a_planned_stop_answers_requests_that_wait_at_the_port(
+        self, site
+    ):
+        site.process.plan_stop()
+        callers = [self.send_unread(site) for _ in range(20)]
+        site.process._stop_accepting()
+        self.assertEqual(await self.statuses(callers), [200] * 20)
+
+    @on_site
+    async def test_a_planned_stop_answers_requests_that_are_not_read_yet(
+        self, site
+    ):
+        exited = defer.Deferred()
+        site.process.on_exit = lambda: exited.callback(None)
+        address = site.process.settings.caller_address
+        callers = [socket.create_connection(address, 2.0) for _ in range(20)]
+        await sleep(0.1)
+        self.assertEqual(len(site.process.caller_factory.channels), 20)
+        site.process.plan_stop()
+        for caller in callers:
+            self.send_unread(site, connection=caller)
+        grace_ms = site.process.settings.bounds.grace_ms
+        site.process._continue_stop(gateway.NOTICE_FRACTION * grace_ms)
+        self.assertEqual(await self.statuses(callers), [200] * 20)
+        await exited
+
     async def status_of_fragmented_header(self, site, pause_s):
         received = []
         finished = defer.Deferred()
--- a/tests/virtual_network.py
+++ b/tests/virtual_network.py
@@ -140,6 +140,10 @@
     def setsockopt(self, *option: Any) -> None:
         """Do nothing."""
 
+    def fileno(self) -> int:
+        """Return the number of a closed socket."""
+        return -1
+
 
 class NoProtocol:
     """Ignores all events of a connection."""
@@ -264,6 +268,9 @@
         self.network = network
         self.address = address
 
+    def doRead(self) -> None:  # noqa: N802 (Twisted's name)
+        """Do nothing; connections don't wait here."""
+
     def stopListening(self) -> None:  # noqa: N802 (Twisted's name)
         """Refuse further connections."""
         self.network.listeners.pop(self.address, None)
