Ignore leaf entries whose id no header can hold

Cause: the id of a leaf goes into a header of each request to it. An entry of another writer whose id has a character beyond Latin-1 raised an error at each send, so that the request ended without an answer; one with a line break would have added headers to the request.

Change: an id that is not printable ASCII makes the entry malformed.

--- a/src/oriolegate/platform/documents.py
+++ b/src/oriolegate/platform/documents.py
@@ -68,6 +68,11 @@
     return host, int(port)
 
 
+def _is_token(text: str) -> bool:
+    """Return whether a header can hold a text as one word."""
+    return bool(text) and all("!" <= character <= "~" for character in text)
+
+
 def decode_leaf_entry(name: str, spec: Any) -> LeafEntry:
     """Decode the store object with which a leaf registers itself.
 
@@ -78,6 +83,8 @@
     Raises:
         MalformedEntryError: A field is missing or invalid.
     """
+    if not _is_token(name):
+        raise MalformedEntryError("the id is not printable ASCII")
     source = _mapping(spec, "the leaf entry")
     state = source.get("state")
     if not isinstance(state, str) or state not in IS_DRAINING_BY_STATE:
