Confine unexpected errors to one object or one turn

Cause: an unexpected error while one entry was applied left its watch without a next call: the VM ran on, ready, and never learned of a later change of that collection. An error in the gateway's periodic work ended that work for good, with it readiness, the end of a planned stop and the check for process pauses.

Change: a sink that raises loses that object only, with one log line and a counter; the next turn of the periodic work is scheduled before the present one.

Both tests failed before: the error ended the watch, and the work stopped.

--- a/src/oriolegate/runtime/gateway.py
+++ b/src/oriolegate/runtime/gateway.py
@@ -187,6 +187,8 @@
         self.parts.views.on_view_changed()
 
     def _tick(self) -> None:
+        # Before the rest, so that an unexpected error ends only this turn.
+        self.reactor.callLater(TICK_S, self._tick)
         self._check_pause()
         now_ms = self.clock.now_ms()
         parts = self.parts
@@ -206,7 +208,6 @@
             log.bind(ready=self.ready).info("readiness changed")
         if self.stopping_since_ms is not None:
             self._continue_stop(now_ms - self.stopping_since_ms)
-        self.reactor.callLater(TICK_S, self._tick)
 
     def _report_view_ages(self, now_ms: float) -> None:
         peer = self.parts.feed.peer
--- a/src/oriolegate/runtime/gateway_composition.py
+++ b/src/oriolegate/runtime/gateway_composition.py
@@ -29,6 +29,7 @@
 from oriolegate.retries.retry_budget import RetryBudget
 from oriolegate.runtime.crash_reporter import CrashReporter
 from oriolegate.runtime.exchange_runner import ExchangeRunner
+from oriolegate.runtime.guarded_sink import GuardedSink
 from oriolegate.runtime.leaf_checker import LeafChecker
 from oriolegate.runtime.member_registration import MemberRegistration
 from oriolegate.runtime.peer_feed import PeerFeed
@@ -138,7 +139,11 @@
         ),
         Collection.CRASHES: CrashSink(crashes, reporter.on_report_absent),
     }
-    caches = {collection: ViewCache(sink) for collection, sink in sinks.items()}
+    errors = registry.counter("oriolegate_unexpected_errors_total")
+    caches = {
+        collection: ViewCache(GuardedSink(sink, errors))
+        for collection, sink in sinks.items()
+    }
     followers = {
         collection: Follower(collection, cache, rng)
         for collection, cache in caches.items()
--- a/tests/runtime/test_unexpected_errors.py
+++ b/tests/runtime/test_unexpected_errors.py
@@ -138,3 +138,54 @@
             vm.parts.views.handle = answer_oddly(vm.parts.views)
         fleet.network.run_for(20.0)
         self.check_service(fleet)
+
+
+class UnexpectedErrorTest(unittest.TestCase):
+    """An error in the code for one entry harms neither others nor later."""
+
+    def setUp(self):
+        self.fleet = start_fleet()
+        for process in self.fleet.gateways.values():
+            self.break_for("poison", process.parts.directory)
+
+    def break_for(self, leaf_id, directory):
+        put = directory.put
+
+        def put_or_fail(now_ms, entry):
+            if entry.leaf_id == leaf_id:
+                raise RuntimeError("a fault in the code")
+            return put(now_ms, entry)
+
+        directory.put = put_or_fail
+
+    def test_other_entries_are_still_followed(self):
+        self.fleet.add_leaf("poison", "s1")
+        self.fleet.network.run_for(3.0)
+        self.fleet.add_leaf("late", "s1")
+        self.fleet.network.run_for(3.0)
+        for process in self.fleet.gateways.values():
+            self.assertIn("late", process.parts.directory.leafs)
+            errors = process.parts.metrics.counter(
+                "oriolegate_unexpected_errors_total"
+            )
+            self.assertEqual(errors.value, 1)
+
+    def test_periodic_work_goes_on(self):
+        process = next(iter(self.fleet.gateways.values()))
+        directory = process.parts.directory
+        drop_expired = directory.drop_expired
+        failures = iter([RuntimeError("a fault in the code")])
+
+        def fail_once(now_ms):
+            for failure in failures:
+                raise failure
+            return drop_expired(now_ms)
+
+        directory.drop_expired = fail_once
+        with self.assertRaises(RuntimeError):
+            self.fleet.network.run_for(1.0)
+        self.assertFalse(process.was_ready and not process.ready)
+        self.fleet.network.run_for(1.0)
+        process.was_ready = False
+        self.fleet.network.run_for(1.0)
+        self.assertTrue(process.was_ready)
