Check the list of leafs at once after a restart

Cause: the first list of a process may be seconds old, and the watch that returns what it lacks followed 800 ms later. A VM that was started again, and remembers nothing, sent requests to leafs that drained or had left.

Change: after a restart the watch of the leafs follows the list at once: one round trip. At the first start of all VMs the pause stays, since most of them follow a peer before it ends, and each watch is billed.

--- a/src/oriolegate/following/follower.py
+++ b/src/oriolegate/following/follower.py
@@ -158,6 +158,8 @@
         list_may_lag: Whether the current list may be seconds old.
         era: Era of the view.
         absent: When to remove each object that the current era lacks, by name.
+        checks_lists: Whether a list that may lag is followed by a watch at
+            once, which returns what the list lacks.
     """
 
     def __init__(
@@ -165,8 +167,11 @@
         collection: Collection,
         sink: CollectionSink,
         rng: random.Random,
+        *,
+        checks_lists: bool = False,
     ) -> None:
         self.collection = collection
+        self.checks_lists = checks_lists
         self.watch_ms = WATCH_MS[collection]
         self.sink = sink
         self.rng = rng
@@ -238,7 +243,9 @@
         self._apply_list(now_ms)
         self.complete = True
         self.mode = Mode.WATCHING
-        return WatchQuery(BETWEEN_WATCHES_MS, self.revision, self.watch_ms)
+        is_checked = self.checks_lists and self.list_may_lag
+        delay_ms = 0.0 if is_checked else BETWEEN_WATCHES_MS
+        return WatchQuery(delay_ms, self.revision, self.watch_ms)
 
     def _apply_list(self, now_ms: float) -> None:
         for name in [
--- a/src/oriolegate/runtime/gateway_composition.py
+++ b/src/oriolegate/runtime/gateway_composition.py
@@ -145,7 +145,16 @@
         for collection, sink in sinks.items()
     }
     followers = {
-        collection: Follower(collection, cache, rng)
+        collection: Follower(
+            collection,
+            cache,
+            rng,
+            # The list after a restart may name leafs that have left since, and
+            # this VM no longer remembers them. At the first start of all VMs
+            # there are none, and each watch is billed.
+            checks_lists=collection is Collection.LEAFS
+            and not settings.first_start,
+        )
         for collection, cache in caches.items()
     }
     store = StoreRunner(reactor, clock, store_client, followers, era)
--- a/tests/platform/stand_in_store.py
+++ b/tests/platform/stand_in_store.py
@@ -33,6 +33,7 @@
         era: Number of the store's current lifetime, in all responses; None to
             leave it out.
         calls: Method and target of all calls, in order.
+        lagging: Copy that lists return if they may lag, or None.
         reactor: Runs the timers of waiting watches.
         waiting: Open watches as (request, kind, revision, unique object).
     """
@@ -45,6 +46,7 @@
         self.forgotten = 0
         self.refuse: int | None = None
         self.era: int | None = None
+        self.lagging: StoreCopy | None = None
         self.calls: list[str] = []
         self.waiting: list[tuple[Any, str, int, Any]] = []
 
@@ -93,14 +95,15 @@
             request.send(410, {})
         self.waiting.clear()
 
-    def list(self, kind: str, after: str) -> Any:
+    def list(self, kind: str, after: str, *, may_lag: bool = False) -> Any:
         """Return the page of a list that follows the name `after`."""
-        names = sorted(n for n in self.objects.get(kind, {}) if n > after)
+        source: Any = self.lagging if may_lag and self.lagging else self
+        names = sorted(n for n in source.objects.get(kind, {}) if n > after)
         page = names[:PAGE_ITEMS]
         return {
-            "items": [self.objects[kind][name] for name in page],
+            "items": [source.objects[kind][name] for name in page],
             "has_more": len(names) > len(page),
-            "as_of": self.revision,
+            "as_of": source.revision,
         }
 
     def _answer_watch(self, request: Any, kind: str, revision: int) -> None:
@@ -157,7 +160,9 @@
                     int(fields["wait_ms"]),
                 )
             case b"GET":
-                request.send(200, self.list(kind, fields.get("after", "")))
+                after = fields.get("after", "")
+                may_lag = "allow_stale" in fields
+                request.send(200, self.list(kind, after, may_lag=may_lag))
             case b"POST":
                 body = orjson.loads(request.content.read())
                 name = body["meta"]["name"]
