--- a/tests/virtual_fleet.py
+++ b/tests/virtual_fleet.py
@@ -127,15 +127,19 @@
             born_ms=1,
         )
 
-    def call(self, vm: str, path: str, attempt: str, done: Any) -> None:
-        """Send a caller's request; `done` gets the response or a reason."""
+    def client(self, vm: str) -> HttpClient:
+        """Return a caller's client of a VM."""
         client = self.clients.get(vm)
         if client is None:
             address = (vm, CALLER_PORT)
             client = HttpClient(self.callers, self.network.clock, address)
             self.clients[vm] = client
+        return client
+
+    def call(self, vm: str, path: str, attempt: str, done: Any) -> None:
+        """Send a caller's request; `done` gets the response or a reason."""
         data = documents.caller_request("GET", path, attempt, CALLER_TIMEOUT_MS)
-        client.send(data, CALLER_TIMEOUT_MS + 500.0, done)
+        self.client(vm).send(data, CALLER_TIMEOUT_MS + 500.0, done)
 
     def versions(self) -> dict[str, int]:
         """Return the version in force on each VM."""
