Follow a reader through short outages of the store

Cause: the first failed call of a data centre's reader made its view unconfirmed. All VMs that followed it turned to the store, and each made five probes and five watches, which are billed also when they are refused.

Change: since answers state the age of a view, a view counts as confirmed up to 5 s while calls fail. The VM that follows it counts from the same time, so no age adds up.

--- a/src/oriolegate/following/follower.py
+++ b/src/oriolegate/following/follower.py
@@ -60,6 +60,10 @@
 # Failed calls in a row after which a list of several pages is begun again: its
 # first pages are then about 11 s old, half as old as the store's history.
 MAX_RESUMED_FAILURES = 5
+# Age up to which a view may be passed on while calls to the store fail. Peers
+# that were sent to the store by each failed call would all make the same calls;
+# the bounds leave time to read the store after this age.
+MAX_FAILING_AGE_MS = 5_000.0
 # Maximum backoff until the first list is complete; until then no request is
 # served.
 MAX_START_RETRY_MS = 300.0
@@ -195,11 +199,10 @@
 
     def is_confirmed(self, now_ms: float) -> bool:
         """Return whether the view is complete and not too old."""
-        return (
-            self.complete
-            and self.failures == 0
-            and now_ms - self.confirmed_ms <= self.max_age_ms
-        )
+        max_age_ms = self.max_age_ms
+        if self.failures:
+            max_age_ms = min(max_age_ms, MAX_FAILING_AGE_MS)
+        return self.complete and now_ms - self.confirmed_ms <= max_age_ms
 
     def start(self) -> StoreQuery:
         """Return the first call."""
--- a/tests/runtime/test_followed_views.py
+++ b/tests/runtime/test_followed_views.py
@@ -154,6 +154,48 @@
             self.assertEqual(changes.missing(vm), [])
 
 
+class StoreCallsTest(unittest.TestCase):
+    """Failures that only the reader of a data centre has cost its calls."""
+
+    def setUp(self):
+        self.fleet = start_fleet()
+        self.network = self.fleet.network
+        self.reader, *_ = ranked_vms(self.fleet)
+        self.network.run_for(5.0)
+
+    def calls_in(self, seconds):
+        before = len(self.fleet.store.calls)
+        self.network.run_for(seconds)
+        return len(self.fleet.store.calls) - before
+
+    def check_news(self):
+        changes = Changes(self.fleet)
+        changes.put(1)
+        self.network.run_for(2.0)
+        for vm in self.fleet.gateways:
+            self.assertEqual(changes.missing(vm), [])
+
+    def test_a_reset_of_the_readers_connections(self):
+        calm = self.calls_in(10.0)
+        for transport in self.fleet.hosts[self.reader].transports:
+            if transport.other.host.name == STORE:
+                transport.abortConnection()
+        # The reader and the VM that ranks next probe and watch anew.
+        self.assertLessEqual(self.calls_in(10.0), calm + 4 * len(Collection))
+        self.check_news()
+
+    def test_a_short_outage_of_the_store(self):
+        calm = self.calls_in(10.0)
+        self.fleet.store.refuse = 503
+        during = self.calls_in(3.0)
+        self.fleet.store.refuse = None
+        after = self.calls_in(7.0)
+        # The reader's watches fail, one collection probes, and then each
+        # collection probes and watches.
+        self.assertLessEqual(during + after, calm + 4 * len(Collection))
+        self.check_news()
+
+
 class RandomCutsTest(unittest.TestCase):
     """Cuts one-way paths at random; VMs follow each other or the store."""
 
