Spread views of the store over a tree of VMs

Cause: all VMs of a data centre followed the two VMs that rank first by a hash.

Change: VM number r of the ranking follows number (r - 1) / 6; the VM beside that one and those further up take its place when it fails. A VM refuses more than 12 requests that wait for news. VMs rank by the rate of their link, which the member entry now states, then by the hash; entries of earlier versions have no rate and rank last.

--- a/src/oriolegate/following/source_choice.py
+++ b/src/oriolegate/following/source_choice.py
@@ -1,9 +1,13 @@
 """Choice of the source of store changes: a peer VM or the store itself.
 
 Calls to the store are billed, those between VMs are not. In each data centre
-the VM that ranks first watches the store, and the others follow it. A VM
-follows only VMs that rank above itself, by a hash of the names, so that VMs
-never wait for each other in a cycle, even if their member lists differ.
+the VM that ranks first watches the store, and the others follow it in a tree: a
+VM sends its view to a bounded number of others, however many there are.
+
+VMs rank by the rate of their links, then by a hash of the names. A VM follows
+only VMs that rank above itself, so that VMs never wait for each other in a
+cycle, even if their member lists differ. The rate is that of the listed entry,
+also for the VM itself, so that all VMs go by the same rates.
 """
 
 import attrs
@@ -11,8 +15,10 @@
 from oriolegate.membership import rendezvous
 
 RANKING_KEY = "store-reader"
-# Number of higher-ranked VMs that are tried before the store itself.
-MAX_PEERS = 2
+# Number of VMs that have the same parent in the tree; as many again may follow
+# it while their own parent fails.
+FAN_OUT = 6
+MAX_FOLLOWERS = 2 * FAN_OUT
 # First and maximum backoff for a VM that did not answer.
 FIRST_BACKOFF_MS = 4_000.0
 MAX_BACKOFF_MS = 60_000.0
@@ -29,11 +35,29 @@
         vm: Name of the VM.
         host: IP address.
         port: Internal port.
+        link_mbps: Rate of its link, or 0 if its entry doesn't state it.
     """
 
     vm: str
     host: str
     port: int
+    link_mbps: float = 0.0
+
+
+def _ancestors(rank: int) -> list[int]:
+    """Return the ranks to follow, in order of preference.
+
+    The parent comes first, then a VM beside it, then those further up.
+    """
+    if rank == 0:
+        return []
+    parent = (rank - 1) // FAN_OUT
+    beside = parent + 1 if parent + 1 < rank else parent - 1
+    ranks = [parent, beside]
+    while parent > 0:
+        parent = (parent - 1) // FAN_OUT
+        ranks.append(parent)
+    return [r for r in dict.fromkeys(ranks) if 0 <= r < rank]
 
 
 @attrs.define
@@ -49,7 +73,7 @@
 
     Attributes:
         vm: Name of this VM.
-        higher_ranked: Peers that rank above this VM and are tried, best first.
+        higher_ranked: Peers that are tried, best first; all rank above this VM.
         backoffs: Current backoff by name of the VM.
     """
 
@@ -59,10 +83,19 @@
         self.backoffs: dict[str, Backoff] = {}
 
     def set_peers(self, peers: dict[str, Peer]) -> None:
-        """Set the VMs of this data centre; `peers` may contain this VM."""
-        ranking = rendezvous.ranked(RANKING_KEY, {*peers, self.vm})
-        names = ranking[: ranking.index(self.vm)]
-        self.higher_ranked = tuple(peers[name] for name in names[:MAX_PEERS])
+        """Set the VMs of this data centre.
+
+        Args:
+            peers: Listed VMs by name; may contain this VM.
+        """
+        by_hash = rendezvous.ranked(RANKING_KEY, {*peers, self.vm})
+        ranking = sorted(
+            by_hash,
+            key=lambda name: -peers[name].link_mbps if name in peers else 0.0,
+        )
+        self.higher_ranked = tuple(
+            peers[ranking[rank]] for rank in _ancestors(ranking.index(self.vm))
+        )
         self.backoffs = {
             name: backoff
             for name, backoff in self.backoffs.items()
--- a/src/oriolegate/models/site.py
+++ b/src/oriolegate/models/site.py
@@ -146,6 +146,7 @@
         host: IP address.
         port: Internal port.
         renewed_wall_ms: Unix time in ms at which the VM last wrote the entry.
+        link_mbps: Rate of the VM's link; 0 in entries of earlier versions.
     """
 
     vm: str
@@ -153,6 +154,7 @@
     host: str
     port: int
     renewed_wall_ms: int
+    link_mbps: float = 0.0
 
 
 @attrs.frozen
@@ -223,6 +225,7 @@
         seeds: IP addresses of a few VMs that may or may not run.
         first_start: True only if the whole tier starts for the first time.
         bounds: Limits from the users' rules.
+        link_mbps: Rate of the VM's link.
     """
 
     vm: str
@@ -236,6 +239,7 @@
     seeds: tuple[str, ...]
     first_start: bool
     bounds: Bounds
+    link_mbps: float = 0.0
 
     @property
     def region(self) -> str:
--- a/src/oriolegate/platform/member_entry.py
+++ b/src/oriolegate/platform/member_entry.py
@@ -5,6 +5,7 @@
 
 from typing import Any
 
+from oriolegate.exceptions import MalformedEntryError
 from oriolegate.models.site import MemberEntry
 from oriolegate.platform import entry_fields
 
@@ -17,9 +18,18 @@
         "host": entry.host,
         "port": entry.port,
         "renewed_wall_ms": entry.renewed_wall_ms,
+        "link_mbps": entry.link_mbps,
     }
 
 
+def _link_mbps(fields: dict[str, Any]) -> float:
+    # Earlier versions don't write the field.
+    value = fields.get("link_mbps", 0.0)
+    if isinstance(value, bool) or not isinstance(value, int | float):
+        raise MalformedEntryError("`link_mbps` is not a number")
+    return float(value)
+
+
 def decode(content: Any) -> MemberEntry:
     """Decode the content of a store entry.
 
@@ -35,4 +45,5 @@
         renewed_wall_ms=entry_fields.require_field(
             fields, "renewed_wall_ms", int
         ),
+        link_mbps=_link_mbps(fields),
     )
--- a/src/oriolegate/platform/node_settings.py
+++ b/src/oriolegate/platform/node_settings.py
@@ -110,6 +110,7 @@
         seeds=_seeds(fields),
         first_start=fields.get("bootstrap") == "true",
         bounds=_bounds(fields),
+        link_mbps=_number(fields, "limits.link_mbps", 0.0),
     )
 
 
--- a/src/oriolegate/runtime/gateway_composition.py
+++ b/src/oriolegate/runtime/gateway_composition.py
@@ -122,10 +122,11 @@
         budget.set_members(clock.now_ms(), len(directory.members))
         choice.set_peers(
             {
-                entry.vm: Peer(entry.vm, entry.host, entry.port)
+                entry.vm: Peer(
+                    entry.vm, entry.host, entry.port, entry.link_mbps
+                )
                 for entry in entries
                 if entry.data_centre == settings.data_centre
-                and entry.vm != settings.vm
             }
         )
         members.on_members_listed(entries)
--- a/src/oriolegate/runtime/member_registration.py
+++ b/src/oriolegate/runtime/member_registration.py
@@ -86,6 +86,7 @@
                 settings.host,
                 settings.internal_ports[0],
                 self.clock.wall_ms(),
+                settings.link_mbps,
             )
         )
 
--- a/src/oriolegate/runtime/view_server.py
+++ b/src/oriolegate/runtime/view_server.py
@@ -12,6 +12,7 @@
 from oriolegate.exceptions import PeerMessageError
 from oriolegate.following import store_era
 from oriolegate.following.follower import Follower
+from oriolegate.following.source_choice import MAX_FOLLOWERS
 from oriolegate.following.view_cache import ViewCache
 from oriolegate.models.stored import Collection
 from oriolegate.network import view_wire
@@ -91,7 +92,7 @@
         ):
             self._answer(peer)
             return
-        if not self.is_confirmed():
+        if not self.is_confirmed() or len(self.waiting) >= MAX_FOLLOWERS:
             respond(STATUS_UNAVAILABLE, b"")
             return
         if self._has_updates(peer) or request.wait_ms <= 0:
