Send changed routes instead of the whole configuration

Cause: for one changed route a VM sent the whole configuration, compressed, to each follower: 60 KB at 4,000 routes.

Change: a VM that is followed keeps what its last replacement of the configuration changed, and sends that to peers that have the state before; lists are described by the ranges that stay. The receiver compares a digest of the result; if the change does not fit, its next request, at once, gets the whole. Peers of versions that reject the field get the whole, as do those that lack more than one change.

--- a/src/oriolegate/following/view_cache.py
+++ b/src/oriolegate/following/view_cache.py
@@ -4,6 +4,8 @@
 objects if the stored changes do not reach back that far.
 """
 
+from collections.abc import Callable
+
 import attrs
 
 from oriolegate.following import store_era
@@ -45,6 +47,7 @@
         changes: Last change of each recently changed object, by name, oldest
             first.
         uncommitted: Changes since the last commit.
+        on_replaced: Called with an object before and after it was replaced.
     """
 
     def __init__(self, sink: CollectionSink) -> None:
@@ -54,6 +57,9 @@
         self.objects: dict[str, StoredObject] = {}
         self.changes: dict[str, TaggedChange] = {}
         self.uncommitted: list[Change] = []
+        self.on_replaced: Callable[[StoredObject, StoredObject], None] = (
+            lambda before, after: None
+        )
 
     def put(self, now_ms: float, item: StoredObject) -> None:
         """Add or update an object.
@@ -61,6 +67,8 @@
         An object that a new era holds unchanged is no change for the sink.
         """
         known = self.objects.get(item.name)
+        if known is not None:
+            self.on_replaced(known, item)
         self.objects[item.name] = item
         self.uncommitted.append(Change(item, removed=False))
         if known is None or not _is_older_by_era(known, item):
--- a/src/oriolegate/network/view_wire.py
+++ b/src/oriolegate/network/view_wire.py
@@ -34,10 +34,15 @@
 PACKED_FIELD = "packed"
 # Requests how old the peer's views are; versions without it reject the field.
 AGES_FIELD = "ages"
+# States that the peer accepts changes of large objects instead of the whole.
+DELTAS_FIELD = "deltas"
 # A configuration may have a megabyte, of which a few per cent remain.
 PACKED_COLLECTIONS = frozenset({Collection.CONFIGURATION})
 # Position of the compressed content, after name, revision and plain content.
 PACKED_INDEX = 3
+# Number of fields of an object that is sent as a change: name, revision, two
+# empty ones, and the compressed change.
+DELTA_FIELD_COUNT = 5
 
 
 @attrs.frozen
@@ -51,6 +56,7 @@
         has_eras: Whether revisions are tagged with the store's era.
         accepts_packed: Whether objects may be compressed.
         wants_ages: Whether the response states the age of each view.
+        accepts_deltas: Whether large objects may be sent as changes.
     """
 
     revisions: Mapping[Collection, int]
@@ -59,6 +65,7 @@
     has_eras: bool = False
     accepts_packed: bool = False
     wants_ages: bool = False
+    accepts_deltas: bool = False
 
 
 Updates = Mapping[Collection, ChangeBatch | ListPage]
@@ -97,6 +104,8 @@
         fields[PACKED_FIELD] = 1
     if request.wants_ages:
         fields[AGES_FIELD] = 1
+    if request.accepts_deltas:
+        fields[DELTAS_FIELD] = 1
     query = urllib.parse.urlencode(fields)
     path = PATH_WITH_ERAS if request.has_eras else PATH
     return (
@@ -120,12 +129,19 @@
         unconfirmed = bool(fields.pop(UNCONFIRMED_FIELD, 0))
         accepts_packed = bool(fields.pop(PACKED_FIELD, 0))
         wants_ages = bool(fields.pop(AGES_FIELD, 0))
+        accepts_deltas = bool(fields.pop(DELTAS_FIELD, 0))
         revisions = {Collection[n]: v for n, v in fields.items()}
     except (KeyError, ValueError) as error:
         raise PeerMessageError(f"not a request for updates: {error}") from error
     has_eras = path == PATH_WITH_ERAS
     return UpdatesRequest(
-        revisions, wait_ms, unconfirmed, has_eras, accepts_packed, wants_ages
+        revisions,
+        wait_ms,
+        unconfirmed,
+        has_eras,
+        accepts_packed,
+        wants_ages,
+        accepts_deltas,
     )
 
 
@@ -135,16 +151,25 @@
 
 
 def _encode_object(
-    item: StoredObject, packer: ObjectPacker | None
+    item: StoredObject,
+    packer: ObjectPacker | None,
+    known_revision: int | None = None,
 ) -> list[Any]:
     if packer is None or item.content is None:
         return [item.name, item.revision, item.content]
+    if known_revision is not None:
+        delta = packer.find_delta(item, known_revision)
+        if delta is not None:
+            return [item.name, item.revision, None, None, delta.text]
     return [item.name, item.revision, None, packer.pack(item)]
 
 
 def _decode_object(fields: list[Any]) -> StoredObject:
     if len(fields) <= PACKED_INDEX:
         return StoredObject(*fields)
+    if len(fields) == DELTA_FIELD_COUNT:
+        name, revision, _, _, text = fields
+        return StoredObject(name, revision, object_packing.unpack_delta(text))
     name, revision, _, packed = fields
     return StoredObject(name, revision, object_packing.unpack(packed))
 
@@ -153,6 +178,7 @@
     updates: Updates,
     large_packer: ObjectPacker | None = None,
     ages_ms: Mapping[Collection, float] | None = None,
+    known_revisions: Mapping[Collection, int] | None = None,
 ) -> bytes:
     """Encode updates as the body of a response.
 
@@ -160,6 +186,8 @@
         updates: Updates by collection.
         large_packer: Compresses large objects, or None to send them plain.
         ages_ms: Age of each view, or None to leave the ages out.
+        known_revisions: Revisions that the peer has, so that changes of large
+            objects suffice; None to send them whole.
     """
     document: dict[str, Any] = {}
     if ages_ms is not None:
@@ -169,6 +197,7 @@
         }
     for collection, update in updates.items():
         packer = large_packer if collection in PACKED_COLLECTIONS else None
+        known_revision = (known_revisions or {}).get(collection)
         match update:
             case ListPage(items, _, revision):
                 all_items = [_encode_object(item, packer) for item in items]
@@ -180,7 +209,12 @@
                 document[collection.name] = {
                     "revision": revision,
                     "changes": [
-                        [change.removed, *_encode_object(change.item, packer)]
+                        [
+                            change.removed,
+                            *_encode_object(
+                                change.item, packer, known_revision
+                            ),
+                        ]
                         for change in changes
                     ],
                 }
--- a/src/oriolegate/runtime/gateway_composition.py
+++ b/src/oriolegate/runtime/gateway_composition.py
@@ -168,12 +168,15 @@
         # switch to another source before the VM exits.
         lambda: store.is_confirmed and not members.is_leaving,
     )
+    caches[Collection.CONFIGURATION].on_replaced = views.on_replaced
     seeds = tuple(
         Peer(host, host, settings.internal_ports[0])
         for host in settings.seeds
         if host != settings.host
     )
-    feed = PeerFeed(reactor, clock, choice, followers, store, era, seeds)
+    feed = PeerFeed(
+        reactor, clock, choice, followers, caches, store, era, seeds
+    )
 
     def on_new_era() -> None:
         # At the first answer of all there is nothing to list anew.
--- a/src/oriolegate/runtime/peer_feed.py
+++ b/src/oriolegate/runtime/peer_feed.py
@@ -1,6 +1,7 @@
 """Follows a VM of the same data centre instead of the store."""
 
 from collections.abc import Callable
+from collections.abc import Mapping
 from typing import Any
 
 import attrs
@@ -8,10 +9,13 @@
 from oriolegate import structured_log
 from oriolegate.clock import Clock
 from oriolegate.exceptions import PeerMessageError
+from oriolegate.following import content_delta
+from oriolegate.following.content_delta import DeltaMismatchError
 from oriolegate.following.follower import Follower
 from oriolegate.following.source_choice import Peer
 from oriolegate.following.source_choice import SourceChoice
 from oriolegate.following.store_era import StoreEra
+from oriolegate.following.view_cache import ViewCache
 from oriolegate.models.stored import ChangeBatch
 from oriolegate.models.stored import Collection
 from oriolegate.models.stored import ListPage
@@ -65,8 +69,11 @@
         seed_query_count: Queries sent to seeds so far.
         peer: The peer that is followed, or None.
         clients: HTTP client of each peer, by VM name.
-        peers_without_ages: Addresses of peers that don't state the ages of
-            their views.
+        caches: View of each collection, to which changes are applied.
+        earlier_peers: Peers whose version neither states the ages of its views
+            nor sends changes of large objects.
+        accepts_deltas: Whether the next request accepts changes of large
+            objects; after one that did not fit, the whole object is needed.
         on_update: Called after each successful response of a peer.
     """
 
@@ -76,6 +83,7 @@
         clock: Clock,
         choice: SourceChoice,
         followers: dict[Collection, Follower],
+        caches: Mapping[Collection, ViewCache],
         store: StoreRunner,
         era: StoreEra,
         seeds: tuple[Peer, ...] = (),
@@ -84,13 +92,15 @@
         self.clock = clock
         self.choice = choice
         self.followers = followers
+        self.caches = caches
         self.store = store
         self.era = era
         self.seeds = seeds
         self.seed_query_count = 0
         self.peer: Peer | None = None
         self.clients: dict[str, HttpClient] = {}
-        self.peers_without_ages: set[Peer] = set()
+        self.earlier_peers: set[Peer] = set()
+        self.accepts_deltas = True
         self.on_update: Callable[[], None] = lambda: None
         self.stopped = False
 
@@ -183,7 +193,9 @@
             wait_ms,
             has_eras=self.era.number > 0,
             accepts_packed=True,
-            wants_ages=peer not in self.peers_without_ages,
+            wants_ages=peer not in self.earlier_peers,
+            accepts_deltas=self.accepts_deltas
+            and peer not in self.earlier_peers,
         )
         data = view_wire.encode_request(peer.host, peer.port, request)
 
@@ -192,7 +204,7 @@
         def done(outcome: HttpResponse | str) -> None:
             received_at_ms = self.clock.now_ms()
             if self._is_unknown_field(request, outcome):
-                self.peers_without_ages.add(peer)
+                self.earlier_peers.add(peer)
                 self._schedule_poll(0.0)
                 return
             self._on_response(peer, outcome)
@@ -208,7 +220,7 @@
     def _is_unknown_field(
         self, request: view_wire.UpdatesRequest, outcome: HttpResponse | str
     ) -> bool:
-        """Return whether the peer's version may not know the field of ages."""
+        """Return whether the peer's version may not know a field."""
         return (
             request.wants_ages
             and isinstance(outcome, HttpResponse)
@@ -264,6 +276,7 @@
 
     def _apply_response(self, outcome: HttpResponse | str) -> None:
         response = self._decode_response(outcome)
+        self.accepts_deltas = True
         now_ms = self.clock.now_ms()
         for collection, follower in self.followers.items():
             update = response.updates.get(collection)
@@ -271,10 +284,29 @@
             if update is None:
                 follower.confirm(confirmed_ms)
             elif isinstance(update, ChangeBatch):
-                follower.on_changes(now_ms, update, confirmed_ms)
+                self._apply_changes(follower, update, confirmed_ms)
             else:
                 follower.on_complete_list(now_ms, update, confirmed_ms)
 
+    def _apply_changes(
+        self, follower: Follower, batch: ChangeBatch, confirmed_ms: float
+    ) -> None:
+        """Apply changes; if one does not fit, the next request gets the whole.
+
+        The follower's revision stays as it is then, so that the peer answers
+        the next request at once.
+        """
+        objects = self.caches[follower.collection].objects
+        try:
+            whole_batch = content_delta.resolve(batch, objects)
+        except DeltaMismatchError:
+            self.accepts_deltas = False
+            log.bind(collection=follower.collection.name).warning(
+                "change of an object does not fit; requesting the whole object"
+            )
+            return
+        follower.on_changes(self.clock.now_ms(), whole_batch, confirmed_ms)
+
     def _set_peer(self, peer: Peer) -> None:
         if self.peer == peer:
             return
--- a/src/oriolegate/runtime/view_server.py
+++ b/src/oriolegate/runtime/view_server.py
@@ -15,6 +15,7 @@
 from oriolegate.following.source_choice import MAX_FOLLOWERS
 from oriolegate.following.view_cache import ViewCache
 from oriolegate.models.stored import Collection
+from oriolegate.models.stored import StoredObject
 from oriolegate.network import view_wire
 from oriolegate.network.object_packing import ObjectPacker
 
@@ -26,6 +27,8 @@
 STATUS_UNAVAILABLE = 503
 # Maximum time that a request waits for updates.
 MAX_WAIT_MS = 5_000
+# How long after a request of a peer this VM counts as followed.
+FOLLOWED_MS = 5_000.0
 
 Respond = Callable[[int, bytes], None]
 
@@ -49,6 +52,7 @@
         is_confirmed: Returns whether the view may be served as confirmed by
             the store.
         waiting: Requests of peers that wait for updates.
+        last_request_ms: When a peer last sent a request.
         packer: Compresses large objects.
     """
 
@@ -66,6 +70,7 @@
         self.followers = followers
         self.is_confirmed = is_confirmed
         self.waiting: list[WaitingPeer] = []
+        self.last_request_ms = float("-inf")
         self.packer = ObjectPacker()
 
     def handle(self, target: bytes, respond: Respond) -> None:
@@ -83,6 +88,7 @@
             )
             respond(STATUS_BAD_REQUEST, b"")
             return
+        self.last_request_ms = self.clock.now_ms()
         if not self._is_comparable(request):
             respond(STATUS_UNAVAILABLE, b"")
             return
@@ -139,9 +145,18 @@
         }
         packer = self.packer if peer.request.accepts_packed else None
         ages_ms = self._ages_ms() if peer.request.wants_ages else None
-        peer.respond(
-            STATUS_OK, view_wire.encode_updates(updates, packer, ages_ms)
+        known_revisions = (
+            peer.request.revisions if peer.request.accepts_deltas else None
         )
+        body = view_wire.encode_updates(
+            updates, packer, ages_ms, known_revisions
+        )
+        peer.respond(STATUS_OK, body)
+
+    def on_replaced(self, before: StoredObject, after: StoredObject) -> None:
+        """Keep what changed in a large object if any peer follows this VM."""
+        if self.clock.now_ms() - self.last_request_ms < FOLLOWED_MS:
+            self.packer.record_change(before, after)
 
     def _ages_ms(self) -> dict[Collection, float]:
         """Return how long ago the store confirmed each complete view."""
--- a/tests/runtime/test_peer_feed.py
+++ b/tests/runtime/test_peer_feed.py
@@ -10,6 +10,7 @@
 from oriolegate.following.source_choice import Peer
 from oriolegate.following.source_choice import SourceChoice
 from oriolegate.following.store_era import StoreEra
+from oriolegate.following.view_cache import ViewCache
 from oriolegate.models.stored import Collection
 from oriolegate.network.http_reader import HttpResponse
 from oriolegate.runtime.peer_feed import PeerFeed
@@ -63,6 +64,7 @@
             self.clock,
             self.choice,
             followers,
+            {collection: ViewCache(Sink()) for collection in Collection},
             self.store,
             StoreEra(),
         )
