--- a/Makefile
+++ b/Makefile
@@ -2,11 +2,19 @@
 VENV ?= .venv
 SECONDS_EACH ?= 12
 SEEDS ?= 1-3
+WHY ?= regression
 BIN := $(VENV)/bin
+# Site files of the regression, in the folder SITES of the users' bench.
+REGRESSION_SITES := \
+	further/cascadia-hood.toml \
+	further-grown/cascadia-hood-grown.toml \
+	large/anga-search-large.toml \
+	grown/anga-search-grown.toml \
+	grown/pag-oriole-grown.toml
 export PYTHONPATH := $(CURDIR)/src
 
 .PHONY: test demo lint format types unit binary measure measure-seeds soak \
-	gateway clean
+	regression gateway clean
 
 $(VENV)/.installed: pyproject.toml
 	$(PYTHON) -m venv $(VENV)
@@ -49,6 +57,11 @@
 soak: $(VENV)/.installed
 	$(BIN)/python -m tools.soak --regressions --seeds $(SEEDS)
 
+# make regression BENCH=PROGRAM SITES=FOLDER WHY="..."
+regression: $(VENV)/.installed
+	$(BIN)/python -m tools.play_regression --bench $(BENCH) --why "$(WHY)" \
+		$(addprefix $(SITES)/,$(REGRESSION_SITES))
+
 gateway: $(VENV)/.installed
 	$(BIN)/python tools/build_gateway.py
 
