Let VMs look for a peer before they read the store

Cause: once the store answered again, or a peer was lost, each VM probed and watched all five collections, and followed a peer a second later. After a cut of a region all of its VMs did so at once.

Change: a VM that may follow peers reads the leafs at once and the other collections after 2 s, or once their views are 5 s old; by then it mostly follows a peer. A peer that is not confirmed yet is asked again after 0.4 s instead of 1 s, which is free.

--- a/src/oriolegate/following/source_choice.py
+++ b/src/oriolegate/following/source_choice.py
@@ -24,7 +24,7 @@
 MAX_BACKOFF_MS = 60_000.0
 # Backoff for a VM that answers but whose view the store doesn't confirm. Short,
 # since this VM may watch the store meanwhile, and watches are billed.
-UNCONFIRMED_BACKOFF_MS = 1_000.0
+UNCONFIRMED_BACKOFF_MS = 400.0
 
 
 @attrs.frozen
--- a/src/oriolegate/runtime/gateway_composition.py
+++ b/src/oriolegate/runtime/gateway_composition.py
@@ -159,6 +159,7 @@
         for collection, cache in caches.items()
     }
     store = StoreRunner(reactor, clock, store_client, followers, era)
+    store.has_peers = lambda: bool(choice.higher_ranked)
     views = ViewServer(
         reactor,
         clock,
--- a/src/oriolegate/runtime/peer_feed.py
+++ b/src/oriolegate/runtime/peer_feed.py
@@ -118,7 +118,7 @@
         """Stop following the peer and query the store at once."""
         self.peer = None
         self.store.pause()
-        self.store.resume()
+        self.store.resume(at_once=True)
 
     def _schedule_poll(self, delay_ms: float) -> None:
         if not self.stopped:
--- a/src/oriolegate/runtime/store_runner.py
+++ b/src/oriolegate/runtime/store_runner.py
@@ -13,6 +13,7 @@
 from oriolegate.following.follower import CALL_TIMEOUT_MS
 from oriolegate.following.follower import Follower
 from oriolegate.following.follower import ListQuery
+from oriolegate.following.follower import MAX_FAILING_AGE_MS
 from oriolegate.following.follower import StoreQuery
 from oriolegate.following.follower import WatchQuery
 from oriolegate.following.store_era import StoreEra
@@ -29,6 +30,10 @@
 # Timeout of a list call while the collection has never been listed; doubles
 # with each failure. Short, since the store may have recovered in the meantime.
 FIRST_LIST_TIMEOUT_MS = 500.0
+# How long a VM that may follow peers waits for one before it follows all
+# collections itself. The leafs don't wait. Peers recover within a backoff and a
+# query each.
+PEER_GRACE_MS = 2_000.0
 
 
 class StoreRunner:
@@ -38,6 +43,7 @@
         followers: Follower of each collection.
         era: Era of the store.
         on_call_ended: Called after each answer and each failed call.
+        has_peers: Returns whether there are peers that may be followed.
         paused: Whether a peer is followed instead of the store.
         timers: Timer of the next call, by collection.
         calls: Function that cancels the open call, by collection.
@@ -59,6 +65,7 @@
         self.followers = followers
         self.era = era
         self.on_call_ended: Callable[[], None] = lambda: None
+        self.has_peers: Callable[[], bool] = lambda: False
         self.paused = False
         self.timers: dict[Collection, Any] = {}
         self.calls: dict[Collection, CancelCall] = {}
@@ -90,13 +97,31 @@
         self.calls.clear()
         self.parked.clear()
 
-    def resume(self) -> None:
-        """Continue to follow from the current revisions."""
+    def resume(self, *, at_once: bool = False) -> None:
+        """Continue to follow from the current revisions.
+
+        Args:
+            at_once: Whether all collections are read now. Otherwise those that
+                are not old yet wait some time for a peer to follow.
+        """
         if not self.paused:
             return
         self.paused = False
+        now_ms = self.clock.now_ms()
         for follower in self.followers.values():
-            self._schedule(follower, follower.resume())
+            delay_ms = 0.0
+            if not at_once and self._may_wait_for_peer(follower):
+                fresh_ms = MAX_FAILING_AGE_MS - (now_ms - follower.confirmed_ms)
+                delay_ms = min(max(fresh_ms, 0.0), PEER_GRACE_MS)
+            query = follower.resume()
+            self._schedule(follower, attrs.evolve(query, delay_ms=delay_ms))
+
+    def _may_wait_for_peer(self, follower: Follower) -> bool:
+        return (
+            follower.complete
+            and follower.collection is not Collection.LEAFS
+            and self.has_peers()
+        )
 
     def _schedule(self, follower: Follower, request: StoreQuery) -> None:
         if self.paused:
@@ -133,11 +158,19 @@
         )
 
     def _make_parked_calls(self) -> None:
-        """Make the parked calls (held back until the store answers)."""
+        """Make the parked calls (held back until the store answers).
+
+        A VM that may follow peers gives them time to recover too: otherwise
+        all VMs of a data centre would read everything after each outage.
+        """
         parked = self.parked
         self.parked = {}
         for follower, request in parked.values():
-            self._call(follower, request)
+            if self._may_wait_for_peer(follower):
+                delayed = attrs.evolve(request, delay_ms=PEER_GRACE_MS)
+                self._schedule(follower, delayed)
+            else:
+                self._call(follower, request)
 
     def _call_or_park(self, follower: Follower, request: StoreQuery) -> None:
         if self._should_park(follower):
--- a/tests/runtime/test_followed_views.py
+++ b/tests/runtime/test_followed_views.py
@@ -32,11 +32,11 @@
 SEEDS = range(1, 13)
 
 
-def start_fleet():
+def start_fleet(vm_count=VM_COUNT):
     routes = [documents.route_spec("one", service="s1")]
     fleet = VirtualFleet(documents.configuration_spec(1, routes, ["s1"]))
     fleet.add_leaf("first", "s1")
-    fleet.start(VM_COUNT, FAST_BYTES_PER_S)
+    fleet.start(vm_count, FAST_BYTES_PER_S)
     return fleet
 
 
@@ -196,6 +196,38 @@
         self.check_news()
 
 
+class ReturnTest(unittest.TestCase):
+    """A data centre that was cut off from the store comes back."""
+
+    VM_COUNT = 12
+    CUT_S = 7.0
+    BACK_S = 5.0
+
+    def test_most_vms_follow_peers_again_and_read_little_themselves(self):
+        fleet = start_fleet(self.VM_COUNT)
+        network = fleet.network
+        changes = Changes(fleet)
+        calls_per_s = 1.0
+        for vm in fleet.gateways:
+            network.cut(STORE, vm)
+        network.run_for(self.CUT_S)
+        changes.put(1)
+        for vm in fleet.gateways:
+            network.heal(STORE, vm)
+        fleet.store.calls.clear()
+        network.run_for(self.BACK_S)
+        for vm in fleet.gateways:
+            self.assertEqual(changes.missing(vm), [])
+        # The readers of the data centre, and at most a probe, a watch and the
+        # leafs' of each other VM.
+        allowed = 4 * len(Collection) + 4 * self.VM_COUNT
+        self.assertLess(
+            len(fleet.store.calls), allowed + calls_per_s * self.BACK_S
+        )
+        followed = [vm for vm in fleet.gateways.values() if vm.parts.feed.peer]
+        self.assertEqual(len(followed), self.VM_COUNT - 1)
+
+
 class RandomCutsTest(unittest.TestCase):
     """Cuts one-way paths at random; VMs follow each other or the store."""
 
--- a/tests/runtime/test_peer_feed.py
+++ b/tests/runtime/test_peer_feed.py
@@ -42,7 +42,7 @@
     def pause(self):
         self.paused = True
 
-    def resume(self):
+    def resume(self, *, at_once=False):
         self.paused = False
 
 
