Learn together which leafs are slow

Load: hundreds of VMs with less than a request a second each, shards of three leafs, a quarter of which work several times as long for 8 s. A VM alone learns that of a leaf when it is over.

Change: `placement.slow_leafs` decides from late answers: a leaf is slow if late answers to requests that began further apart than a pause lasts have none on time between them. VMs report late answers up the tree in which they follow each other, and get what is known with their views; a VM whose own answers are mostly late reports nothing. A slow leaf costs more in the choice for 3 s; it is not excluded.

--- a/src/oriolegate/exchange/exchange.py
+++ b/src/oriolegate/exchange/exchange.py
@@ -19,6 +19,7 @@
 from oriolegate.exchange.part_sender import ExchangeContext
 from oriolegate.exchange.part_sender import PartSender
 from oriolegate.models.site import Route
+from oriolegate.placement import slow_leafs
 
 
 class Exchange:
@@ -107,6 +108,13 @@
             send.leaf.record_success(
                 now_ms, latency_ms, route_latency.typical_ms
             )
+            work_ms = latency_ms - send.leaf.distance_ms - send.connect_ms
+            self.sender.context.directory.record_answer(
+                send.leaf,
+                send.started_ms,
+                is_late=work_ms
+                > slow_leafs.LATE_FACTOR * route_latency.typical_ms,
+            )
             route_latency.record(latency_ms, send.leaf.distance_ms)
             if part.answer is None:
                 part.answer = answer
--- a/src/oriolegate/exchange/part.py
+++ b/src/oriolegate/exchange/part.py
@@ -15,12 +15,14 @@
         part: The part that was sent.
         leaf: The receiving leaf.
         started_ms: When the send started.
+        connect_ms: Time that a new connection takes first, or 0.
     """
 
     number: int
     part: "Part"
     leaf: LeafRecord
     started_ms: float
+    connect_ms: float = 0.0
 
     @property
     def leaf_id(self) -> str:
--- a/src/oriolegate/exchange/part_sender.py
+++ b/src/oriolegate/exchange/part_sender.py
@@ -169,7 +169,9 @@
     ) -> None:
         self.send_count += 1
         is_first = not part.tried
-        send = Send(self.send_count, part, leaf, now_ms)
+        is_connected = self.context.directory.has_connection(leaf.entry.leaf_id)
+        connect_ms = 0.0 if is_connected else leaf.connect_ms
+        send = Send(self.send_count, part, leaf, now_ms, connect_ms)
         self.sends[send.number] = send
         part.open_sends[send.number] = send
         part.tried.add(leaf.entry.leaf_id)
--- a/src/oriolegate/network/view_wire.py
+++ b/src/oriolegate/network/view_wire.py
@@ -24,14 +24,21 @@
 from oriolegate.models.stored import StoredObject
 from oriolegate.network import object_packing
 from oriolegate.network.object_packing import ObjectPacker
+from oriolegate.placement.slow_leafs import LeafSample
 
 PATH = b"/view"
 PATH_WITH_ERAS = b"/updates"
+# Reports samples of leafs: one field with a sample after the other, each its
+# leaf, the age of its request in ms, and whether the answer was late.
+SAMPLES_PATH = b"/samples"
+SAMPLES_FIELD = "samples"
 WAIT_FIELD = "wait_ms"
 # Requests the view even if the store can't confirm it now.
 UNCONFIRMED_FIELD = "unconfirmed"
 # States that the peer accepts compressed objects.
 PACKED_FIELD = "packed"
+# States for how many ms each leaf still counts as slow.
+SLOW_FIELD = "slow"
 # Requests how old the peer's views are; versions without it reject the field.
 AGES_FIELD = "ages"
 # States that the peer accepts changes of large objects instead of the whole.
@@ -79,10 +86,12 @@
         updates: Updates by collection.
         ages_ms: How long ago the store confirmed each view; empty if the peer
             doesn't state it.
+        slow_for_ms: For how long each slow leaf still counts as slow.
     """
 
     updates: Updates
     ages_ms: Mapping[Collection, float]
+    slow_for_ms: Mapping[str, float] = attrs.field(factory=dict)
 
 
 def encode_request(host: str, port: int, request: UpdatesRequest) -> bytes:
@@ -179,6 +188,7 @@
     large_packer: ObjectPacker | None = None,
     ages_ms: Mapping[Collection, float] | None = None,
     known_revisions: Mapping[Collection, int] | None = None,
+    slow_for_ms: Mapping[str, float] | None = None,
 ) -> bytes:
     """Encode updates as the body of a response.
 
@@ -188,6 +198,7 @@
         ages_ms: Age of each view, or None to leave the ages out.
         known_revisions: Revisions that the peer has, so that changes of large
             objects suffice; None to send them whole.
+        slow_for_ms: For how long each slow leaf still counts as slow.
     """
     document: dict[str, Any] = {}
     if ages_ms is not None:
@@ -195,6 +206,10 @@
             collection.name: round(age_ms)
             for collection, age_ms in ages_ms.items()
         }
+    if slow_for_ms:
+        document[SLOW_FIELD] = {
+            leaf_id: round(left_ms) for leaf_id, left_ms in slow_for_ms.items()
+        }
     for collection, update in updates.items():
         packer = large_packer if collection in PACKED_COLLECTIONS else None
         known_revision = (known_revisions or {}).get(collection)
@@ -233,11 +248,15 @@
             Collection[name]: float(age_ms)
             for name, age_ms in document.pop(AGES_FIELD, {}).items()
         }
+        slow_for_ms = {
+            leaf_id: float(left_ms)
+            for leaf_id, left_ms in document.pop(SLOW_FIELD, {}).items()
+        }
         updates = {
             Collection[name]: _decode_view(view)
             for name, view in document.items()
         }
-        return UpdatesResponse(updates, ages_ms)
+        return UpdatesResponse(updates, ages_ms, slow_for_ms)
     except (AttributeError, KeyError, TypeError, ValueError) as error:
         raise PeerMessageError(
             f"not a response with updates: {error}"
@@ -256,3 +275,53 @@
         ),
         revision,
     )
+
+
+def encode_samples(
+    host: str, port: int, samples: list[LeafSample], now_ms: float
+) -> bytes:
+    """Encode samples of leafs as an HTTP request.
+
+    Args:
+        host: Address of the receiving VM.
+        port: Internal port of the receiving VM.
+        samples: The samples.
+        now_ms: Current time, which is left out for that of the receiver.
+    """
+    text = ";".join(
+        f"{sample.leaf_id},{now_ms - sample.started_ms:.0f},{sample.is_late:d}"
+        for sample in samples
+    )
+    query = urllib.parse.urlencode({SAMPLES_FIELD: text})
+    return (
+        f"GET {SAMPLES_PATH.decode()}?{query} HTTP/1.1\r\n"
+        f"Host: {host}:{port}\r\n\r\n"
+    ).encode()
+
+
+def decode_samples(target: bytes, now_ms: float) -> list[LeafSample]:
+    """Decode the path and query of a request made by `encode_samples`.
+
+    Args:
+        target: Path and query.
+        now_ms: Current time of this VM.
+
+    Raises:
+        PeerMessageError: If the query has another format.
+    """
+    _, _, encoded = target.partition(b"?")
+    fields = dict(urllib.parse.parse_qsl(encoded.decode("latin-1")))
+    samples = []
+    try:
+        for text in fields[SAMPLES_FIELD].split(";"):
+            leaf_id, age_ms, is_late = text.rsplit(",", 2)
+            started_ms = now_ms - max(0, int(age_ms))
+            samples.append(LeafSample(leaf_id, started_ms, is_late == "1"))
+    except (KeyError, ValueError) as error:
+        raise PeerMessageError(f"not samples of leafs: {error}") from error
+    return samples
+
+
+def is_samples_request(target: bytes) -> bool:
+    """Return whether a path and query report samples."""
+    return target.partition(b"?")[0] == SAMPLES_PATH
--- a/src/oriolegate/placement/leaf_directory.py
+++ b/src/oriolegate/placement/leaf_directory.py
@@ -16,6 +16,9 @@
 from oriolegate.placement import connection_assignment
 from oriolegate.placement import request_limit
 from oriolegate.placement.leaf_record import LeafRecord
+from oriolegate.placement.slow_leafs import LeafSample
+from oriolegate.placement.slow_leafs import SelfCheck
+from oriolegate.placement.slow_leafs import SlowLeafs
 
 # How long a leaf whose entry was removed is kept as a last resort. Entries that
 # expire during an outage of the store are written again within about two
@@ -101,6 +104,9 @@
             paused and the store has not confirmed the view since.
         has_connection: Returns whether an idle connection to a leaf is
             available.
+        slow_leafs: Which leafs are slow.
+        self_check: Detects that this VM itself is slow.
+        on_sample: Called with what an answer shows of a leaf.
     """
 
     def __init__(
@@ -124,6 +130,9 @@
         self.drained: dict[tuple[str, int], None] = {}
         self.hold_until_ms = float("-inf")
         self.has_connection: Callable[[str], bool] = lambda leaf_id: True
+        self.slow_leafs = SlowLeafs()
+        self.self_check = SelfCheck()
+        self.on_sample: Callable[[LeafSample], None] = lambda sample: None
 
     def _distance_ms(self, data_centre: str) -> float:
         if data_centre == self.data_centre:
@@ -408,10 +417,22 @@
                     now_ms,
                     criteria.typical_ms,
                     connected=self.has_connection(record.entry.leaf_id),
+                    is_slow=self.slow_leafs.is_slow(
+                        now_ms, record.entry.leaf_id
+                    ),
                 ),
             ),
         )
 
+    def record_answer(
+        self, record: LeafRecord, started_ms: float, *, is_late: bool
+    ) -> None:
+        """Record whether a leaf answered a request late."""
+        self.self_check.record(is_late)
+        if self.self_check.is_trusted:
+            leaf_id = record.entry.leaf_id
+            self.on_sample(LeafSample(leaf_id, started_ms, is_late))
+
     def _is_allowed(self, record: LeafRecord, criteria: LeafCriteria) -> bool:
         if record.entry.draining:
             return False
--- a/src/oriolegate/placement/leaf_record.py
+++ b/src/oriolegate/placement/leaf_record.py
@@ -19,6 +19,8 @@
 STALL_COST_MS = 150.0
 # A request is overdue after this many times the expected latency.
 OVERDUE_FACTOR = 2.5
+# Extra expected work of a slow leaf, as a multiple of the typical work time.
+SLOW_FACTOR = 3.0
 # How long a leaf that rejected a connection gets no new one: about as long as
 # other VMs leave their connections idle at a few requests per second.
 REJECTION_PAUSE_MS = 500.0
@@ -139,7 +141,12 @@
         self.failure_rate += SAMPLE_WEIGHT * (1.0 - self.failure_rate)
 
     def expected_ms(
-        self, now_ms: float, typical_ms: float, *, connected: bool = True
+        self,
+        now_ms: float,
+        typical_ms: float,
+        *,
+        connected: bool = True,
+        is_slow: bool = False,
     ) -> float:
         """Return the expected latency of one more request.
 
@@ -147,6 +154,7 @@
             now_ms: Current time.
             typical_ms: Typical work time of the route.
             connected: Whether an idle connection is available.
+            is_slow: Whether other requests show that the leaf is slow now.
         """
         factor = self._decay_factor(now_ms)
         slowness = max(0.3, 1.0 + (self.slowness - 1.0) * factor)
@@ -157,6 +165,8 @@
             expected_ms += self.connect_ms
         if not self.is_assigned:
             expected_ms += UNASSIGNED_COST_MS
+        if is_slow:
+            expected_ms += max(STALL_COST_MS, SLOW_FACTOR * typical_ms)
         expected_ms += FAILURE_COST_MS * self.failure_rate * factor
         if self.outstanding:
             oldest_ms = now_ms - next(iter(self.outstanding.values()))
--- a/src/oriolegate/runtime/gateway.py
+++ b/src/oriolegate/runtime/gateway.py
@@ -99,6 +99,12 @@
         registry.gauge(
             "oriolegate_requests_open", lambda: len(parts.runner.running)
         )
+        registry.gauge(
+            "oriolegate_slow_leafs",
+            lambda: len(
+                parts.directory.slow_leafs.current(self.clock.now_ms())
+            ),
+        )
         for collection in parts.followers:
             registry.gauge(
                 "oriolegate_view_age_ms",
@@ -164,6 +170,9 @@
         if view_wire.is_updates_request(target):
             self.parts.views.handle(target, respond)
             return
+        if view_wire.is_samples_request(target):
+            self.parts.slow_runner.on_report(target, respond)
+            return
         text = metrics_module.render_text(self.parts.metrics.snapshot())
         respond(200, text.encode())
 
--- a/src/oriolegate/runtime/gateway_composition.py
+++ b/src/oriolegate/runtime/gateway_composition.py
@@ -39,6 +39,7 @@
 from oriolegate.runtime.site_sinks import EvacuationSink
 from oriolegate.runtime.site_sinks import LeafSink
 from oriolegate.runtime.site_sinks import MemberSink
+from oriolegate.runtime.slow_leaf_runner import SlowLeafRunner
 from oriolegate.runtime.store_runner import StoreRunner
 from oriolegate.runtime.view_server import ViewServer
 
@@ -67,6 +68,7 @@
         leaf_client: Connections to leafs.
         store_client: Connections to the store.
         configuration: Configuration in force.
+        slow_runner: Exchanges with peers which leafs are slow.
     """
 
     directory: LeafDirectory
@@ -81,6 +83,7 @@
     leaf_client: LeafClient
     store_client: StoreClient
     configuration: ConfigurationSink
+    slow_runner: SlowLeafRunner
 
 
 def build_parts(
@@ -179,6 +182,13 @@
         reactor, clock, choice, followers, caches, store, era, seeds
     )
 
+    slow_runner = SlowLeafRunner(reactor, clock, directory.slow_leafs)
+    slow_runner.send = feed.send_samples
+    slow_runner.on_change = views.on_slow_leafs_changed
+    directory.on_sample = slow_runner.on_sample
+    feed.on_slow_leafs = slow_runner.on_peer_knows
+    views.slow_for_ms = lambda: directory.slow_leafs.current(clock.now_ms())
+
     def on_new_era() -> None:
         # At the first answer of all there is nothing to list anew.
         if any(follower.revision for follower in followers.values()):
@@ -224,4 +234,5 @@
         leaf_client=leaf_client,
         store_client=store_client,
         configuration=configuration,
+        slow_runner=slow_runner,
     )
--- a/src/oriolegate/runtime/peer_feed.py
+++ b/src/oriolegate/runtime/peer_feed.py
@@ -22,6 +22,7 @@
 from oriolegate.network import view_wire
 from oriolegate.network.http_client import HttpClient
 from oriolegate.network.http_reader import HttpResponse
+from oriolegate.placement.slow_leafs import LeafSample
 from oriolegate.runtime import large_answers
 from oriolegate.runtime.store_runner import StoreRunner
 
@@ -75,6 +76,8 @@
         accepts_deltas: Whether the next request accepts changes of large
             objects; after one that did not fit, the whole object is needed.
         on_update: Called after each successful response of a peer.
+        on_slow_leafs: Called with the leafs that a peer knows as slow, and for
+            how many ms.
     """
 
     def __init__(
@@ -102,6 +105,9 @@
         self.earlier_peers: set[Peer] = set()
         self.accepts_deltas = True
         self.on_update: Callable[[], None] = lambda: None
+        self.on_slow_leafs: Callable[[dict[str, float]], None] = (
+            lambda slow_for_ms: None
+        )
         self.stopped = False
 
     def start(self) -> None:
@@ -277,6 +283,8 @@
     def _apply_response(self, outcome: HttpResponse | str) -> None:
         response = self._decode_response(outcome)
         self.accepts_deltas = True
+        if response.slow_for_ms:
+            self.on_slow_leafs(dict(response.slow_for_ms))
         now_ms = self.clock.now_ms()
         for collection, follower in self.followers.items():
             update = response.updates.get(collection)
@@ -307,6 +315,21 @@
             return
         follower.on_changes(self.clock.now_ms(), whole_batch, confirmed_ms)
 
+    def send_samples(self, samples: list[LeafSample]) -> None:
+        """Report samples of leafs to the peer that is followed, if any.
+
+        They are not sent again if they get lost.
+        """
+        peer = self.peer
+        if peer is None or peer in self.earlier_peers:
+            return
+        data = view_wire.encode_samples(
+            peer.host, peer.port, samples, self.clock.now_ms()
+        )
+        self._get_client(peer).send(
+            data, ANSWER_TIMEOUT_MS, lambda outcome: None
+        )
+
     def _set_peer(self, peer: Peer) -> None:
         if self.peer == peer:
             return
--- a/src/oriolegate/runtime/view_server.py
+++ b/src/oriolegate/runtime/view_server.py
@@ -54,6 +54,7 @@
         waiting: Requests of peers that wait for updates.
         last_request_ms: When a peer last sent a request.
         packer: Compresses large objects.
+        slow_for_ms: Returns for how long each slow leaf still counts as slow.
     """
 
     def __init__(
@@ -72,6 +73,7 @@
         self.waiting: list[WaitingPeer] = []
         self.last_request_ms = float("-inf")
         self.packer = ObjectPacker()
+        self.slow_for_ms: Callable[[], dict[str, float]] = dict
 
     def handle(self, target: bytes, respond: Respond) -> None:
         """Answer a request now, or once there are updates.
@@ -148,8 +150,10 @@
         known_revisions = (
             peer.request.revisions if peer.request.accepts_deltas else None
         )
+        # Versions that know no ages know no other fields either.
+        slow_for_ms = self.slow_for_ms() if peer.request.wants_ages else None
         body = view_wire.encode_updates(
-            updates, packer, ages_ms, known_revisions
+            updates, packer, ages_ms, known_revisions, slow_for_ms
         )
         peer.respond(STATUS_OK, body)
 
@@ -174,6 +178,15 @@
         else:
             peer.respond(STATUS_UNAVAILABLE, b"")
 
+    def on_slow_leafs_changed(self) -> None:
+        """Tell all waiting peers at once which leafs are slow."""
+        if not self.is_confirmed():
+            return
+        waiting, self.waiting = self.waiting, []
+        for peer in waiting:
+            peer.timer.cancel()
+            self._answer(peer)
+
     def on_view_changed(self) -> None:
         """Send updates to waiting requests; reject all without confirmation."""
         is_confirmed = self.is_confirmed()
--- a/tests/network/test_view_wire.py
+++ b/tests/network/test_view_wire.py
@@ -14,6 +14,7 @@
 from oriolegate.models.stored import StoredObject
 from oriolegate.network import view_wire
 from oriolegate.network.object_packing import ObjectPacker
+from oriolegate.placement.slow_leafs import LeafSample
 
 ITEM = StoredObject("a", 3, {"x": [1, None]})
 
@@ -49,6 +50,26 @@
         response = view_wire.decode_updates(body)
         self.assertEqual(response, view_wire.UpdatesResponse({}, ages_ms))
 
+    def test_slow_leafs_survive_encoding_and_decoding(self):
+        slow_for_ms = {"leaf-1": 1_200.0}
+        body = view_wire.encode_updates({}, slow_for_ms=slow_for_ms)
+        response = view_wire.decode_updates(body)
+        self.assertEqual(response.slow_for_ms, slow_for_ms)
+
+    def test_samples_keep_their_age(self):
+        samples = [
+            LeafSample("a,b", 700.0, True),
+            LeafSample("c", 900.0, False),
+        ]
+        data = view_wire.encode_samples("10.0.0.1", 7740, samples, 1_000.0)
+        target = data.split(b" ")[1]
+        self.assertTrue(view_wire.is_samples_request(target))
+        expected = [
+            LeafSample("a,b", 4_700.0, True),
+            LeafSample("c", 4_900.0, False),
+        ]
+        self.assertEqual(view_wire.decode_samples(target, 5_000.0), expected)
+
     def test_a_large_configuration_is_sent_compressed(self):
         content = {"routes": [{"name": f"route{n}"} for n in range(5_000)]}
         item = StoredObject("main", 3, content)
