Read current lists when a process starts again

Cause: all first lists may lag by seconds. A VM that was started again put the configuration of the list in force and served by it for 0.8 to 1.5 s, until the first watch. An evacuated data centre was used as well. The leafs alone were checked at once, which this replaces.

Change: after a restart, leafs, configuration and evacuations are listed as they are now; such a list costs ten of those that may lag, three lists a restart. At the first start of all VMs nothing can be out of date.

--- a/src/oriolegate/following/follower.py
+++ b/src/oriolegate/following/follower.py
@@ -162,8 +162,7 @@
         list_may_lag: Whether the current list may be seconds old.
         era: Era of the view.
         absent: When to remove each object that the current era lacks, by name.
-        checks_lists: Whether a list that may lag is followed by a watch at
-            once, which returns what the list lacks.
+        lists_may_lag: Whether the first list may be seconds old.
     """
 
     def __init__(
@@ -172,10 +171,10 @@
         sink: CollectionSink,
         rng: random.Random,
         *,
-        checks_lists: bool = False,
+        lists_may_lag: bool = True,
     ) -> None:
         self.collection = collection
-        self.checks_lists = checks_lists
+        self.lists_may_lag = lists_may_lag
         self.watch_ms = WATCH_MS[collection]
         self.sink = sink
         self.rng = rng
@@ -216,14 +215,14 @@
         return WatchQuery(0.0, self.revision, PROBE_WATCH_MS)
 
     def _restart_list(
-        self, delay_ms: float, *, may_lag: bool = True
+        self, delay_ms: float, *, may_lag: bool | None = None
     ) -> StoreQuery:
         self.mode = Mode.LISTING
         self.listed = {}
         self.list_after = ""
         self.list_revision = None
-        self.list_may_lag = may_lag
-        return ListQuery(delay_ms, "", may_lag)
+        self.list_may_lag = self.lists_may_lag if may_lag is None else may_lag
+        return ListQuery(delay_ms, "", self.list_may_lag)
 
     def _succeeded(self, confirmed_ms: float) -> None:
         self.failures = 0
@@ -246,9 +245,7 @@
         self._apply_list(now_ms)
         self.complete = True
         self.mode = Mode.WATCHING
-        is_checked = self.checks_lists and self.list_may_lag
-        delay_ms = 0.0 if is_checked else BETWEEN_WATCHES_MS
-        return WatchQuery(delay_ms, self.revision, self.watch_ms)
+        return WatchQuery(BETWEEN_WATCHES_MS, self.revision, self.watch_ms)
 
     def _apply_list(self, now_ms: float) -> None:
         for name in [
--- a/src/oriolegate/following/view_age.py
+++ b/src/oriolegate/following/view_age.py
@@ -20,7 +20,7 @@
 
     Attributes:
         collection: The collection of the view.
-        age_ms: Age of the view.
+        age_ms: Age of the view; infinite if the store never confirmed it.
         limit_ms: Age that the rule allows.
         is_overdue: Whether the view is older than that.
     """
--- a/src/oriolegate/runtime/gateway.py
+++ b/src/oriolegate/runtime/gateway.py
@@ -32,6 +32,8 @@
 FIRST_LISTS_DELAY_S = 0.5
 # Maximum age of a confirmation for the member list to count as current.
 MEMBERS_TRUSTED_MS = 8_000.0
+# Age that is logged for a view that the store never confirmed.
+MAX_LOGGED_AGE_MS = 1e9
 # Fraction of the grace time after SIGTERM before idle connections are closed:
 # the balancer takes two checks, a second apart, to stop sending.
 NOTICE_FRACTION = 0.45
@@ -223,7 +225,7 @@
         for report in self.view_ages.check(now_ms):
             bound_log = log.bind(
                 collection=report.collection.name,
-                age_ms=round(report.age_ms),
+                age_ms=round(min(report.age_ms, MAX_LOGGED_AGE_MS)),
                 limit_ms=round(report.limit_ms),
                 peer=peer.vm if peer else None,
             )
--- a/src/oriolegate/runtime/gateway_composition.py
+++ b/src/oriolegate/runtime/gateway_composition.py
@@ -45,6 +45,11 @@
 
 log = structured_log.get_logger("leafs")
 
+# Collections that decide at once where requests go, so that their lists must
+# not lag when a process starts again.
+CURRENT_AT_RESTART = frozenset(
+    {Collection.LEAFS, Collection.CONFIGURATION, Collection.EVACUATIONS}
+)
 # Member count assumed until the member list is loaded. It exceeds every
 # deployment so far, so that this VM's share of the common retry budget is too
 # small rather than too large.
@@ -153,11 +158,11 @@
             collection,
             cache,
             rng,
-            # The list after a restart may name leafs that have left since, and
-            # this VM no longer remembers them. At the first start of all VMs
-            # there are none, and each watch is billed.
-            checks_lists=collection is Collection.LEAFS
-            and not settings.first_start,
+            # After a restart, this VM no longer remembers which leafs and
+            # versions are gone. At the first start of all VMs there are none,
+            # and a list that may lag costs a tenth.
+            lists_may_lag=settings.first_start
+            or collection not in CURRENT_AT_RESTART,
         )
         for collection, cache in caches.items()
     }
