--- a/tests/runtime/test_followed_views.py
+++ b/tests/runtime/test_followed_views.py
@@ -154,6 +154,35 @@
             self.assertEqual(changes.missing(vm), [])
 
 
+class DeepTreeTest(unittest.TestCase):
+    """A data centre of 50 VMs: three hops from the reader to the last."""
+
+    VM_COUNT = 50
+    CALM_S = 25.0
+
+    def test_in_calm_times_all_views_stay_confirmed(self):
+        fleet = start_fleet(1)
+        changes = Changes(fleet)
+        rng = random.Random(1)
+        for number in range(1, self.VM_COUNT):
+            # One after the other, so that their requests are out of step.
+            fleet.add_gateway(
+                f"vm{number}", FAST_BYTES_PER_S, first_start=False
+            )
+            fleet.network.run_for(rng.uniform(0.1, 0.4))
+        fleet.network.run_for(10.0)
+        changes.put(1)
+        sources = {vm: p.parts.feed.peer for vm, p in fleet.gateways.items()}
+        fleet.store.calls.clear()
+        for _ in range(round(self.CALM_S / STEP_S)):
+            fleet.network.run_for(STEP_S)
+            for vm, process in fleet.gateways.items():
+                self.assertTrue(process.parts.views.is_confirmed())
+                self.assertEqual(process.parts.feed.peer, sources[vm])
+        # The reader alone calls the store, less than twice a second.
+        self.assertLess(len(fleet.store.calls), 2.0 * self.CALM_S)
+
+
 class StoreCallsTest(unittest.TestCase):
     """Failures that only the reader of a data centre has cost its calls."""
 
