Tell whether a VM reaches any leaf

Callers of VMs that lose their links to all leafs are refused, and neither logs nor metrics tell such a VM from one whose leafs have crashed one by one: each logs 40 suspected leafs.

--- a/src/oriolegate/network/leaf_client.py
+++ b/src/oriolegate/network/leaf_client.py
@@ -20,6 +20,7 @@
 from oriolegate.network.http_reader import HttpResponse
 from oriolegate.network.receive_limits import ReceiveBuffer
 from oriolegate.network.receive_limits import ReceiveLimits
+from oriolegate.placement.leaf_contact import LeafContact
 from oriolegate.platform import leaf_protocol
 from oriolegate.platform.leaf_protocol import HealthReport
 from oriolegate.platform.leaf_protocol import NoAnswer
@@ -71,6 +72,7 @@
     Attributes:
         pools: Connection pools by leaf id.
         limits: Limits on responses of leafs.
+        contact: Tracks whether leafs respond at all.
         on_notice: Called for each response of a leaf, with its id and what it
             says of itself.
     """
@@ -79,6 +81,7 @@
         self.reactor = reactor
         self.clock = clock
         self.pools: dict[str, HttpPool] = {}
+        self.contact = LeafContact(clock.now_ms())
         self.limits = ReceiveLimits(
             MAX_ANSWER_BYTES, ReceiveBuffer(MAX_BUFFERED_BYTES)
         )
@@ -145,6 +148,7 @@
         """
 
         def on_result(result: Result) -> None:
+            self._record_result(leaf.leaf_id, result)
             match result:
                 case Answered(response):
                     answer = leaf_protocol.decode_response(response)
@@ -165,14 +169,26 @@
             is_head=call.method == HEAD,
         )
         pool = self._get_pool(leaf)
+        self.contact.record_send(self.clock.now_ms(), leaf.leaf_id)
         pool.send(http_call)
         return OpenSend(leaf.leaf_id, pool, http_call, self.clock.now_ms())
 
+    def _record_result(self, leaf_id: str, result: Result) -> None:
+        match result:
+            case Answered():
+                self.contact.record_response(self.clock.now_ms())
+            case Broken(_, rejected=True):
+                # A leaf at its connection limit; it is up.
+                pass
+            case NotSent() | Broken():
+                self.contact.record_failure(leaf_id)
+
     def _report_notice(self, leaf: LeafEntry, response: HttpResponse) -> None:
         self.on_notice(leaf.leaf_id, leaf_protocol.decode_notice(response))
 
     def abandon(self, open_send: OpenSend) -> None:
         """Close the connection of a send, so that its leaf stops working."""
+        self.contact.record_abandoned(self.clock.now_ms(), open_send.leaf_id)
         open_send.pool.cancel(open_send.call)
 
     def check_health(
@@ -190,6 +206,7 @@
         """
 
         def on_result(result: Result) -> None:
+            self._record_result(leaf.leaf_id, result)
             match result:
                 case Answered(response):
                     report = leaf_protocol.decode_health_response(response)
@@ -207,5 +224,6 @@
             on_result,
             leaf_protocol.is_health_response,
         )
+        self.contact.record_send(self.clock.now_ms(), leaf.leaf_id)
         pool.send(call)
         return OpenSend(leaf.leaf_id, pool, call, self.clock.now_ms())
