--- a/tests/virtual_fleet.py
+++ b/tests/virtual_fleet.py
@@ -159,12 +159,14 @@
         took_s: Time until the response.
         status: HTTP status, or None without a response.
         response: The response, or the reason why there is none.
+        vm: The VM that the request was sent to.
     """
 
     sent_s: float
     took_s: float
     status: int | None
     response: Any
+    vm: str
 
 
 class CallerLoad:
@@ -193,7 +195,7 @@
         def done(response: Any) -> None:
             status = getattr(response, "status", None)
             self.outcomes.append(
-                Outcome(sent_s, self.now_s - sent_s, status, response)
+                Outcome(sent_s, self.now_s - sent_s, status, response, vm)
             )
 
         vm = self.rng.choice(list(self.fleet.gateways))
--- a/tests/virtual_network.py
+++ b/tests/virtual_network.py
@@ -359,6 +359,8 @@
             )
             return
         listener = self.network.listeners.get(address)
+        if self.network.is_refused(self.name, address[0]):
+            listener = None
         if listener is None:
             reason = failure.Failure(error.ConnectionRefusedError())
             factory.clientConnectionFailed(None, reason)
@@ -398,13 +400,17 @@
 
     Attributes:
         delay_s: Time that bytes take between two hosts.
+        hosts: The latest host of each name.
         listeners: Host and factory of each listening address.
         held: Segments that wait for the end of a cut, with their transports, by
             sending and receiving host; a pair that is not cut is absent.
+        refused: Pairs of a host and another that refuses its new connections.
     """
 
     def __init__(self, delay_s: float) -> None:
         self.held: dict[tuple[str, str], list[tuple[Transport, bytes]]] = {}
+        self.refused: set[tuple[str, str]] = set()
+        self.hosts: dict[str, Host] = {}
         self.reactor = VirtualReactor()
         self.clock = VirtualClock(self.reactor)
         self.delay_s = delay_s
@@ -412,7 +418,8 @@
 
     def add_host(self, name: str, rate_bytes_per_s: float) -> Host:
         """Add a host whose link has a rate in each direction."""
-        return Host(self, name, rate_bytes_per_s)
+        host = self.hosts[name] = Host(self, name, rate_bytes_per_s)
+        return host
 
     def cut(self, sender: str, receiver: str) -> None:
         """Hold all bytes of one host to another, until `heal`."""
@@ -426,6 +433,26 @@
                     transport.other, segment, transport.other.deliver
                 )
 
+    def refuse(self, client: str, server: str) -> None:
+        """Refuse new connections of one host to another; keep open ones."""
+        self.refused.add((client, server))
+
+    def accept(self, client: str, server: str) -> None:
+        """Accept new connections of one host to another again."""
+        self.refused.discard((client, server))
+
+    def is_refused(self, client: str, server: str) -> bool:
+        """Return whether new connections of one host to another fail."""
+        return (client, server) in self.refused
+
+    def reset_connections(self, one: str, other: str) -> None:
+        """Reset all open connections between two hosts."""
+        for host in (one, other):
+            for transport in self.hosts[host].transports:
+                peer = transport.other
+                if peer is not None and peer.host.name in (one, other):
+                    transport.abortConnection()
+
     def is_cut(self, sender: str, receiver: str) -> bool:
         """Return whether the bytes of one host to another are held."""
         return (sender, receiver) in self.held
