Decide in one place to which VM a forwarded request goes next

ForwardPlan takes over from Forwarder which VM is next, and what a lost answer means for a request that may not run twice, so that the gateway can forward by the same rules.

--- a/src/oriolegate/forwarding/forwarder.py
+++ b/src/oriolegate/forwarding/forwarder.py
@@ -1,13 +1,13 @@
 """Forwards whole queries to the homes of their service, one at a time.
 
-A home of a service is a VM that holds connections to its leafs. A request is
-sent to the next home only if the previous one certainly did not run it, or if
-the request is idempotent. A request that is not idempotent is answered "may
+A home of a service is a VM that holds connections to its leafs. `ForwardPlan`
+decides which home is next. A request that is not idempotent is answered "may
 have run" when the link to its home is lost.
 """
 
 import attrs
 
+from oriolegate.forwarding.forward_plan import ForwardPlan
 from oriolegate.forwarding.messages import ForwardCancelled
 from oriolegate.forwarding.messages import ForwardedQuery
 from oriolegate.forwarding.messages import ForwardedResult
@@ -56,22 +56,13 @@
 
     Attributes:
         request: The request as received from the caller.
-        homes: Homes not yet tried in this round, in order.
-        all_homes: Homes tried in each round, in order.
-        deadline_at_ms: Time of the deadline.
-        vm: Home that the request was sent to, or empty between rounds.
+        plan: Decides which home is next.
         next_round_at_ms: When the next round starts; None during a round.
-        may_have_run: Whether a home whose result is missing may have run the
-            request.
     """
 
     request: CallerRequest
-    homes: list[str]
-    all_homes: tuple[str, ...]
-    deadline_at_ms: float
-    vm: str = ""
+    plan: ForwardPlan
     next_round_at_ms: float | None = None
-    may_have_run: bool = False
 
 
 class Forwarder:
@@ -105,41 +96,33 @@
         """
         number = self.next_number
         self.next_number += 1
-        self.pending[number] = PendingForward(
-            request, list(homes), tuple(homes), now_ms + limit_ms
-        )
+        plan = ForwardPlan(tuple(homes), request.idempotent, now_ms + limit_ms)
+        self.pending[number] = PendingForward(request, plan)
         return self._send_to_next(now_ms, number)
 
     def _send_to_next(
         self, now_ms: float, number: int
     ) -> list[ForwardingEffect]:
         pending = self.pending[number]
-        remaining_ms = pending.deadline_at_ms - now_ms
-        if not pending.homes and self._can_retry_round(pending, remaining_ms):
-            pending.vm = ""
+        plan = pending.plan
+        if not plan.untried and plan.can_repeat_round(
+            now_ms, ROUND_INTERVAL_MS
+        ):
+            plan.vm = ""
             pending.next_round_at_ms = now_ms + ROUND_INTERVAL_MS
             return []
-        if not pending.homes or remaining_ms <= 0:
+        vm = plan.next_vm(now_ms)
+        if vm is None:
             return [self._refuse(number)]
-        pending.vm = pending.homes.pop(0)
         self.forwarded += 1
+        remaining_ms = plan.deadline_at_ms - now_ms
         request = attrs.evolve(pending.request, deadline_ms=remaining_ms)
-        return [Forward(pending.vm, ForwardedQuery(number, request))]
-
-    def _can_retry_round(
-        self, pending: PendingForward, remaining_ms: float
-    ) -> bool:
-        """Return whether another round may start after the interval."""
-        return (
-            bool(pending.all_homes)
-            and not pending.may_have_run
-            and remaining_ms > ROUND_INTERVAL_MS
-        )
+        return [Forward(vm, ForwardedQuery(number, request))]
 
     def _refuse(self, number: int) -> Finished:
         pending = self.pending.pop(number)
         request = pending.request
-        if not pending.may_have_run:
+        if not pending.plan.may_have_run:
             refusal = Refusal(
                 request.request_id,
                 ResultCode.NOT_READY,
@@ -171,7 +154,7 @@
     ) -> list[ForwardingEffect]:
         """Handle a result; drop it unless the current home sent it."""
         pending = self.pending.get(message.number)
-        if pending is None or pending.vm != vm:
+        if pending is None or pending.plan.vm != vm:
             return []
         if message.not_run and message.code in NEXT_HOME_CODES:
             return self._send_to_next(now_ms, message.number)
@@ -189,13 +172,9 @@
         """Handle the loss of the link to a VM and of its pending results."""
         effects: list[ForwardingEffect] = []
         for number, pending in list(self.pending.items()):
-            if pending.vm != vm:
-                continue
-            pending.may_have_run = True
-            if pending.request.idempotent:
+            if pending.plan.vm == vm:
+                pending.plan.on_lost()
                 effects += self._send_to_next(now_ms, number)
-            else:
-                effects.append(self._refuse(number))
         return effects
 
     def _number_of(self, request_id: str) -> int | None:
@@ -218,8 +197,9 @@
             "the caller is gone",
         )
         effects: list[ForwardingEffect] = [Finished(request_id, refusal)]
-        if pending.vm:
-            effects.insert(0, Forward(pending.vm, ForwardCancelled(number)))
+        if pending.plan.vm:
+            cancel = ForwardCancelled(number)
+            effects.insert(0, Forward(pending.plan.vm, cancel))
         return effects
 
     def on_tick(self, now_ms: float) -> list[ForwardingEffect]:
@@ -233,9 +213,9 @@
             if pending.next_round_at_ms is not None:
                 if now_ms >= pending.next_round_at_ms:
                     pending.next_round_at_ms = None
-                    pending.homes = list(pending.all_homes)
+                    pending.plan.start_round()
                     effects += self._send_to_next(now_ms, number)
-            elif now_ms >= pending.deadline_at_ms + RESULT_GRACE_MS:
-                pending.may_have_run = True
+            elif now_ms >= pending.plan.deadline_at_ms + RESULT_GRACE_MS:
+                pending.plan.on_lost()
                 effects.append(self._refuse(number))
         return effects
