Believe that a leaf is down only while others accept connections

Callers saw: none of it directly, but requests that crashed nothing could be refused everywhere.

Cause: the failure of a leaf and that of the VM's own network look alike from one connection, and nothing compared several. Now a leaf counts as down once another leaf has responded on a new connection after the check that failed; without such a response, arbitrary leafs are probed on new connections. Probes that fail in a row also tell a cut behind which open connections live on.

The stand-in leaf answered health checks with an empty attempt id and a seal, which leafs don't, so that no check in these tests ever succeeded; it leaves both out now.

--- a/src/oriolegate/network/leaf_client.py
+++ b/src/oriolegate/network/leaf_client.py
@@ -95,16 +95,18 @@
         if pool is None or pool.address != address:
             if pool is not None:
                 pool.close()
-            pool = HttpPool(
-                self.reactor,
-                self.clock,
-                address,
-                LEAF_CONNECT_TIMEOUT_S,
-                self.limits,
-            )
-            self.pools[leaf.leaf_id] = pool
+            pool = self.pools[leaf.leaf_id] = self._create_pool(leaf)
         return pool
 
+    def _create_pool(self, leaf: LeafEntry) -> HttpPool:
+        return HttpPool(
+            self.reactor,
+            self.clock,
+            (leaf.host, leaf.port),
+            LEAF_CONNECT_TIMEOUT_S,
+            self.limits,
+        )
+
     def drop(self, leaf_id: str) -> None:
         """Close the connections to a leaf that was removed."""
         pool = self.pools.pop(leaf_id, None)
@@ -148,7 +150,7 @@
         """
 
         def on_result(result: Result) -> None:
-            self._record_result(leaf.leaf_id, result)
+            self._record_result(leaf.leaf_id, result, sent_at_ms, http_call)
             match result:
                 case Answered(response):
                     answer = leaf_protocol.decode_response(response)
@@ -169,19 +171,27 @@
             is_head=call.method == HEAD,
         )
         pool = self._get_pool(leaf)
-        self.contact.record_send(self.clock.now_ms(), leaf.leaf_id)
+        sent_at_ms = self.clock.now_ms()
+        self.contact.record_send(sent_at_ms, leaf.leaf_id)
         pool.send(http_call)
-        return OpenSend(leaf.leaf_id, pool, http_call, self.clock.now_ms())
+        return OpenSend(leaf.leaf_id, pool, http_call, sent_at_ms)
 
-    def _record_result(self, leaf_id: str, result: Result) -> None:
+    def _record_result(
+        self, leaf_id: str, result: Result, sent_at_ms: float, call: HttpCall
+    ) -> None:
         match result:
             case Answered():
                 self.contact.record_response(self.clock.now_ms())
+                connection = call.connection
+                if connection and connection.opened_at_ms >= sent_at_ms:
+                    self.contact.record_connected(self.clock.now_ms())
             case Broken(_, rejected=True):
                 # A leaf at its connection limit; it is up.
                 pass
-            case NotSent() | Broken():
-                self.contact.record_failure(leaf_id)
+            case NotSent():
+                self.contact.record_unconnected(leaf_id)
+            case Broken():
+                self.contact.record_lost(leaf_id)
 
     def _report_notice(self, leaf: LeafEntry, response: HttpResponse) -> None:
         self.on_notice(leaf.leaf_id, leaf_protocol.decode_notice(response))
@@ -196,6 +206,8 @@
         leaf: LeafEntry,
         path: str,
         done: Callable[[HealthReport | NoAnswer], None],
+        *,
+        is_new_connection: bool = False,
     ) -> OpenSend:
         """Send a health request to a leaf.
 
@@ -203,10 +215,13 @@
             leaf: Leaf to check.
             path: Health path of its service.
             done: Called with the report, or the reason for having no report.
+            is_new_connection: Whether to use a connection of its own.
         """
 
         def on_result(result: Result) -> None:
-            self._record_result(leaf.leaf_id, result)
+            self._record_result(leaf.leaf_id, result, sent_at_ms, call)
+            if is_new_connection:
+                pool.close()
             match result:
                 case Answered(response):
                     report = leaf_protocol.decode_health_response(response)
@@ -218,12 +233,17 @@
                 case Broken(detail, rejected):
                     done(NoAnswer(SendOutcome.MAY_HAVE_RUN, detail, rejected))
 
-        pool = self._get_pool(leaf)
+        pool = (
+            self._create_pool(leaf)
+            if is_new_connection
+            else self._get_pool(leaf)
+        )
         call = HttpCall(
             leaf_protocol.health_request(leaf, path),
             on_result,
             leaf_protocol.is_health_response,
         )
-        self.contact.record_send(self.clock.now_ms(), leaf.leaf_id)
+        sent_at_ms = self.clock.now_ms()
+        self.contact.record_send(sent_at_ms, leaf.leaf_id)
         pool.send(call)
-        return OpenSend(leaf.leaf_id, pool, call, self.clock.now_ms())
+        return OpenSend(leaf.leaf_id, pool, call, sent_at_ms)
--- a/src/oriolegate/placement/leaf_directory.py
+++ b/src/oriolegate/placement/leaf_directory.py
@@ -45,6 +45,7 @@
 ACCEPT_MS = 6.0
 # Used if a leaf's service is missing in the configuration.
 DEFAULT_MAX_CONNECTIONS = 8
+DEFAULT_CHECK_PATH = "/health"
 
 
 class NoLeaf(enum.Enum):
@@ -163,6 +164,13 @@
             else assignment.remote_fraction,
         )
 
+    def check_path(self, service: str) -> str:
+        """Return the path of health checks of a service's leafs."""
+        known_service = self.services.get(service)
+        if known_service is None:
+            return DEFAULT_CHECK_PATH
+        return known_service.check_path
+
     def put(self, now_ms: float, entry: LeafEntry) -> LeafRecord:
         """Add or update a leaf from its entry."""
         if (entry.leaf_id, entry.born_ms) in self.drained:
--- a/src/oriolegate/runtime/gateway.py
+++ b/src/oriolegate/runtime/gateway.py
@@ -76,7 +76,6 @@
         self.on_exit: Callable[[], None] = lambda: None
         self.caller_factory = CallerFactory(parts.runner)
         self.was_ready = False
-        self.was_cut_off = False
         self.ports: list[Any] = []
         self.accepting = True
         self.pause_detector = PauseDetector(MIN_PAUSE_MS)
@@ -108,13 +107,6 @@
                 parts.directory.slow_leafs.current(self.clock.now_ms())
             ),
         )
-        registry.gauge("oriolegate_cut_off", lambda: int(self._is_cut_off()))
-        registry.gauge(
-            "oriolegate_suspected_leafs",
-            lambda: sum(
-                leaf.suspect for leaf in parts.directory.leafs.values()
-            ),
-        )
         for collection in parts.followers:
             registry.gauge(
                 "oriolegate_view_age_ms",
@@ -122,12 +114,6 @@
                 collection=collection.name.lower(),
             )
 
-    def _is_cut_off(self) -> bool:
-        parts = self.parts
-        return parts.leaf_client.contact.is_cut_off(
-            self.clock.now_ms(), len(parts.directory.leafs)
-        )
-
     def _view_age_ms(self, collection: Collection) -> float:
         return self.view_ages.age_ms(self.clock.now_ms(), collection)
 
@@ -228,28 +214,13 @@
             and last_confirmed_ms > self.last_pause_at_ms
             and now_ms - last_confirmed_ms < MEMBERS_TRUSTED_MS
         )
-        self._report_contact(now_ms)
+        parts.contact_watch.check()
         if self.ready != self.was_ready:
             self.was_ready = self.ready
             log.bind(ready=self.ready).info("readiness changed")
         if self.stopping_since_ms is not None:
             self._continue_stop(now_ms - self.stopping_since_ms)
 
-    def _report_contact(self, now_ms: float) -> None:
-        is_cut_off = self._is_cut_off()
-        if is_cut_off == self.was_cut_off:
-            return
-        self.was_cut_off = is_cut_off
-        if not is_cut_off:
-            log.info("leafs respond again")
-            return
-        contact = self.parts.leaf_client.contact
-        log.bind(
-            silent=len(contact.silent_leafs(now_ms)),
-            known=len(self.parts.directory.leafs),
-            since_ms=round(now_ms - contact.last_response_ms),
-        ).warning("no leaf responds to this VM")
-
     def _report_view_ages(self, now_ms: float) -> None:
         peer = self.parts.feed.peer
         for report in self.view_ages.check(now_ms):
--- a/src/oriolegate/runtime/gateway_composition.py
+++ b/src/oriolegate/runtime/gateway_composition.py
@@ -27,10 +27,13 @@
 from oriolegate.placement.leaf_directory import LeafDirectory
 from oriolegate.placement.route_latency import RouteLatencies
 from oriolegate.retries.retry_budget import RetryBudget
+from oriolegate.runtime.contact_watch import ContactWatch
 from oriolegate.runtime.crash_reporter import CrashReporter
+from oriolegate.runtime.down_confirmation import DownConfirmation
 from oriolegate.runtime.exchange_runner import ExchangeRunner
 from oriolegate.runtime.guarded_sink import GuardedSink
 from oriolegate.runtime.leaf_checker import LeafChecker
+from oriolegate.runtime.leaf_prober import LeafProber
 from oriolegate.runtime.member_registration import MemberRegistration
 from oriolegate.runtime.peer_feed import PeerFeed
 from oriolegate.runtime.request_log import RequestLog
@@ -74,6 +77,7 @@
         store_client: Connections to the store.
         configuration: Configuration in force.
         slow_runner: Exchanges with peers which leafs are slow.
+        contact_watch: Watches whether this VM reaches leafs.
     """
 
     directory: LeafDirectory
@@ -89,6 +93,7 @@
     store_client: StoreClient
     configuration: ConfigurationSink
     slow_runner: SlowLeafRunner
+    contact_watch: ContactWatch
 
 
 def build_parts(
@@ -224,7 +229,17 @@
         RequestLog(configuration, registry),
         crashes,
     )
-    checker.on_liveness_known = reporter.on_liveness_known
+    confirmation = DownConfirmation(clock, leaf_client.contact)
+    contact_watch = ContactWatch(
+        clock,
+        leaf_client.contact,
+        directory,
+        LeafProber(reactor, clock, leaf_client, directory, rng),
+        confirmation,
+        registry,
+    )
+    checker.on_liveness_known = confirmation.on_checked
+    confirmation.on_liveness_known = reporter.on_liveness_known
     runner.on_reports_withdrawn = reporter.withdraw
     return GatewayParts(
         directory=directory,
@@ -240,4 +255,5 @@
         store_client=store_client,
         configuration=configuration,
         slow_runner=slow_runner,
+        contact_watch=contact_watch,
     )
--- a/src/oriolegate/runtime/leaf_checker.py
+++ b/src/oriolegate/runtime/leaf_checker.py
@@ -29,7 +29,6 @@
 # still down, since a restart takes seconds, and a leaf at its connection limit
 # has had time to close the connections of other VMs.
 REJECTION_CHECK_DELAY_MS = 250.0
-DEFAULT_HEALTH_PATH = "/health"
 TIMED_OUT = NoAnswer(SendOutcome.MAY_HAVE_RUN, "no answer in time")
 
 
@@ -164,8 +163,7 @@
             )
             return
         record.record_send(self.clock.now_ms())
-        service = self.directory.services.get(record.entry.service)
-        path = service.check_path if service else DEFAULT_HEALTH_PATH
+        path = self.directory.check_path(record.entry.service)
         open_check: OpenSend | None = None
 
         def on_answer(report: HealthReport | NoAnswer) -> None:
--- a/tests/platform/stand_in_leaf.py
+++ b/tests/platform/stand_in_leaf.py
@@ -89,6 +89,8 @@
         if request.path == b"/health":
             request.answer(
                 b"",
+                Attempt_Id=None,
+                Server_Seal=None,
                 Instance_Id=self.leaf_id,
                 Warmup_Ms=str(self.health_cold_ms),
             )
