Let other VMs serve the callers of a VM that reaches no leaf

Cause: a VM had one way to serve a request, over its own links, and no notion that these links, rather than the leafs, were lost. The class: a local failure booked to what lies behind it.

Change: while a VM reaches no leaf (LeafContact), and for a request whose leafs it can't reach, the request goes to another VM over the internal port. The target decides as for its own callers, with its own quotas, limits and budget, and never forwards again. ForwardPlan, which serve uses too, says what a lost answer means; a request is 503 only if no VM may have run it. The deadline, a caller's disconnect, used attempts, the configuration version and the home regions travel along. Targets are learned from their answers, near ones first. A VM that reaches neither leafs nor VMs leaves the rotation and closes kept connections. Entries of members state whether they accept forwarded requests.

--- a/src/oriolegate/exchange/exchange.py
+++ b/src/oriolegate/exchange/exchange.py
@@ -42,15 +42,31 @@
         services: tuple[str, ...],
         version: int,
         context: ExchangeContext,
-        now_ms: float,
+        arrived_ms: float,
+        *,
+        is_counted: bool = False,
     ) -> None:
+        """Create the state of a request.
+
+        Args:
+            call: The caller's request.
+            route: Route of the request.
+            services: Services that have to answer.
+            version: Configuration version that is used.
+            context: State that all exchanges share.
+            arrived_ms: When the request arrived, here or at the VM that
+                forwarded it.
+            is_counted: Whether another VM has counted the request for the
+                retry budget.
+        """
         self.call = call
         self.route = route
         self.version = version
         self.budget = context.budget
         self.deadlines = timing.compute_deadlines(
-            route, now_ms, call.time_left_ms
+            route, arrived_ms, call.time_left_ms
         )
+        self.is_counted = is_counted
         self.parts = [Part(service) for service in services]
         self.sender = PartSender(route, self.deadlines, context)
         self.reply: Reply | None = None
@@ -88,7 +104,8 @@
             self.reply = Refuse(replying.STATUS_GATEWAY_TIMEOUT, "no time left")
             return [self.reply]
         for part in self.parts:
-            self.budget.count_request(part.service, now_ms)
+            if not self.is_counted:
+                self.budget.count_request(part.service, now_ms)
             self.sender.place(now_ms, part, effects)
         self._reply_if_due(now_ms, effects)
         return effects
@@ -123,6 +140,7 @@
         else:
             send.leaf.record_failure(now_ms)
             part.failure = answer
+            part.is_unreachable = False
             detail = f"status {answer.status} after {latency_ms:.0f} ms"
             self.sender.record_decision(
                 now_ms, "leaf failed", part.service, send.leaf_id, detail
@@ -142,6 +160,7 @@
         if send is None:
             return []
         part = send.part
+        part.is_unreachable = outcome is SendOutcome.UNSENT
         if outcome is not SendOutcome.WRONG_LEAF:
             send.leaf.record_failure(now_ms)
         if outcome is not SendOutcome.MAY_HAVE_RUN:
@@ -198,6 +217,46 @@
             self._finalize(now_ms, effects)
         return effects
 
+    def on_cut_off(self, now_ms: float) -> list[Effect]:
+        """End with what has arrived, as this VM reaches no leaf.
+
+        A request that may not run twice waits if a leaf may have run it.
+        """
+        effects: list[Effect] = []
+        may_retry = self.sender.repeatable or not self.used_attempts
+        if self.reply is None and may_retry:
+            self.sender.record_decision(
+                now_ms, "cut off", detail=self._unanswered_services()
+            )
+            for part in self.parts:
+                part.is_unreachable = part.answer is None
+            self._finalize(now_ms, effects)
+        return effects
+
+    @property
+    def used_attempts(self) -> int:
+        """Number of leafs of one service that may have run the request."""
+        return max(part.possible_runs for part in self.parts)
+
+    @property
+    def may_be_forwarded(self) -> bool:
+        """Whether another VM may still run the request."""
+        if self.used_attempts >= self.route.attempts:
+            return False
+        return self.sender.repeatable or not self.used_attempts
+
+    def charge_forward(self, now_ms: float) -> bool:
+        """Charge what another VM sends again to the retry budget.
+
+        Returns:
+            Whether the budget allows it.
+        """
+        return all(
+            self.budget.take(part.service, now_ms, hedge=False)
+            for part in self.parts
+            if part.arrivals
+        )
+
     def on_caller_disconnected(self, now_ms: float) -> list[Effect]:
         """Cancel all work after the caller has disconnected."""
         effects: list[Effect] = []
--- a/src/oriolegate/exchange/messages.py
+++ b/src/oriolegate/exchange/messages.py
@@ -124,11 +124,14 @@
         status: HTTP status.
         reason: Reason for the log and the response body.
         retry_after_ms: When the caller should retry, or None.
+        is_unreachable: Whether this VM could not reach the leafs, so that
+            another VM may have more success.
     """
 
     status: int
     reason: str
     retry_after_ms: float | None = None
+    is_unreachable: bool = False
 
 
 Reply = RelayAnswer | AnswerGathered | Refuse
--- a/src/oriolegate/exchange/part.py
+++ b/src/oriolegate/exchange/part.py
@@ -52,6 +52,8 @@
         hedge_blocker: Why a due hedge could not be sent yet, or empty.
         wait_reason: Why no leaf could take the part, or empty.
         usable_at_ms: When a leaf may take the part, if that is known, or None.
+        is_unreachable: Whether the last leaf tried could not be reached, or
+            none can be, so that another VM may have more success.
     """
 
     service: str
@@ -68,6 +70,7 @@
     hedge_blocker: str = ""
     wait_reason: str = ""
     usable_at_ms: float | None = None
+    is_unreachable: bool = False
 
     @property
     def is_waiting(self) -> bool:
--- a/src/oriolegate/exchange/part_sender.py
+++ b/src/oriolegate/exchange/part_sender.py
@@ -137,6 +137,8 @@
     def _wait_or_end(self, now_ms: float, part: Part, cause: NoLeaf) -> None:
         may_wait = cause in (NoLeaf.ALL_FULL, NoLeaf.UNSURE)
         part.wait_reason = cause.value
+        if cause is NoLeaf.UNREACHABLE:
+            part.is_unreachable = True
         if cause in (NoLeaf.ALL_QUIET, NoLeaf.NONE_LEFT):
             part.usable_at_ms = self.context.directory.earliest_use_ms(
                 self._criteria(part)
--- a/src/oriolegate/exchange/replying.py
+++ b/src/oriolegate/exchange/replying.py
@@ -68,6 +68,9 @@
         preferred_ms = max(BUSY_RETRY_AFTER_MS, max(usable_at_ms) - now_ms)
     left_ms = max(0.0, limit_ms - now_ms)
     retry_after_ms = min(preferred_ms, left_ms * RETRY_AFTER_FRACTION)
+    is_unreachable = any(
+        part.is_unreachable and part.answer is None for part in parts
+    )
     if any(part.possible_runs for part in parts):
         if now_ms >= limit_ms:
             return Refuse(STATUS_GATEWAY_TIMEOUT, "no answer in time")
@@ -77,11 +80,13 @@
             STATUS_BAD_GATEWAY,
             ", ".join(sorted({"the upstreams failed", *reasons})),
             retry_after_ms if reasons else None,
+            is_unreachable,
         )
     return Refuse(
         STATUS_UNAVAILABLE,
         ", ".join(sorted(reasons)) or "no upstream took it",
         retry_after_ms,
+        is_unreachable,
     )
 
 
--- /dev/null
+++ b/src/oriolegate/forwarding/forwarded_call.py
@@ -0,0 +1,77 @@
+"""Messages between gateways about a forwarded request."""
+
+import enum
+
+import attrs
+
+from oriolegate.exchange.messages import CallerCall
+from oriolegate.exchange.messages import Headers
+
+
+@attrs.frozen
+class ForwardedCall:
+    """A request that a VM which can't serve it sends to another VM.
+
+    Attributes:
+        call: The caller's request. Its remaining timeout counts from its
+            arrival at the first VM.
+        elapsed_ms: Time since that arrival.
+        min_version: Oldest configuration version that may be applied.
+        used_attempts: Number of leafs of one service that may have run it.
+        is_counted: Whether a VM has counted it for the retry budget.
+        vm: The VM that the caller sent it to.
+    """
+
+    call: CallerCall
+    elapsed_ms: float
+    min_version: int
+    used_attempts: int
+    is_counted: bool
+    vm: str
+
+
+class ForwardState(enum.Enum):
+    """What a VM did with a forwarded request.
+
+    Attributes:
+        ANSWERED: The response is for the caller.
+        UNREACHABLE: The VM can't reach the leafs either; the response states
+            whether the request may have run.
+        DECLINED: The VM accepts no forwarded request now; it did not run.
+    """
+
+    ANSWERED = "answered"
+    UNREACHABLE = "unreachable"
+    DECLINED = "declined"
+
+
+@attrs.frozen
+class ForwardedReply:
+    """Response to a forwarded request.
+
+    Attributes:
+        state: What the VM did.
+        may_have_run: Whether a leaf may have run the request.
+        version: Configuration version of the VM.
+        status: HTTP status for the caller.
+        headers: HTTP headers for the caller.
+        body: Body for the caller.
+    """
+
+    state: ForwardState
+    may_have_run: bool
+    version: int
+    status: int
+    headers: Headers
+    body: bytes
+
+
+@attrs.frozen
+class ForwardFailed:
+    """No VM served a forwarded request.
+
+    Attributes:
+        may_have_run: Whether a leaf may have run it.
+    """
+
+    may_have_run: bool
--- a/src/oriolegate/models/site.py
+++ b/src/oriolegate/models/site.py
@@ -147,6 +147,8 @@
         port: Internal port.
         renewed_wall_ms: Unix time in ms at which the VM last wrote the entry.
         link_mbps: Rate of the VM's link; 0 in entries of earlier versions.
+        accepts_forwards: Whether the VM serves requests that other VMs forward
+            to it; False in entries of earlier versions.
     """
 
     vm: str
@@ -155,6 +157,7 @@
     port: int
     renewed_wall_ms: int
     link_mbps: float = 0.0
+    accepts_forwards: bool = False
 
 
 @attrs.frozen
--- a/src/oriolegate/network/caller_server.py
+++ b/src/oriolegate/network/caller_server.py
@@ -26,6 +26,9 @@
     b"HTTP/1.1 408 Request Timeout\r\n"
     b"Content-Length: 0\r\nConnection: close\r\n\r\n"
 )
+# Most bytes of a request that another VM forwards, beside which its headers
+# need little.
+MAX_FORWARDED_BYTES = 4 * 1024 * 1024
 # Longer than the interval of the balancer, which sends a request every second.
 INTERNAL_IDLE_TIMEOUT_S = 60
 
@@ -34,12 +37,13 @@
     """Serves callers' requests.
 
     Attributes:
-        leaving: Whether this VM is stopping, so that connections of callers
-            are closed after the next response.
         limits: Limits for new connections and request bodies.
     """
 
-    leaving: bool
+    @property
+    def closes_connections(self) -> bool:
+        """Whether connections are closed after their next response."""
+        ...
 
     @property
     def limits(self) -> CallerLimits:
@@ -59,8 +63,8 @@
         ...
 
 
-class CallerHttpRequest(http.Request):
-    """One HTTP request of a caller.
+class BoundedRequest(http.Request):
+    """An HTTP request whose body is kept in memory, up to a limit.
 
     Attributes:
         too_large: Whether the body exceeds the limit.
@@ -68,17 +72,20 @@
         open: Whether the response is still to be sent.
     """
 
-    handler: CallerHandler
-
     def __init__(self, *args: Any, **kwargs: Any) -> None:
         super().__init__(*args, **kwargs)
         self.too_large = False
         self.received_bytes = 0
         self.open = False
 
+    @property
+    def max_body_bytes(self) -> int:
+        """Longest body."""
+        raise NotImplementedError
+
     def gotLength(self, length: int | None) -> None:  # noqa: N802
         """Check the Content-Length before the body is stored."""
-        if length is not None and length > self.handler.limits.body_bytes:
+        if length is not None and length > self.max_body_bytes:
             self.too_large = True
         # Twisted stores bodies of unknown or large size in a file. This class
         # limits bodies, so it passes a length of 0 to keep them in memory.
@@ -87,11 +94,26 @@
     def handleContentChunk(self, data: bytes) -> None:  # noqa: N802
         """Store part of the body unless the body exceeds the limit."""
         self.received_bytes += len(data)
-        if self.received_bytes > self.handler.limits.body_bytes:
+        if self.received_bytes > self.max_body_bytes:
             self.too_large = True
         if not self.too_large:
             super().handleContentChunk(data)
 
+    def read_body(self) -> bytes:
+        """Return the complete body."""
+        return bytes(self.content.read())
+
+
+class CallerHttpRequest(BoundedRequest):
+    """One HTTP request of a caller."""
+
+    handler: CallerHandler
+
+    @property
+    def max_body_bytes(self) -> int:
+        """Longest body that the configuration allows."""
+        return self.handler.limits.body_bytes
+
     def requestReceived(  # noqa: N802
         self, command: bytes, path: bytes, version: bytes
     ) -> None:
@@ -119,10 +141,6 @@
             for value in values
         )
 
-    def read_body(self) -> bytes:
-        """Return the complete body."""
-        return bytes(self.content.read())
-
     def reply(self, status: int, headers: Headers, body: bytes) -> None:
         """Send the response, unless it was sent or the caller disconnected."""
         if not self.open:
@@ -134,7 +152,7 @@
         self.responseHeaders.setRawHeaders(
             b"content-length", [b"%d" % len(body)]
         )
-        if self.handler.leaving:
+        if self.handler.closes_connections:
             self.responseHeaders.setRawHeaders(b"connection", [b"close"])
             self.channel.persistent = False
         if body:
@@ -265,19 +283,50 @@
 Handle = Callable[[bytes, Respond], None]
 
 
-class InternalRequest(http.Request):
-    """A request from the balancer, a metrics reader or another VM."""
+class InternalRequest(BoundedRequest):
+    """A request from the balancer, a metrics reader or another VM.
+
+    Attributes:
+        on_disconnected: Called if the connection is lost before the response.
+    """
 
     handle: Handle
+    handle_forwarded: "Callable[[InternalRequest], None] | None" = None
+    on_disconnected: Callable[[], None] | None = None
 
-    def process(self) -> None:
-        """Pass the request to `handle`, which may respond later."""
-        type(self).handle(self.uri, self.respond)
+    @property
+    def max_body_bytes(self) -> int:
+        """Longest body."""
+        return MAX_FORWARDED_BYTES
+
+    def requestReceived(  # noqa: N802
+        self, command: bytes, path: bytes, version: bytes
+    ) -> None:
+        """Pass the request on; don't parse its body."""
+        self.content.seek(0, 0)
+        self.method = command
+        self.uri = path
+        self.clientproto = version
+        self.open = True
+        handle_forwarded = type(self).handle_forwarded
+        if command == b"POST" and handle_forwarded is not None:
+            handle_forwarded(self)
+        else:
+            type(self).handle(path, self.respond)
+
+    def connectionLost(self, reason: Any) -> None:  # noqa: N802
+        """Notify the handler if a response was still to be sent."""
+        was_open = self.open
+        self.open = False
+        super().connectionLost(reason)
+        if was_open and self.on_disconnected is not None:
+            self.on_disconnected()
 
     def respond(self, status: int, body: bytes) -> None:
         """Send the response, unless the connection is closed."""
-        if self._disconnected:
+        if not self.open:
             return
+        self.open = False
         self.setResponseCode(status)
         self.setHeader(b"content-length", b"%d" % len(body))
         self.write(body)
@@ -289,18 +338,25 @@
 
     noisy = False
 
-    def __init__(self, handle: Handle) -> None:
+    def __init__(
+        self,
+        handle: Handle,
+        handle_forwarded: Callable[[InternalRequest], None] | None = None,
+    ) -> None:
         """Create the factory.
 
         Args:
             handle: Called with path and query, and with a function that sends
                 the response, given its status and body.
+            handle_forwarded: Called with each POST request, if not None.
         """
 
         class BoundRequest(InternalRequest):
             """Request class bound to this factory's function."""
 
         BoundRequest.handle = staticmethod(handle)
+        if handle_forwarded is not None:
+            BoundRequest.handle_forwarded = staticmethod(handle_forwarded)
         self.request_class = BoundRequest
 
     def buildProtocol(self, addr: Any) -> http.HTTPChannel:  # noqa: N802
--- a/src/oriolegate/placement/leaf_directory.py
+++ b/src/oriolegate/placement/leaf_directory.py
@@ -51,6 +51,7 @@
 class NoLeaf(enum.Enum):
     """Why no leaf can take a request now.
 
+    UNREACHABLE: each leaf failed, and no check has found it healthy since.
     UNSURE: this process was paused and the view is not confirmed yet.
     """
 
@@ -59,6 +60,7 @@
     ALL_FULL = "all leafs full"
     ALL_LIMITED = "all leafs at their limits"
     ALL_QUIET = "all leafs want no requests"
+    UNREACHABLE = "no leaf reachable"
     UNSURE = "just resumed"
 
 
@@ -395,6 +397,8 @@
         ]
         if not usable:
             return NoLeaf.NONE_LEFT
+        if all(record.suspect for record in usable):
+            return NoLeaf.UNREACHABLE
         warm = [record for record in usable if not record.is_cold(now_ms)]
         free = [
             record
--- a/src/oriolegate/platform/member_entry.py
+++ b/src/oriolegate/platform/member_entry.py
@@ -19,6 +19,7 @@
         "port": entry.port,
         "renewed_wall_ms": entry.renewed_wall_ms,
         "link_mbps": entry.link_mbps,
+        "accepts_forwards": entry.accepts_forwards,
     }
 
 
@@ -30,6 +31,14 @@
     return float(value)
 
 
+def _accepts_forwards(fields: dict[str, Any]) -> bool:
+    # Earlier versions don't write the field.
+    value = fields.get("accepts_forwards", False)
+    if not isinstance(value, bool):
+        raise MalformedEntryError("`accepts_forwards` is not a boolean")
+    return value
+
+
 def decode(content: Any) -> MemberEntry:
     """Decode the content of a store entry.
 
@@ -46,4 +55,5 @@
             fields, "renewed_wall_ms", int
         ),
         link_mbps=_link_mbps(fields),
+        accepts_forwards=_accepts_forwards(fields),
     )
--- a/src/oriolegate/runtime/contact_watch.py
+++ b/src/oriolegate/runtime/contact_watch.py
@@ -1,7 +1,10 @@
 """Watches whether this VM reaches leafs, and probes them while it doesn't."""
 
+from collections.abc import Callable
+
 from oriolegate import structured_log
 from oriolegate.clock import Clock
+from oriolegate.forwarding.target_choice import TargetChoice
 from oriolegate.metrics import MetricsRegistry
 from oriolegate.placement.leaf_contact import LeafContact
 from oriolegate.placement.leaf_directory import LeafDirectory
@@ -18,6 +21,8 @@
         was_cut_off: Whether the VM was cut off at the last check.
         prober: Probes leafs; while this VM is cut off, its callers' requests
             go to other VMs, and only probes show that leafs respond again.
+        targets: VMs that serve the callers of this one while it is cut off.
+        on_cut_off: Called when the VM loses its leafs.
     """
 
     def __init__(
@@ -27,6 +32,7 @@
         directory: LeafDirectory,
         prober: LeafProber,
         confirmation: DownConfirmation,
+        targets: TargetChoice,
         metrics: MetricsRegistry,
     ) -> None:
         self.clock = clock
@@ -34,7 +40,9 @@
         self.directory = directory
         self.prober = prober
         self.confirmation = confirmation
+        self.targets = targets
         self.was_cut_off = False
+        self.on_cut_off: Callable[[], None] = lambda: None
         metrics.gauge("oriolegate_cut_off", lambda: int(self.is_cut_off()))
         metrics.gauge(
             "oriolegate_suspected_leafs",
@@ -47,6 +55,17 @@
             self.clock.now_ms(), len(self.directory.leafs)
         )
 
+    def is_isolated(self) -> bool:
+        """Return whether this VM reaches neither leafs nor other VMs.
+
+        Its callers are then served better if they connect to another VM. While
+        other VMs answer that they are cut off as well, this one stays in
+        rotation, since otherwise no VM might be left.
+        """
+        return self.is_cut_off() and self.targets.is_isolated(
+            self.clock.now_ms()
+        )
+
     def check(self) -> None:
         """Log changes, probe leafs, and confirm which leafs are down."""
         now_ms = self.clock.now_ms()
@@ -71,4 +90,5 @@
             failed_probes=self.contact.failed_probes,
             known=len(self.directory.leafs),
             since_ms=round(now_ms - self.contact.last_response_ms),
-        ).warning("no leaf responds to this VM")
+        ).warning("no leaf responds to this VM; other VMs serve its callers")
+        self.on_cut_off()
--- a/src/oriolegate/runtime/exchange_runner.py
+++ b/src/oriolegate/runtime/exchange_runner.py
@@ -24,14 +24,20 @@
 from oriolegate.exchange.messages import SendOutcome
 from oriolegate.exchange.messages import SendToLeaf
 from oriolegate.exchange.part_sender import ExchangeContext
+from oriolegate.forwarding.forwarded_call import ForwardFailed
+from oriolegate.forwarding.forwarded_call import ForwardState
 from oriolegate.models.site import CallerLimits
+from oriolegate.models.site import Route
 from oriolegate.network.caller_server import CallerHttpRequest
 from oriolegate.network.leaf_client import LeafClient
 from oriolegate.network.leaf_client import OpenSend
 from oriolegate.platform import caller_protocol
 from oriolegate.platform import leaf_protocol
 from oriolegate.platform.leaf_protocol import NoAnswer
+from oriolegate.routing.route_table import RouteTable
+from oriolegate.runtime.forward_server import ForwardedRequest
 from oriolegate.runtime.leaf_checker import LeafChecker
+from oriolegate.runtime.request_handover import RequestHandover
 from oriolegate.runtime.request_log import RequestLog
 from oriolegate.runtime.site_sinks import ConfigurationSink
 
@@ -40,6 +46,7 @@
 MS_PER_S = 1_000.0
 STATUS_NOT_FOUND = 404
 STATUS_TOO_LARGE = 413
+STATUS_BAD_GATEWAY = 502
 STATUS_UNAVAILABLE = 503
 # Retry-After while no configuration is loaded. Loading takes about 100 ms
 # after a start. If none is loaded after STORE_UNAVAILABLE_AFTER_MS, the
@@ -51,6 +58,8 @@
 # minutes, and an operator may have acted on the crashes after this time.
 CRASHING_RETRY_MS = 60_000.0
 
+Request = CallerHttpRequest | ForwardedRequest
+
 
 @attrs.define(eq=False)
 class RunningExchange:
@@ -58,7 +67,8 @@
 
     Attributes:
         exchange: State machine that makes the decisions.
-        request: The caller's request.
+        request: The request of a caller, or of a VM that forwarded it.
+        was_handed_over: Whether other VMs were asked to serve the request.
         head: Encoded request head, shared by all sends.
         sends: Open sends by number.
         timer: Timer for the next `Exchange.on_timer`, or None.
@@ -66,8 +76,9 @@
     """
 
     exchange: Exchange
-    request: CallerHttpRequest
+    request: Request
     head: bytes
+    was_handed_over: bool = False
     sends: dict[int, OpenSend] = attrs.field(factory=dict)
     timer: Any = None
     timer_at_ms: float = 0.0
@@ -77,13 +88,15 @@
     """Serves callers' requests.
 
     Attributes:
-        leaving: Whether this VM is stopping; replies then close the caller's
-            connection.
+        leaving: Whether this VM is stopping.
+        is_isolated: Returns whether this VM reaches neither leafs nor other
+            VMs.
         limits: Limits on callers' requests.
         on_arrival: Called before each request is handled.
         on_reports_withdrawn: Called with the names of crash reports about a
             request that has succeeded.
         running: Open exchanges by request.
+        handover: Hands requests over to other VMs.
     """
 
     def __init__(
@@ -96,6 +109,7 @@
         checker: LeafChecker,
         request_log: RequestLog,
         crashes: CrashLedger,
+        handover: RequestHandover,
     ) -> None:
         self.reactor = reactor
         self.clock = clock
@@ -107,11 +121,18 @@
         self.request_log = request_log
         self.started_ms = clock.now_ms()
         self.leaving = False
+        self.is_isolated: Callable[[], bool] = lambda: False
         self.on_arrival: Callable[[], None] = lambda: None
         self.on_reports_withdrawn: Callable[[tuple[str, ...]], None] = (
             lambda names: None
         )
-        self.running: dict[CallerHttpRequest, RunningExchange] = {}
+        self.running: dict[Request, RunningExchange] = {}
+        self.handover = handover
+
+    @property
+    def closes_connections(self) -> bool:
+        """Whether callers should open their next connection, to another VM."""
+        return self.leaving or self.is_isolated()
 
     @property
     def limits(self) -> CallerLimits:
@@ -146,8 +167,20 @@
         if route is None:
             self._refuse(request, call, STATUS_NOT_FOUND, "no route")
             return
+        if self._refuse_crashing(request, call):
+            return
+        if self.handover.must_forward(
+            table.configuration.version
+        ) and self._hand_over_new(request, call, route, table):
+            return
+        self._serve(request, call, route, table)
+
+    def _refuse_crashing(self, request: Request, call: CallerCall) -> bool:
+        """Refuse a request that crashes leafs; return whether it does."""
         suspicion = self.crashes.suspicion(call)
-        if suspicion is not None and suspicion.must_refuse:
+        if suspicion is None:
+            return False
+        if suspicion.must_refuse:
             self._refuse(
                 request,
                 call,
@@ -155,23 +188,158 @@
                 "upstreams fall when they run it",
                 CRASHING_RETRY_MS,
             )
-            return
-        if suspicion is not None:
-            self.request_log.log_suspicious(call, suspicion)
+            return True
+        self.request_log.log_suspicious(call, suspicion)
+        return False
+
+    def _serve(
+        self,
+        request: Request,
+        call: CallerCall,
+        route: Route,
+        table: RouteTable,
+        *,
+        was_handed_over: bool = False,
+    ) -> None:
+        """Send a request to leafs."""
+        now_ms = self.clock.now_ms()
+        arrived_ms = now_ms
+        is_counted = False
+        if isinstance(request, ForwardedRequest):
+            forwarded = request.forwarded
+            arrived_ms -= forwarded.elapsed_ms
+            is_counted = forwarded.is_counted
+            attempts = max(1, route.attempts - forwarded.used_attempts)
+            route = attrs.evolve(route, attempts=attempts)
         exchange = Exchange(
             call,
             route,
             table.services(route),
             table.configuration.version,
             self.context,
-            now_ms,
+            arrived_ms,
+            is_counted=is_counted,
         )
         running = RunningExchange(
-            exchange, request, leaf_protocol.request_head(call)
+            exchange,
+            request,
+            leaf_protocol.request_head(call),
+            was_handed_over,
         )
         self.running[request] = running
         self._execute(running, exchange.start(now_ms))
 
+    # Requests that other VMs forward here
+
+    def serve_forwarded(self, request: ForwardedRequest) -> None:
+        """Serve a request of another VM, or decline it."""
+        self.on_arrival()
+        forwarded = request.forwarded
+        call = forwarded.call
+        table = self.configuration.table
+        version = table.configuration.version if table else 0
+        request.version = version
+        if table is None or self.leaving or version < forwarded.min_version:
+            request.decline()
+            return
+        route = table.match(call.host, call.path)
+        if route is None:
+            self._refuse(request, call, STATUS_NOT_FOUND, "no route")
+        elif self.handover.is_cut_off():
+            request.decline(ForwardState.UNREACHABLE)
+        elif not self._refuse_crashing(request, call):
+            self._serve(request, call, route, table)
+
+    def cancel_forwarded(self, request: ForwardedRequest) -> None:
+        """Stop a forwarded request whose VM has disconnected."""
+        self._cancel(request)
+
+    # Requests that this VM hands over to others
+
+    def _hand_over_new(
+        self,
+        request: CallerHttpRequest,
+        call: CallerCall,
+        route: Route,
+        table: RouteTable,
+    ) -> bool:
+        """Hand over a request that no leaf has, if another VM may help."""
+        targets = self.handover.forwarder.find_targets(route)
+        if not targets:
+            return False
+
+        def on_failed(failed: ForwardFailed) -> None:
+            if failed.may_have_run:
+                self._reply_not_served(request, call)
+            else:
+                # This VM may be wrong about its leafs.
+                self._serve(request, call, route, table, was_handed_over=True)
+
+        self.handover.forward(
+            request,
+            self.handover.describe(call, table.configuration.version),
+            route,
+            table.services(route),
+            targets,
+            on_failed,
+        )
+        return True
+
+    def _hand_over_failed(
+        self, running: RunningExchange, refusal: Refuse
+    ) -> bool:
+        """Hand over a request whose leafs this VM can't reach.
+
+        Returns:
+            Whether another VM may help.
+        """
+        exchange = running.exchange
+        request = running.request
+        if isinstance(request, ForwardedRequest) or running.was_handed_over:
+            return False
+        now_ms = self.clock.now_ms()
+        targets = self.handover.forwarder.find_targets(exchange.route)
+        if (
+            not targets
+            or not exchange.may_be_forwarded
+            or not exchange.charge_forward(now_ms)
+        ):
+            return False
+
+        def on_failed(failed: ForwardFailed) -> None:
+            if failed.may_have_run:
+                self._reply_not_served(request, exchange.call)
+            else:
+                self._reply(request, refusal, exchange.call.attempt_id)
+
+        self.request_log.log_handed_over(now_ms, exchange, refusal)
+        self.handover.forward(
+            request,
+            self.handover.describe(
+                exchange.call,
+                exchange.version,
+                now_ms - exchange.deadlines.arrived_ms,
+                exchange.used_attempts,
+            ),
+            exchange.route,
+            tuple(part.service for part in exchange.parts),
+            targets,
+            on_failed,
+        )
+        return True
+
+    def _reply_not_served(
+        self, request: CallerHttpRequest, call: CallerCall
+    ) -> None:
+        refusal = Refuse(STATUS_BAD_GATEWAY, "no answer of the VM that ran it")
+        self._reply(request, refusal, call.attempt_id)
+
+    def on_cut_off(self) -> None:
+        """Hand over open requests, as this VM reaches no leaf any more."""
+        now_ms = self.clock.now_ms()
+        for running in list(self.running.values()):
+            self._execute(running, running.exchange.on_cut_off(now_ms))
+
     def _no_configuration_retry_ms(
         self, now_ms: float, call: CallerCall
     ) -> float:
@@ -192,6 +360,10 @@
 
     def caller_gone(self, request: CallerHttpRequest) -> None:
         """Stop working on a request whose caller disconnected."""
+        self.handover.cancel(request)
+        self._cancel(request)
+
+    def _cancel(self, request: Request) -> None:
         running = self.running.get(request)
         if running is not None:
             now_ms = self.clock.now_ms()
@@ -220,10 +392,11 @@
         now_ms = self.clock.now_ms()
         for running in list(self.running.values()):
             self._execute(running, running.exchange.on_process_end(now_ms))
+        self.handover.end_all()
 
     def _refuse(
         self,
-        request: CallerHttpRequest,
+        request: Request,
         call: CallerCall,
         status: int,
         reason: str,
@@ -233,10 +406,10 @@
         self.request_log.log_refused(call, refusal)
         self._reply(request, refusal, call.attempt_id)
 
-    def _reply(
-        self, request: CallerHttpRequest, reply: Reply, attempt_id: str
-    ) -> None:
+    def _reply(self, request: Request, reply: Reply, attempt_id: str) -> None:
         response = caller_protocol.encode_reply(reply, attempt_id)
+        if isinstance(request, ForwardedRequest) and isinstance(reply, Refuse):
+            request.is_unreachable |= reply.is_unreachable
         request.reply(response.status, response.headers, response.body)
 
     def _execute(self, running: RunningExchange, effects: list[Effect]) -> None:
@@ -249,6 +422,10 @@
                     if open_send is not None:
                         self._record_abandoned_send(running.exchange, open_send)
                         self.client.abandon(open_send)
+                case Refuse(is_unreachable=True) if self._hand_over_failed(
+                    running, effect
+                ):
+                    pass
                 case RelayAnswer() | AnswerGathered() | Refuse():
                     call = running.exchange.call
                     self._reply(running.request, effect, call.attempt_id)
@@ -368,6 +545,9 @@
     def _log_reply(self, running: RunningExchange) -> None:
         reply = running.exchange.reply
         if reply is not None:
+            caller_vm = None
+            if isinstance(running.request, ForwardedRequest):
+                caller_vm = running.request.forwarded.vm
             self.request_log.log_ended(
-                self.clock.now_ms(), running.exchange, reply
+                self.clock.now_ms(), running.exchange, reply, caller_vm
             )
--- a/src/oriolegate/runtime/gateway.py
+++ b/src/oriolegate/runtime/gateway.py
@@ -99,7 +99,10 @@
         )
         registry.gauge("oriolegate_leafs", lambda: len(parts.directory.leafs))
         registry.gauge(
-            "oriolegate_requests_open", lambda: len(parts.runner.running)
+            "oriolegate_requests_open",
+            lambda: (
+                len(parts.runner.running) + len(parts.runner.handover.forwards)
+            ),
         )
         registry.gauge(
             "oriolegate_slow_leafs",
@@ -120,9 +123,11 @@
     @property
     def ready(self) -> bool:
         """Whether the balancer should send requests to this VM."""
-        return self.stopping_since_ms is None and all(
-            follower.complete for follower in self.parts.followers.values()
-        )
+        if self.stopping_since_ms is not None:
+            return False
+        if self.parts.contact_watch.is_isolated():
+            return False
+        return all(f.complete for f in self.parts.followers.values())
 
     def start(self) -> None:
         """Open the ports and start following the store."""
@@ -144,7 +149,9 @@
             ),
             listen(
                 settings.internal_ports[0],
-                InternalHttpFactory(self._answer_internal),
+                InternalHttpFactory(
+                    self._answer_internal, self.parts.forward_server.handle
+                ),
                 interface=settings.host,
             ),
         ]
@@ -273,7 +280,8 @@
         if since_ms >= ACCEPT_FRACTION * grace_ms:
             self._stop_accepting()
         connections = self.caller_factory.close_idle()
-        if not connections or since_ms >= EXIT_FRACTION * grace_ms:
+        forwarded = len(self.parts.forward_server.open_requests)
+        if not connections + forwarded or since_ms >= EXIT_FRACTION * grace_ms:
             self._end(since_ms, connections)
 
     def _stop_accepting(self) -> None:
--- a/src/oriolegate/runtime/gateway_composition.py
+++ b/src/oriolegate/runtime/gateway_composition.py
@@ -16,6 +16,7 @@
 from oriolegate.following.source_choice import SourceChoice
 from oriolegate.following.store_era import StoreEra
 from oriolegate.following.view_cache import ViewCache
+from oriolegate.forwarding.target_choice import TargetChoice
 from oriolegate.metrics import MetricsRegistry
 from oriolegate.models.leaf_notice import LeafNotice
 from oriolegate.models.site import MemberEntry
@@ -31,11 +32,14 @@
 from oriolegate.runtime.crash_reporter import CrashReporter
 from oriolegate.runtime.down_confirmation import DownConfirmation
 from oriolegate.runtime.exchange_runner import ExchangeRunner
+from oriolegate.runtime.forward_server import ForwardServer
 from oriolegate.runtime.guarded_sink import GuardedSink
 from oriolegate.runtime.leaf_checker import LeafChecker
 from oriolegate.runtime.leaf_prober import LeafProber
 from oriolegate.runtime.member_registration import MemberRegistration
 from oriolegate.runtime.peer_feed import PeerFeed
+from oriolegate.runtime.request_forwarder import RequestForwarder
+from oriolegate.runtime.request_handover import RequestHandover
 from oriolegate.runtime.request_log import RequestLog
 from oriolegate.runtime.site_sinks import ConfigurationSink
 from oriolegate.runtime.site_sinks import CrashSink
@@ -78,6 +82,7 @@
         configuration: Configuration in force.
         slow_runner: Exchanges with peers which leafs are slow.
         contact_watch: Watches whether this VM reaches leafs.
+        forward_server: Serves requests that other VMs forward.
     """
 
     directory: LeafDirectory
@@ -94,6 +99,7 @@
     configuration: ConfigurationSink
     slow_runner: SlowLeafRunner
     contact_watch: ContactWatch
+    forward_server: ForwardServer
 
 
 def build_parts(
@@ -123,6 +129,9 @@
     )
     members = MemberRegistration(reactor, clock, store_client, settings, rng)
     choice = SourceChoice(settings.vm)
+    targets = TargetChoice(
+        settings.vm, settings.data_centre, settings.regions, rng
+    )
 
     def on_members_changed(entries: tuple[MemberEntry, ...]) -> None:
         directory.members = frozenset(
@@ -142,6 +151,7 @@
                 if entry.data_centre == settings.data_centre
             }
         )
+        targets.set_members(entries)
         members.on_members_listed(entries)
 
     sinks: dict[Collection, CollectionSink] = {
@@ -219,6 +229,17 @@
 
     leaf_client.on_notice = on_notice
     checker = LeafChecker(reactor, clock, leaf_client, directory, rng)
+    confirmation = DownConfirmation(clock, leaf_client.contact)
+    contact_watch = ContactWatch(
+        clock,
+        leaf_client.contact,
+        directory,
+        LeafProber(reactor, clock, leaf_client, directory, rng),
+        confirmation,
+        targets,
+        registry,
+    )
+    request_log = RequestLog(configuration, registry)
     runner = ExchangeRunner(
         reactor,
         clock,
@@ -226,17 +247,19 @@
         ExchangeContext(directory, budget, RouteLatencies()),
         configuration,
         checker,
-        RequestLog(configuration, registry),
+        request_log,
         crashes,
+        RequestHandover(
+            clock,
+            RequestForwarder(reactor, clock, targets, budget, registry),
+            request_log,
+            contact_watch.is_cut_off,
+        ),
     )
-    confirmation = DownConfirmation(clock, leaf_client.contact)
-    contact_watch = ContactWatch(
-        clock,
-        leaf_client.contact,
-        directory,
-        LeafProber(reactor, clock, leaf_client, directory, rng),
-        confirmation,
-        registry,
+    contact_watch.on_cut_off = runner.on_cut_off
+    runner.is_isolated = contact_watch.is_isolated
+    forward_server = ForwardServer(
+        runner.serve_forwarded, runner.cancel_forwarded
     )
     checker.on_liveness_known = confirmation.on_checked
     confirmation.on_liveness_known = reporter.on_liveness_known
@@ -256,4 +279,5 @@
         configuration=configuration,
         slow_runner=slow_runner,
         contact_watch=contact_watch,
+        forward_server=forward_server,
     )
--- a/src/oriolegate/runtime/member_registration.py
+++ b/src/oriolegate/runtime/member_registration.py
@@ -87,6 +87,7 @@
                 settings.internal_ports[0],
                 self.clock.wall_ms(),
                 settings.link_mbps,
+                accepts_forwards=True,
             )
         )
 
--- /dev/null
+++ b/src/oriolegate/runtime/request_forwarder.py
@@ -0,0 +1,291 @@
+"""Forwards requests that this VM can't serve to VMs that may."""
+
+from collections.abc import Callable
+from typing import Any
+
+import attrs
+
+from oriolegate import structured_log
+from oriolegate.clock import Clock
+from oriolegate.exceptions import PeerMessageError
+from oriolegate.forwarding.forward_plan import ForwardPlan
+from oriolegate.forwarding.forwarded_call import ForwardedCall
+from oriolegate.forwarding.forwarded_call import ForwardedReply
+from oriolegate.forwarding.forwarded_call import ForwardFailed
+from oriolegate.forwarding.forwarded_call import ForwardState
+from oriolegate.forwarding.target_choice import TargetChoice
+from oriolegate.metrics import MetricsRegistry
+from oriolegate.models.site import Route
+from oriolegate.network import forward_wire
+from oriolegate.network.http_connection import Answered
+from oriolegate.network.http_connection import Broken
+from oriolegate.network.http_connection import HttpCall
+from oriolegate.network.http_connection import NotSent
+from oriolegate.network.http_connection import Result
+from oriolegate.network.http_pool import HttpPool
+from oriolegate.network.receive_limits import ReceiveBuffer
+from oriolegate.network.receive_limits import ReceiveLimits
+from oriolegate.retries.retry_budget import RetryBudget
+
+log = structured_log.get_logger("forwards")
+
+MS_PER_S = 1_000.0
+# Timeouts of opening a connection to a VM of this region and of another.
+NEAR_CONNECT_TIMEOUT_S = 0.1
+FAR_CONNECT_TIMEOUT_S = 0.2
+# Network latency of the answer, kept free before the deadline.
+NEAR_MARGIN_MS = 2.0
+FAR_MARGIN_MS = 25.0
+# Wait after the deadline for an answer that was sent at the deadline.
+ANSWER_GRACE_MS = 15.0
+MAX_ANSWER_BYTES = 2 * 1024 * 1024
+MAX_BUFFERED_BYTES = 4 * 1024 * 1024
+
+Outcome = ForwardedReply | ForwardFailed
+
+
+@attrs.define(eq=False)
+class OpenForward:
+    """A forwarded request without an outcome.
+
+    Attributes:
+        forwarded: The request.
+        route: Its route.
+        services: Services that its parts need.
+        plan: Decides which VM is next.
+        arrived_ms: When the request arrived.
+        patience_ms: How long one VM may take, if another may be asked then.
+        done: Called with the outcome; not called after a cancel.
+        tried: VMs that were asked, in order, with what became of it.
+        http_call: Call to the VM that is asked, or None.
+        timer: Timeout of that call, or None.
+    """
+
+    forwarded: ForwardedCall
+    route: Route
+    services: tuple[str, ...]
+    plan: ForwardPlan
+    arrived_ms: float
+    patience_ms: float
+    done: Callable[[Outcome], None]
+    tried: list[str] = attrs.field(factory=list)
+    http_call: HttpCall | None = None
+    timer: Any = None
+
+
+class RequestForwarder:
+    """Sends requests to other VMs, one VM after the other.
+
+    Attributes:
+        choice: Chooses the VMs.
+        budget: Budget for requests that are sent again after no answer.
+        pools: Connections by VM.
+        seen_version: Newest configuration version that an answer was given by;
+            later requests must not be served by an older one.
+    """
+
+    def __init__(
+        self,
+        reactor: Any,
+        clock: Clock,
+        choice: TargetChoice,
+        budget: RetryBudget,
+        metrics: MetricsRegistry,
+    ) -> None:
+        self.reactor = reactor
+        self.clock = clock
+        self.choice = choice
+        self.budget = budget
+        self.metrics = metrics
+        self.pools: dict[str, HttpPool] = {}
+        self.limits = ReceiveLimits(
+            MAX_ANSWER_BYTES, ReceiveBuffer(MAX_BUFFERED_BYTES)
+        )
+        self.seen_version = 0
+
+    def find_targets(self, route: Route) -> tuple[str, ...]:
+        """Return the VMs that may serve a request of a route, in order."""
+        return self.choice.choose(
+            self.clock.now_ms(), route.name, route.home_regions
+        )
+
+    def send(self, open_forward: OpenForward) -> None:
+        """Send a request to the next VM that may serve it."""
+        now_ms = self.clock.now_ms()
+        vm = open_forward.plan.next_vm(now_ms)
+        while vm is not None and vm not in self.choice.members:
+            vm = open_forward.plan.next_vm(now_ms)
+        if vm is None:
+            self._give_up(open_forward)
+        else:
+            self._send_to(open_forward, vm)
+
+    def cancel(self, open_forward: OpenForward) -> None:
+        """Stop a forwarded request, at the VM that runs it too."""
+        self._stop_timer(open_forward)
+        call, open_forward.http_call = open_forward.http_call, None
+        if call is not None:
+            self.pools[open_forward.plan.vm].cancel(call)
+
+    def close(self) -> None:
+        """Close idle connections."""
+        for pool in self.pools.values():
+            pool.close()
+
+    def _get_pool(self, vm: str) -> HttpPool:
+        entry = self.choice.members[vm]
+        address = (entry.host, entry.port)
+        pool = self.pools.get(vm)
+        if pool is None or pool.address != address:
+            timeout_s = FAR_CONNECT_TIMEOUT_S
+            if self.choice.is_near(vm):
+                timeout_s = NEAR_CONNECT_TIMEOUT_S
+            pool = HttpPool(
+                self.reactor, self.clock, address, timeout_s, self.limits
+            )
+            self.pools[vm] = pool
+        return pool
+
+    def _give_up(self, open_forward: OpenForward) -> None:
+        if open_forward.tried:
+            self.choice.record_none_served(
+                self.clock.now_ms(), open_forward.route.name
+            )
+        self._finish(
+            open_forward, ForwardFailed(open_forward.plan.may_have_run)
+        )
+
+    def _finish(self, open_forward: OpenForward, outcome: Outcome) -> None:
+        result = "failed"
+        if isinstance(outcome, ForwardedReply):
+            result = "answered"
+        self.metrics.counter("oriolegate_forwards_total", result=result).add()
+        open_forward.done(outcome)
+
+    def _send_to(self, open_forward: OpenForward, vm: str) -> None:
+        now_ms = self.clock.now_ms()
+        plan = open_forward.plan
+        is_near = self.choice.is_near(vm)
+        margin_ms = NEAR_MARGIN_MS if is_near else FAR_MARGIN_MS
+        call = open_forward.forwarded.call
+        if call.time_left_ms is not None:
+            call = attrs.evolve(
+                call, time_left_ms=call.time_left_ms - margin_ms
+            )
+        forwarded = attrs.evolve(
+            open_forward.forwarded,
+            call=call,
+            elapsed_ms=now_ms - open_forward.arrived_ms,
+        )
+        pool = self._get_pool(vm)
+
+        def on_result(result: Result) -> None:
+            self._stop_timer(open_forward)
+            open_forward.http_call = None
+            self._on_result(open_forward, vm, result)
+
+        open_forward.http_call = HttpCall(
+            forward_wire.encode_call(*pool.address, forwarded),
+            on_result,
+            accepts=lambda response: True,
+        )
+        limit_ms = plan.deadline_at_ms - now_ms + ANSWER_GRACE_MS
+        if plan.repeatable and plan.untried:
+            limit_ms = min(limit_ms, open_forward.patience_ms)
+        open_forward.timer = self.reactor.callLater(
+            limit_ms / MS_PER_S, self._on_timeout, open_forward
+        )
+        pool.send(open_forward.http_call)
+
+    def _stop_timer(self, open_forward: OpenForward) -> None:
+        if open_forward.timer is not None and open_forward.timer.active():
+            open_forward.timer.cancel()
+        open_forward.timer = None
+
+    def _on_timeout(self, open_forward: OpenForward) -> None:
+        vm = open_forward.plan.vm
+        was_sent = (
+            open_forward.http_call is not None
+            and open_forward.http_call.connection is not None
+        )
+        self.cancel(open_forward)
+        if was_sent:
+            self._on_lost(open_forward, vm, "no answer in time")
+        else:
+            self._on_unsent(open_forward, vm, "no connection in time")
+
+    def _on_result(
+        self,
+        open_forward: OpenForward,
+        vm: str,
+        result: Result,
+    ) -> None:
+        match result:
+            case NotSent(detail):
+                self._on_unsent(open_forward, vm, detail)
+            case Broken(detail):
+                self._on_lost(open_forward, vm, detail)
+            case Answered(response):
+                try:
+                    reply = forward_wire.decode_reply(response.body)
+                except PeerMessageError as error:
+                    self._on_lost(open_forward, vm, error.message)
+                    return
+                self._on_reply(open_forward, vm, reply)
+
+    def _on_unsent(
+        self, open_forward: OpenForward, vm: str, detail: str
+    ) -> None:
+        self.choice.record_failure(self.clock.now_ms(), vm)
+        open_forward.tried.append(f"{vm}: {detail}")
+        self.send(open_forward)
+
+    def _on_lost(self, open_forward: OpenForward, vm: str, detail: str) -> None:
+        self.choice.record_failure(self.clock.now_ms(), vm)
+        open_forward.tried.append(f"{vm}: {detail}")
+        self._on_may_have_run(open_forward)
+        self.send(open_forward)
+
+    def _on_may_have_run(self, open_forward: OpenForward) -> None:
+        """Charge the next try, which may be an extra one for the leafs."""
+        open_forward.plan.on_lost()
+        now_ms = self.clock.now_ms()
+        has_budget = [
+            self.budget.take(service, now_ms, hedge=False)
+            for service in open_forward.services
+        ]
+        if not all(has_budget):
+            open_forward.plan.untried.clear()
+        open_forward.forwarded = attrs.evolve(
+            open_forward.forwarded,
+            used_attempts=open_forward.forwarded.used_attempts + 1,
+            is_counted=True,
+        )
+        if open_forward.forwarded.used_attempts >= open_forward.route.attempts:
+            open_forward.plan.untried.clear()
+
+    def _on_reply(
+        self,
+        open_forward: OpenForward,
+        vm: str,
+        reply: ForwardedReply,
+    ) -> None:
+        now_ms = self.clock.now_ms()
+        match reply.state:
+            case ForwardState.ANSWERED:
+                self.choice.record_served(now_ms, vm)
+                self.seen_version = max(self.seen_version, reply.version)
+                open_forward.tried.append(vm)
+                self._finish(open_forward, reply)
+                return
+            case ForwardState.UNREACHABLE:
+                self.choice.record_cut_off(now_ms, vm)
+                if reply.may_have_run:
+                    self._on_may_have_run(open_forward)
+            case ForwardState.DECLINED:
+                self.choice.record_declined(now_ms, vm)
+        self.metrics.counter(
+            "oriolegate_forward_declines_total", state=reply.state.value
+        ).add()
+        open_forward.tried.append(f"{vm}: {reply.state.value}")
+        self.send(open_forward)
--- a/src/oriolegate/runtime/request_log.py
+++ b/src/oriolegate/runtime/request_log.py
@@ -11,6 +11,7 @@
 from oriolegate.exchange.messages import RelayAnswer
 from oriolegate.exchange.messages import Reply
 from oriolegate.metrics import MetricsRegistry
+from oriolegate.runtime.request_forwarder import OpenForward
 from oriolegate.runtime.site_sinks import ConfigurationSink
 
 STATUS_REQUEST_TIMEOUT = 408
@@ -52,9 +53,21 @@
         ).info("request with crash reports accepted")
 
     def log_ended(
-        self, now_ms: float, exchange: Exchange, reply: Reply
+        self,
+        now_ms: float,
+        exchange: Exchange,
+        reply: Reply,
+        caller_vm: str | None = None,
     ) -> None:
-        """Log a request that was replied to or whose caller disconnected."""
+        """Log a request that was replied to or whose caller disconnected.
+
+        Args:
+            now_ms: Current time.
+            exchange: State of the request.
+            reply: The reply.
+            caller_vm: VM that forwarded the request, or None if it came from a
+                caller.
+        """
         took_ms = now_ms - exchange.deadlines.arrived_ms
         fields: dict[str, Any] = {
             "id": exchange.call.attempt_id,
@@ -65,6 +78,8 @@
             "left_ms": exchange.call.time_left_ms,
             "sends": exchange.send_count,
         }
+        if caller_vm is not None:
+            fields["caller_vm"] = caller_vm
         match reply:
             case AnswerGathered(_, signatures, missing):
                 status, text = 200, "answered with merged parts"
@@ -75,24 +90,82 @@
                 text = "refused" if status else "cancelled; caller disconnected"
                 fields |= {"reason": reason, "retry_after_ms": retry_after_ms}
         fields["status"] = status
-        if exchange.decisions:
-            fields["decisions"] = [
-                [d.after_ms, d.kind, d.service, d.leaf, d.detail]
-                for d in exchange.decisions
-            ]
-            self._count_decisions(exchange)
+        fields |= self._decision_fields(exchange)
         log.bind(**fields).info(f"request {text}")
         self._count(status)
         self.metrics.latency(
             "oriolegate_request_ms", route=exchange.route.name
         ).record(took_ms)
 
+    def log_handed_over(
+        self, now_ms: float, exchange: Exchange, refusal: Refuse
+    ) -> None:
+        """Log a request that is forwarded since its leafs are unreachable."""
+        log.bind(
+            id=exchange.call.attempt_id,
+            route=exchange.route.name,
+            took_ms=round(now_ms - exchange.deadlines.arrived_ms, 1),
+            sends=exchange.send_count,
+            reason=refusal.reason,
+            **self._decision_fields(exchange),
+        ).info("leafs of request unreachable; forwarding it to another VM")
+
+    def _decision_fields(self, exchange: Exchange) -> dict[str, Any]:
+        if not exchange.decisions:
+            return {}
+        self._count_decisions(exchange)
+        return {
+            "decisions": [
+                [d.after_ms, d.kind, d.service, d.leaf, d.detail]
+                for d in exchange.decisions
+            ]
+        }
+
     def _count_decisions(self, exchange: Exchange) -> None:
         for decision in exchange.decisions:
             self.metrics.counter(
                 "oriolegate_decisions_total", kind=decision.kind
             ).add()
 
+    def log_forwarded(
+        self, now_ms: float, open_forward: OpenForward, status: int | None
+    ) -> None:
+        """Log a request that other VMs were asked to serve.
+
+        Args:
+            now_ms: Current time.
+            open_forward: The request.
+            status: Status of the reply, or None if no VM served it.
+        """
+        call = open_forward.forwarded.call
+        route = open_forward.route.name
+        took_ms = now_ms - open_forward.arrived_ms
+        log.bind(
+            id=call.attempt_id,
+            route=route,
+            took_ms=round(took_ms, 1),
+            left_ms=call.time_left_ms,
+            vms=open_forward.tried,
+            status=status,
+        ).info("request forwarded")
+        if status is None:
+            return
+        self._count(status)
+        self.metrics.latency("oriolegate_request_ms", route=route).record(
+            took_ms
+        )
+
+    def log_forward_cancelled(
+        self, now_ms: float, open_forward: OpenForward
+    ) -> None:
+        """Log a forwarded request whose caller disconnected."""
+        log.bind(
+            id=open_forward.forwarded.call.attempt_id,
+            route=open_forward.route.name,
+            took_ms=round(now_ms - open_forward.arrived_ms, 1),
+            vms=[*open_forward.tried, open_forward.plan.vm],
+        ).info("forwarded request cancelled; caller disconnected")
+
     def log_header_timeout(self, limit_ms: float) -> None:
         """Log a connection that was closed due to the header timeout."""
         log.bind(limit_ms=round(limit_ms)).info(
