Refuse a gather that can't reach its coverage before sending any part

Callers saw 502 where nothing had to run: parts were sent one after the other, and a request was given up only when the one whose shard has no usable leaf came up; leafs worked in vain for the others.

Now leafs are chosen for all parts first; if the coverage can't be reached, the request is refused with 503, or handed over to another VM, unsent. test_a_request_that_can_not_be_whole_enough_is_refused_unsent failed before (three parts sent), and test_no_request_goes_round_if_all_vms_are_cut_off (120 of 120 refused with 502, none with 503).

--- a/src/oriolegate/exchange/exchange.py
+++ b/src/oriolegate/exchange/exchange.py
@@ -103,10 +103,16 @@
         if self.deadlines.limit_ms <= now_ms:
             self.reply = Refuse(replying.STATUS_GATEWAY_TIMEOUT, "no time left")
             return [self.reply]
+        chosen_leafs = []
         for part in self.parts:
             if not self.is_counted:
                 self.budget.count_request(part.service, now_ms)
-            self.sender.place(now_ms, part, effects)
+            chosen_leafs.append(self.sender.choose_or_wait(now_ms, part))
+        # Leafs must not work for a request that is refused in any case.
+        if not (self.sender.ended_count and self._is_coverage_unreachable()):
+            for part, leaf in zip(self.parts, chosen_leafs, strict=True):
+                if leaf is not None:
+                    self.sender.place_on(now_ms, part, leaf, effects)
         self._reply_if_due(now_ms, effects)
         return effects
 
--- a/src/oriolegate/exchange/part_sender.py
+++ b/src/oriolegate/exchange/part_sender.py
@@ -95,12 +95,28 @@
 
     # First sends and retries
 
-    def place(self, now_ms: float, part: Part, effects: list[Effect]) -> None:
-        """Send a part to a leaf; if none can take it, let it wait or end."""
+    def choose_or_wait(self, now_ms: float, part: Part) -> LeafRecord | None:
+        """Choose a leaf for a part; if none can take it, let it wait or end."""
         chosen = self._choose(now_ms, part)
         if isinstance(chosen, NoLeaf):
             self._wait_or_end(now_ms, part, chosen)
-            return
+            return None
+        return chosen
+
+    def place(self, now_ms: float, part: Part, effects: list[Effect]) -> None:
+        """Send a part to a leaf; if none can take it, let it wait or end."""
+        chosen = self.choose_or_wait(now_ms, part)
+        if chosen is not None:
+            self.place_on(now_ms, part, chosen, effects)
+
+    def place_on(
+        self,
+        now_ms: float,
+        part: Part,
+        chosen: LeafRecord,
+        effects: list[Effect],
+    ) -> None:
+        """Send a part to a leaf, if the retry budget allows it."""
         if not self._charge(now_ms, part, hedge=False):
             self.record_decision(now_ms, "no budget", part.service)
             self.end(part)
--- a/tests/exchange/test_exchange.py
+++ b/tests/exchange/test_exchange.py
@@ -211,6 +211,29 @@
         self.assertEqual(reply.signatures, (b"sig1", b"sig2", b"sig3", b"sig4"))
         self.assertEqual(reply.missing, 0)
 
+    def suspect_service(self, name):
+        for record in self.context.directory.by_service[name].values():
+            record.suspect = True
+
+    def test_a_request_that_can_not_be_whole_enough_is_refused_unsent(self):
+        # The unreachable service is last, so that others would be sent first.
+        self.suspect_service("s4")
+        route = build.gather_route(self.services, min_coverage=0.9)
+        exchange = build.exchange(route, self.context)
+        effects = exchange.start(0.0)
+        self.assertEqual(build.sends(effects), [])
+        (reply,) = effects
+        self.assertEqual(reply.status, 503)
+        self.assertGreater(reply.retry_after_ms, 0.0)
+        self.assertTrue(exchange.is_finished)
+
+    def test_a_request_that_can_be_whole_enough_is_sent_without_a_part(self):
+        self.suspect_service("s4")
+        _, sends = self.start(min_coverage=0.7)
+        self.assertEqual(
+            [send.leaf.service for send in sends], ["s1", "s2", "s3"]
+        )
+
     def test_a_straggler_gets_a_hedge_to_another_leaf(self):
         exchange, _ = self.start()
         for number in (1, 2, 3):
--- a/tests/runtime/test_cut_off_vms.py
+++ b/tests/runtime/test_cut_off_vms.py
@@ -179,6 +179,21 @@
         self.run_loads(3.0)
         self.assertEqual(self.forwarded_count("vm0"), 0)
 
+    def test_no_request_goes_round_if_all_vms_are_cut_off(self):
+        self.run_loads(1.0)
+        self.reset(list(self.fleet.gateways))
+        self.run_loads(3.0)
+        before = self.declined_count()
+        load = self.run_loads(2.0)
+        self.assertEqual(load.served_fraction(0.0), 0.0)
+        refused = [o for o in load.outcomes if o.status == 503]
+        self.assertEqual(len(refused), len(load.outcomes))
+        self.assertLess(max(o.took_s for o in refused), 0.05)
+        asked = self.declined_count() - before
+        self.assertLess(asked, 2.0 * len(load.outcomes))
+        for process in self.fleet.gateways.values():
+            self.assertTrue(process.ready)
+
     def test_leafs_that_are_all_slow_are_no_reason_to_forward(self):
         for leaf in self.fleet.leafs.values():
             leaf.behave = lambda request: self.network.reactor.callLater(
