Give leafs no more time than a request has left after asking other VMs

A request that no other VM could serve was tried locally with the caller's whole timeout, although asking had taken part of it.

--- a/src/oriolegate/runtime/exchange_runner.py
+++ b/src/oriolegate/runtime/exchange_runner.py
@@ -198,12 +198,21 @@
         call: CallerCall,
         route: Route,
         table: RouteTable,
-        *,
-        was_handed_over: bool = False,
+        asked_others_ms: float | None = None,
     ) -> None:
-        """Send a request to leafs."""
+        """Send a request to leafs.
+
+        Args:
+            request: The request.
+            call: Its content.
+            route: Its route.
+            table: The configuration in force.
+            asked_others_ms: When the request arrived, if other VMs were asked
+                to serve it since.
+        """
         now_ms = self.clock.now_ms()
-        arrived_ms = now_ms
+        was_handed_over = asked_others_ms is not None
+        arrived_ms = now_ms if asked_others_ms is None else asked_others_ms
         is_counted = False
         if isinstance(request, ForwardedRequest):
             forwarded = request.forwarded
@@ -267,13 +276,14 @@
         targets = self.handover.forwarder.find_targets(route)
         if not targets:
             return False
+        arrived_ms = self.clock.now_ms()
 
         def on_failed(failed: ForwardFailed) -> None:
             if failed.may_have_run:
                 self._reply_not_served(request, call)
             else:
                 # This VM may be wrong about its leafs.
-                self._serve(request, call, route, table, was_handed_over=True)
+                self._serve(request, call, route, table, arrived_ms)
 
         self.handover.forward(
             request,
--- a/tests/runtime/test_cut_off_vms.py
+++ b/tests/runtime/test_cut_off_vms.py
@@ -2,6 +2,7 @@
 
 import unittest
 
+from oriolegate.runtime.request_forwarder import NEAR_CONNECT_TIMEOUT_S
 from tests.platform import stand_in_documents as documents
 from tests.virtual_fleet import CallerLoad
 from tests.virtual_fleet import FAST_BYTES_PER_S
@@ -320,3 +321,28 @@
         responses = self.send("GET", "/one/x")
         self.network.run_for(1.0)
         self.assertEqual([r.status for r in responses], [200])
+
+    def test_time_spent_asking_other_vms_is_not_given_to_leafs(self):
+        self.heal(["vm0"])
+        self.network.run_for(4.0)
+        vms = ("vm1", "vm2", "vm3", "vm4")
+        for vm in vms:
+            self.network.reset_connections("vm0", vm)
+            self.network.cut("vm0", vm)
+            self.network.cut(vm, "vm0")
+        handover = self.fleet.gateways["vm0"].parts.runner.handover
+        # The VM is wrong about its leafs.
+        handover.is_cut_off = lambda: True
+        arrivals_s = []
+        for leaf in self.fleet.leafs.values():
+            leaf.behave = lambda request: arrivals_s.append(self.now_s)
+        sent_s = self.now_s
+        self.send("GET", "/one/x")
+        self.network.run_for(1.4)
+        asked_ms = 1_000.0 * (arrivals_s[0] - sent_s)
+        self.assertGreater(asked_ms, 1_000.0 * NEAR_CONNECT_TIMEOUT_S)
+        (request, *_) = [
+            r for f in self.fleet.leafs.values() for r in f.requests
+        ]
+        left_ms = int(request.headers[b"deadline-ms"])
+        self.assertLessEqual(left_ms, 1_500 - asked_ms)
