Split what sends show of leafs, and handing over, from the exchange runner

No change of behaviour: LeafOutcomes suspects leafs and records requests that may crash them; RequestHandover decides what goes to another VM.

--- a/src/oriolegate/runtime/exchange_runner.py
+++ b/src/oriolegate/runtime/exchange_runner.py
@@ -5,12 +5,8 @@
 
 import attrs
 
-from oriolegate import structured_log
 from oriolegate.clock import Clock
-from oriolegate.crashes import crash_ledger
 from oriolegate.crashes.crash_ledger import CrashLedger
-from oriolegate.crashes.crash_ledger import LostRequest
-from oriolegate.exchange import part_sender
 from oriolegate.exchange import replying
 from oriolegate.exchange.exchange import Exchange
 from oriolegate.exchange.messages import AbandonSend
@@ -21,10 +17,8 @@
 from oriolegate.exchange.messages import Refuse
 from oriolegate.exchange.messages import RelayAnswer
 from oriolegate.exchange.messages import Reply
-from oriolegate.exchange.messages import SendOutcome
 from oriolegate.exchange.messages import SendToLeaf
 from oriolegate.exchange.part_sender import ExchangeContext
-from oriolegate.forwarding.forwarded_call import ForwardFailed
 from oriolegate.forwarding.forwarded_call import ForwardState
 from oriolegate.models.site import CallerLimits
 from oriolegate.models.site import Route
@@ -36,17 +30,14 @@
 from oriolegate.platform.leaf_protocol import NoAnswer
 from oriolegate.routing.route_table import RouteTable
 from oriolegate.runtime.forward_server import ForwardedRequest
-from oriolegate.runtime.leaf_checker import LeafChecker
+from oriolegate.runtime.leaf_outcomes import LeafOutcomes
 from oriolegate.runtime.request_handover import RequestHandover
 from oriolegate.runtime.request_log import RequestLog
 from oriolegate.runtime.site_sinks import ConfigurationSink
 
-log = structured_log.get_logger("requests")
-
 MS_PER_S = 1_000.0
 STATUS_NOT_FOUND = 404
 STATUS_TOO_LARGE = 413
-STATUS_BAD_GATEWAY = 502
 STATUS_UNAVAILABLE = 503
 # Retry-After while no configuration is loaded. Loading takes about 100 ms
 # after a start. If none is loaded after STORE_UNAVAILABLE_AFTER_MS, the
@@ -93,8 +84,7 @@
             VMs.
         limits: Limits on callers' requests.
         on_arrival: Called before each request is handled.
-        on_reports_withdrawn: Called with the names of crash reports about a
-            request that has succeeded.
+        leaf_outcomes: Records what sends show of their leafs.
         running: Open exchanges by request.
         handover: Hands requests over to other VMs.
     """
@@ -106,9 +96,9 @@
         client: LeafClient,
         context: ExchangeContext,
         configuration: ConfigurationSink,
-        checker: LeafChecker,
         request_log: RequestLog,
         crashes: CrashLedger,
+        leaf_outcomes: LeafOutcomes,
         handover: RequestHandover,
     ) -> None:
         self.reactor = reactor
@@ -116,18 +106,16 @@
         self.client = client
         self.context = context
         self.configuration = configuration
-        self.checker = checker
+        self.leaf_outcomes = leaf_outcomes
         self.crashes = crashes
         self.request_log = request_log
         self.started_ms = clock.now_ms()
         self.leaving = False
         self.is_isolated: Callable[[], bool] = lambda: False
         self.on_arrival: Callable[[], None] = lambda: None
-        self.on_reports_withdrawn: Callable[[tuple[str, ...]], None] = (
-            lambda names: None
-        )
         self.running: dict[Request, RunningExchange] = {}
         self.handover = handover
+        handover.reply_failed = self._reply_failed
 
     @property
     def closes_connections(self) -> bool:
@@ -171,7 +159,15 @@
             return
         if self.handover.must_forward(
             table.configuration.version
-        ) and self._hand_over_new(request, call, route, table):
+        ) and self.handover.hand_over_new(
+            request,
+            call,
+            route,
+            table,
+            lambda arrived_ms: self._serve(
+                request, call, route, table, arrived_ms
+            ),
+        ):
             return
         self._serve(request, call, route, table)
 
@@ -263,86 +259,26 @@
         """Stop a forwarded request whose VM has disconnected."""
         self._cancel(request)
 
-    # Requests that this VM hands over to others
-
-    def _hand_over_new(
-        self,
-        request: CallerHttpRequest,
-        call: CallerCall,
-        route: Route,
-        table: RouteTable,
-    ) -> bool:
-        """Hand over a request that no leaf has, if another VM may help."""
-        targets = self.handover.forwarder.find_targets(route)
-        if not targets:
-            return False
-        arrived_ms = self.clock.now_ms()
-
-        def on_failed(failed: ForwardFailed) -> None:
-            if failed.may_have_run:
-                self._reply_not_served(request, call)
-            else:
-                # This VM may be wrong about its leafs.
-                self._serve(request, call, route, table, arrived_ms)
-
-        self.handover.forward(
-            request,
-            self.handover.describe(call, table.configuration.version),
-            route,
-            table.services(route),
-            targets,
-            on_failed,
+    def _reply_failed(
+        self, request: CallerHttpRequest, call: CallerCall
+    ) -> None:
+        refusal = Refuse(
+            replying.STATUS_BAD_GATEWAY, "no answer of the VM that ran it"
         )
-        return True
-
-    def _hand_over_failed(
-        self, running: RunningExchange, refusal: Refuse
-    ) -> bool:
-        """Hand over a request whose leafs this VM can't reach.
+        self._reply(request, refusal, call.attempt_id)
 
-        Returns:
-            Whether another VM may help.
-        """
-        exchange = running.exchange
+    def _hand_over(self, running: RunningExchange, refusal: Refuse) -> bool:
+        """Hand over a request whose leafs this VM can't reach, if one may."""
         request = running.request
         if isinstance(request, ForwardedRequest) or running.was_handed_over:
             return False
-        now_ms = self.clock.now_ms()
-        targets = self.handover.forwarder.find_targets(exchange.route)
-        if (
-            not targets
-            or not exchange.may_be_forwarded
-            or not exchange.charge_forward(now_ms)
-        ):
-            return False
-
-        def on_failed(failed: ForwardFailed) -> None:
-            if failed.may_have_run:
-                self._reply_not_served(request, exchange.call)
-            else:
-                self._reply(request, refusal, exchange.call.attempt_id)
-
-        self.request_log.log_handed_over(now_ms, exchange, refusal)
-        self.handover.forward(
+        call = running.exchange.call
+        return self.handover.hand_over_failed(
             request,
-            self.handover.describe(
-                exchange.call,
-                exchange.version,
-                now_ms - exchange.deadlines.arrived_ms,
-                exchange.used_attempts,
-            ),
-            exchange.route,
-            tuple(part.service for part in exchange.parts),
-            targets,
-            on_failed,
+            running.exchange,
+            refusal,
+            lambda: self._reply(request, refusal, call.attempt_id),
         )
-        return True
-
-    def _reply_not_served(
-        self, request: CallerHttpRequest, call: CallerCall
-    ) -> None:
-        refusal = Refuse(STATUS_BAD_GATEWAY, "no answer of the VM that ran it")
-        self._reply(request, refusal, call.attempt_id)
 
     def on_cut_off(self) -> None:
         """Hand over open requests, as this VM reaches no leaf any more."""
@@ -382,21 +318,6 @@
             )
             self._log_reply(running)
 
-    def _record_abandoned_send(
-        self, exchange: Exchange, open_send: OpenSend
-    ) -> None:
-        """Record that a leaf may have crashed, or may yet crash, unnoticed."""
-        if exchange.answered_count or not open_send.has_arrived:
-            return
-        now_ms = self.clock.now_ms()
-        self.crashes.record_abandoned_request(
-            now_ms, open_send.leaf_id, self._lost_request(exchange.call)
-        )
-        record = self.context.directory.leafs.get(open_send.leaf_id)
-        waited_ms = now_ms - open_send.started_ms
-        if record is not None and waited_ms > part_sender.UNRESPONSIVE_MS:
-            self.checker.check_liveness(record)
-
     def answer_all(self) -> None:
         """Answer every open request with the results received so far."""
         now_ms = self.clock.now_ms()
@@ -430,9 +351,11 @@
                 case AbandonSend(send):
                     open_send = running.sends.pop(send, None)
                     if open_send is not None:
-                        self._record_abandoned_send(running.exchange, open_send)
+                        self.leaf_outcomes.record_abandoned(
+                            running.exchange, open_send
+                        )
                         self.client.abandon(open_send)
-                case Refuse(is_unreachable=True) if self._hand_over_failed(
+                case Refuse(is_unreachable=True) if self._hand_over(
                     running, effect
                 ):
                     pass
@@ -467,68 +390,15 @@
         if isinstance(result, LeafAnswer):
             if result.is_success and exchange.answered_count == 0:
                 # The first success already shows that the request is harmless.
-                self._withdraw_reports(exchange, effect)
+                self.leaf_outcomes.record_success(exchange, effect.leaf)
             effects = exchange.on_answer(now_ms, effect.send, result)
         else:
-            self._update_leaf_state(exchange, effect, result)
+            self.leaf_outcomes.record_no_answer(exchange, effect.leaf, result)
             effects = exchange.on_failure(
                 now_ms, effect.send, result.outcome, result.detail
             )
         self._execute(running, effects)
 
-    def _withdraw_reports(self, exchange: Exchange, effect: SendToLeaf) -> None:
-        """Withdraw the crash reports about a request that has succeeded."""
-        names = self.crashes.record_success(exchange.call)
-        if names:
-            log.bind(
-                id=exchange.call.attempt_id,
-                leaf=effect.leaf.leaf_id,
-                reports=len(names),
-            ).info("request with crash reports succeeded; reports withdrawn")
-        self.on_reports_withdrawn(names)
-
-    def _update_leaf_state(
-        self, exchange: Exchange, effect: SendToLeaf, result: NoAnswer
-    ) -> None:
-        """Update the record of a leaf after a send without an answer."""
-        leaf_id = effect.leaf.leaf_id
-        record = self.context.directory.leafs.get(leaf_id)
-        if record is None:
-            return
-        if result.outcome is SendOutcome.MAY_HAVE_RUN:
-            self._record_suspect_call(exchange, leaf_id)
-        if result.connection_rejected:
-            log.bind(
-                leaf=leaf_id,
-                service=effect.leaf.service,
-                id=exchange.call.attempt_id,
-            ).info("leaf rejected a connection; checking whether it is alive")
-            record.record_rejection(self.clock.now_ms())
-            self.checker.check_liveness_later(record)
-        elif result.outcome in (SendOutcome.UNSENT, SendOutcome.MAY_HAVE_RUN):
-            self.checker.suspect(record, result.detail)
-        elif result.outcome is SendOutcome.WRONG_LEAF:
-            log.bind(
-                leaf=leaf_id,
-                service=effect.leaf.service,
-                id=exchange.call.attempt_id,
-            ).info("another leaf answers at this address; leaf removed")
-            self.context.directory.on_address_taken(leaf_id)
-            self.client.drop(leaf_id)
-
-    def _record_suspect_call(self, exchange: Exchange, leaf_id: str) -> None:
-        """Record a request that may have crashed a leaf."""
-        if exchange.answered_count:
-            # Another leaf ran a part of the request without crashing.
-            return
-        self.crashes.record_lost_request(
-            leaf_id, self._lost_request(exchange.call)
-        )
-
-    def _lost_request(self, call: CallerCall) -> LostRequest:
-        fingerprint = crash_ledger.call_fingerprint(call)
-        return LostRequest(fingerprint, call.attempt_id)
-
     def _set_timer(self, running: RunningExchange) -> None:
         exchange = running.exchange
         timer = running.timer
--- a/src/oriolegate/runtime/gateway_composition.py
+++ b/src/oriolegate/runtime/gateway_composition.py
@@ -35,6 +35,7 @@
 from oriolegate.runtime.forward_server import ForwardServer
 from oriolegate.runtime.guarded_sink import GuardedSink
 from oriolegate.runtime.leaf_checker import LeafChecker
+from oriolegate.runtime.leaf_outcomes import LeafOutcomes
 from oriolegate.runtime.leaf_prober import LeafProber
 from oriolegate.runtime.member_registration import MemberRegistration
 from oriolegate.runtime.peer_feed import PeerFeed
@@ -240,15 +241,18 @@
         registry,
     )
     request_log = RequestLog(configuration, registry)
+    leaf_outcomes = LeafOutcomes(
+        clock, leaf_client, directory, checker, crashes
+    )
     runner = ExchangeRunner(
         reactor,
         clock,
         leaf_client,
         ExchangeContext(directory, budget, RouteLatencies()),
         configuration,
-        checker,
         request_log,
         crashes,
+        leaf_outcomes,
         RequestHandover(
             clock,
             RequestForwarder(reactor, clock, targets, budget, registry),
@@ -263,7 +267,7 @@
     )
     checker.on_liveness_known = confirmation.on_checked
     confirmation.on_liveness_known = reporter.on_liveness_known
-    runner.on_reports_withdrawn = reporter.withdraw
+    leaf_outcomes.on_reports_withdrawn = reporter.withdraw
     return GatewayParts(
         directory=directory,
         runner=runner,
--- a/src/oriolegate/runtime/request_handover.py
+++ b/src/oriolegate/runtime/request_handover.py
@@ -4,7 +4,9 @@
 
 from oriolegate.clock import Clock
 from oriolegate.exchange import timing
+from oriolegate.exchange.exchange import Exchange
 from oriolegate.exchange.messages import CallerCall
+from oriolegate.exchange.messages import Refuse
 from oriolegate.forwarding.forward_plan import ForwardPlan
 from oriolegate.forwarding.forwarded_call import ForwardedCall
 from oriolegate.forwarding.forwarded_call import ForwardedReply
@@ -12,12 +14,11 @@
 from oriolegate.models.site import Repeatability
 from oriolegate.models.site import Route
 from oriolegate.network.caller_server import CallerHttpRequest
+from oriolegate.routing.route_table import RouteTable
 from oriolegate.runtime.request_forwarder import OpenForward
 from oriolegate.runtime.request_forwarder import RequestForwarder
 from oriolegate.runtime.request_log import RequestLog
 
-OnFailed = Callable[[ForwardFailed], None]
-
 
 class RequestHandover:
     """Decides which requests go to another VM, and passes on its replies.
@@ -26,6 +27,8 @@
         forwarder: Sends requests to other VMs.
         forwards: Requests that another VM is asked to serve.
         is_cut_off: Returns whether this VM reaches no leaf.
+        reply_failed: Tells a caller that a VM which may have run its request
+            gave no answer.
     """
 
     def __init__(
@@ -40,6 +43,9 @@
         self.request_log = request_log
         self.forwards: dict[CallerHttpRequest, OpenForward] = {}
         self.is_cut_off = is_cut_off
+        self.reply_failed: Callable[[CallerHttpRequest, CallerCall], None] = (
+            lambda request, call: None
+        )
 
     def must_forward(self, version: int) -> bool:
         """Return whether another VM should serve a new request.
@@ -51,50 +57,105 @@
         # older version later.
         return version < self.forwarder.seen_version or self.is_cut_off()
 
-    def describe(
+    def hand_over_new(
         self,
+        request: CallerHttpRequest,
         call: CallerCall,
-        version: int,
-        elapsed_ms: float = 0.0,
-        used_attempts: int | None = None,
-    ) -> ForwardedCall:
-        """Return a request as another VM gets it.
+        route: Route,
+        table: RouteTable,
+        serve: Callable[[float], None],
+    ) -> bool:
+        """Hand over a request that no leaf has, if another VM may help.
 
         Args:
-            call: The caller's request.
-            version: Configuration version by which this VM would serve it.
-            elapsed_ms: Time since the request arrived.
-            used_attempts: Number of leafs of one service that may have run it;
-                None if this VM has sent it to none and not counted it.
+            request: The caller's request.
+            call: Its content.
+            route: Its route.
+            table: The configuration in force.
+            serve: Serves the request on this VM after all, given when it
+                arrived: this VM may be wrong about its leafs.
         """
-        return ForwardedCall(
+        targets = self.forwarder.find_targets(route)
+        if not targets:
+            return False
+        arrived_ms = self.clock.now_ms()
+
+        def on_failed(failed: ForwardFailed) -> None:
+            if failed.may_have_run:
+                self.reply_failed(request, call)
+            else:
+                serve(arrived_ms)
+
+        forwarded = ForwardedCall(
             call,
-            elapsed_ms=elapsed_ms,
-            min_version=max(version, self.forwarder.seen_version),
-            used_attempts=used_attempts or 0,
-            is_counted=used_attempts is not None,
+            elapsed_ms=0.0,
+            min_version=self._min_version(table.configuration.version),
+            used_attempts=0,
+            is_counted=False,
+            vm=self.forwarder.choice.vm,
+        )
+        services = table.services(route)
+        self._forward(request, forwarded, route, services, targets, on_failed)
+        return True
+
+    def hand_over_failed(
+        self,
+        request: CallerHttpRequest,
+        exchange: Exchange,
+        refusal: Refuse,
+        refuse: Callable[[], None],
+    ) -> bool:
+        """Hand over a request whose leafs are unreachable, if a VM may help.
+
+        Args:
+            request: The caller's request.
+            exchange: Its state; it has ended.
+            refusal: How it ended.
+            refuse: Refuses the request on this VM after all.
+        """
+        now_ms = self.clock.now_ms()
+        targets = self.forwarder.find_targets(exchange.route)
+        if (
+            not targets
+            or not exchange.may_be_forwarded
+            or not exchange.charge_forward(now_ms)
+        ):
+            return False
+
+        def on_failed(failed: ForwardFailed) -> None:
+            if failed.may_have_run:
+                self.reply_failed(request, exchange.call)
+            else:
+                refuse()
+
+        self.request_log.log_handed_over(now_ms, exchange, refusal)
+        forwarded = ForwardedCall(
+            exchange.call,
+            elapsed_ms=now_ms - exchange.deadlines.arrived_ms,
+            min_version=self._min_version(exchange.version),
+            used_attempts=exchange.used_attempts,
+            is_counted=True,
             vm=self.forwarder.choice.vm,
         )
+        services = tuple(part.service for part in exchange.parts)
+        self._forward(
+            request, forwarded, exchange.route, services, targets, on_failed
+        )
+        return True
+
+    def _min_version(self, version: int) -> int:
+        return max(version, self.forwarder.seen_version)
 
-    def forward(
+    def _forward(
         self,
         request: CallerHttpRequest,
         forwarded: ForwardedCall,
         route: Route,
         services: tuple[str, ...],
         targets: tuple[str, ...],
-        on_failed: OnFailed,
+        on_failed: Callable[[ForwardFailed], None],
     ) -> None:
-        """Ask other VMs to serve a request, and pass on their reply.
-
-        Args:
-            request: The caller's request.
-            forwarded: The request as other VMs get it.
-            route: Its route.
-            services: Services that its parts need.
-            targets: VMs to ask, in order.
-            on_failed: Called if none of them served it.
-        """
+        """Ask other VMs to serve a request, and pass on their reply."""
         arrived_ms = self.clock.now_ms() - forwarded.elapsed_ms
         deadlines = timing.compute_deadlines(
             route, arrived_ms, forwarded.call.time_left_ms
