Ask the next VM after one that is busy, and spread forwarded requests

- A VM that had not noticed yet that it is cut off refused forwarded requests as full, and the caller got that refusal.
A refusal of something that has not run now leads to the next VM. test_a_vm_that_is_busy_is_followed_by_the_next failed before, with exploring alone: 503 beside 200.
- The first VM that served got all requests from then on.
A quarter of the requests now try others first. test_load_spreads_to_vms_that_did_not_serve_yet failed before (one VM of four).
- A route was not forwarded for 500 ms after a request that stopped early for its attempts.
Only VMs that all reach other leafs, but not those of the route, stop it now.
- A cut is noticed at the next request, not only each 250 ms.

--- a/src/oriolegate/forwarding/forwarded_call.py
+++ b/src/oriolegate/forwarding/forwarded_call.py
@@ -35,12 +35,15 @@
 
     Attributes:
         ANSWERED: The response is for the caller.
-        UNREACHABLE: The VM can't reach the leafs either; the response states
-            whether the request may have run.
-        DECLINED: The VM accepts no forwarded request now; it did not run.
+        CUT_OFF: The VM reaches no leaf either.
+        UNREACHABLE: The VM can't reach the leafs of this request either; the
+            response states whether it may have run.
+        DECLINED: The VM did not run the request, and may later. The response
+            is for the caller if no VM runs it.
     """
 
     ANSWERED = "answered"
+    CUT_OFF = "cut off"
     UNREACHABLE = "unreachable"
     DECLINED = "declined"
 
--- a/src/oriolegate/forwarding/target_choice.py
+++ b/src/oriolegate/forwarding/target_choice.py
@@ -19,15 +19,18 @@
 MAX_TARGETS = 5
 # Untested VMs at the same distance that are tried before VMs further away.
 MAX_UNTESTED = 2
+# Fraction of requests for which untested VMs come first, so that the load
+# spreads over all that can serve.
+TEST_FRACTION = 0.25
 # How long a VM that served a forwarded request is preferred.
 PREFERRED_MS = 10_000.0
-# How long a VM that reaches no leaf itself, or declines, is not asked again.
+# How long a VM that reaches no leaf itself, or can't serve, is not asked again.
 CUT_OFF_PAUSE_MS = 1_500.0
 DECLINED_PAUSE_MS = 300.0
 # How long a VM that doesn't answer is not asked again: first, and at most.
 FIRST_FAILURE_PAUSE_MS = 2_000.0
 MAX_FAILURE_PAUSE_MS = 60_000.0
-# How long no request of a route is forwarded after no VM could serve one.
+# How long no request of a route is forwarded after no VM reached its leafs.
 ROUTE_PAUSE_MS = 500.0
 # How long no VM answers before this VM counts as unable to reach any.
 ISOLATED_AFTER_MS = 1_000.0
@@ -136,8 +139,11 @@
             group[self._distance(vm)].append(vm)
         order: list[str] = []
         for distance in proven:
-            order += self._shuffle(proven[distance])
-            order += self._shuffle(untested[distance])[:MAX_UNTESTED]
+            tested = self._shuffle(proven[distance])
+            others = self._shuffle(untested[distance])[:MAX_UNTESTED]
+            if self.rng.random() < TEST_FRACTION:
+                tested, others = others, tested
+            order += [*tested, *others]
         return tuple(order[:MAX_TARGETS])
 
     def _state(self, vm: str) -> TargetState:
@@ -163,7 +169,7 @@
         state.pause_until_ms = now_ms + CUT_OFF_PAUSE_MS
 
     def record_declined(self, now_ms: float, vm: str) -> None:
-        """Record that a VM accepts no forwarded request now."""
+        """Record that a VM could not serve a forwarded request now."""
         self.unanswered_since_ms = None
         self._state(vm).pause_until_ms = now_ms + DECLINED_PAUSE_MS
 
@@ -180,7 +186,7 @@
         state.pause_until_ms = now_ms + state.failure_pause_ms
 
     def record_none_served(self, now_ms: float, route: str) -> None:
-        """Record that no VM that was tried could serve a route."""
+        """Record that no VM that was tried reaches the leafs of a route."""
         self.route_pauses_ms = {
             name: until_ms
             for name, until_ms in self.route_pauses_ms.items()
--- a/src/oriolegate/runtime/contact_watch.py
+++ b/src/oriolegate/runtime/contact_watch.py
@@ -66,6 +66,11 @@
             self.clock.now_ms()
         )
 
+    def check_on_arrival(self) -> None:
+        """Notice at a request that this VM has lost its leafs."""
+        if not self.was_cut_off and self.is_cut_off():
+            self.check()
+
     def check(self) -> None:
         """Log changes, probe leafs, and confirm which leafs are down."""
         now_ms = self.clock.now_ms()
--- a/src/oriolegate/runtime/exchange_runner.py
+++ b/src/oriolegate/runtime/exchange_runner.py
@@ -251,7 +251,7 @@
         if route is None:
             self._refuse(request, call, STATUS_NOT_FOUND, "no route")
         elif self.handover.is_cut_off():
-            request.decline(ForwardState.UNREACHABLE)
+            request.decline(ForwardState.CUT_OFF)
         elif not self._refuse_crashing(request, call):
             self._serve(request, call, route, table)
 
--- a/src/oriolegate/runtime/forward_server.py
+++ b/src/oriolegate/runtime/forward_server.py
@@ -48,13 +48,16 @@
 
     def reply(self, status: int, headers: Headers, body: bytes) -> None:
         """Send what the caller shall get to the other VM."""
+        may_have_run = status not in leaf_protocol.NOT_RUN_STATUSES
         state = ForwardState.ANSWERED
         if self.is_unreachable:
             state = ForwardState.UNREACHABLE
+        elif not may_have_run:
+            state = ForwardState.DECLINED
         self._send(
             ForwardedReply(
                 state,
-                status not in leaf_protocol.NOT_RUN_STATUSES,
+                may_have_run,
                 self.version,
                 status,
                 headers,
@@ -63,7 +66,7 @@
         )
 
     def decline(self, state: ForwardState = ForwardState.DECLINED) -> None:
-        """Tell the other VM that this one did not run the request."""
+        """Tell the other VM that this one takes no request now."""
         self._send(
             ForwardedReply(
                 state,
--- a/src/oriolegate/runtime/gateway.py
+++ b/src/oriolegate/runtime/gateway.py
@@ -81,7 +81,7 @@
         self.pause_detector = PauseDetector(MIN_PAUSE_MS)
         self.view_ages = ViewAgeMonitor(parts.followers, settings.bounds)
         self.last_pause_at_ms = float("-inf")
-        parts.runner.on_arrival = self._check_pause
+        parts.runner.on_arrival = self._on_arrival
         parts.store.on_call_ended = self._on_view_update
         parts.feed.on_update = self._on_view_update
         self.ended = False
@@ -185,6 +185,10 @@
         text = metrics_module.render_text(self.parts.metrics.snapshot())
         respond(200, text.encode())
 
+    def _on_arrival(self) -> None:
+        self._check_pause()
+        self.parts.contact_watch.check_on_arrival()
+
     def _check_pause(self) -> None:
         """Require a new confirmation of all views after a process pause."""
         now_ms = self.clock.now_ms()
--- a/src/oriolegate/runtime/request_forwarder.py
+++ b/src/oriolegate/runtime/request_forwarder.py
@@ -57,6 +57,8 @@
         patience_ms: How long one VM may take, if another may be asked then.
         done: Called with the outcome; not called after a cancel.
         tried: VMs that were asked, in order, with what became of it.
+        states: What VMs that did not serve it replied.
+        refusal: Last reply of a VM that could not serve it now, or None.
         http_call: Call to the VM that is asked, or None.
         timer: Timeout of that call, or None.
     """
@@ -69,6 +71,8 @@
     patience_ms: float
     done: Callable[[Outcome], None]
     tried: list[str] = attrs.field(factory=list)
+    states: set[ForwardState] = attrs.field(factory=set)
+    refusal: ForwardedReply | None = None
     http_call: HttpCall | None = None
     timer: Any = None
 
@@ -147,13 +151,15 @@
         return pool
 
     def _give_up(self, open_forward: OpenForward) -> None:
-        if open_forward.tried:
+        if open_forward.states == {ForwardState.UNREACHABLE}:
             self.choice.record_none_served(
                 self.clock.now_ms(), open_forward.route.name
             )
-        self._finish(
-            open_forward, ForwardFailed(open_forward.plan.may_have_run)
-        )
+        may_have_run = open_forward.plan.may_have_run
+        if open_forward.refusal is not None and not may_have_run:
+            self._finish(open_forward, open_forward.refusal)
+        else:
+            self._finish(open_forward, ForwardFailed(may_have_run))
 
     def _finish(self, open_forward: OpenForward, outcome: Outcome) -> None:
         result = "failed"
@@ -278,12 +284,17 @@
                 open_forward.tried.append(vm)
                 self._finish(open_forward, reply)
                 return
-            case ForwardState.UNREACHABLE:
+            case ForwardState.CUT_OFF:
                 self.choice.record_cut_off(now_ms, vm)
+            case ForwardState.UNREACHABLE:
+                self.choice.record_declined(now_ms, vm)
                 if reply.may_have_run:
                     self._on_may_have_run(open_forward)
             case ForwardState.DECLINED:
                 self.choice.record_declined(now_ms, vm)
+                if reply.body:
+                    open_forward.refusal = reply
+        open_forward.states.add(reply.state)
         self.metrics.counter(
             "oriolegate_forward_declines_total", state=reply.state.value
         ).add()
--- a/src/oriolegate/runtime/request_handover.py
+++ b/src/oriolegate/runtime/request_handover.py
@@ -168,16 +168,13 @@
 
         def done(outcome: ForwardedReply | ForwardFailed) -> None:
             del self.forwards[request]
+            now_ms = self.clock.now_ms()
             match outcome:
                 case ForwardedReply(status=status, headers=headers, body=body):
-                    self.request_log.log_forwarded(
-                        self.clock.now_ms(), open_forward, status
-                    )
+                    self.request_log.log_forwarded(now_ms, open_forward, status)
                     request.reply(status, headers, body)
                 case ForwardFailed():
-                    self.request_log.log_forwarded(
-                        self.clock.now_ms(), open_forward, None
-                    )
+                    self.request_log.log_forwarded(now_ms, open_forward, None)
                     on_failed(outcome)
 
         open_forward = OpenForward(
