Let stopping VMs serve forwarded requests while they serve callers

Five of eight VMs were cut off and the other three were stopped 1.3 s apart; for 1.5 s all that reached the leafs were stopping. They served their own callers and declined forwarded requests, and their member entries were gone, so that nobody asked them.

A stopping VM now accepts forwarded requests for as long as it waits for the balancer, and VMs that left the list are asked as a last resort for 3 s. test_callers_are_served_while_all_other_vms_stop failed before (0.0 served).

--- a/src/oriolegate/forwarding/target_choice.py
+++ b/src/oriolegate/forwarding/target_choice.py
@@ -22,6 +22,10 @@
 # Fraction of requests for which untested VMs come first, so that the load
 # spreads over all that can serve.
 TEST_FRACTION = 0.25
+# How long a VM is asked after it left the list of members, and how many such
+# VMs are: a stopping VM serves for a while.
+FORMER_USE_MS = 3_000.0
+MAX_STOPPING = 2
 # How long a VM that served a forwarded request is preferred.
 PREFERRED_MS = 10_000.0
 # How long a VM that reaches no leaf itself, or can't serve, is not asked again.
@@ -56,6 +60,8 @@
 
     Attributes:
         members: Entries of all other VMs that accept forwarded requests.
+        former_members: Entries of VMs that are stopping, and until when each
+            is asked as a last resort.
         states: What is known of VMs, by name.
         route_pauses_ms: Until when a route is not forwarded, by its name.
         unanswered_since_ms: When the first request since the last answer of
@@ -74,36 +80,63 @@
         self.regions = regions
         self.rng = rng
         self.members: dict[str, MemberEntry] = {}
+        self.former_members: dict[str, tuple[MemberEntry, float]] = {}
         self.states: dict[str, TargetState] = {}
         self.route_pauses_ms: dict[str, float] = {}
         self.unanswered_since_ms: float | None = None
 
-    def set_members(self, entries: Iterable[MemberEntry]) -> None:
+    def set_members(
+        self, now_ms: float, entries: Collection[MemberEntry]
+    ) -> None:
         """Set the VMs that may run; may contain this VM."""
+        listed = {entry.vm for entry in entries}
+        earlier = self.members
         self.members = {
             entry.vm: entry
             for entry in entries
             if entry.vm != self.vm and entry.accepts_forwards
         }
+        for vm, entry in earlier.items():
+            until_ms = now_ms + FORMER_USE_MS
+            self.former_members.setdefault(vm, (entry, until_ms))
+        self.former_members = {
+            vm: former
+            for vm, former in self.former_members.items()
+            if vm not in listed and now_ms < former[1]
+        }
         self.states = {
-            vm: state for vm, state in self.states.items() if vm in self.members
+            vm: state
+            for vm, state in self.states.items()
+            if self.find_entry(vm) is not None
         }
 
-    def region_of(self, vm: str) -> str:
-        """Return the region of a VM."""
-        return self.regions.get(self.members[vm].data_centre, "")
+    def find_entry(self, vm: str) -> MemberEntry | None:
+        """Return the entry of a VM, or None if it is unknown."""
+        entry = self.members.get(vm)
+        if entry is None and vm in self.former_members:
+            return self.former_members[vm][0]
+        return entry
 
-    def _distance(self, vm: str) -> int:
+    def _distance(self, entry: MemberEntry) -> int:
         """Return 0 for this data centre, 1 for this region, else 2."""
-        data_centre = self.members[vm].data_centre
+        data_centre = entry.data_centre
         if data_centre == self.data_centre:
             return 0
         own_region = self.regions.get(self.data_centre)
         return 1 if self.regions.get(data_centre) == own_region else 2
 
-    def is_near(self, vm: str) -> bool:
+    def is_near(self, entry: MemberEntry) -> bool:
         """Return whether a VM is in this VM's region."""
-        return self._distance(vm) < 2
+        return self._distance(entry) < 2
+
+    def _is_allowed(
+        self, now_ms: float, entry: MemberEntry, home_regions: Collection[str]
+    ) -> bool:
+        region = self.regions.get(entry.data_centre, "")
+        if home_regions and region not in home_regions:
+            return False
+        state = self.states.get(entry.vm)
+        return state is None or now_ms >= state.pause_until_ms
 
     def _shuffle(self, vms: Iterable[str]) -> list[str]:
         """Return VMs in random order, those with faster links first."""
@@ -128,15 +161,13 @@
             return ()
         proven: dict[int, list[str]] = {0: [], 1: [], 2: []}
         untested: dict[int, list[str]] = {0: [], 1: [], 2: []}
-        for vm in self.members:
-            state = self.states.get(vm, TargetState())
-            if now_ms < state.pause_until_ms:
-                continue
-            if home_regions and self.region_of(vm) not in home_regions:
+        for vm, entry in self.members.items():
+            if not self._is_allowed(now_ms, entry, home_regions):
                 continue
+            state = self.states.get(vm, TargetState())
             is_proven = now_ms - state.served_at_ms < PREFERRED_MS
             group = proven if is_proven else untested
-            group[self._distance(vm)].append(vm)
+            group[self._distance(entry)].append(vm)
         order: list[str] = []
         for distance in proven:
             tested = self._shuffle(proven[distance])
@@ -144,7 +175,13 @@
             if self.rng.random() < TEST_FRACTION:
                 tested, others = others, tested
             order += [*tested, *others]
-        return tuple(order[:MAX_TARGETS])
+        stopping = [
+            vm
+            for vm, (entry, until_ms) in self.former_members.items()
+            if now_ms < until_ms
+            and self._is_allowed(now_ms, entry, home_regions)
+        ]
+        return (*order[:MAX_TARGETS], *stopping[:MAX_STOPPING])
 
     def _state(self, vm: str) -> TargetState:
         return self.states.setdefault(vm, TargetState())
--- a/src/oriolegate/runtime/exchange_runner.py
+++ b/src/oriolegate/runtime/exchange_runner.py
@@ -80,6 +80,7 @@
 
     Attributes:
         leaving: Whether this VM is stopping.
+        accepts_forwards: Whether requests of other VMs are served.
         is_isolated: Returns whether this VM reaches neither leafs nor other
             VMs.
         limits: Limits on callers' requests.
@@ -111,6 +112,7 @@
         self.request_log = request_log
         self.started_ms = clock.now_ms()
         self.leaving = False
+        self.accepts_forwards = True
         self.is_isolated: Callable[[], bool] = lambda: False
         self.on_arrival: Callable[[], None] = lambda: None
         self.running: dict[Request, RunningExchange] = {}
@@ -244,7 +246,8 @@
         table = self.configuration.table
         version = table.configuration.version if table else 0
         request.version = version
-        if table is None or self.leaving or version < forwarded.min_version:
+        is_current = version >= forwarded.min_version
+        if table is None or not is_current or not self.accepts_forwards:
             request.decline()
             return
         route = table.match(call.host, call.path)
--- a/src/oriolegate/runtime/gateway.py
+++ b/src/oriolegate/runtime/gateway.py
@@ -281,6 +281,7 @@
         grace_ms = self.settings.bounds.grace_ms
         if since_ms < NOTICE_FRACTION * grace_ms:
             return
+        self.parts.runner.accepts_forwards = False
         if since_ms >= ACCEPT_FRACTION * grace_ms:
             self._stop_accepting()
         connections = self.caller_factory.close_idle()
--- a/src/oriolegate/runtime/gateway_composition.py
+++ b/src/oriolegate/runtime/gateway_composition.py
@@ -152,7 +152,7 @@
                 if entry.data_centre == settings.data_centre
             }
         )
-        targets.set_members(entries)
+        targets.set_members(clock.now_ms(), entries)
         members.on_members_listed(entries)
 
     sinks: dict[Collection, CollectionSink] = {
--- a/src/oriolegate/runtime/request_forwarder.py
+++ b/src/oriolegate/runtime/request_forwarder.py
@@ -15,6 +15,7 @@
 from oriolegate.forwarding.forwarded_call import ForwardState
 from oriolegate.forwarding.target_choice import TargetChoice
 from oriolegate.metrics import MetricsRegistry
+from oriolegate.models.site import MemberEntry
 from oriolegate.models.site import Route
 from oriolegate.network import forward_wire
 from oriolegate.network.http_connection import Answered
@@ -117,12 +118,13 @@
         """Send a request to the next VM that may serve it."""
         now_ms = self.clock.now_ms()
         vm = open_forward.plan.next_vm(now_ms)
-        while vm is not None and vm not in self.choice.members:
-            vm = open_forward.plan.next_vm(now_ms)
+        entry = self.choice.find_entry(vm) if vm is not None else None
         if vm is None:
             self._give_up(open_forward)
+        elif entry is None:
+            self.send(open_forward)
         else:
-            self._send_to(open_forward, vm)
+            self._send_to(open_forward, entry)
 
     def cancel(self, open_forward: OpenForward) -> None:
         """Stop a forwarded request, at the VM that runs it too."""
@@ -136,18 +138,17 @@
         for pool in self.pools.values():
             pool.close()
 
-    def _get_pool(self, vm: str) -> HttpPool:
-        entry = self.choice.members[vm]
+    def _get_pool(self, entry: MemberEntry) -> HttpPool:
         address = (entry.host, entry.port)
-        pool = self.pools.get(vm)
+        pool = self.pools.get(entry.vm)
         if pool is None or pool.address != address:
             timeout_s = FAR_CONNECT_TIMEOUT_S
-            if self.choice.is_near(vm):
+            if self.choice.is_near(entry):
                 timeout_s = NEAR_CONNECT_TIMEOUT_S
             pool = HttpPool(
                 self.reactor, self.clock, address, timeout_s, self.limits
             )
-            self.pools[vm] = pool
+            self.pools[entry.vm] = pool
         return pool
 
     def _give_up(self, open_forward: OpenForward) -> None:
@@ -168,10 +169,10 @@
         self.metrics.counter("oriolegate_forwards_total", result=result).add()
         open_forward.done(outcome)
 
-    def _send_to(self, open_forward: OpenForward, vm: str) -> None:
+    def _send_to(self, open_forward: OpenForward, entry: MemberEntry) -> None:
         now_ms = self.clock.now_ms()
         plan = open_forward.plan
-        is_near = self.choice.is_near(vm)
+        is_near = self.choice.is_near(entry)
         margin_ms = NEAR_MARGIN_MS if is_near else FAR_MARGIN_MS
         call = open_forward.forwarded.call
         if call.time_left_ms is not None:
@@ -183,12 +184,12 @@
             call=call,
             elapsed_ms=now_ms - open_forward.arrived_ms,
         )
-        pool = self._get_pool(vm)
+        pool = self._get_pool(entry)
 
         def on_result(result: Result) -> None:
             self._stop_timer(open_forward)
             open_forward.http_call = None
-            self._on_result(open_forward, vm, result)
+            self._on_result(open_forward, entry.vm, result)
 
         open_forward.http_call = HttpCall(
             forward_wire.encode_call(*pool.address, forwarded),
--- a/tests/forwarding/test_target_choice.py
+++ b/tests/forwarding/test_target_choice.py
@@ -18,13 +18,14 @@
     def setUp(self):
         self.choice = TargetChoice("own", "dc-a", REGIONS, random.Random(1))
         self.choice.set_members(
+            0.0,
             [
                 member("own", "dc-a"),
                 *(member(f"a{n}", "dc-a") for n in range(4)),
                 *(member(f"b{n}", "dc-b") for n in range(4)),
                 *(member(f"c{n}", "dc-c") for n in range(4)),
                 member("a-old", "dc-a", accepts=False),
-            ]
+            ],
         )
 
     def choose(self, now_ms=0.0, home_regions=()):
@@ -83,10 +84,11 @@
 
     def test_load_spreads_by_the_rates_of_links(self):
         self.choice.set_members(
+            0.0,
             [
                 member("fast", "dc-a", link_mbps=100.0),
                 member("slow", "dc-a", link_mbps=10.0),
-            ]
+            ],
         )
         first = [self.choose()[0] for _ in range(1_100)]
         self.assertTrue(50 <= first.count("slow") <= 200, first.count("slow"))
@@ -98,3 +100,12 @@
         self.assertTrue(self.choice.is_isolated(later_ms))
         self.choice.record_cut_off(later_ms, "a1")
         self.assertFalse(self.choice.is_isolated(later_ms + 1.0))
+
+    def test_a_vm_that_left_is_the_last_resort_for_a_while(self):
+        self.choice.set_members(0.0, [member("b0", "dc-b")])
+        chosen = self.choose(1.0)
+        self.assertEqual(chosen[0], "b0")
+        self.assertEqual(len(chosen), 1 + target_choice.MAX_STOPPING)
+        self.choice.record_failure(1.0, chosen[1])
+        self.assertNotIn(chosen[1], self.choose(2.0))
+        self.assertEqual(self.choose(target_choice.FORMER_USE_MS), ("b0",))
--- a/tests/runtime/test_cut_off_vms.py
+++ b/tests/runtime/test_cut_off_vms.py
@@ -170,6 +170,16 @@
         load = self.run_loads(4.0)
         self.assert_served_alike(load, cut_vms, cut_s + CONTACT_S)
 
+    def test_callers_are_served_while_all_other_vms_stop(self):
+        self.run_loads(1.0)
+        cut_vms = ["vm0", "vm1", "vm2"]
+        self.cut_silently(cut_vms)
+        self.run_loads(3.0)
+        for vm in ("vm3", "vm4"):
+            self.fleet.gateways.pop(vm).plan_stop()
+        load = self.run_loads(2.0)
+        self.assertGreater(load.served_fraction(0.0), 0.95)
+
     def test_vms_of_an_earlier_version_get_no_forwarded_request(self):
         for vm in ("vm1", "vm2", "vm3", "vm4"):
             entry = self.fleet.store.objects["oriolegate-members"][vm]["spec"]
