Don't call a forwarded request unrun that this VM may have had run

A leaf of the first VM may have run a repeatable request when the VM lost its leafs; forwarded, it was refused as not run by a busy VM, and the caller got that 503. The plan now starts with what is known, so that such a request ends with 502.

--- a/src/oriolegate/forwarding/forward_plan.py
+++ b/src/oriolegate/forwarding/forward_plan.py
@@ -18,8 +18,8 @@
         deadline_at_ms: Time of the deadline.
         untried: VMs not yet tried in this round, in order.
         vm: VM that the request was last sent to, or empty.
-        may_have_run: Whether a VM whose answer is missing may have run the
-            request.
+        may_have_run: Whether the request may have run, here before it was
+            forwarded or at a VM whose answer is missing.
     """
 
     targets: tuple[str, ...]
--- a/src/oriolegate/runtime/request_handover.py
+++ b/src/oriolegate/runtime/request_handover.py
@@ -123,7 +123,7 @@
             return False
 
         def on_failed(failed: ForwardFailed) -> None:
-            if failed.may_have_run:
+            if failed.may_have_run and not exchange.used_attempts:
                 self.reply_failed(request, exchange.call)
             else:
                 refuse()
@@ -164,6 +164,7 @@
             targets,
             route.repeatability is Repeatability.IDEMPOTENT,
             deadlines.limit_ms,
+            may_have_run=forwarded.used_attempts > 0,
         )
 
         def done(outcome: ForwardedReply | ForwardFailed) -> None:
--- a/tests/test_cut_off_play.py
+++ b/tests/test_cut_off_play.py
@@ -4,7 +4,7 @@
 
 from tests.cut_off_play import CutOffPlay
 
-SEEDS = (1, 7)
+SEEDS = (1, 7, 21)
 
 
 class CutOffPlayTest(unittest.TestCase):
