Read requests of callers and of VMs by one class

No change of behaviour: BoundedRequest reads a request into memory and hands it to process(), which two classes had each written out; an unused method goes.

--- a/src/oriolegate/network/caller_server.py
+++ b/src/oriolegate/network/caller_server.py
@@ -81,7 +81,18 @@
     @property
     def max_body_bytes(self) -> int:
         """Longest body."""
-        raise NotImplementedError
+        return MAX_FORWARDED_BYTES
+
+    def requestReceived(  # noqa: N802
+        self, command: bytes, path: bytes, version: bytes
+    ) -> None:
+        """Handle the complete request; don't parse its body."""
+        self.content.seek(0, 0)
+        self.method = command
+        self.uri = path
+        self.clientproto = version
+        self.open = True
+        self.process()
 
     def gotLength(self, length: int | None) -> None:  # noqa: N802
         """Check the Content-Length before the body is stored."""
@@ -114,15 +125,8 @@
         """Longest body that the configuration allows."""
         return self.handler.limits.body_bytes
 
-    def requestReceived(  # noqa: N802
-        self, command: bytes, path: bytes, version: bytes
-    ) -> None:
-        """Pass the complete request to the handler; don't parse its body."""
-        self.content.seek(0, 0)
-        self.method = command
-        self.uri = path
-        self.clientproto = version
-        self.open = True
+    def process(self) -> None:
+        """Pass the complete request to the handler."""
         self.handler.handle(self)
 
     def connectionLost(self, reason: Any) -> None:  # noqa: N802
@@ -287,6 +291,8 @@
     """A request from the balancer, a metrics reader or another VM.
 
     Attributes:
+        handle: Answers requests other than forwarded ones.
+        handle_forwarded: Answers those, or None.
         on_disconnected: Called if the connection is lost before the response.
     """
 
@@ -294,25 +300,13 @@
     handle_forwarded: "Callable[[InternalRequest], None] | None" = None
     on_disconnected: Callable[[], None] | None = None
 
-    @property
-    def max_body_bytes(self) -> int:
-        """Longest body."""
-        return MAX_FORWARDED_BYTES
-
-    def requestReceived(  # noqa: N802
-        self, command: bytes, path: bytes, version: bytes
-    ) -> None:
-        """Pass the request on; don't parse its body."""
-        self.content.seek(0, 0)
-        self.method = command
-        self.uri = path
-        self.clientproto = version
-        self.open = True
+    def process(self) -> None:
+        """Pass the request on; the response may come later."""
         handle_forwarded = type(self).handle_forwarded
-        if command == b"POST" and handle_forwarded is not None:
+        if self.method == b"POST" and handle_forwarded is not None:
             handle_forwarded(self)
         else:
-            type(self).handle(path, self.respond)
+            type(self).handle(self.uri, self.respond)
 
     def connectionLost(self, reason: Any) -> None:  # noqa: N802
         """Notify the handler if a response was still to be sent."""
--- a/src/oriolegate/runtime/request_forwarder.py
+++ b/src/oriolegate/runtime/request_forwarder.py
@@ -133,11 +133,6 @@
         if call is not None:
             self.pools[open_forward.plan.vm].cancel(call)
 
-    def close(self) -> None:
-        """Close idle connections."""
-        for pool in self.pools.values():
-            pool.close()
-
     def _get_pool(self, entry: MemberEntry) -> HttpPool:
         address = (entry.host, entry.port)
         pool = self.pools.get(entry.vm)
