Match replies between VMs to the caller's attempt

A late second copy of a VM's reply would have been taken for the reply to the next request on that connection, as reads of one connection accepted any.

--- a/src/oriolegate/forwarding/forwarded_call.py
+++ b/src/oriolegate/forwarding/forwarded_call.py
@@ -53,6 +53,7 @@
     """Response to a forwarded request.
 
     Attributes:
+        attempt_id: Id of the caller's attempt.
         state: What the VM did.
         may_have_run: Whether a leaf may have run the request.
         version: Configuration version of the VM.
@@ -61,6 +62,7 @@
         body: Body for the caller.
     """
 
+    attempt_id: str
     state: ForwardState
     may_have_run: bool
     version: int
--- a/src/oriolegate/network/forward_wire.py
+++ b/src/oriolegate/network/forward_wire.py
@@ -101,6 +101,7 @@
 def encode_reply(reply: ForwardedReply) -> bytes:
     """Encode a response to a forwarded request as an HTTP body."""
     fields = {
+        "id": reply.attempt_id,
         "state": reply.state.value,
         "may_have_run": reply.may_have_run,
         "version": reply.version,
@@ -110,6 +111,17 @@
     return orjson.dumps(fields) + SEPARATOR + reply.body
 
 
+def is_reply_to(data: bytes, attempt_id: str) -> bool:
+    """Return whether a body is the reply to a request.
+
+    A late copy of another reply isn't.
+    """
+    try:
+        return decode_reply(data).attempt_id == attempt_id
+    except PeerMessageError:
+        return False
+
+
 def decode_reply(data: bytes) -> ForwardedReply:
     """Decode a body made by `encode_reply`.
 
@@ -122,6 +134,7 @@
             raise ValueError("incomplete")
         fields = orjson.loads(line)
         return ForwardedReply(
+            str(fields["id"]),
             ForwardState(fields["state"]),
             bool(fields["may_have_run"]),
             int(fields["version"]),
--- a/src/oriolegate/runtime/forward_server.py
+++ b/src/oriolegate/runtime/forward_server.py
@@ -56,6 +56,7 @@
             state = ForwardState.DECLINED
         self._send(
             ForwardedReply(
+                self.forwarded.call.attempt_id,
                 state,
                 may_have_run,
                 self.version,
@@ -69,6 +70,7 @@
         """Tell the other VM that this one takes no request now."""
         self._send(
             ForwardedReply(
+                self.forwarded.call.attempt_id,
                 state,
                 False,
                 self.version,
--- a/src/oriolegate/runtime/request_forwarder.py
+++ b/src/oriolegate/runtime/request_forwarder.py
@@ -31,6 +31,7 @@
 log = structured_log.get_logger("forwards")
 
 MS_PER_S = 1_000.0
+STATUS_OK = 200
 # Timeouts of opening a connection to a VM of this region and of another.
 NEAR_CONNECT_TIMEOUT_S = 0.1
 FAR_CONNECT_TIMEOUT_S = 0.2
@@ -189,7 +190,10 @@
         open_forward.http_call = HttpCall(
             forward_wire.encode_call(*pool.address, forwarded),
             on_result,
-            accepts=lambda response: True,
+            accepts=lambda response: (
+                response.status != STATUS_OK
+                or forward_wire.is_reply_to(response.body, call.attempt_id)
+            ),
         )
         limit_ms = plan.deadline_at_ms - now_ms + ANSWER_GRACE_MS
         if plan.repeatable and plan.untried:
--- a/tests/network/test_forward_wire.py
+++ b/tests/network/test_forward_wire.py
@@ -60,10 +60,21 @@
     def test_a_reply_arrives_as_it_was_sent(
         self, state, may_have_run, status, headers, body
     ):
-        sent = ForwardedReply(state, may_have_run, 7, status, headers, body)
+        sent = ForwardedReply(
+            "a1", state, may_have_run, 7, status, headers, body
+        )
         data = forward_wire.encode_reply(sent)
         self.assertEqual(forward_wire.decode_reply(data), sent)
 
+    def test_a_reply_to_another_request_is_told_apart(self):
+        reply = ForwardedReply(
+            "a1", ForwardState.ANSWERED, True, 7, 200, (), b""
+        )
+        data = forward_wire.encode_reply(reply)
+        self.assertTrue(forward_wire.is_reply_to(data, "a1"))
+        self.assertFalse(forward_wire.is_reply_to(data, "a2"))
+        self.assertFalse(forward_wire.is_reply_to(b"oriolegate 1", "a1"))
+
     @given(strategies.binary(max_size=200))
     def test_arbitrary_bytes_are_rejected(self, data):
         for decode in (forward_wire.decode_call, forward_wire.decode_reply):
--- a/tests/runtime/test_cut_off_vms.py
+++ b/tests/runtime/test_cut_off_vms.py
@@ -1,7 +1,10 @@
 """Tests of VMs that lose their links to all leafs, with whole gateways."""
 
 import unittest
+from unittest import mock
 
+from oriolegate.network.caller_server import InternalRequest
+from oriolegate.network.http_client import HttpClient
 from oriolegate.placement.leaf_directory import NoLeaf
 from oriolegate.runtime.request_forwarder import NEAR_CONNECT_TIMEOUT_S
 from tests.platform import stand_in_documents as documents
@@ -17,6 +20,7 @@
     documents.route_spec("once", service="s0", type=documents.NON_IDEMPOTENT),
 )
 COPIES = 3
+INTERNAL_PORT = 3
 WORK_S = 0.02
 REQUESTS_PER_S = 60.0
 CONTACT_S = 5.0
@@ -368,3 +372,43 @@
         ]
         left_ms = int(request.headers[b"deadline-ms"])
         self.assertLessEqual(left_ms, 1_500 - asked_ms)
+
+    def test_a_late_copy_of_a_reply_reaches_no_other_caller(self):
+        # A VM repeats its last reply before the one that is due.
+        replies = []
+        respond = InternalRequest.respond
+
+        def respond_twice(request, status, body):
+            if request.open and request.method == b"POST":
+                if replies:
+                    request.channel.transport.write(replies[-1])
+                head = b"HTTP/1.1 %d OK\r\nContent-Length: %d\r\n\r\n"
+                replies.append(head % (status, len(body)) + body)
+            respond(request, status, body)
+
+        with mock.patch.object(InternalRequest, "respond", respond_twice):
+            for number in range(40):
+                responses = self.send("GET", "/one/x", f"p{number}")
+                self.network.run_for(0.2)
+                (response,) = responses
+                self.assertEqual(response.status, 200)
+                self.assertEqual(
+                    response.header(b"attempt-id"), f"p{number}".encode()
+                )
+
+    def test_malformed_requests_of_vms_are_rejected_and_change_nothing(self):
+        client = HttpClient(
+            self.fleet.callers, self.network.clock, ("vm1", INTERNAL_PORT)
+        )
+        bodies = (b"", b"{}\n", b'{"id": 3}\n', b"\xff" * 50, b"[1]\nbody")
+        responses = []
+        for path in (b"/forwarded", b"/other"):
+            for body in bodies:
+                head = b"POST %s HTTP/1.1\r\nHost: h\r\nContent-Length: %d"
+                data = head % (path, len(body)) + b"\r\n\r\n" + body
+                client.send(data, 1_000.0, responses.append)
+                self.network.run_for(0.1)
+        self.assertEqual([r.status for r in responses], [400] * 10)
+        served = self.send("GET", "/one/x")
+        self.network.run_for(1.0)
+        self.assertEqual([r.status for r in served], [200])
