--- a/tests/tools/test_soak.py
+++ b/tests/tools/test_soak.py
@@ -5,6 +5,7 @@
 import unittest
 
 from tools.soak import __main__ as soak
+from tools.soak import gateways
 from tools.soak import promises
 from tools.soak.gateways import ROOT
 
@@ -25,6 +26,19 @@
         self.assertRegex(finished.stdout, r"all 200: \d{2,}")
 
 
+class AddressTest(unittest.TestCase):
+    def test_soaks_beside_each_other_share_no_address(self):
+        command = "from tools.soak import gateways; print(gateways.host_for(0))"
+        other = subprocess.run(
+            [sys.executable, "-c", command],
+            cwd=ROOT,
+            capture_output=True,
+            text=True,
+            check=True,
+        )
+        self.assertNotEqual(other.stdout.strip(), gateways.host_for(0))
+
+
 class PromisesTest(unittest.TestCase):
     def setUp(self):
         self.checker = promises.PromiseChecker()
--- a/tools/soak/gateways.py
+++ b/tools/soak/gateways.py
@@ -14,6 +14,8 @@
 
 ROOT = pathlib.Path(__file__).resolve().parents[2]
 GRACE_S = 2.0
+# Values of each of the two bytes of an address that name a process.
+ADDRESS_BLOCKS = 250
 RESTART_DELAY_S = 0.3
 # Connections may still be affected for this long after a disturbance.
 DISTURBANCE_EFFECT_MS = 1_500.0
@@ -31,8 +33,13 @@
 
 
 def host_for(number: int) -> str:
-    """Return the loopback address of a gateway."""
-    return f"127.0.0.{10 + number}"
+    """Return the loopback address of a gateway.
+
+    Processes beside this one use others: they must not get the port of a
+    gateway that was killed.
+    """
+    high, low = divmod(os.getpid() % ADDRESS_BLOCKS**2, ADDRESS_BLOCKS)
+    return f"127.{1 + high}.{1 + low}.{10 + number}"
 
 
 class GatewayProcess:
