Don't end open requests for silence alone

A VM whose few open requests all meet slow leafs counts as cut off until the next response; it ended these requests with 502, though they would have been answered.

--- a/src/oriolegate/runtime/contact_watch.py
+++ b/src/oriolegate/runtime/contact_watch.py
@@ -22,7 +22,9 @@
         prober: Probes leafs; while this VM is cut off, its callers' requests
             go to other VMs, and only probes show that leafs respond again.
         targets: VMs that serve the callers of this one while it is cut off.
-        on_cut_off: Called when the VM loses its leafs.
+        on_cut_off: Called when the VM loses its leafs, once a connection has
+            failed too: silence alone may be slowness.
+        must_hand_over: Whether `on_cut_off` is still to be called.
     """
 
     def __init__(
@@ -42,6 +44,7 @@
         self.confirmation = confirmation
         self.targets = targets
         self.was_cut_off = False
+        self.must_hand_over = False
         self.on_cut_off: Callable[[], None] = lambda: None
         metrics.gauge("oriolegate_cut_off", lambda: int(self.is_cut_off()))
         metrics.gauge(
@@ -77,7 +80,11 @@
         is_cut_off = self.is_cut_off()
         if is_cut_off != self.was_cut_off:
             self.was_cut_off = is_cut_off
+            self.must_hand_over = is_cut_off
             self._report(now_ms, is_cut_off)
+        if self.must_hand_over and self.contact.refusing:
+            self.must_hand_over = False
+            self.on_cut_off()
         self.confirmation.check(is_cut_off=is_cut_off)
         if (
             is_cut_off
@@ -96,4 +103,3 @@
             known=len(self.directory.leafs),
             since_ms=round(now_ms - self.contact.last_response_ms),
         ).warning("no leaf responds to this VM; other VMs serve its callers")
-        self.on_cut_off()
--- a/tests/runtime/test_cut_off_vms.py
+++ b/tests/runtime/test_cut_off_vms.py
@@ -219,6 +219,16 @@
         for vm in self.fleet.gateways:
             self.assertEqual(self.forwarded_count(vm), 0, vm)
 
+    def test_open_requests_to_leafs_that_are_only_slow_are_not_ended(self):
+        for leaf in self.fleet.leafs.values():
+            leaf.behave = lambda request: self.network.reactor.callLater(
+                50.0 * WORK_S, request.answer, bytes(16)
+            )
+        responses = []
+        self.fleet.call("vm0", "/all/x", "b1", responses.append)
+        self.network.run_for(1.4)
+        self.assertEqual([r.status for r in responses], [200])
+
     def test_a_dark_shard_costs_few_forwarded_requests(self):
         for copy in range(COPIES):
             leaf_id = f"s0-{copy}"
