--- a/tests/cut_off_play.py
+++ b/tests/cut_off_play.py
@@ -224,7 +224,7 @@
 
     def replace_leaf(self, duration_s: float) -> None:
         """Start a leaf and let one of its service leave."""
-        leaf_id = self.rng.choice(list(self.fleet.leafs))
+        leaf_id = self.rng.choice(list(self.fleet.store.objects["servers"]))
         shard = leaf_id.partition("-")[0]
         self._add_leaf(shard, self.rng.choice(DATA_CENTRES))
         self.fleet.store.delete("servers", leaf_id)
