--- a/review/lib/standins.py
+++ b/review/lib/standins.py
@@ -189,6 +189,7 @@
 
     Attributes:
         is_cut: While true, nothing passes, in neither direction.
+        open_calls: Calls without an answer.
         translate: Maps the bytes of an answer, or None. Links between one
             machine and the leafs are made with it.
     """
@@ -197,6 +198,7 @@
         self.store = store
         self.translate = translate
         self.is_cut = False
+        self.open_calls = 0
 
     async def open(self, host):
         loop = asyncio.get_running_loop()
@@ -215,7 +217,14 @@
         while self.is_cut:
             await asyncio.sleep(0.02)
 
-    async def _handle(self, connection, method, target, headers, body):
+    async def _handle(self, *call):
+        self.open_calls += 1
+        try:
+            await self._serve(*call)
+        finally:
+            self.open_calls -= 1
+
+    async def _serve(self, connection, method, target, headers, body):
         await self._pass_cut()
         await asyncio.sleep(0.004)
         path, _, query = target.partition("?")
@@ -286,6 +295,9 @@
         work_s: How long a run takes, or a function that returns it.
         runs: Start time, attempt id, method and path of each run.
         outcome: Called with each run; returns "answer", "lost" or "hang".
+        quiet_s: If not None, requests are turned away with this Retry-After.
+        turned_away: Time and attempt id of these requests.
+        arrivals: Time and attempt id of all requests of clients.
     """
 
     def __init__(self, record, store, leaf_id, service, zone, slots=4):
@@ -299,7 +311,10 @@
         self.waiting = 0
         self.work_s = 0.02
         self.runs = []
+        self.arrivals = []
         self.outcome = lambda attempt: "answer"
+        self.quiet_s = None
+        self.turned_away = []
         self.cold_until = 0.0
         self.state = "ready"
         self.born = int(time.time() * 1000)
@@ -374,6 +389,17 @@
         if expected is not None and expected != self.leaf_id:
             connection.write(421, {"Instance-Id": self.leaf_id}, b"")
             return
+        self.arrivals.append((time.monotonic(), attempt))
+        if self.quiet_s is not None:
+            self.turned_away.append((time.monotonic(), attempt))
+            self.record.line(f"leaf {self.leaf_id} turns {attempt} away")
+            fields = {
+                "Not-Executed": "1",
+                "Attempt-Id": attempt,
+                "Retry-After": self.quiet_s,
+            }
+            connection.write(503, fields, b"")
+            return
         if self.waiting >= QUEUE:
             connection.write(503, {"Not-Executed": "1", "Attempt-Id": attempt}, b"")
             return
