--- a/review/lib/standins.py
+++ b/review/lib/standins.py
@@ -298,9 +298,6 @@
         quiet_s: If not None, requests are turned away with this Retry-After.
         turned_away: Time and attempt id of these requests.
         arrivals: Time and attempt id of all requests of clients.
-        leaving: Whether its answers say `Server-Leaving`.
-        path: The way of one machine to this leaf, which can be broken, if any.
-        path_arrivals: Time and attempt id of the requests on that way.
     """
 
     def __init__(self, record, store, leaf_id, service, zone, slots=4):
@@ -323,48 +320,21 @@
         self.born = int(time.time() * 1000)
         self.connections = set()
         self.server = None
-        self.leaving = False
-        self.path_arrivals = []
-        self.path = None
 
     async def start(self, host):
-        loop = asyncio.get_running_loop()
-        self.server = await loop.create_server(
-            lambda: HttpProtocol(
-                self._handle, self.connections.add, self.connections.discard
-            ),
-            host,
-            0,
-        )
-        self.address = self.server.sockets[0].getsockname()[:2]
+        await self.listen(host)
         self.write_entry()
 
-    async def open_path(self, host, port=0):
-        """Open an address for one machine, which can be cut off from it."""
+    async def listen(self, host, port=0):
         loop = asyncio.get_running_loop()
-        self.path_connections = set()
-        self.path = await loop.create_server(
+        self.server = await loop.create_server(
             lambda: HttpProtocol(
-                self._handle_on_path,
-                self.path_connections.add,
-                self.path_connections.discard,
+                self._handle, self.connections.add, self.connections.discard
             ),
             host,
             port,
         )
-        self.path_address = self.path.sockets[0].getsockname()[:2]
-
-    async def _handle_on_path(self, connection, method, target, headers, body):
-        if target != "/health":
-            arrival = (time.monotonic(), headers.get("attempt-id", ""))
-            self.path_arrivals.append(arrival)
-        await self._handle(connection, method, target, headers, body)
-
-    def break_path(self):
-        """Reset the machine's connections and refuse new ones."""
-        self.path.close()
-        for connection in list(self.path_connections):
-            connection.reset()
+        self.address = self.server.sockets[0].getsockname()[:2]
 
     def cold_left_ms(self):
         return max(0, int((self.cold_until - time.monotonic()) * 1000))
@@ -449,8 +419,6 @@
             connection.reset()
             return
         fields = {"Attempt-Id": attempt, "Server-Seal": f"seal.{self.leaf_id}"}
-        if self.leaving:
-            fields["Server-Leaving"] = "1"
         connection.write(200, fields, f"{self.leaf_id:<16}".encode()[:16])
 
 
