--- a/review/lib/standins.py
+++ b/review/lib/standins.py
@@ -199,6 +199,7 @@
         self.translate = translate
         self.is_cut = False
         self.open_calls = 0
+        self.watching = set()
 
     async def open(self, host):
         loop = asyncio.get_running_loop()
@@ -213,6 +214,11 @@
             body = self.translate(body)
         connection.write(status, {"Content-Type": "application/json"}, body)
 
+    def cut_watches(self):
+        """Reset the connections whose watch waits."""
+        for connection in list(self.watching):
+            connection.reset()
+
     async def _pass_cut(self):
         while self.is_cut:
             await asyncio.sleep(0.02)
@@ -235,7 +241,11 @@
         store = self.store
         known = store.objects.setdefault(kind, {})
         if method == "GET" and "watch" in fields:
-            await self._watch(connection, kind, fields)
+            self.watching.add(connection)
+            try:
+                await self._watch(connection, kind, fields)
+            finally:
+                self.watching.discard(connection)
         elif method == "GET" and name is None:
             names = sorted(n for n in known if n > fields.get("after", ""))
             page = names[:PAGE_ITEMS]
