Leave a store reader within 1.4 s after it has lost the store

Cause: in each data centre one VM reads the store and the others follow it. A watch without changes is silent for up to 6 s, so a reader whose path to the store is cut silently vouched for its views for 5 to 8 s. Its followers stayed that long, and whoever left it waited up to 2 s more before it read the configuration.

Change: a VM that reads the store probes it each 0.5 s with a read that may be stale (a tenth of a call's price), and refuses its followers at once after a probe without an answer in 0.9 s. A VM without a source probes the store too; if it answers, the VM waits 0.6 s for each peer that it may follow, 1.2 s at most, then reads all collections. If it does not, the store may be down for all, and after its return peers get 2 s, as before.

Evidence: tests.runtime.test_store_reader_cuts failed before the change at 4 of 16 moments of the cut, with one VM cut off and with two; it holds now.

The stand-in store now counts the price of calls instead of their number: the bounds on calls in tests.runtime.test_followed_views stay as they are, and a read that may be stale counts a tenth, as the store bills it.

--- a/src/oriolegate/platform/store_calls.py
+++ b/src/oriolegate/platform/store_calls.py
@@ -26,6 +26,9 @@
 # The store no longer has all changes since the revision of a watch.
 STATUS_HISTORY_GONE = 410
 STATUS_OK = 200
+STATUS_NOT_FOUND = 404
+# Answers to `probe_call` of a store that serves this VM.
+PROBE_STATUSES = frozenset({STATUS_OK, STATUS_NOT_FOUND})
 # Tagged revisions, which are exchanged as JSON numbers, stay within 63 bits.
 MAX_ERA = 2**22
 
@@ -71,6 +74,12 @@
     return StoreCall("GET", f"{PATHS[collection]}?{query}")
 
 
+def probe_call(vm: str) -> StoreCall:
+    """Return the cheapest call: a read of one entry, which may be stale."""
+    target = _object_path(Collection.MEMBERS, vm)
+    return StoreCall("GET", f"{target}?allow_stale=1")
+
+
 def create_call(collection: Collection, name: str, content: Any) -> StoreCall:
     """Return the call that creates an object owned by this tier."""
     body = orjson.dumps({"meta": {"name": name}, "spec": content})
--- a/src/oriolegate/runtime/gateway_composition.py
+++ b/src/oriolegate/runtime/gateway_composition.py
@@ -48,6 +48,7 @@
 from oriolegate.runtime.site_sinks import LeafSink
 from oriolegate.runtime.site_sinks import MemberSink
 from oriolegate.runtime.slow_leaf_runner import SlowLeafRunner
+from oriolegate.runtime.store_probe import StoreProbe
 from oriolegate.runtime.store_runner import StoreRunner
 from oriolegate.runtime.view_server import ViewServer
 
@@ -182,8 +183,15 @@
         )
         for collection, cache in caches.items()
     }
-    store = StoreRunner(reactor, clock, store_client, followers, era)
-    store.has_peers = lambda: bool(choice.higher_ranked)
+    store = StoreRunner(
+        reactor,
+        clock,
+        store_client,
+        followers,
+        era,
+        StoreProbe(reactor, store_client, settings.vm),
+    )
+    store.count_peers = lambda: len(choice.higher_ranked)
     views = ViewServer(
         reactor,
         clock,
--- a/src/oriolegate/runtime/store_runner.py
+++ b/src/oriolegate/runtime/store_runner.py
@@ -13,7 +13,6 @@
 from oriolegate.following.follower import CALL_TIMEOUT_MS
 from oriolegate.following.follower import Follower
 from oriolegate.following.follower import ListQuery
-from oriolegate.following.follower import MAX_FAILING_AGE_MS
 from oriolegate.following.follower import StoreQuery
 from oriolegate.following.follower import WatchQuery
 from oriolegate.following.store_era import StoreEra
@@ -23,6 +22,7 @@
 from oriolegate.network.store_client import StoreClient
 from oriolegate.platform import store_calls
 from oriolegate.runtime import large_answers
+from oriolegate.runtime.store_probe import StoreProbe
 
 log = structured_log.get_logger("store")
 
@@ -30,10 +30,13 @@
 # Timeout of a list call while the collection has never been listed; doubles
 # with each failure. Short, since the store may have recovered in the meantime.
 FIRST_LIST_TIMEOUT_MS = 500.0
-# How long a VM that may follow peers waits for one before it follows all
-# collections itself. The leafs don't wait. Peers recover within a backoff and a
-# query each.
-PEER_GRACE_MS = 2_000.0
+# How long a VM waits for each peer that it may follow before it reads the store
+# itself: the backoff of the peer and the interval of the search for one.
+WAIT_PER_PEER_MS = 600.0
+MAX_WAIT_FOR_PEER_MS = 1_200.0
+# The same after the store did not answer this VM. Its peers may return at the
+# same time, and they recover within a probe, a backoff and a query each.
+WAIT_AFTER_OUTAGE_MS = 2_000.0
 
 
 class StoreRunner:
@@ -42,9 +45,12 @@
     Attributes:
         followers: Follower of each collection.
         era: Era of the store.
+        probe: Shows whether the store answers while it is read.
         on_call_ended: Called after each answer and each failed call.
-        has_peers: Returns whether there are peers that may be followed.
+        count_peers: Returns the number of peers that may be followed.
         paused: Whether a peer is followed instead of the store.
+        waits_for_peer: Whether the store is to be read soon unless a peer
+            answers before.
         timers: Timer of the next call, by collection.
         calls: Function that cancels the open call, by collection.
         parked: Calls that wait, while the store fails, until the call of
@@ -58,6 +64,7 @@
         client: StoreClient,
         followers: Mapping[Collection, Follower],
         era: StoreEra,
+        probe: StoreProbe,
     ) -> None:
         self.reactor = reactor
         self.clock = clock
@@ -65,15 +72,25 @@
         self.followers = followers
         self.era = era
         self.on_call_ended: Callable[[], None] = lambda: None
-        self.has_peers: Callable[[], bool] = lambda: False
+        self.probe = probe
+        self.count_peers: Callable[[], int] = lambda: 0
         self.paused = False
+        self.waits_for_peer = False
+        self.wait_timer: Any = None
+        probe.on_answered = self._on_probe_answered
+        probe.on_failed = self._on_probe_failed
         self.timers: dict[Collection, Any] = {}
         self.calls: dict[Collection, CancelCall] = {}
         self.parked: dict[Collection, tuple[Follower, StoreQuery]] = {}
 
     @property
     def is_confirmed(self) -> bool:
-        """Whether the view of each collection is complete and current."""
+        """Whether the views are complete and current, and stay so.
+
+        While the store doesn't answer probes, changes don't reach this VM.
+        """
+        if self.probe.failures and not self.paused:
+            return False
         now_ms = self.clock.now_ms()
         return all(
             follower.is_confirmed(now_ms)
@@ -82,12 +99,15 @@
 
     def start(self) -> None:
         """Start following all collections."""
+        self.probe.start()
         for follower in self.followers.values():
             self._schedule(follower, follower.start())
 
     def pause(self) -> None:
         """Cancel all calls and make none until `resume`."""
         self.paused = True
+        self.probe.stop()
+        self._stop_waiting()
         for timer in self.timers.values():
             if timer.active():
                 timer.cancel()
@@ -101,26 +121,54 @@
         """Continue to follow from the current revisions.
 
         Args:
-            at_once: Whether all collections are read now. Otherwise those that
-                are not old yet wait some time for a peer to follow.
+            at_once: Whether the store is read now. Otherwise a peer to follow
+                is awaited for some time, and until the store answers a probe.
         """
         if not self.paused:
             return
         self.paused = False
-        now_ms = self.clock.now_ms()
+        self.waits_for_peer = not at_once
+        self.probe.start()
+        if at_once:
+            self._follow_all()
+
+    def _stop_waiting(self) -> None:
+        self.waits_for_peer = False
+        if self.wait_timer is not None and self.wait_timer.active():
+            self.wait_timer.cancel()
+        self.wait_timer = None
+
+    def _on_probe_answered(self, failures: int) -> None:
+        if self.waits_for_peer and self.wait_timer is None:
+            wait_ms = min(
+                MAX_WAIT_FOR_PEER_MS, WAIT_PER_PEER_MS * self.count_peers()
+            )
+            if failures:
+                wait_ms = WAIT_AFTER_OUTAGE_MS
+            self.wait_timer = self.reactor.callLater(
+                wait_ms / MS_PER_S, self._on_wait_over
+            )
+        self.on_call_ended()
+
+    def _on_probe_failed(self) -> None:
+        if self.wait_timer is not None:
+            self.wait_timer.cancel()
+            self.wait_timer = None
+        self.on_call_ended()
+
+    def _on_wait_over(self) -> None:
+        self._stop_waiting()
+        self._follow_all()
+
+    def _follow_all(self) -> None:
         for follower in self.followers.values():
-            delay_ms = 0.0
-            if not at_once and self._may_wait_for_peer(follower):
-                fresh_ms = MAX_FAILING_AGE_MS - (now_ms - follower.confirmed_ms)
-                delay_ms = min(max(fresh_ms, 0.0), PEER_GRACE_MS)
-            query = follower.resume()
-            self._schedule(follower, attrs.evolve(query, delay_ms=delay_ms))
+            self._schedule(follower, follower.resume())
 
     def _may_wait_for_peer(self, follower: Follower) -> bool:
         return (
             follower.complete
             and follower.collection is not Collection.LEAFS
-            and self.has_peers()
+            and self.count_peers() > 0
         )
 
     def _schedule(self, follower: Follower, request: StoreQuery) -> None:
@@ -167,7 +215,7 @@
         self.parked = {}
         for follower, request in parked.values():
             if self._may_wait_for_peer(follower):
-                delayed = attrs.evolve(request, delay_ms=PEER_GRACE_MS)
+                delayed = attrs.evolve(request, delay_ms=WAIT_AFTER_OUTAGE_MS)
                 self._schedule(follower, delayed)
             else:
                 self._call(follower, request)
--- a/tests/platform/stand_in_store.py
+++ b/tests/platform/stand_in_store.py
@@ -11,6 +11,8 @@
 from twisted.web import http
 
 PAGE_ITEMS = 3
+# Part of the price of a call that a read costs if it may be stale.
+STALE_READ_PRICE = 0.1
 
 
 @attrs.frozen
@@ -50,6 +52,12 @@
         self.calls: list[str] = []
         self.waiting: list[tuple[Any, str, int, Any]] = []
 
+    @property
+    def price(self) -> float:
+        """The price of all calls so far, refused ones included."""
+        stale_count = sum("allow_stale=1" in call for call in self.calls)
+        return len(self.calls) - (1.0 - STALE_READ_PRICE) * stale_count
+
     def put(self, kind: str, name: str, spec: Any) -> None:
         """Create or replace an object; a put that changes nothing is none."""
         earlier = self.objects.get(kind, {}).get(name)
@@ -159,6 +167,10 @@
                     int(fields["watch"]),
                     int(fields["wait_ms"]),
                 )
+            case b"GET" if names:
+                name = parse.unquote(names[0])
+                stored = self.objects.get(kind, {}).get(name)
+                request.send(404 if stored is None else 200, stored or {})
             case b"GET":
                 after = fields.get("after", "")
                 may_lag = "allow_stale" in fields
