Decode entries one by one when an answer of the store is unreadable

Cause: an answer of the store was decoded as a whole, so an entry that the JSON decoder rejects (lone surrogates, deep nesting, 1e999) made each page and batch of its collection malformed, and the follower listed anew for ever. Nesting of 255 to 1,024 levels is decoded but can't be encoded: the reader of a data centre then raised an error for each request of its followers. A port of 5,000 digits raised an error too, and a host name was taken for a leaf.

Change: such an answer is split into its entries, each of which is decoded by itself; content that can't be read becomes none, which is an invalid leaf. An address is an IPv4 address and a port of at most five digits.

Leafs of whole gateways in virtual time now have IP addresses in their entries.

--- a/src/oriolegate/platform/documents.py
+++ b/src/oriolegate/platform/documents.py
@@ -6,6 +6,8 @@
 """
 
 from collections.abc import Mapping
+import re
+import socket
 from typing import Any
 
 from oriolegate.exceptions import MalformedEntryError
@@ -17,6 +19,8 @@
 from oriolegate.models.site import Service
 from oriolegate.models.site import WeightedService
 
+MAX_PORT = 65_535
+PORT = re.compile(r"[1-9][0-9]{0,4}")
 REPEATABILITY_BY_TYPE = {
     "idempotent": Repeatability.IDEMPOTENT,
     "non_idempotent": Repeatability.NON_IDEMPOTENT,
@@ -61,10 +65,21 @@
     return value
 
 
+def _is_ipv4_address(host: str) -> bool:
+    try:
+        socket.inet_pton(socket.AF_INET, host)
+    except (OSError, ValueError):
+        return False
+    return True
+
+
 def _address(source: Mapping[str, Any], name: str) -> tuple[str, int]:
     host, _, port = _string(source, name).rpartition(":")
-    if not host or not port.isdecimal() or not 0 < int(port) < 65_536:
+    # A name would be resolved in a thread, or not at all.
+    if not _is_ipv4_address(host) or not PORT.fullmatch(port):
         raise MalformedEntryError(f"`{name}` is not IP:PORT")
+    if int(port) > MAX_PORT:
+        raise MalformedEntryError(f"`{name}` has a port over {MAX_PORT}")
     return host, int(port)
 
 
--- a/src/oriolegate/platform/store_calls.py
+++ b/src/oriolegate/platform/store_calls.py
@@ -15,6 +15,7 @@
 from oriolegate.models.stored import StoredObject
 from oriolegate.network.http_reader import HttpResponse
 from oriolegate.platform import header_names
+from oriolegate.platform import json_parts
 
 PATHS = {
     Collection.LEAFS: "/objects/servers",
@@ -115,15 +116,54 @@
     return int(value)
 
 
+def _read_stored_object(text: bytes) -> Any:
+    """Decode an object whose content may be unreadable, then None."""
+    try:
+        fields = json_parts.split_object(text)
+    except MalformedEntryError:
+        return None
+    return {name: json_parts.read(field) for name, field in fields.items()}
+
+
+def _read_event(text: bytes) -> Any:
+    """Decode an event whose object may have unreadable content."""
+    try:
+        fields = json_parts.split_object(text)
+    except MalformedEntryError:
+        return None
+    event = {name: json_parts.read(field) for name, field in fields.items()}
+    if "object" in fields:
+        event["object"] = _read_stored_object(fields["object"])
+    return event
+
+
+# How each element of a list in an answer is decoded by itself.
+ELEMENT_READERS = {"items": _read_stored_object, "events": _read_event}
+
+
+def _json_object_by_parts(body: bytes) -> dict[str, Any]:
+    """Decode an answer that holds unreadable content, which becomes None."""
+    document: dict[str, Any] = {}
+    for name, text in json_parts.split_object(body).items():
+        read_element = ELEMENT_READERS.get(name)
+        if read_element is None:
+            document[name] = json_parts.read(text)
+        else:
+            document[name] = [
+                read_element(element) for element in json_parts.split_list(text)
+            ]
+    return document
+
+
 def _json_object(body: bytes) -> dict[str, Any]:
     try:
         document = orjson.loads(body)
-    except orjson.JSONDecodeError as error:
-        raise MalformedEntryError(
-            f"the response is not JSON: {error}"
-        ) from error
+    except orjson.JSONDecodeError:
+        return _json_object_by_parts(body)
     if not isinstance(document, dict):
         raise MalformedEntryError("the response is not a JSON object")
+    if not json_parts.is_transferable(document):
+        return _json_object_by_parts(body)
     return document
 
 
--- a/tests/platform/test_store_calls.py
+++ b/tests/platform/test_store_calls.py
@@ -11,6 +11,13 @@
 from oriolegate.models.stored import StoredObject
 from oriolegate.platform import store_calls
 
+# Contents that the decoder rejects, or that could not be sent to other VMs.
+UNREADABLE = (
+    b'"\\udcff\\udc00"',
+    b'{"slots":1e999}',
+    b"[" * 300 + b"]" * 300,
+    b"[" * 1_100 + b"]" * 1_100,
+)
 OBJECT = {"meta": {"name": "a", "revision": 3}, "spec": {"x": 1}}
 
 
@@ -54,6 +61,26 @@
         page = store_calls.decode_page(orjson.dumps(body), 0)
         self.assertEqual([item.name for item in page.items], ["a"])
 
+    def test_content_that_cannot_be_read_is_none_and_the_others_hold(self):
+        for content in UNREADABLE:
+            odd = {"meta": OBJECT["meta"] | {"name": "odd"}}
+            odd["spec"] = orjson.Fragment(content)
+            items = [odd, OBJECT]
+            events = [{"object": item, "deleted": False} for item in items]
+            page_body = {"items": items, "has_more": False, "as_of": 9}
+            page = store_calls.decode_page(orjson.dumps(page_body), 0)
+            batch = store_calls.decode_changes(
+                orjson.dumps({"events": events, "as_of": 9}), 0
+            )
+            with self.subTest(content=content[:20]):
+                expected = [
+                    StoredObject("odd", 3, None),
+                    StoredObject("a", 3, {"x": 1}),
+                ]
+                self.assertEqual(list(page.items), expected)
+                self.assertEqual([c.item for c in batch.changes], expected)
+                self.assertEqual((page.revision, batch.revision), (9, 9))
+
     @given(strategies.binary(max_size=40))
     def test_invalid_responses_are_rejected(self, body):
         for decode in (store_calls.decode_page, store_calls.decode_changes):
--- a/tests/runtime/test_unexpected_errors.py
+++ b/tests/runtime/test_unexpected_errors.py
@@ -15,6 +15,28 @@
 SEEDS = range(1, 9)
 # Values that entries and answers of another writer may hold in any place.
 VALUES = (None, True, -1, 0, 2**62, 1e308, "", "x", "\r\nA: b", "€", [], {})
+# Contents of entries that no decoder of a VM, or none of its peers, can read.
+UNREADABLE = {
+    "surrogates": b'"\\udcff\\udcfe not a leaf"',
+    "nested": b'{"slots":' + b"[" * 1_100 + b"]" * 1_100 + b"}",
+    "nested less": b'{"slots":' + b"[" * 300 + b"]" * 300 + b"}",
+    "number": b'{"warmup_left_ms":1e999}',
+    "long number": b'{"born":' + b"9" * 5_000 + b"}",
+}
+# Addresses that are none, in an entry that is else that of a leaf.
+BAD_ADDRESSES = (
+    "10.0.0.0:0",
+    "10.0.0.0:65536",
+    "10.0.0.0:" + "9" * 5_000,
+    "10.0.0.0:-1",
+    ":1",
+    "10.0.0.0",
+    "10.0.0.0:1e9",
+    "10.0.0.0:\u0661",
+    "10.0.0.256:1",
+    "leaf-0:1",
+    "leaf-0\x00:1",
+)
 KINDS = ("servers", "evacuations", "oriolegate-members", "oriolegate-crashes")
 
 
@@ -80,6 +102,43 @@
                 # An odd evacuation of the leafs' data centre is none.
                 self.check_service(fleet)
 
+    def check_leafs_are_followed(self, fleet):
+        """Replace a leaf; all VMs, also a new one, must know both changes."""
+        fleet.add_leaf("late", "s1")
+        fleet.store.delete("servers", "leaf-0")
+        fleet.add_gateway("vm-late", FAST_BYTES_PER_S, first_start=False)
+        fleet.network.run_for(5.0)
+        for vm, process in fleet.gateways.items():
+            usable = [
+                leaf_id
+                for leaf_id, leaf in self.leafs(fleet, vm).items()
+                if leaf.entry_removed_at_ms is None
+            ]
+            self.assertEqual(sorted(usable), ["late", "leaf-1", "leaf-2"])
+            errors = process.parts.metrics.counter(
+                "oriolegate_unexpected_errors_total"
+            )
+            self.assertEqual(errors.value, 0)
+        followed = [p for p in fleet.gateways.values() if p.parts.feed.peer]
+        self.assertEqual(len(followed), len(fleet.gateways) - 1)
+        self.check_service(fleet)
+
+    def test_other_leafs_are_followed_beside_an_entry_that_is_unreadable(self):
+        for name, content in UNREADABLE.items():
+            with self.subTest(name=name):
+                fleet = start_fleet(3)
+                fleet.store.put("servers", "odd", orjson.Fragment(content))
+                fleet.network.run_for(3.0)
+                self.check_leafs_are_followed(fleet)
+
+    def test_an_entry_without_a_valid_address_is_no_leaf(self):
+        fleet = start_fleet(3)
+        for number, address in enumerate(BAD_ADDRESSES):
+            spec = fleet.leaf_spec("leaf-0", "s1") | {"address": address}
+            fleet.store.put("servers", f"odd-{number}", spec)
+        fleet.network.run_for(3.0)
+        self.check_leafs_are_followed(fleet)
+
     def leafs(self, fleet, vm):
         return fleet.gateways[vm].parts.directory.leafs
 
--- a/tests/virtual_network.py
+++ b/tests/virtual_network.py
@@ -339,6 +339,7 @@
 
         Behind a cut, the opening packet is sent again each second.
         """
+        host = self.network.names.get(host, host)
         round_trip_s = 2.0 * self.network.delay_s
         end_s = self.reactor.seconds() + timeout
         self.callLater(
@@ -411,11 +412,13 @@
         held: Segments that wait for the end of a cut, with their transports, by
             sending and receiving host; a pair that is not cut is absent.
         refused: Pairs of a host and another that refuses its new connections.
+        names: Name of each host that has an IP address, by that address.
     """
 
     def __init__(self, delay_s: float) -> None:
         self.held: dict[tuple[str, str], list[tuple[Transport, bytes]]] = {}
         self.refused: set[tuple[str, str]] = set()
+        self.names: dict[str, str] = {}
         self.hosts: dict[str, Host] = {}
         self.reactor = VirtualReactor()
         self.clock = VirtualClock(self.reactor)
@@ -427,6 +430,16 @@
         host = self.hosts[name] = Host(self, name, rate_bytes_per_s)
         return host
 
+    def ip_address(self, name: str) -> str:
+        """Return the IP address of a host, which may be added later."""
+        for address, known in self.names.items():
+            if known == name:
+                return address
+        high, low = divmod(len(self.names), 256)
+        address = f"10.0.{high}.{low}"
+        self.names[address] = name
+        return address
+
     def cut(self, sender: str, receiver: str) -> None:
         """Hold all bytes of one host to another, until `heal`."""
         self.held.setdefault((sender, receiver), [])
