Refuse a late request of a planned stop that would not end before the exit

Cause: the choice to take a request knew its deadline, not the process's end.

Change: a stopping VM takes a request only if the time until its exit is at least what most requests of the route take, twice that for requests that may not be repeated. Others are refused at once as not run, with Retry-After 0.

Evidence: tests.runtime.test_late_requests failed before, with five 502 for each kind of route in one stop; now all late requests are served or refused unrun.

--- a/src/oriolegate/placement/route_latency.py
+++ b/src/oriolegate/placement/route_latency.py
@@ -57,6 +57,13 @@
         step = self.typical_ms * MEDIAN_STEP
         self.typical_ms += step if work_ms > self.typical_ms else -step
 
+    @property
+    def usual_ms(self) -> float:
+        """Work time that most requests stay below."""
+        if self.tracker.threshold_ms is None:
+            return self.target_ms * DEFAULT_HEDGE_FRACTION
+        return self.tracker.threshold_ms
+
     def hedge_after_ms(self, distance_ms: float) -> float:
         """Return how long after a send its hedge is due.
 
@@ -66,13 +73,10 @@
         Args:
             distance_ms: Network round-trip time to the leaf of the first send.
         """
-        quantile_ms = self.tracker.threshold_ms
-        if quantile_ms is None:
-            quantile_ms = self.target_ms * DEFAULT_HEDGE_FRACTION
         latest_ms = self.target_ms * (1.0 - RESERVE_FRACTION)
         latest_ms -= HEDGE_OVERHEAD_MS + MIN_HEDGE_FACTOR * self.typical_ms
         earliest_ms = MIN_HEDGE_FACTOR * self.typical_ms + distance_ms
-        return max(earliest_ms, min(distance_ms + quantile_ms, latest_ms))
+        return max(earliest_ms, min(distance_ms + self.usual_ms, latest_ms))
 
 
 class RouteLatencies:
--- a/src/oriolegate/runtime/exchange_runner.py
+++ b/src/oriolegate/runtime/exchange_runner.py
@@ -19,6 +19,7 @@
 from oriolegate.exchange.messages import Reply
 from oriolegate.exchange.messages import SendToLeaf
 from oriolegate.exchange.part_sender import ExchangeContext
+from oriolegate.exchange.stop_admission import StopAdmission
 from oriolegate.forwarding.forwarded_call import ForwardState
 from oriolegate.models.site import CallerLimits
 from oriolegate.models.site import Route
@@ -48,6 +49,9 @@
 # Retry-After of a request that crashes leafs: the request is refused for ten
 # minutes, and an operator may have acted on the crashes after this time.
 CRASHING_RETRY_MS = 60_000.0
+# Retry-After of a request that this VM can't end before it stops: another VM
+# takes it at once.
+OTHER_VM_RETRY_MS = 0.0
 
 Request = CallerHttpRequest | ForwardedRequest
 
@@ -79,7 +83,8 @@
     """Serves callers' requests.
 
     Attributes:
-        leaving: Whether this VM is stopping.
+        stop_admission: Decides which requests are taken while this VM stops,
+            or None.
         accepts_forwards: Whether requests of other VMs are served.
         is_isolated: Returns whether this VM reaches neither leafs nor other
             VMs.
@@ -111,7 +116,7 @@
         self.crashes = crashes
         self.request_log = request_log
         self.started_ms = clock.now_ms()
-        self.leaving = False
+        self.stop_admission: StopAdmission | None = None
         self.accepts_forwards = True
         self.is_isolated: Callable[[], bool] = lambda: False
         self.on_arrival: Callable[[], None] = lambda: None
@@ -119,6 +124,19 @@
         self.handover = handover
         handover.reply_failed = self._reply_failed
 
+    @property
+    def leaving(self) -> bool:
+        """Whether this VM is stopping."""
+        return self.stop_admission is not None
+
+    def plan_stop(self, exit_ms: float) -> None:
+        """Take only requests that probably end before the exit.
+
+        Args:
+            exit_ms: When all open requests are answered.
+        """
+        self.stop_admission = StopAdmission(exit_ms, self.context.latencies)
+
     @property
     def closes_connections(self) -> bool:
         """Whether callers should open their next connection, to another VM."""
@@ -157,6 +175,17 @@
         if route is None:
             self._refuse(request, call, STATUS_NOT_FOUND, "no route")
             return
+        if self.stop_admission and not self.stop_admission.can_end(
+            now_ms, route
+        ):
+            self._refuse(
+                request,
+                call,
+                STATUS_UNAVAILABLE,
+                "stopping before it could end",
+                OTHER_VM_RETRY_MS,
+            )
+            return
         if self._refuse_crashing(request, call):
             return
         if self.handover.must_forward(
--- a/src/oriolegate/runtime/gateway.py
+++ b/src/oriolegate/runtime/gateway.py
@@ -272,7 +272,10 @@
         if self.stopping_since_ms is not None:
             return
         self.stopping_since_ms = self.clock.now_ms()
-        self.parts.runner.leaving = True
+        grace_ms = self.settings.bounds.grace_ms
+        self.parts.runner.plan_stop(
+            self.stopping_since_ms + EXIT_FRACTION * grace_ms
+        )
         self.parts.members.leave()
         self.parts.views.on_view_changed()
         log.bind(open=len(self.parts.runner.running)).info("stopping")
