Keep what a leaf said of itself when its entry lapses with the store

Cause: a leaf whose entry has been missing for 2 s is dropped with its record, and the quiet time and the limit are part of it. The entry of a leaf that lives is often read again a little later than that; it then got a new record, though id and start are the same.

Change: records of leafs whose entries are gone are kept, 1,000 at most, and used again if the same incarnation is back. A notice in an answer that arrives after the entry has lapsed is applied to that record.

Evidence: tests.placement.test_leaf_directory.LapsedEntryTest failed before.

--- a/src/oriolegate/placement/leaf_directory.py
+++ b/src/oriolegate/placement/leaf_directory.py
@@ -35,8 +35,10 @@
 # time, and at most this time.
 RETURN_SPREAD = 0.25
 MAX_RETURN_SPREAD_MS = 1_000.0
-# Limit on the drained incarnations that are remembered.
+# Limit on the drained incarnations that are remembered, and on the records of
+# leafs whose entries are gone.
 MAX_DRAINED = 1_000
+MAX_DROPPED = 1_000
 # Assumed network round-trip times.
 SAME_DATA_CENTRE_MS = 0.5
 SAME_REGION_MS = 1.5
@@ -103,6 +105,9 @@
         evacuated: Data centres that get no requests.
         drained: Id and start of leafs that drained, oldest first; an entry
             that calls one ready is obsolete.
+        dropped: Records of leafs whose entries are gone, by leaf id, oldest
+            first. An entry may lapse with the store while its leaf lives, and
+            what the leaf said of itself still holds when the entry is back.
         hold_until_ms: Until when no leaf is chosen, because this process was
             paused and the store has not confirmed the view since.
         has_connection: Returns whether an idle connection to a leaf is
@@ -131,6 +136,7 @@
         self.members_known = False
         self.evacuated: set[str] = set()
         self.drained: dict[tuple[str, int], None] = {}
+        self.dropped: dict[str, LeafRecord] = {}
         self.hold_until_ms = float("-inf")
         self.has_connection: Callable[[str], bool] = lambda leaf_id: True
         self.slow_leafs = SlowLeafs()
@@ -180,7 +186,7 @@
         record = self.leafs.get(entry.leaf_id)
         if record is None or record.entry.service != entry.service:
             self._drop(entry.leaf_id)
-            record = self._add(entry)
+            record = self._restore(entry) or self._add(entry)
         elif record.entry.born_ms != entry.born_ms:
             # The leaf restarted with the same id: its history is obsolete.
             record.slowness = 1.0
@@ -212,6 +218,21 @@
         record.suspect = was_suspect
         return record
 
+    def _restore(self, entry: LeafEntry) -> LeafRecord | None:
+        """Use the record of the same incarnation again, if there is one."""
+        record = self.dropped.pop(entry.leaf_id, None)
+        if record is None or not entry.born_ms:
+            return None
+        known = record.entry
+        if (known.service, known.born_ms) != (entry.service, entry.born_ms):
+            return None
+        self._insert(record)
+        if record.request_limit is not None:
+            record.request_limit.set_members(
+                self.vm, self.members, entry.leaf_id
+            )
+        return record
+
     def _add(self, entry: LeafEntry) -> LeafRecord:
         distance_ms = self._distance_ms(entry.data_centre)
         record = LeafRecord(
@@ -220,17 +241,23 @@
             self.regions.get(entry.data_centre, ""),
             connect_ms=distance_ms + ACCEPT_MS,
         )
-        self._assign(record)
-        self.leafs[entry.leaf_id] = record
-        self.by_service.setdefault(entry.service, {})[entry.leaf_id] = record
+        self._insert(record)
         return record
 
+    def _insert(self, record: LeafRecord) -> None:
+        self._assign(record)
+        leaf_id = record.entry.leaf_id
+        self.leafs[leaf_id] = record
+        self.by_service.setdefault(record.entry.service, {})[leaf_id] = record
+
     def _drop(self, leaf_id: str) -> None:
         record = self.leafs.pop(leaf_id, None)
         if record is None:
             return
         if record.entry.draining:
             self._remember_drained(record.entry)
+        else:
+            self._remember_dropped(record)
         service_leafs = self.by_service[record.entry.service]
         del service_leafs[leaf_id]
         if not service_leafs:
@@ -244,6 +271,11 @@
         if len(self.drained) > MAX_DRAINED:
             del self.drained[next(iter(self.drained))]
 
+    def _remember_dropped(self, record: LeafRecord) -> None:
+        self.dropped[record.entry.leaf_id] = record
+        if len(self.dropped) > MAX_DROPPED:
+            del self.dropped[next(iter(self.dropped))]
+
     def on_process_paused(self, now_ms: float) -> None:
         """Handle a pause of this process, in which leafs may become cold."""
         self.hold_until_ms = now_ms + CONFIRMATION_WAIT_MS
@@ -313,7 +345,8 @@
         self, now_ms: float, leaf_id: str, notice: LeafNotice
     ) -> list[LeafChange]:
         """Apply what a leaf says of itself, and return what changed."""
-        record = self.leafs.get(leaf_id)
+        # A leaf may answer after its entry has lapsed.
+        record = self.leafs.get(leaf_id) or self.dropped.get(leaf_id)
         if record is None:
             return []
         changes = []
--- a/tests/placement/test_leaf_directory.py
+++ b/tests/placement/test_leaf_directory.py
@@ -304,6 +304,58 @@
         self.assertEqual(chosen(self.directory, 1.0), "near")
 
 
+class LapsedEntryTest(unittest.TestCase):
+    """An entry lapses with the store and is back later than its last use."""
+
+    QUIET_MS = 20_000.0
+
+    def setUp(self):
+        self.directory = build.directory(
+            [build.leaf("a", born_ms=5), build.leaf("b", born_ms=5)]
+        )
+
+    def lapse(self):
+        self.directory.on_entry_removed(0.0, "a")
+        removed_at_ms = leaf_directory.REMOVED_USE_MS
+        self.assertEqual(self.directory.drop_expired(removed_at_ms), ["a"])
+
+    def put_again(self, **changes):
+        entry = build.leaf("a", **{"born_ms": 5} | changes)
+        return self.directory.put(3_000.0, entry)
+
+    def notify(self, **fields):
+        self.directory.apply_notice(0.0, "a", LeafNotice(**fields))
+
+    def test_the_quiet_time_of_a_leaf_outlives_its_entry(self):
+        self.notify(quiet_ms=self.QUIET_MS)
+        self.lapse()
+        self.assertTrue(self.put_again().is_declining(self.QUIET_MS - 1.0))
+        self.assertEqual(chosen(self.directory, 3_000.0), "b")
+
+    def test_the_limit_of_a_leaf_outlives_its_entry(self):
+        self.notify(limit_per_s=0.0)
+        self.lapse()
+        self.assertTrue(self.put_again().is_declining(3_000.0))
+
+    def test_a_notice_of_a_leaf_whose_entry_has_lapsed_holds(self):
+        self.lapse()
+        self.notify(quiet_ms=self.QUIET_MS)
+        self.assertTrue(self.put_again().is_declining(self.QUIET_MS - 1.0))
+
+    def test_a_new_incarnation_has_neither(self):
+        self.notify(quiet_ms=self.QUIET_MS, limit_per_s=0.0)
+        self.lapse()
+        self.assertFalse(self.put_again(born_ms=6).is_declining(3_000.0))
+
+    def test_records_of_gone_leafs_are_bounded(self):
+        for number in range(leaf_directory.MAX_DROPPED + 10):
+            leaf_id = f"leaf-{number}"
+            self.directory.put(0.0, build.leaf(leaf_id, born_ms=5))
+            self.directory.on_address_taken(leaf_id)
+        count = len(self.directory.dropped)
+        self.assertEqual(count, leaf_directory.MAX_DROPPED)
+
+
 class ColdTest(unittest.TestCase):
     def setUp(self):
         self.directories = []
