Take the view of a VM below while the store doesn't answer

Cause: a VM follows only VMs that rank above it, so that the first of a data centre has no source but the store, though the VM below it reads the store.

Change: a VM that needs the store and gets no answer to two probes queries one of the three VMs below it. It vouches for no view meanwhile, so no cycle can arise, and it makes no calls but probes. A VM above which no VM ranks any more also forgets the peer that it followed.

--- a/src/oriolegate/following/source_choice.py
+++ b/src/oriolegate/following/source_choice.py
@@ -8,6 +8,9 @@
 only VMs that rank above itself, so that VMs never wait for each other in a
 cycle, even if their member lists differ. The rate is that of the listed entry,
 also for the VM itself, so that all VMs go by the same rates.
+
+A VM that has lost the store and has no VM above itself takes the view of one
+below. It vouches for no view meanwhile, so that no cycle can arise.
 """
 
 import attrs
@@ -19,6 +22,8 @@
 # it while their own parent fails.
 FAN_OUT = 6
 MAX_FOLLOWERS = 2 * FAN_OUT
+# Number of VMs that a VM without the store and without a VM above itself asks.
+MAX_FALLBACKS = 3
 # First and maximum backoff for a VM that did not answer.
 FIRST_BACKOFF_MS = 4_000.0
 MAX_BACKOFF_MS = 60_000.0
@@ -74,12 +79,14 @@
     Attributes:
         vm: Name of this VM.
         higher_ranked: Peers that are tried, best first; all rank above this VM.
+        lower_ranked: Peers that are tried while the store doesn't answer.
         backoffs: Current backoff by name of the VM.
     """
 
     def __init__(self, vm: str) -> None:
         self.vm = vm
         self.higher_ranked: tuple[Peer, ...] = ()
+        self.lower_ranked: tuple[Peer, ...] = ()
         self.backoffs: dict[str, Backoff] = {}
 
     def set_peers(self, peers: dict[str, Peer]) -> None:
@@ -93,9 +100,12 @@
             by_hash,
             key=lambda name: -peers[name].link_mbps if name in peers else 0.0,
         )
+        own_rank = ranking.index(self.vm)
         self.higher_ranked = tuple(
-            peers[ranking[rank]] for rank in _ancestors(ranking.index(self.vm))
+            peers[ranking[rank]] for rank in _ancestors(own_rank)
         )
+        below = ranking[own_rank + 1 : own_rank + 1 + MAX_FALLBACKS]
+        self.lower_ranked = tuple(peers[name] for name in below)
         self.backoffs = {
             name: backoff
             for name, backoff in self.backoffs.items()
@@ -104,7 +114,16 @@
 
     def choose(self, now_ms: float) -> Peer | None:
         """Return the peer to follow, or None for the store itself."""
-        for peer in self.higher_ranked:
+        return self._first_available(now_ms, self.higher_ranked)
+
+    def choose_fallback(self, now_ms: float) -> Peer | None:
+        """Return a peer to ask while the store doesn't answer, or None."""
+        return self._first_available(now_ms, self.lower_ranked)
+
+    def _first_available(
+        self, now_ms: float, peers: tuple[Peer, ...]
+    ) -> Peer | None:
+        for peer in peers:
             backoff = self.backoffs.get(peer.vm)
             if backoff is None or now_ms >= backoff.until_ms:
                 return peer
--- a/src/oriolegate/runtime/peer_feed.py
+++ b/src/oriolegate/runtime/peer_feed.py
@@ -1,4 +1,8 @@
-"""Follows a VM of the same data centre instead of the store."""
+"""Follows a VM of the same data centre instead of the store.
+
+A VM that reads the store and loses it takes the view of a VM that ranks below
+it, until the store answers again.
+"""
 
 from collections.abc import Callable
 from collections.abc import Mapping
@@ -69,6 +73,8 @@
         seeds: VMs to query at the start if the store can't be listed.
         seed_query_count: Queries sent to seeds so far.
         peer: The peer that is followed, or None.
+        fallback: The peer that brings changes while the store doesn't answer,
+            or None.
         clients: HTTP client of each peer, by VM name.
         caches: View of each collection, to which changes are applied.
         earlier_peers: Peers whose version neither states the ages of its views
@@ -101,6 +107,7 @@
         self.seeds = seeds
         self.seed_query_count = 0
         self.peer: Peer | None = None
+        self.fallback: Peer | None = None
         self.clients: dict[str, HttpClient] = {}
         self.earlier_peers: set[Peer] = set()
         self.accepts_deltas = True
@@ -139,7 +146,21 @@
             return
         peer = self.choice.choose(self.clock.now_ms())
         if peer is None:
+            if self.peer is not None:
+                self._abandon_peer("no VM ranks above this one")
             self.store.resume()
+            self._query_fallback()
+            return
+        self.fallback = None
+        self._query_peer(peer)
+
+    def _query_fallback(self) -> None:
+        """Query a VM that ranks below if the store is cut off."""
+        peer = None
+        if self.store.is_cut_off:
+            peer = self.choice.choose_fallback(self.clock.now_ms())
+        if peer is None:
+            self.fallback = None
             self._schedule_poll(PEER_SEARCH_INTERVAL_MS)
             return
         self._query_peer(peer)
@@ -193,7 +214,7 @@
         }
         # The first request to a peer does not wait for updates, to learn at
         # once whether the peer answers.
-        wait_ms = MAX_WAIT_MS if peer == self.peer else 0
+        wait_ms = MAX_WAIT_MS if peer in (self.peer, self.fallback) else 0
         request = view_wire.UpdatesRequest(
             revisions,
             wait_ms,
@@ -254,10 +275,16 @@
             )
             if peer == self.peer:
                 self._abandon_peer(error.message)
+            if peer == self.fallback:
+                self.fallback = None
+                self.store.end_suspension()
             self._schedule_poll(0.0)
             return
         self.choice.record_answer(peer.vm)
-        self._set_peer(peer)
+        if peer in self.choice.lower_ranked:
+            self._set_fallback(peer)
+        else:
+            self._set_peer(peer)
         self.on_update()
         self._schedule_poll(POLL_DELAY_MS)
 
@@ -337,6 +364,15 @@
         self.store.pause()
         log.bind(peer=peer.vm).info("following a peer instead of the store")
 
+    def _set_fallback(self, peer: Peer) -> None:
+        self.store.suspend()
+        if self.fallback == peer:
+            return
+        self.fallback = peer
+        log.bind(peer=peer.vm).warning(
+            "store does not answer; taking the view of a peer that ranks below"
+        )
+
     def _abandon_peer(self, reason: str) -> None:
         """Stop following a peer; the next poll chooses another source."""
         log.bind(peer=self.peer and self.peer.vm, reason=reason).info(
--- a/src/oriolegate/runtime/store_runner.py
+++ b/src/oriolegate/runtime/store_runner.py
@@ -37,6 +37,9 @@
 # The same after the store did not answer this VM. Its peers may return at the
 # same time, and they recover within a probe, a backoff and a query each.
 WAIT_AFTER_OUTAGE_MS = 2_000.0
+# Failed probes in a row after which the store counts as cut off; one may be a
+# lost answer.
+FAILURES_IF_CUT_OFF = 2
 
 
 class StoreRunner:
@@ -49,8 +52,8 @@
         on_call_ended: Called after each answer and each failed call.
         count_peers: Returns the number of peers that may be followed.
         paused: Whether a peer is followed instead of the store.
-        waits_for_peer: Whether the store is to be read soon unless a peer
-            answers before.
+        waits_for_peer: Whether no call but probes is made: the store is read
+            once it answers one, unless a peer answers before.
         timers: Timer of the next call, by collection.
         calls: Function that cancels the open call, by collection.
         parked: Calls that wait, while the store fails, until the call of
@@ -97,6 +100,18 @@
             for follower in self.followers.values()
         )
 
+    @property
+    def is_current(self) -> bool:
+        """Whether changes reach this VM, from a peer or from the store."""
+        if self.paused:
+            return True
+        return self.probe.has_answered and not self.probe.failures
+
+    @property
+    def is_cut_off(self) -> bool:
+        """Whether the store is needed and doesn't answer this VM."""
+        return not self.paused and self.probe.failures >= FAILURES_IF_CUT_OFF
+
     def start(self) -> None:
         """Start following all collections."""
         self.probe.start()
@@ -108,6 +123,23 @@
         self.paused = True
         self.probe.stop()
         self._stop_waiting()
+        self._cancel_calls()
+
+    def suspend(self) -> None:
+        """Make no calls but probes until the store answers one.
+
+        Another VM brings the changes meanwhile.
+        """
+        if self.is_cut_off and not self.waits_for_peer:
+            self.waits_for_peer = True
+            self._cancel_calls()
+
+    def end_suspension(self) -> None:
+        """Call the store again though it answers no probe."""
+        if self.is_cut_off and self.waits_for_peer:
+            self._on_wait_over()
+
+    def _cancel_calls(self) -> None:
         for timer in self.timers.values():
             if timer.active():
                 timer.cancel()
@@ -143,7 +175,7 @@
             wait_ms = min(
                 MAX_WAIT_FOR_PEER_MS, WAIT_PER_PEER_MS * self.count_peers()
             )
-            if failures:
+            if failures and wait_ms:
                 wait_ms = WAIT_AFTER_OUTAGE_MS
             self.wait_timer = self.reactor.callLater(
                 wait_ms / MS_PER_S, self._on_wait_over
--- a/tests/following/test_source_choice.py
+++ b/tests/following/test_source_choice.py
@@ -104,6 +104,22 @@
         self.assertIsNone(choice.choose(2.0))
         self.assertEqual(choice.choose(source_choice.FIRST_BACKOFF_MS), first)
 
+    def test_a_vm_without_the_store_asks_the_next_vms_below(self):
+        choice_by_vm = choices(NAMES)
+        ranking = sorted(
+            NAMES, key=lambda name: len(choice_by_vm[name].lower_ranked)
+        )
+        first = choice_by_vm[ranking[-1]]
+        last = choice_by_vm[ranking[0]]
+        self.assertIsNone(last.choose_fallback(0.0))
+        for choice in choice_by_vm.values():
+            below = set(choice.lower_ranked)
+            self.assertLessEqual(len(below), source_choice.MAX_FALLBACKS)
+            self.assertFalse(below & set(choice.higher_ranked))
+        asked = first.choose_fallback(0.0)
+        first.record_failure(0.0, asked.vm)
+        self.assertNotIn(first.choose_fallback(0.0), (None, asked))
+
     def test_the_backoff_grows_and_ends_with_an_answer(self):
         choice = choices(NAMES)[self.lowest_ranked()]
         vm = choice.higher_ranked[0].vm
--- a/tests/runtime/test_peer_feed.py
+++ b/tests/runtime/test_peer_feed.py
@@ -17,6 +17,7 @@
 from tests.following.test_follower import Sink
 
 PEER = Peer("above", "10.0.0.1", 1)
+BELOW = Peer("below", "10.0.0.2", 1)
 NO_UPDATES = HttpResponse(200, [], b"{}")
 UNCONFIRMED = HttpResponse(503, [], b"")
 
@@ -38,6 +39,14 @@
 
     def __init__(self):
         self.paused = False
+        self.is_cut_off = False
+        self.suspended = False
+
+    def suspend(self):
+        self.suspended = True
+
+    def end_suspension(self):
+        self.suspended = False
 
     def pause(self):
         self.paused = True
@@ -122,3 +131,33 @@
         before = self.client.request_count
         self.run_for(20.0)
         self.assertLessEqual(self.client.request_count - before, 4)
+
+    def lose_the_store(self):
+        self.choice.higher_ranked = ()
+        self.choice.lower_ranked = (BELOW,)
+        self.store.is_cut_off = True
+        self.run_for(1.0)
+
+    def test_a_vm_below_brings_changes_while_the_store_is_cut_off(self):
+        self.lose_the_store()
+        self.assertEqual(self.feed.fallback, BELOW)
+        self.assertTrue(self.store.suspended)
+        # Following it would make this VM vouch for its view.
+        self.assertIsNone(self.feed.peer)
+        self.assertFalse(self.store.paused)
+
+    def test_the_store_is_called_again_if_the_vm_below_does_not_answer(self):
+        self.lose_the_store()
+        self.client.outcome = UNCONFIRMED
+        self.run_for(0.1)
+        self.assertFalse(self.store.suspended)
+        self.assertIsNone(self.feed.fallback)
+
+    def test_no_vm_below_is_asked_once_the_store_answers(self):
+        self.lose_the_store()
+        self.store.is_cut_off = False
+        self.run_for(0.5)
+        before = self.client.request_count
+        self.run_for(5.0)
+        self.assertEqual(self.client.request_count, before)
+        self.assertIsNone(self.feed.fallback)
--- a/tests/runtime/test_store_reader_cuts.py
+++ b/tests/runtime/test_store_reader_cuts.py
@@ -80,6 +80,59 @@
         self.play(2)
 
 
+class CutOffViewTest(StoreReaderCutCase):
+    """The view of a VM that has lost the store itself."""
+
+    # A probe, its repetition, and the next source's wait and read.
+    LEARNED_S = 3.5
+
+    def test_a_cut_off_reader_learns_changes_from_a_vm_below(self):
+        reader = self.ranked[0]
+        for offset_s in OFFSETS_S:
+            with self.subTest(offset_s=offset_s):
+                self.network.run_for(offset_s)
+                self.cut([reader])
+                self.change()
+                self.network.run_for(self.LEARNED_S)
+                self.check_version(self.ranked)
+                # Later changes arrive at once.
+                self.change()
+                self.network.run_for(1.0)
+                self.check_version(self.ranked)
+                self.heal([reader])
+                self.network.run_for(CALM_S)
+                self.check_version(self.ranked)
+                followed = [
+                    vm
+                    for vm, process in self.fleet.gateways.items()
+                    if process.parts.feed.peer
+                ]
+                self.assertNotIn(reader, followed)
+                self.assertEqual(len(followed), VM_COUNT - 1)
+
+    def test_a_cut_off_reader_vouches_for_no_view(self):
+        reader = self.ranked[0]
+        self.cut([reader])
+        self.network.run_for(2.0)
+        views = self.fleet.gateways[reader].parts.views
+        for _ in range(100):
+            self.network.run_for(0.1)
+            self.assertFalse(views.is_confirmed())
+
+    def test_vms_that_all_lost_the_store_do_not_confirm_each_other(self):
+        self.cut(self.ranked)
+        self.network.run_for(3.0)
+        for _ in range(100):
+            self.network.run_for(0.1)
+            for process in self.fleet.gateways.values():
+                self.assertFalse(process.parts.views.is_confirmed())
+        self.heal(self.ranked)
+        self.network.run_for(CALM_S)
+        self.change()
+        self.network.run_for(1.0)
+        self.check_version(self.ranked)
+
+
 class ResetWatchesTest(StoreReaderCutCase):
     CUT_S = 12.0
     RESET_AFTER_S = 5.2
--- a/tests/runtime/test_store_runner.py
+++ b/tests/runtime/test_store_runner.py
@@ -231,6 +231,28 @@
         self.advance(60.0)
         self.assertEqual(self.store.open_calls, {})
 
+    def test_a_suspended_runner_reads_the_store_once_it_answers(self):
+        self.list_all()
+        self.runner.suspend()
+        self.assertEqual(len(self.store.open_calls), len(Collection))
+        for _ in range(store_runner.FAILURES_IF_CUT_OFF):
+            self.probe.fail()
+        self.runner.suspend()
+        self.advance(60.0)
+        self.assertEqual(self.store.open_calls, {})
+        self.probe.answer()
+        self.advance(0.0)
+        self.assertEqual(len(self.store.open_calls), len(Collection))
+
+    def test_a_suspension_may_end_before_the_store_answers_probes(self):
+        self.list_all()
+        for _ in range(store_runner.FAILURES_IF_CUT_OFF):
+            self.probe.fail()
+        self.runner.suspend()
+        self.runner.end_suspension()
+        self.advance(0.0)
+        self.assertEqual(len(self.store.open_calls), len(Collection))
+
     def test_collections_are_listed_anew_after_a_malformed_answer(self):
         self.list_all()
         self.store.answer_all(HttpResponse(200, [], b"{"))
