Check a leaf before a new connection while no news of it can arrive

Cause: without a connection, only the entry shows that a leaf restarted, and the entry could not be read. The choice of a leaf went by the old entry.

Change: while no source brings changes, a leaf to which this VM has no connection is checked before it gets a request; its health answer says how cold it is. A leaf with a connection serves meanwhile.

--- a/src/oriolegate/placement/leaf_directory.py
+++ b/src/oriolegate/placement/leaf_directory.py
@@ -35,6 +35,8 @@
 # time, and at most this time.
 RETURN_SPREAD = 0.25
 MAX_RETURN_SPREAD_MS = 1_000.0
+# How long a leaf counts as verified after a health check.
+VERIFIED_MS = 1_000.0
 # Limit on the drained incarnations that are remembered, and on the records of
 # leafs whose entries are gone.
 MAX_DRAINED = 1_000
@@ -54,7 +56,8 @@
     """Why no leaf can take a request now.
 
     UNREACHABLE: each leaf failed, and no check has found it healthy since.
-    UNSURE: this process was paused and the view is not confirmed yet.
+    UNSURE: this process was paused and the view is not confirmed yet, or the
+        view is not current and the leafs are being checked.
     """
 
     NONE_LEFT = "no leaf"
@@ -63,7 +66,7 @@
     ALL_LIMITED = "all leafs at their limits"
     ALL_QUIET = "all leafs want no requests"
     UNREACHABLE = "no leaf reachable"
-    UNSURE = "just resumed"
+    UNSURE = "leafs not confirmed yet"
 
 
 class LeafChange(enum.Enum):
@@ -112,6 +115,9 @@
             paused and the store has not confirmed the view since.
         has_connection: Returns whether an idle connection to a leaf is
             available.
+        is_view_current: Returns whether changes of entries reach this VM.
+        on_unverified: Called with a leaf that must be checked before it is
+            used.
         slow_leafs: Which leafs are slow.
         self_check: Detects that this VM itself is slow.
         on_sample: Called with what an answer shows of a leaf.
@@ -139,6 +145,8 @@
         self.dropped: dict[str, LeafRecord] = {}
         self.hold_until_ms = float("-inf")
         self.has_connection: Callable[[str], bool] = lambda leaf_id: True
+        self.is_view_current: Callable[[], bool] = lambda: True
+        self.on_unverified: Callable[[LeafRecord], None] = lambda record: None
         self.slow_leafs = SlowLeafs()
         self.self_check = SelfCheck()
         self.on_sample: Callable[[LeafSample], None] = lambda sample: None
@@ -438,6 +446,8 @@
             for record in warm
             if not record.is_full(now_ms) and not record.is_declining(now_ms)
         ]
+        if free and not self.is_view_current():
+            return self._fastest_verified(now_ms, free, criteria)
         if free:
             return self._fastest(now_ms, free, criteria)
         if any(not record.is_declining(now_ms) for record in warm):
@@ -469,6 +479,30 @@
             ),
         )
 
+    def _fastest_verified(
+        self, now_ms: float, free: list[LeafRecord], criteria: LeafCriteria
+    ) -> LeafRecord | NoLeaf:
+        """Return a leaf that can't have restarted since its entry was read.
+
+        Without a connection to a leaf and without news of its entry, nothing
+        shows that it restarted and is cold; a health check does.
+        """
+        fastest = self._fastest(now_ms, free, criteria)
+        if self._is_verified(now_ms, fastest):
+            return fastest
+        self.on_unverified(fastest)
+        verified = [r for r in free if self._is_verified(now_ms, r)]
+        if not verified:
+            return NoLeaf.UNSURE
+        return self._fastest(now_ms, verified, criteria)
+
+    def _is_verified(self, now_ms: float, record: LeafRecord) -> bool:
+        return (
+            bool(record.outstanding)
+            or self.has_connection(record.entry.leaf_id)
+            or now_ms - record.verified_at_ms < VERIFIED_MS
+        )
+
     def record_answer(
         self, record: LeafRecord, started_ms: float, *, is_late: bool
     ) -> None:
--- a/src/oriolegate/placement/leaf_record.py
+++ b/src/oriolegate/placement/leaf_record.py
@@ -52,6 +52,7 @@
         quiet_until_ms: Until when the leaf wants no request from this VM.
         is_returning: Whether the quiet time may be over, which one request at
             a time shows.
+        verified_at_ms: When a health check last found the leaf healthy.
         last_cold_send_ms: When this VM last used the leaf while it was cold.
         outstanding: Start time of each open send, by id of the send.
         slowness: Average work time relative to the route's typical work time.
@@ -72,6 +73,7 @@
     request_limit: RequestLimit | None = None
     quiet_until_ms: float = float("-inf")
     is_returning: bool = False
+    verified_at_ms: float = float("-inf")
     last_cold_send_ms: float = float("-inf")
     outstanding: dict[int, float] = attrs.field(factory=dict)
     slowness: float = 1.0
--- a/src/oriolegate/runtime/gateway_composition.py
+++ b/src/oriolegate/runtime/gateway_composition.py
@@ -238,6 +238,10 @@
 
     leaf_client.on_notice = on_notice
     checker = LeafChecker(reactor, clock, leaf_client, directory, rng)
+    directory.on_unverified = checker.verify
+    directory.is_view_current = lambda: (
+        store.is_current or feed.fallback is not None
+    )
     confirmation = DownConfirmation(clock, leaf_client.contact)
     contact_watch = ContactWatch(
         clock,
--- a/src/oriolegate/runtime/leaf_checker.py
+++ b/src/oriolegate/runtime/leaf_checker.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 import random
 from typing import Any
+from typing import TypeGuard
 
 from oriolegate import structured_log
 from oriolegate.clock import Clock
@@ -32,6 +33,17 @@
 TIMED_OUT = NoAnswer(SendOutcome.MAY_HAVE_RUN, "no answer in time")
 
 
+def _is_healthy(
+    report: HealthReport | NoAnswer, record: LeafRecord
+) -> TypeGuard[HealthReport]:
+    """Return whether a report is that of the leaf, and good."""
+    return (
+        isinstance(report, HealthReport)
+        and report.leaf_id == record.entry.leaf_id
+        and report.healthy
+    )
+
+
 class LeafChecker:
     """Checks suspected leafs until they report healthy or are removed.
 
@@ -86,6 +98,22 @@
         is_known = self.directory.leafs.get(leaf_id) is record
         return not is_known or not record.suspect
 
+    def verify(self, record: LeafRecord) -> None:
+        """Check a leaf that may have restarted unnoticed before it is used."""
+        leaf_id = record.entry.leaf_id
+        if leaf_id in self.checking:
+            return
+        self.checking.add(leaf_id)
+
+        def on_report(report: HealthReport | NoAnswer) -> None:
+            self.checking.discard(leaf_id)
+            if _is_healthy(report, record):
+                self._use_again(record, report)
+            else:
+                self.suspect(record, "not healthy when verified")
+
+        self._request_health(record, on_report)
+
     def check_liveness_later(self, record: LeafRecord) -> None:
         """Check later whether a leaf that rejected a connection has crashed.
 
@@ -194,19 +222,19 @@
             case NoAnswer(SendOutcome.UNSENT):
                 self.on_liveness_known(record.entry, False)
 
+    def _use_again(self, record: LeafRecord, report: HealthReport) -> None:
+        now_ms = self.clock.now_ms()
+        record.suspect = False
+        record.verified_at_ms = now_ms
+        record.cold_until_ms = now_ms + report.cold_left_ms
+
     def _on_check_report(
         self, record: LeafRecord, report: HealthReport | NoAnswer
     ) -> None:
         self._report_liveness(record, report)
         leaf_id = record.entry.leaf_id
-        if (
-            isinstance(report, HealthReport)
-            and report.leaf_id == leaf_id
-            and report.healthy
-        ):
-            now_ms = self.clock.now_ms()
-            record.suspect = False
-            record.cold_until_ms = now_ms + report.cold_left_ms
+        if _is_healthy(report, record):
+            self._use_again(record, report)
             self.checking.discard(leaf_id)
             log.bind(leaf=leaf_id, cold_ms=report.cold_left_ms).info(
                 "leaf healthy; in use again"
--- a/tests/placement/test_leaf_directory.py
+++ b/tests/placement/test_leaf_directory.py
@@ -356,6 +356,45 @@
         self.assertEqual(count, leaf_directory.MAX_DROPPED)
 
 
+class OutdatedViewTest(unittest.TestCase):
+    """Changes of entries don't reach this VM."""
+
+    def setUp(self):
+        self.directory = build.directory(
+            [build.leaf("near"), build.leaf("far", data_centre="dc-b")]
+        )
+        self.connected = set()
+        self.unverified = []
+        self.directory.has_connection = self.connected.__contains__
+        self.directory.is_view_current = lambda: False
+        self.directory.on_unverified = lambda record: self.unverified.append(
+            record.entry.leaf_id
+        )
+
+    def test_a_leaf_without_a_connection_is_checked_before_its_use(self):
+        self.assertIs(chosen(self.directory), NoLeaf.UNSURE)
+        self.assertEqual(self.unverified, ["near"])
+        self.directory.leafs["near"].verified_at_ms = 0.0
+        self.assertEqual(chosen(self.directory, 10.0), "near")
+        later_ms = leaf_directory.VERIFIED_MS
+        self.assertIs(chosen(self.directory, later_ms), NoLeaf.UNSURE)
+
+    def test_a_connected_leaf_serves_while_a_faster_one_is_checked(self):
+        self.connected.add("far")
+        self.assertEqual(chosen(self.directory), "far")
+        self.assertEqual(self.unverified, ["near"])
+
+    def test_a_connected_leaf_needs_no_check(self):
+        self.connected.add("near")
+        self.assertEqual(chosen(self.directory), "near")
+        self.assertEqual(self.unverified, [])
+
+    def test_no_leaf_is_checked_while_the_view_is_current(self):
+        self.directory.is_view_current = lambda: True
+        self.assertEqual(chosen(self.directory), "near")
+        self.assertEqual(self.unverified, [])
+
+
 class ColdTest(unittest.TestCase):
     def setUp(self):
         self.directories = []
--- a/tests/runtime/test_leaf_checker.py
+++ b/tests/runtime/test_leaf_checker.py
@@ -56,6 +56,26 @@
     def set_members(self, count):
         self.directory.members = frozenset(f"vm-{n}" for n in range(count))
 
+    def test_a_verified_leaf_is_in_use_and_as_cold_as_it_says(self):
+        self.client.reports = [HealthReport("a", True, 3_000.0)]
+        self.checker.verify(self.record)
+        self.assertFalse(self.record.suspect)
+        self.assertTrue(self.record.is_cold(2_999.0))
+        self.assertEqual(self.record.verified_at_ms, 0.0)
+
+    def test_a_leaf_that_is_not_healthy_when_verified_is_suspected(self):
+        self.client.reports = [NoAnswer(SendOutcome.UNSENT, "refused")]
+        self.checker.verify(self.record)
+        self.assertTrue(self.record.suspect)
+        self.client.reports = [HealthReport("a", True, 0.0)]
+        self.run_for(leaf_checker.MAX_CHECK_INTERVAL_MS / 1_000.0)
+        self.assertFalse(self.record.suspect)
+
+    def test_a_leaf_is_verified_once_at_a_time(self):
+        self.checker.verify(self.record)
+        self.checker.verify(self.record)
+        self.assertEqual(len(self.client.checked_at_s), 1)
+
     def test_a_leaf_that_wants_no_requests_is_checked_afterwards(self):
         self.record.quiet_until_ms = 2_000.0
         self.checker.suspect(self.record, "reset")
