--- /dev/null
+++ b/tests/fleet_model/judge.py
@@ -0,0 +1,208 @@
+"""Judges a play by the rules of the users, from what was seen outside.
+
+Each function returns the violations of one rule, with its bounds and excuses
+as written. Rules that compare what happens over a whole day are left out.
+"""
+
+import collections
+from collections.abc import Iterable
+
+from tests.fleet_model.record import Record
+from tests.fleet_model.record import Run
+
+# Bounds of the users' rules; `Bounds` in the settings has the same.
+CONFIG_APPLY_S = 4.0
+DOWNGRADE_S = 0.25
+EVACUATE_S = 5.0
+DRAIN_S = 4.0
+COLD_SLACK = 5
+QUIET_LEARNED_S = 0.5
+MAX_QUIET_REQUESTS = 2
+UNRUN_STATUSES = (408, 421, 429, 503)
+
+
+def judge_configuration(record: Record) -> list[str]:
+    """CONFIG: a request is run as only an older version allows."""
+    violations = []
+    for run in record.runs:
+        sent = record.attempts[run.attempt]
+        due = [
+            version
+            for version in record.versions
+            if sent.sent_s > version.at_s + CONFIG_APPLY_S
+        ]
+        if not due or not record.is_in_touch(run.vm, sent.sent_s):
+            continue
+        start = record.versions.index(due[-1])
+        allowed = {version.subject for version in record.versions[start:]}
+        if run.service not in allowed:
+            late_s = sent.sent_s - due[-1].at_s
+            violations.append(
+                f"CONFIG {run.vm} {run.attempt} at {sent.sent_s:.2f} s: version"
+                f" {start + 1} acknowledged {late_s:.2f} s before"
+            )
+    return violations
+
+
+def judge_regressions(record: Record) -> list[str]:
+    """CONFIG: a VM goes back to an older version than a leaf has seen."""
+    violations = []
+    newest: dict[str, list[tuple[float, int]]] = collections.defaultdict(list)
+    for run in record.runs:
+        sent_s = record.attempts[run.attempt].sent_s
+        seen = [
+            index
+            for at_s, index in newest[run.vm]
+            if at_s < sent_s - DOWNGRADE_S
+        ]
+        possible = [
+            index
+            for index, version in enumerate(record.versions)
+            if version.subject == run.service and version.at_s <= run.at_s
+        ]
+        if seen and possible and max(possible) < max(seen):
+            violations.append(
+                f"CONFIG {run.vm} went back from version {max(seen) + 1}"
+                f" at {sent_s:.2f} s"
+            )
+        if possible:
+            newest[run.vm].append((run.at_s, min(possible)))
+    return violations
+
+
+def judge_evacuations(record: Record) -> list[str]:
+    """EVAC: a leaf of an evacuated data centre gets a request too late."""
+    return [
+        f"EVAC {run.leaf} from {run.vm} at {run.at_s:.2f} s,"
+        f" {run.at_s - evacuation.at_s:.2f} s after the acknowledgement"
+        for run in record.runs
+        for evacuation in record.evacuations
+        if run.data_centre == evacuation.subject
+        and evacuation.at_s + EVACUATE_S < run.at_s < evacuation.until_s
+        and record.is_in_touch(run.vm, run.at_s)
+    ]
+
+
+def judge_draining(record: Record) -> list[str]:
+    """DRAIN: a leaf that leaves gets a request too late."""
+    violations = []
+    for change in record.drained:
+        if not record.is_store_stable(change.at_s):
+            continue
+        for run in record.runs:
+            sent = record.attempts[run.attempt]
+            if (
+                run.leaf == change.subject
+                and sent.sent_s > change.at_s + DRAIN_S
+                and record.is_in_touch(run.vm, sent.sent_s)
+                and record.is_in_touch(run.vm, run.at_s)
+            ):
+                late_s = sent.sent_s - change.at_s
+                violations.append(
+                    f"DRAIN {run.leaf} from {run.vm} at {run.at_s:.2f} s,"
+                    f" {late_s:.2f} s after the acknowledgement"
+                )
+    return violations
+
+
+def judge_cold_leafs(record: Record) -> list[str]:
+    """FAILBACK: a cold leaf gets more than the slack in a second."""
+    violations = []
+    for leaf, spans in record.cold.items():
+        for span in spans:
+            times_s = [
+                run.at_s
+                for run in record.runs
+                if run.leaf == leaf
+                and span.start_s < record.attempts[run.attempt].sent_s
+                and run.at_s < span.end_s
+            ]
+            most = _most_in_a_second(times_s)
+            if most > COLD_SLACK:
+                violations.append(
+                    f"FAILBACK {leaf}: {most} in a second, cold since"
+                    f" {span.start_s:.2f} s"
+                )
+    return violations
+
+
+def _most_in_a_second(times_s: list[float]) -> int:
+    most = 0
+    first = 0
+    for last, at_s in enumerate(times_s):
+        while times_s[first] <= at_s - 1.0:
+            first += 1
+        most = max(most, last - first + 1)
+    return most
+
+
+def judge_quiet_times(record: Record) -> list[str]:
+    """BUDGET: a leaf gets requests in the time for which it wants none."""
+    violations = []
+    by_pair: dict[tuple[str, str], list[Run]] = collections.defaultdict(list)
+    for run in record.runs:
+        by_pair[run.leaf, run.vm].append(run)
+    for (leaf, vm), spans in record.quiet.items():
+        for span in spans:
+            if any(
+                trouble.overlaps(span.start_s, span.end_s)
+                for trouble in record.vm_trouble[vm]
+            ):
+                continue
+            if any(
+                span.start_s < at_s < span.end_s
+                for at_s in record.restarts[leaf]
+            ):
+                continue
+            count = sum(
+                span.start_s + QUIET_LEARNED_S < run.at_s < span.end_s
+                for run in by_pair[leaf, vm]
+            )
+            if count > MAX_QUIET_REQUESTS:
+                violations.append(
+                    f"BUDGET {leaf}: {count} requests from {vm} in the quiet"
+                    f" time from {span.start_s:.2f} s"
+                )
+    return violations
+
+
+def judge_attempts(record: Record) -> list[str]:
+    """TWICE and REFUSED: a request runs twice, or is called unrun and ran."""
+    counts = collections.Counter(run.attempt for run in record.runs)
+    violations = []
+    for name, attempt in record.attempts.items():
+        if attempt.route != "once":
+            continue
+        if counts[name] > 1:
+            violations.append(f"TWICE {name} ran {counts[name]} times")
+        if attempt.status in UNRUN_STATUSES and counts[name]:
+            violations.append(f"REFUSED {name} got {attempt.status} and ran")
+    return violations
+
+
+def judge_calm(record: Record, from_s: float) -> list[str]:
+    """All requests are served once all disturbances are over."""
+    return [
+        f"CALM {name} got {attempt.status} at {attempt.sent_s:.2f} s"
+        for name, attempt in record.attempts.items()
+        if attempt.sent_s >= from_s and attempt.status != 200
+    ]
+
+
+JUDGES = (
+    judge_configuration,
+    judge_regressions,
+    judge_evacuations,
+    judge_draining,
+    judge_cold_leafs,
+    judge_quiet_times,
+    judge_attempts,
+)
+
+
+def judge(record: Record, calm_from_s: float) -> list[str]:
+    """Return all violations of a play, the first of each rule and subject."""
+    found: Iterable[str] = [
+        violation for rule in JUDGES for violation in rule(record)
+    ]
+    return [*found, *judge_calm(record, calm_from_s)]
--- a/tests/platform/stand_in_store.py
+++ b/tests/platform/stand_in_store.py
@@ -1,6 +1,5 @@
 """A fake of the platform's store with an HTTP server."""
 
-import copy
 from typing import Any
 from urllib import parse
 
@@ -91,11 +90,17 @@
 
     def make_copy(self) -> StoreCopy:
         """Return a copy that the store can be restored from."""
-        return StoreCopy(copy.deepcopy(self.objects), self.revision)
+        return StoreCopy(self._copy_objects(self.objects), self.revision)
+
+    def _copy_objects(
+        self, objects: dict[str, dict[str, Any]]
+    ) -> dict[str, dict[str, Any]]:
+        # Objects themselves are replaced, never changed.
+        return {kind: dict(known) for kind, known in objects.items()}
 
     def restore(self, earlier: StoreCopy) -> None:
         """Go back to a copy: revisions repeat, and a new era begins."""
-        self.objects = copy.deepcopy(earlier.objects)
+        self.objects = self._copy_objects(earlier.objects)
         self.revision = earlier.revision
         self.forget()
         self.era = (self.era or 0) + 1
