Keep two histories of the fleet model that break FAILBACK

The model found them on the present code: a VM whose only peer is being replaced while the store refuses it, and a VM that starts right after the store came back from an older copy.

--- a/tests/fleet_model/__main__.py
+++ b/tests/fleet_model/__main__.py
@@ -20,9 +20,7 @@
 
 
 def _play_file(path: str) -> int:
-    text = pathlib.Path(path).read_text()
-    history = eval(text, vars(model) | {"inf": float("inf")})  # noqa: S307
-    violations = player.play(history)
+    violations = player.play(model.read(pathlib.Path(path)))
     print("\n".join(violations) or "no rule broken")
     return 1 if violations else 0
 
--- a/tests/fleet_model/history.py
+++ b/tests/fleet_model/history.py
@@ -4,6 +4,8 @@
 again: `python -m tests.fleet_model FILE`.
 """
 
+import pathlib
+
 import attrs
 from hypothesis import strategies
 
@@ -175,6 +177,13 @@
     events: tuple[TimedEvent, ...]
 
 
+def read(path: pathlib.Path) -> History:
+    """Read a history that was kept; its file holds Python's text of it."""
+    history = eval(path.read_text(), globals())  # noqa: S307
+    assert isinstance(history, History)
+    return history
+
+
 def _tenths(least: float, most: float) -> strategies.SearchStrategy[float]:
     return strategies.integers(round(least * 10), round(most * 10)).map(
         lambda tenths: tenths / 10.0
--- a/tests/fleet_model/test_fleet_model.py
+++ b/tests/fleet_model/test_fleet_model.py
@@ -1,5 +1,6 @@
 """Tests that random histories of the whole fleet break no rule."""
 
+import pathlib
 import unittest
 
 import hypothesis
@@ -14,6 +15,7 @@
 from tests.fleet_model.record import Span
 
 HISTORIES = 20
+KEPT = pathlib.Path(__file__).parent / "kept"
 
 
 class RandomHistoriesTest(unittest.TestCase):
@@ -30,6 +32,18 @@
         self.assertEqual(player.play(history), [], str(history))
 
 
+class KeptHistoriesTest(unittest.TestCase):
+    def check(self, name):
+        violations = player.play(model.read(KEPT / f"{name}.txt"))
+        self.assertEqual(violations, [])
+
+    def test_a_vm_alone_without_the_store_spares_cold_leafs(self):
+        self.check("alone-without-the-store")
+
+    def test_a_new_vm_spares_cold_leafs_after_the_store_was_restored(self):
+        self.check("new-vm-after-restore")
+
+
 class JudgeTest(unittest.TestCase):
     """Each rule is seen when it is broken, and not where it is excused."""
 
