--- a/tests/fleet_model/player.py
+++ b/tests/fleet_model/player.py
@@ -68,6 +68,7 @@
     Attributes:
         record: What was seen.
         store_back_s: When a store that is away is back.
+        refusing_until_s: Until when the store refuses all calls.
     """
 
     def __init__(self, history: model.History) -> None:
@@ -77,6 +78,7 @@
         self.version = 0
         self.evacuated: dict[str, int] = {}
         self.store_back_s = 0.0
+        self.refusing_until_s = 0.0
         self.fleet = VirtualFleet(self._configuration())
         self.network = self.fleet.network
         self.store = self.fleet.store
@@ -350,6 +352,7 @@
         self.store_back_s = max(self.store_back_s, end_s)
         if not is_silent:
             self.store.refuse = 503
+            self.refusing_until_s = max(self.refusing_until_s, end_s)
             self._later(for_s, self._serve_again)
             return
         for vm in list(self.fleet.gateways):
@@ -358,7 +361,7 @@
                 self._later(for_s, self._heal, *pair)
 
     def _serve_again(self) -> None:
-        if self.now_s >= self.store_back_s:
+        if self.now_s >= self.refusing_until_s:
             self.store.refuse = None
 
     def _refuse_vm(self, vm: str, for_s: float, status: int) -> None:
