Test the retry budget of requests that are forwarded; three tests are red

Fail on the current code: a request whose forward is lost runs on 3 leafs (2 attempts), rejected requests that go on to further VMs arrive 111 times extra (110 allowed), and 40 forwarded requests are counted 55 times.

--- a/tests/runtime/test_cut_off_vms.py
+++ b/tests/runtime/test_cut_off_vms.py
@@ -1,8 +1,10 @@
 """Tests of VMs that lose their links to all leafs, with whole gateways."""
 
+import collections
 import unittest
 from unittest import mock
 
+from oriolegate.models.site import Bounds
 from oriolegate.network.caller_server import InternalRequest
 from oriolegate.network.http_client import HttpClient
 from oriolegate.placement.leaf_directory import NoLeaf
@@ -20,6 +22,7 @@
     documents.route_spec("once", service="s0", type=documents.NON_IDEMPOTENT),
 )
 COPIES = 3
+ATTEMPTS = 2
 INTERNAL_PORT = 3
 WORK_S = 0.02
 REQUESTS_PER_S = 60.0
@@ -328,6 +331,60 @@
         self.assertEqual([r.status for r in responses], [200])
         self.assertLessEqual(self.runs(), 2)
 
+    def test_a_request_whose_forward_is_lost_keeps_within_its_attempts(self):
+        for leaf in self.fleet.leafs.values():
+            leaf.behave = lambda request: None
+        # Each VM gives up the one that it has asked before that one answers.
+        for number in range(4):
+            self.send("GET", "/one/x", f"p{number}")
+        self.network.run_for(1.45)
+        runs = collections.Counter(
+            request.attempt_id
+            for leaf in self.fleet.leafs.values()
+            for request in leaf.requests
+        )
+        self.assertEqual(len(runs), 4)
+        self.assertLessEqual(max(runs.values()), ATTEMPTS)
+
+    def test_rejected_requests_that_are_forwarded_keep_the_retry_budget(self):
+        arrivals = collections.Counter()
+
+        def reject(request):
+            arrivals[request.attempt_id] += 1
+            request.answer(b"", 503, Server_Seal=None, Not_Executed="1")
+
+        for leaf in self.fleet.leafs.values():
+            leaf.behave = reject
+        for number in range(300):
+            self.send("GET", "/one/x", f"p{number}")
+            self.network.run_for(0.02)
+        self.network.run_for(1.0)
+        extra = sum(arrivals.values()) - len(arrivals)
+        bounds = Bounds()
+        allowed = bounds.retry_ratio * 300 + bounds.retry_slack
+        self.assertLessEqual(extra, allowed)
+
+    def test_a_forwarded_request_counts_once_for_the_retry_budget(self):
+        # All VMs but one reach other leafs than those of the request.
+        for vm in ("vm1", "vm2", "vm3"):
+            for copy in range(COPIES):
+                self.network.refuse(vm, f"s0-{copy}")
+                self.network.reset_connections(vm, f"s0-{copy}")
+        self.network.run_for(0.5)
+        budgets = [g.parts.budget for g in self.fleet.gateways.values()]
+
+        def counted():
+            now_ms = self.network.clock.now_ms()
+            for budget in budgets:
+                budget.left("s0", now_ms)
+            return sum(b.windows["s0"].request_count for b in budgets)
+
+        before = counted()
+        for number in range(40):
+            self.send("GET", "/one/x", f"p{number}")
+            self.network.run_for(0.05)
+        self.assertLessEqual(counted() - before, 40)
+
     def test_leafs_stop_when_the_caller_of_another_vm_leaves(self):
         for leaf in self.fleet.leafs.values():
             leaf.behave = lambda request: None
