Share a request's attempts exactly between the VMs that forward and run it

Cause: the VM that forwards counted a lost answer as one leaf, while the VM it had asked had sent a hedge as well.

Now the VM that is asked uses a single attempt for a quarter of the target, counted from a time that both know, and reports what it used. An answer lost by then costs one attempt, a later one costs all. VMs of earlier versions report nothing and observe no hold, so that a lost answer of theirs costs all.

--- a/src/oriolegate/exchange/exchange.py
+++ b/src/oriolegate/exchange/exchange.py
@@ -14,6 +14,7 @@
 from oriolegate.exchange.messages import Refuse
 from oriolegate.exchange.messages import RelayAnswer
 from oriolegate.exchange.messages import Reply
+from oriolegate.exchange.messages import RequestHistory
 from oriolegate.exchange.messages import SendOutcome
 from oriolegate.exchange.part import Part
 from oriolegate.exchange.part_sender import ExchangeContext
@@ -21,6 +22,8 @@
 from oriolegate.models.site import Route
 from oriolegate.placement import slow_leafs
 
+NO_HISTORY = RequestHistory()
+
 
 class Exchange:
     """State of one request.
@@ -44,7 +47,7 @@
         context: ExchangeContext,
         arrived_ms: float,
         *,
-        is_counted: bool = False,
+        history: RequestHistory = NO_HISTORY,
     ) -> None:
         """Create the state of a request.
 
@@ -56,8 +59,7 @@
             context: State that all exchanges share.
             arrived_ms: When the request arrived, here or at the VM that
                 forwarded it.
-            is_counted: Whether another VM has counted the request for the
-                retry budget.
+            history: What other VMs did with the request.
         """
         self.call = call
         self.route = route
@@ -66,9 +68,13 @@
         self.deadlines = timing.compute_deadlines(
             route, arrived_ms, call.time_left_ms
         )
-        self.is_counted = is_counted
-        self.parts = [Part(service) for service in services]
-        self.sender = PartSender(route, self.deadlines, context)
+        self.is_counted = history.is_counted
+        # An arrival at another VM makes each one here an extra one.
+        arrivals = int(history.has_arrived)
+        self.parts = [Part(service, arrivals=arrivals) for service in services]
+        self.sender = PartSender(
+            route, self.deadlines, context, history.hold_until_ms
+        )
         self.reply: Reply | None = None
         self.replied_at_ms = 0.0
         # Updated incrementally, so that handling an answer takes constant time
@@ -244,6 +250,11 @@
         """Number of leafs of one service that may have run the request."""
         return max(part.possible_runs for part in self.parts)
 
+    @property
+    def has_arrived(self) -> bool:
+        """Whether a leaf may have received the request."""
+        return any(part.arrivals for part in self.parts)
+
     @property
     def may_be_forwarded(self) -> bool:
         """Whether another VM may still run the request."""
--- a/src/oriolegate/exchange/messages.py
+++ b/src/oriolegate/exchange/messages.py
@@ -34,6 +34,22 @@
     time_left_ms: float | None
 
 
+@attrs.frozen
+class RequestHistory:
+    """What other VMs did with a request before this one.
+
+    Attributes:
+        is_counted: Whether one has counted it for the retry budget.
+        has_arrived: Whether a leaf may have received it from one that charged
+            nothing for what this VM sends.
+        hold_until_ms: Until when one leaf of each service may run it here.
+    """
+
+    is_counted: bool = False
+    has_arrived: bool = False
+    hold_until_ms: float = float("-inf")
+
+
 @attrs.frozen
 class LeafAnswer:
     """A complete response of a leaf that ran the request.
--- a/src/oriolegate/exchange/part_sender.py
+++ b/src/oriolegate/exchange/part_sender.py
@@ -37,6 +37,8 @@
 # A leaf without an answer after this time counts as unresponsive, not paused: a
 # pause takes up to 300 ms, and a leaf is fastest just after one.
 UNRESPONSIVE_MS = 450.0
+# `Part.wait_reason` of a part whose further attempts are held.
+ATTEMPTS_HELD = "further attempts held"
 
 
 @attrs.frozen
@@ -59,11 +61,17 @@
             needed.
         decisions: Decisions so far, for the log.
         repeatable: Whether the request may run more than once.
+        hold_until_ms: Until when one leaf of each service may run the request.
     """
 
     def __init__(
-        self, route: Route, deadlines: Deadlines, context: ExchangeContext
+        self,
+        route: Route,
+        deadlines: Deadlines,
+        context: ExchangeContext,
+        hold_until_ms: float = float("-inf"),
     ) -> None:
+        self.hold_until_ms = hold_until_ms
         self.route = route
         self.deadlines = deadlines
         self.context = context
@@ -97,6 +105,10 @@
 
     def choose_or_wait(self, now_ms: float, part: Part) -> LeafRecord | None:
         """Choose a leaf for a part; if none can take it, let it wait or end."""
+        if part.possible_runs and now_ms < self.hold_until_ms:
+            part.wait_reason = ATTEMPTS_HELD
+            self.ensure_timer_by(self.hold_until_ms)
+            return None
         chosen = self._choose(now_ms, part)
         if isinstance(chosen, NoLeaf):
             self._wait_or_end(now_ms, part, chosen)
@@ -202,7 +214,7 @@
         part.hedge_at_ms = None
         if self.repeatable and part.possible_runs < self.route.attempts:
             after_ms = self.route_latency.hedge_after_ms(leaf.distance_ms)
-            part.hedge_at_ms = now_ms + after_ms
+            part.hedge_at_ms = max(now_ms + after_ms, self.hold_until_ms)
             self.ensure_timer_by(part.hedge_at_ms)
         if not is_first:
             kind = "hedge" if hedge else "retry"
--- a/src/oriolegate/forwarding/forwarded_call.py
+++ b/src/oriolegate/forwarding/forwarded_call.py
@@ -20,6 +20,8 @@
         used_attempts: Number of leafs of one service that may have run it.
         is_counted: Whether a VM has counted it for the retry budget.
         vm: The VM that the caller sent it to.
+        hold_ms: Time since its arrival until which the receiving VM uses a
+            single attempt.
     """
 
     call: CallerCall
@@ -28,6 +30,7 @@
     used_attempts: int
     is_counted: bool
     vm: str
+    hold_ms: float = 0.0
 
 
 class ForwardState(enum.Enum):
@@ -60,6 +63,10 @@
         status: HTTP status for the caller.
         headers: HTTP headers for the caller.
         body: Body for the caller.
+        used_attempts: Number of leafs of one service that may have run the
+            request at the VM, or None if the VM doesn't tell.
+        has_arrived: Whether a leaf may have received the request, even if it
+            did not run it.
     """
 
     attempt_id: str
@@ -69,6 +76,8 @@
     status: int
     headers: Headers
     body: bytes
+    used_attempts: int | None = None
+    has_arrived: bool = True
 
 
 @attrs.frozen
@@ -77,6 +86,10 @@
 
     Attributes:
         may_have_run: Whether a leaf may have run it.
+        is_counted: Whether a VM has counted it for the retry budget.
+        has_arrived: Whether a leaf may have received it.
     """
 
     may_have_run: bool
+    is_counted: bool = False
+    has_arrived: bool = False
--- a/src/oriolegate/forwarding/target_choice.py
+++ b/src/oriolegate/forwarding/target_choice.py
@@ -48,11 +48,13 @@
         served_at_ms: When it last served one.
         pause_until_ms: Until when it gets none.
         failure_pause_ms: Length of its last pause after no answer, or 0.
+        answered_at_ms: When it last answered, whatever it was.
     """
 
     served_at_ms: float = float("-inf")
     pause_until_ms: float = float("-inf")
     failure_pause_ms: float = 0.0
+    answered_at_ms: float = float("-inf")
 
 
 class TargetChoice:
@@ -191,24 +193,32 @@
         since_ms = self.unanswered_since_ms
         return since_ms is not None and now_ms - since_ms >= ISOLATED_AFTER_MS
 
-    def record_served(self, now_ms: float, vm: str) -> None:
-        """Record that a VM served a forwarded request."""
+    def has_answered_since(self, vm: str, since_ms: float) -> bool:
+        """Return whether a VM has answered any request since a time."""
+        state = self.states.get(vm)
+        return state is not None and state.answered_at_ms >= since_ms
+
+    def _record_answer(self, now_ms: float, vm: str) -> TargetState:
         self.unanswered_since_ms = None
         state = self._state(vm)
-        state.served_at_ms = now_ms
+        state.answered_at_ms = now_ms
         state.failure_pause_ms = 0.0
+        return state
+
+    def record_served(self, now_ms: float, vm: str) -> None:
+        """Record that a VM served a forwarded request."""
+        self._record_answer(now_ms, vm).served_at_ms = now_ms
 
     def record_cut_off(self, now_ms: float, vm: str) -> None:
         """Record that a VM can't reach the leafs either."""
-        self.unanswered_since_ms = None
-        state = self._state(vm)
+        state = self._record_answer(now_ms, vm)
         state.served_at_ms = float("-inf")
         state.pause_until_ms = now_ms + CUT_OFF_PAUSE_MS
 
     def record_declined(self, now_ms: float, vm: str) -> None:
         """Record that a VM could not serve a forwarded request now."""
-        self.unanswered_since_ms = None
-        self._state(vm).pause_until_ms = now_ms + DECLINED_PAUSE_MS
+        state = self._record_answer(now_ms, vm)
+        state.pause_until_ms = now_ms + DECLINED_PAUSE_MS
 
     def record_failure(self, now_ms: float, vm: str) -> None:
         """Record that a VM did not answer."""
--- a/src/oriolegate/models/site.py
+++ b/src/oriolegate/models/site.py
@@ -149,6 +149,8 @@
         link_mbps: Rate of the VM's link; 0 in entries of earlier versions.
         accepts_forwards: Whether the VM serves requests that other VMs forward
             to it; False in entries of earlier versions.
+        holds_attempts: Whether the VM uses a single attempt of such a request
+            for as long as it says; False in entries of earlier versions.
     """
 
     vm: str
@@ -158,6 +160,7 @@
     renewed_wall_ms: int
     link_mbps: float = 0.0
     accepts_forwards: bool = False
+    holds_attempts: bool = False
 
 
 @attrs.frozen
--- a/src/oriolegate/network/forward_wire.py
+++ b/src/oriolegate/network/forward_wire.py
@@ -54,6 +54,7 @@
         "used_attempts": forwarded.used_attempts,
         "is_counted": forwarded.is_counted,
         "vm": forwarded.vm,
+        "hold_ms": round(forwarded.hold_ms, 1),
     }
     body = orjson.dumps(fields) + SEPARATOR + call.body
     head = (
@@ -93,6 +94,8 @@
             int(fields["used_attempts"]),
             bool(fields["is_counted"]),
             str(fields["vm"]),
+            # Earlier versions don't send the field.
+            float(fields.get("hold_ms", 0.0)),
         )
     except (AttributeError, KeyError, TypeError, ValueError) as error:
         raise PeerMessageError(f"not a forwarded request: {error}") from error
@@ -107,6 +110,8 @@
         "version": reply.version,
         "status": reply.status,
         "headers": _encode_headers(reply.headers),
+        "used_attempts": reply.used_attempts,
+        "has_arrived": reply.has_arrived,
     }
     return orjson.dumps(fields) + SEPARATOR + reply.body
 
@@ -133,6 +138,8 @@
         if not separator:
             raise ValueError("incomplete")
         fields = orjson.loads(line)
+        # Earlier versions send neither of the last two.
+        used_attempts = fields.get("used_attempts")
         return ForwardedReply(
             str(fields["id"]),
             ForwardState(fields["state"]),
@@ -141,6 +148,8 @@
             int(fields["status"]),
             _decode_headers(fields["headers"]),
             body,
+            None if used_attempts is None else int(used_attempts),
+            bool(fields.get("has_arrived", True)),
         )
     except (AttributeError, KeyError, TypeError, ValueError) as error:
         raise PeerMessageError(
--- a/src/oriolegate/platform/member_entry.py
+++ b/src/oriolegate/platform/member_entry.py
@@ -20,6 +20,7 @@
         "renewed_wall_ms": entry.renewed_wall_ms,
         "link_mbps": entry.link_mbps,
         "accepts_forwards": entry.accepts_forwards,
+        "holds_attempts": entry.holds_attempts,
     }
 
 
@@ -31,11 +32,11 @@
     return float(value)
 
 
-def _accepts_forwards(fields: dict[str, Any]) -> bool:
+def _flag(fields: dict[str, Any], name: str) -> bool:
     # Earlier versions don't write the field.
-    value = fields.get("accepts_forwards", False)
+    value = fields.get(name, False)
     if not isinstance(value, bool):
-        raise MalformedEntryError("`accepts_forwards` is not a boolean")
+        raise MalformedEntryError(f"`{name}` is not a boolean")
     return value
 
 
@@ -55,5 +56,6 @@
             fields, "renewed_wall_ms", int
         ),
         link_mbps=_link_mbps(fields),
-        accepts_forwards=_accepts_forwards(fields),
+        accepts_forwards=_flag(fields, "accepts_forwards"),
+        holds_attempts=_flag(fields, "holds_attempts"),
     )
--- a/src/oriolegate/runtime/exchange_runner.py
+++ b/src/oriolegate/runtime/exchange_runner.py
@@ -9,6 +9,7 @@
 from oriolegate.crashes.crash_ledger import CrashLedger
 from oriolegate.exchange import replying
 from oriolegate.exchange.exchange import Exchange
+from oriolegate.exchange.exchange import NO_HISTORY
 from oriolegate.exchange.messages import AbandonSend
 from oriolegate.exchange.messages import AnswerGathered
 from oriolegate.exchange.messages import CallerCall
@@ -17,6 +18,7 @@
 from oriolegate.exchange.messages import Refuse
 from oriolegate.exchange.messages import RelayAnswer
 from oriolegate.exchange.messages import Reply
+from oriolegate.exchange.messages import RequestHistory
 from oriolegate.exchange.messages import SendToLeaf
 from oriolegate.exchange.part_sender import ExchangeContext
 from oriolegate.exchange.stop_admission import StopAdmission
@@ -240,13 +242,16 @@
         now_ms = self.clock.now_ms()
         was_handed_over = asked_others_ms is not None
         arrived_ms = now_ms if asked_others_ms is None else asked_others_ms
-        is_counted = False
+        history = NO_HISTORY
         if isinstance(request, ForwardedRequest):
             forwarded = request.forwarded
             arrived_ms -= forwarded.elapsed_ms
-            is_counted = forwarded.is_counted
-            attempts = max(1, route.attempts - forwarded.used_attempts)
+            attempts = route.attempts - forwarded.used_attempts
             route = attrs.evolve(route, attempts=attempts)
+            history = RequestHistory(
+                forwarded.is_counted,
+                hold_until_ms=arrived_ms + forwarded.hold_ms,
+            )
         exchange = Exchange(
             call,
             route,
@@ -254,7 +259,7 @@
             table.configuration.version,
             self.context,
             arrived_ms,
-            is_counted=is_counted,
+            history=history,
         )
         running = RunningExchange(
             exchange,
@@ -284,6 +289,8 @@
             self._refuse(request, call, STATUS_NOT_FOUND, "no route")
         elif self.handover.is_cut_off():
             request.decline(ForwardState.CUT_OFF)
+        elif forwarded.used_attempts >= route.attempts:
+            request.decline()
         elif not self._refuse_crashing(request, call):
             self._serve(request, call, route, table)
 
@@ -392,7 +399,11 @@
                 ):
                     pass
                 case RelayAnswer() | AnswerGathered() | Refuse():
-                    call = running.exchange.call
+                    exchange = running.exchange
+                    if isinstance(running.request, ForwardedRequest):
+                        running.request.used_attempts = exchange.used_attempts
+                        running.request.has_arrived = exchange.has_arrived
+                    call = exchange.call
                     self._reply(running.request, effect, call.attempt_id)
                     self._log_reply(running)
         self._set_timer(running)
--- a/src/oriolegate/runtime/forward_server.py
+++ b/src/oriolegate/runtime/forward_server.py
@@ -37,6 +37,8 @@
         forwarded: Its content.
         version: Configuration version that is applied.
         is_unreachable: Whether this VM could not reach the leafs.
+        used_attempts: Number of leafs of one service that may have run it here.
+        has_arrived: Whether a leaf may have received it from this VM.
         on_ended: Called once the reply is sent or the other VM disconnected.
     """
 
@@ -44,6 +46,8 @@
     forwarded: ForwardedCall
     version: int = 0
     is_unreachable: bool = False
+    used_attempts: int = 0
+    has_arrived: bool = False
     on_ended: Callable[[], None] = lambda: None
 
     def reply(self, status: int, headers: Headers, body: bytes) -> None:
@@ -63,6 +67,8 @@
                 status,
                 headers,
                 body,
+                self.used_attempts,
+                self.has_arrived,
             )
         )
 
@@ -77,6 +83,8 @@
                 STATUS_UNAVAILABLE,
                 (),
                 b"",
+                used_attempts=0,
+                has_arrived=False,
             )
         )
 
--- a/src/oriolegate/runtime/member_registration.py
+++ b/src/oriolegate/runtime/member_registration.py
@@ -88,6 +88,7 @@
                 self.clock.wall_ms(),
                 settings.link_mbps,
                 accepts_forwards=True,
+                holds_attempts=True,
             )
         )
 
--- a/src/oriolegate/runtime/request_forwarder.py
+++ b/src/oriolegate/runtime/request_forwarder.py
@@ -13,6 +13,7 @@
 from oriolegate.forwarding.forwarded_call import ForwardedReply
 from oriolegate.forwarding.forwarded_call import ForwardFailed
 from oriolegate.forwarding.forwarded_call import ForwardState
+from oriolegate.forwarding.shared_attempts import SharedAttempts
 from oriolegate.forwarding.target_choice import TargetChoice
 from oriolegate.metrics import MetricsRegistry
 from oriolegate.models.site import MemberEntry
@@ -55,20 +56,24 @@
         route: Its route.
         services: Services that its parts need.
         plan: Decides which VM is next.
+        attempts: Attempts that are left.
         arrived_ms: When the request arrived.
-        patience_ms: How long one VM may take, if another may be asked then.
+        patience_ms: How long one VM may take without answering any request.
         done: Called with the outcome; not called after a cancel.
         tried: VMs that were asked, in order, with what became of it.
         states: What VMs that did not serve it replied.
         refusal: Last reply of a VM that could not serve it now, or None.
         http_call: Call to the VM that is asked, or None.
         timer: Timeout of that call, or None.
+        sent_at_ms: When that call was made.
+        was_extended: Whether its timeout was extended.
     """
 
     forwarded: ForwardedCall
     route: Route
     services: tuple[str, ...]
     plan: ForwardPlan
+    attempts: SharedAttempts
     arrived_ms: float
     patience_ms: float
     done: Callable[[Outcome], None]
@@ -77,6 +82,8 @@
     refusal: ForwardedReply | None = None
     http_call: HttpCall | None = None
     timer: Any = None
+    sent_at_ms: float = 0.0
+    was_extended: bool = False
 
 
 class RequestForwarder:
@@ -167,7 +174,6 @@
 
     def _send_to(self, open_forward: OpenForward, entry: MemberEntry) -> None:
         now_ms = self.clock.now_ms()
-        plan = open_forward.plan
         is_near = self.choice.is_near(entry)
         margin_ms = NEAR_MARGIN_MS if is_near else FAR_MARGIN_MS
         call = open_forward.forwarded.call
@@ -175,10 +181,16 @@
             call = attrs.evolve(
                 call, time_left_ms=call.time_left_ms - margin_ms
             )
+        open_forward.attempts.hold(now_ms, open_forward.route.target_ms)
+        open_forward.sent_at_ms = now_ms
+        open_forward.was_extended = False
         forwarded = attrs.evolve(
             open_forward.forwarded,
             call=call,
             elapsed_ms=now_ms - open_forward.arrived_ms,
+            used_attempts=open_forward.attempts.used,
+            hold_ms=open_forward.attempts.hold_until_ms
+            - open_forward.arrived_ms,
         )
         pool = self._get_pool(entry)
 
@@ -195,20 +207,41 @@
                 or forward_wire.is_reply_to(response.body, call.attempt_id)
             ),
         )
+        self._start_timer(open_forward)
+        pool.send(open_forward.http_call)
+
+    def _start_timer(self, open_forward: OpenForward) -> None:
+        plan = open_forward.plan
+        now_ms = self.clock.now_ms()
         limit_ms = plan.deadline_at_ms - now_ms + ANSWER_GRACE_MS
         if plan.repeatable and plan.untried:
             limit_ms = min(limit_ms, open_forward.patience_ms)
         open_forward.timer = self.reactor.callLater(
             limit_ms / MS_PER_S, self._on_timeout, open_forward
         )
-        pool.send(open_forward.http_call)
 
     def _stop_timer(self, open_forward: OpenForward) -> None:
         if open_forward.timer is not None and open_forward.timer.active():
             open_forward.timer.cancel()
         open_forward.timer = None
 
+    def _must_wait_longer(self, open_forward: OpenForward) -> bool:
+        """Return whether a VM that answers others may still answer this one.
+
+        It gives up leafs that hang by itself, within the same time once more.
+        """
+        plan = open_forward.plan
+        return (
+            not open_forward.was_extended
+            and self.clock.now_ms() < plan.deadline_at_ms
+            and self.choice.has_answered_since(plan.vm, open_forward.sent_at_ms)
+        )
+
     def _on_timeout(self, open_forward: OpenForward) -> None:
+        if self._must_wait_longer(open_forward):
+            open_forward.was_extended = True
+            self._start_timer(open_forward)
+            return
         vm = open_forward.plan.vm
         was_sent = (
             open_forward.http_call is not None
@@ -249,6 +282,11 @@
     def _on_lost(self, open_forward: OpenForward, vm: str, detail: str) -> None:
         self.choice.record_failure(self.clock.now_ms(), vm)
         open_forward.tried.append(f"{vm}: {detail}")
+        entry = self.choice.find_entry(vm)
+        open_forward.attempts.record_lost(
+            self.clock.now_ms(),
+            is_held=entry is not None and entry.holds_attempts,
+        )
         self._on_may_have_run(open_forward)
         self.send(open_forward)
 
@@ -263,11 +301,9 @@
         if not all(has_budget):
             open_forward.plan.untried.clear()
         open_forward.forwarded = attrs.evolve(
-            open_forward.forwarded,
-            used_attempts=open_forward.forwarded.used_attempts + 1,
-            is_counted=True,
+            open_forward.forwarded, is_counted=True
         )
-        if open_forward.forwarded.used_attempts >= open_forward.route.attempts:
+        if open_forward.attempts.is_exhausted:
             open_forward.plan.untried.clear()
 
     def _on_reply(
@@ -289,6 +325,7 @@
             case ForwardState.UNREACHABLE:
                 self.choice.record_declined(now_ms, vm)
                 if reply.may_have_run:
+                    open_forward.attempts.record_used(reply.used_attempts)
                     self._on_may_have_run(open_forward)
             case ForwardState.DECLINED:
                 self.choice.record_declined(now_ms, vm)
--- a/src/oriolegate/runtime/request_handover.py
+++ b/src/oriolegate/runtime/request_handover.py
@@ -11,6 +11,7 @@
 from oriolegate.forwarding.forwarded_call import ForwardedCall
 from oriolegate.forwarding.forwarded_call import ForwardedReply
 from oriolegate.forwarding.forwarded_call import ForwardFailed
+from oriolegate.forwarding.shared_attempts import SharedAttempts
 from oriolegate.models.site import Repeatability
 from oriolegate.models.site import Route
 from oriolegate.network.caller_server import CallerHttpRequest
@@ -183,6 +184,7 @@
             route,
             services,
             plan,
+            SharedAttempts(route.attempts, forwarded.used_attempts),
             arrived_ms,
             deadlines.stall_after_ms,
             done,
--- a/tests/runtime/test_cut_off_vms.py
+++ b/tests/runtime/test_cut_off_vms.py
@@ -346,6 +346,20 @@
         self.assertEqual(len(runs), 4)
         self.assertLessEqual(max(runs.values()), ATTEMPTS)
 
+    def test_a_late_answer_of_a_vm_that_answers_others_reaches_the_caller(self):
+        def work_slowly(request):
+            slow = request.attempt_id == b"slow"
+            work_s = 1.1 if slow else WORK_S
+            self.network.reactor.callLater(work_s, request.answer, bytes(16))
+
+        for leaf in self.fleet.leafs.values():
+            leaf.behave = work_slowly
+        responses = self.send("GET", "/one/x", "slow")
+        for number in range(28):
+            self.send("GET", "/one/x", f"p{number}")
+            self.network.run_for(0.05)
+        self.assertEqual([r.status for r in responses], [200])
+
     def test_rejected_requests_that_are_forwarded_keep_the_retry_budget(self):
         arrivals = collections.Counter()
 
