Charge each repeat of a forwarded request, and count the request once

Leafs got repeats that no VM charged to the retry budget, so that the sum over all VMs was not bounded any more.

Causes, both at the VM that forwards a request from one VM to the next: - a VM that could not serve a request may have sent it to leafs that rejected it.

Replies now say whether a leaf may have received the request; then the next send is charged at all services or not made. After the first VM that tried, the request counts as counted, also if this VM serves it after all. A budget that has too little for one of the services is not charged at the others.

--- a/src/oriolegate/exchange/exchange.py
+++ b/src/oriolegate/exchange/exchange.py
@@ -268,10 +268,8 @@
         Returns:
             Whether the budget allows it.
         """
-        return all(
-            self.budget.take(part.service, now_ms, hedge=False)
-            for part in self.parts
-            if part.arrivals
+        return self.budget.take_each(
+            (part.service for part in self.parts if part.arrivals), now_ms
         )
 
     def on_caller_disconnected(self, now_ms: float) -> list[Effect]:
--- a/src/oriolegate/retries/retry_budget.py
+++ b/src/oriolegate/retries/retry_budget.py
@@ -6,6 +6,7 @@
 """
 
 import collections
+from collections.abc import Iterable
 
 import attrs
 
@@ -153,6 +154,20 @@
         window.extra_count += 1.0
         return True
 
+    def take_each(self, services: Iterable[str], now_ms: float) -> bool:
+        """Charge one extra send to each service and return True, if all have.
+
+        Args:
+            services: Services that each receive a send.
+            now_ms: Current time.
+        """
+        needed = tuple(services)
+        if any(self.left(service, now_ms) < 1.0 for service in needed):
+            return False
+        return all(
+            self.take(service, now_ms, hedge=False) for service in needed
+        )
+
     def refund(self, service: str) -> None:
         """Refund an extra send that never reached the service."""
         window = self.windows.get(service)
--- a/src/oriolegate/runtime/exchange_runner.py
+++ b/src/oriolegate/runtime/exchange_runner.py
@@ -22,6 +22,7 @@
 from oriolegate.exchange.messages import SendToLeaf
 from oriolegate.exchange.part_sender import ExchangeContext
 from oriolegate.exchange.stop_admission import StopAdmission
+from oriolegate.forwarding.forwarded_call import ForwardFailed
 from oriolegate.forwarding.forwarded_call import ForwardState
 from oriolegate.models.site import CallerLimits
 from oriolegate.models.site import Route
@@ -197,8 +198,8 @@
             call,
             route,
             table,
-            lambda arrived_ms: self._serve(
-                request, call, route, table, arrived_ms
+            lambda arrived_ms, failed: self._serve(
+                request, call, route, table, arrived_ms, failed
             ),
         ):
             return
@@ -228,6 +229,7 @@
         route: Route,
         table: RouteTable,
         asked_others_ms: float | None = None,
+        failed: ForwardFailed | None = None,
     ) -> None:
         """Send a request to leafs.
 
@@ -238,11 +240,14 @@
             table: The configuration in force.
             asked_others_ms: When the request arrived, if other VMs were asked
                 to serve it since.
+            failed: What these did with it, or None.
         """
         now_ms = self.clock.now_ms()
         was_handed_over = asked_others_ms is not None
         arrived_ms = now_ms if asked_others_ms is None else asked_others_ms
         history = NO_HISTORY
+        if failed is not None:
+            history = RequestHistory(failed.is_counted, failed.has_arrived)
         if isinstance(request, ForwardedRequest):
             forwarded = request.forwarded
             arrived_ms -= forwarded.elapsed_ms
--- a/src/oriolegate/runtime/request_forwarder.py
+++ b/src/oriolegate/runtime/request_forwarder.py
@@ -67,6 +67,8 @@
         timer: Timeout of that call, or None.
         sent_at_ms: When that call was made.
         was_extended: Whether its timeout was extended.
+        has_arrived: Whether a leaf may have received the request from a VM that
+            was asked.
     """
 
     forwarded: ForwardedCall
@@ -84,6 +86,11 @@
     timer: Any = None
     sent_at_ms: float = 0.0
     was_extended: bool = False
+    has_arrived: bool = False
+
+    def mark_counted(self) -> None:
+        """Record that a VM has counted the request for the retry budget."""
+        self.forwarded = attrs.evolve(self.forwarded, is_counted=True)
 
 
 class RequestForwarder:
@@ -163,7 +170,12 @@
         if open_forward.refusal is not None and not may_have_run:
             self._finish(open_forward, open_forward.refusal)
         else:
-            self._finish(open_forward, ForwardFailed(may_have_run))
+            failed = ForwardFailed(
+                may_have_run,
+                open_forward.forwarded.is_counted,
+                open_forward.has_arrived,
+            )
+            self._finish(open_forward, failed)
 
     def _finish(self, open_forward: OpenForward, outcome: Outcome) -> None:
         result = "failed"
@@ -287,24 +299,33 @@
             self.clock.now_ms(),
             is_held=entry is not None and entry.holds_attempts,
         )
-        self._on_may_have_run(open_forward)
+        open_forward.plan.on_lost()
+        open_forward.mark_counted()
+        self._on_arrived(open_forward)
         self.send(open_forward)
 
-    def _on_may_have_run(self, open_forward: OpenForward) -> None:
-        """Charge the next try, which may be an extra one for the leafs."""
-        open_forward.plan.on_lost()
-        now_ms = self.clock.now_ms()
-        has_budget = [
-            self.budget.take(service, now_ms, hedge=False)
-            for service in open_forward.services
-        ]
-        if not all(has_budget):
-            open_forward.plan.untried.clear()
-        open_forward.forwarded = attrs.evolve(
-            open_forward.forwarded, is_counted=True
-        )
-        if open_forward.attempts.is_exhausted:
-            open_forward.plan.untried.clear()
+    def _on_arrived(self, open_forward: OpenForward) -> None:
+        """Charge the next try, which is an extra one for the leafs."""
+        open_forward.has_arrived = True
+        untried = open_forward.plan.untried
+        may_try_next = not open_forward.attempts.is_exhausted
+        if untried and may_try_next:
+            may_try_next = self.budget.take_each(
+                open_forward.services, self.clock.now_ms()
+            )
+        if not may_try_next:
+            untried.clear()
+
+    def _on_not_served(
+        self, open_forward: OpenForward, reply: ForwardedReply
+    ) -> None:
+        """Count what a VM did that could not serve a request."""
+        if reply.may_have_run:
+            open_forward.attempts.record_used(reply.used_attempts)
+            open_forward.plan.on_lost()
+        open_forward.mark_counted()
+        if reply.has_arrived:
+            self._on_arrived(open_forward)
 
     def _on_reply(
         self,
@@ -324,13 +345,12 @@
                 self.choice.record_cut_off(now_ms, vm)
             case ForwardState.UNREACHABLE:
                 self.choice.record_declined(now_ms, vm)
-                if reply.may_have_run:
-                    open_forward.attempts.record_used(reply.used_attempts)
-                    self._on_may_have_run(open_forward)
+                self._on_not_served(open_forward, reply)
             case ForwardState.DECLINED:
                 self.choice.record_declined(now_ms, vm)
                 if reply.body:
                     open_forward.refusal = reply
+                    self._on_not_served(open_forward, reply)
         open_forward.states.add(reply.state)
         self.metrics.counter(
             "oriolegate_forward_declines_total", state=reply.state.value
--- a/src/oriolegate/runtime/request_handover.py
+++ b/src/oriolegate/runtime/request_handover.py
@@ -64,7 +64,7 @@
         call: CallerCall,
         route: Route,
         table: RouteTable,
-        serve: Callable[[float], None],
+        serve: Callable[[float, ForwardFailed], None],
     ) -> bool:
         """Hand over a request that no leaf has, if another VM may help.
 
@@ -74,7 +74,8 @@
             route: Its route.
             table: The configuration in force.
             serve: Serves the request on this VM after all, given when it
-                arrived: this VM may be wrong about its leafs.
+                arrived and what other VMs did with it: this VM may be wrong
+                about its leafs.
         """
         targets = self.forwarder.find_targets(route)
         if not targets:
@@ -85,7 +86,7 @@
             if failed.may_have_run:
                 self.reply_failed(request, call)
             else:
-                serve(arrived_ms)
+                serve(arrived_ms, failed)
 
         forwarded = ForwardedCall(
             call,
