Pause a VM once for requests that are lost together

Cause: each lost answer doubled the pause of the VM that had been asked.

A pause now grows only once it has passed, and any answer ends the growth. test_requests_lost_together_pause_a_vm_once failed before and passes.

--- a/src/oriolegate/forwarding/target_choice.py
+++ b/src/oriolegate/forwarding/target_choice.py
@@ -226,6 +226,9 @@
             self.unanswered_since_ms = now_ms
         state = self._state(vm)
         state.served_at_ms = float("-inf")
+        if state.failure_pause_ms and now_ms < state.pause_until_ms:
+            # Requests that were open when the VM failed end after each other.
+            return
         state.failure_pause_ms = min(
             MAX_FAILURE_PAUSE_MS,
             max(FIRST_FAILURE_PAUSE_MS, 2.0 * state.failure_pause_ms),
--- a/tests/forwarding/test_target_choice.py
+++ b/tests/forwarding/test_target_choice.py
@@ -71,6 +71,26 @@
         self.assertEqual(pauses[-1], target_choice.MAX_FAILURE_PAUSE_MS)
         self.assertEqual(pauses, sorted(pauses))
 
+    def test_requests_lost_together_pause_a_vm_once(self):
+        for lost_ms in range(10):
+            self.choice.record_failure(float(lost_ms), "a1")
+        pause_ms = target_choice.FIRST_FAILURE_PAUSE_MS
+        chosen = {vm for _ in range(200) for vm in self.choose(pause_ms + 1.0)}
+        self.assertIn("a1", chosen)
+
+    def test_any_answer_of_a_vm_ends_the_growth_of_its_pauses(self):
+        pause_ms = target_choice.FIRST_FAILURE_PAUSE_MS
+        self.choice.record_failure(0.0, "a1")
+        self.choice.record_declined(pause_ms, "a1")
+        later_ms = 2.0 * pause_ms
+        self.choice.record_failure(later_ms, "a1")
+        chosen = {
+            vm
+            for _ in range(200)
+            for vm in self.choose(later_ms + pause_ms + 1.0)
+        }
+        self.assertIn("a1", chosen)
+
     def test_a_request_stays_in_its_home_regions(self):
         for _ in range(50):
             chosen = self.choose(home_regions={"south"})
