--- a/tools/soak/gateways.py
+++ b/tools/soak/gateways.py
@@ -1,5 +1,6 @@
 """Gateway processes that the soak starts, signals and restarts."""
 
+from collections.abc import Sequence
 import os
 import pathlib
 import signal
@@ -50,6 +51,7 @@
         host: Loopback address.
         store_link: Proxy between the gateway and the store.
         source: Folder of the package to run, such as an earlier version.
+        more_settings: Further lines of the settings file.
         process: Child process, or None while the gateway is down.
         disturbed_ms: Time of the last SIGKILL, SIGSTOP or SIGCONT.
         start_count: Number of starts so far.
@@ -65,7 +67,9 @@
         seeds: list[str],
         internal_port: int,
         source: pathlib.Path = ROOT / "src",
+        more_settings: Sequence[str] = (),
     ) -> None:
+        self.more_settings = more_settings
         self.reactor = reactor
         self.source = source
         self.clock = SystemClock()
@@ -100,6 +104,7 @@
             f"internal_ports={internal_port},{internal_port}",
             f"platform.address={store_host}:{store_port}",
             f"bounds.grace_s={GRACE_S}",
+            *self.more_settings,
         ]
         return "\n".join(lines) + "\n"
 
@@ -120,10 +125,10 @@
         self.start_count += 1
         with self.log_path.open("ab") as log:
             self.process = subprocess.Popen(
-                [sys.executable, "-m", "oriolegate", "gateway"],
+                [sys.executable, "-m", "tools.soak.bound_gateway", self.host],
                 env=os.environ
                 | {
-                    "PYTHONPATH": str(self.source),
+                    "PYTHONPATH": f"{self.source}{os.pathsep}{ROOT}",
                     "ORIOLEGATE_BOOT": str(self.settings_path),
                 },
                 stdout=log,
