Read the rejection of a send that has just been given up

Leafs got requests in the time for which they wanted none (BUDGET): in a play of 6 real gateways a leaf got 5 requests from one VM in a quiet time of 3 s.

Cause: once enough shards have rejected a request, it ends and its other sends are given up; the connection of a send was closed 0.6 ms after it had left, so that the 503 with Retry-After that the leaf had written was never read. The log of the play shows it: the request to s1-1 left at 1.5 ms, the request ended at 2.1 ms, and no quiet time was logged for s1-1. The next requests went to that leaf again.

A connection of an abandoned send now stays open until 50 ms after the send, unless another request goes to the same leaf.

--- a/src/oriolegate/network/leaf_client.py
+++ b/src/oriolegate/network/leaf_client.py
@@ -31,6 +31,11 @@
 # another leaf within a target of 400 ms. A longer timeout is no remedy for a
 # lost SYN, which is retransmitted only after a second.
 LEAF_CONNECT_TIMEOUT_S = 0.25
+# A leaf that rejects a request may say for how long it wants none. Its answer
+# is read even if the request has been given up meanwhile, for one round trip
+# to another region.
+REJECTION_WAIT_MS = 50.0
+MS_PER_S = 1_000.0
 # Longest body of a leaf's answer, and most bytes of all answers that are being
 # received.
 MAX_ANSWER_BYTES = 2 * 1024 * 1024
@@ -71,6 +76,8 @@
 
     Attributes:
         pools: Connection pools by leaf id.
+        closing: Abandoned sends whose connections are closed soon, with the
+            timer that does so, by leaf id.
         limits: Limits on responses of leafs.
         contact: Tracks whether leafs respond at all.
         on_notice: Called for each response of a leaf, with its id and what it
@@ -81,6 +88,7 @@
         self.reactor = reactor
         self.clock = clock
         self.pools: dict[str, HttpPool] = {}
+        self.closing: dict[str, dict[OpenSend, Any]] = {}
         self.contact = LeafContact(clock.now_ms())
         self.limits = ReceiveLimits(
             MAX_ANSWER_BYTES, ReceiveBuffer(MAX_BUFFERED_BYTES)
@@ -170,6 +178,8 @@
             ),
             is_head=call.method == HEAD,
         )
+        # A connection more than the leaf's share must not be needed.
+        self._close_all_abandoned(leaf.leaf_id)
         pool = self._get_pool(leaf)
         sent_at_ms = self.clock.now_ms()
         self.contact.record_send(sent_at_ms, leaf.leaf_id)
@@ -197,10 +207,33 @@
         self.on_notice(leaf.leaf_id, leaf_protocol.decode_notice(response))
 
     def abandon(self, open_send: OpenSend) -> None:
-        """Close the connection of a send, so that its leaf stops working."""
-        self.contact.record_abandoned(self.clock.now_ms(), open_send.leaf_id)
+        """Close the connection of a send, so that its leaf stops working.
+
+        One that has just been sent is closed once a rejection would be here.
+        """
+        now_ms = self.clock.now_ms()
+        self.contact.record_abandoned(now_ms, open_send.leaf_id)
+        wait_ms = open_send.started_ms + REJECTION_WAIT_MS - now_ms
+        if not open_send.has_arrived or wait_ms <= 0.0:
+            open_send.pool.cancel(open_send.call)
+            return
+        sends = self.closing.setdefault(open_send.leaf_id, {})
+        sends[open_send] = self.reactor.callLater(
+            wait_ms / MS_PER_S, self._close_abandoned, open_send
+        )
+
+    def _close_abandoned(self, open_send: OpenSend) -> None:
+        sends = self.closing[open_send.leaf_id]
+        del sends[open_send]
+        if not sends:
+            del self.closing[open_send.leaf_id]
         open_send.pool.cancel(open_send.call)
 
+    def _close_all_abandoned(self, leaf_id: str) -> None:
+        for open_send, timer in list(self.closing.get(leaf_id, {}).items()):
+            timer.cancel()
+            self._close_abandoned(open_send)
+
     def check_health(
         self,
         leaf: LeafEntry,
--- a/tests/runtime/test_quiet_leafs.py
+++ b/tests/runtime/test_quiet_leafs.py
@@ -46,6 +46,48 @@
         request.answer(b"", 503, Not_Executed="1", Retry_After=f"{QUIET_S:.1f}")
 
 
+class AbandonedSendsTest(unittest.TestCase):
+    """Leafs whose answer is on its way when the request is given up."""
+
+    def test_a_rejection_of_an_abandoned_send_still_brings_quiet(self):
+        shards = ("s1", "s2")
+        fleet = VirtualFleet(
+            documents.configuration_spec(
+                1,
+                [
+                    documents.route_spec(
+                        "all", **documents.gather_fields(shards, 5, 1.0)
+                    ),
+                    documents.route_spec("one", service="s2"),
+                ],
+                shards,
+            )
+        )
+        fleet.add_leaf("l1", "s1").behave = lambda request: request.answer(
+            b"", 503, Server_Seal=None, Not_Executed="1"
+        )
+        leaf = QuietLeaf(fleet, fleet.add_leaf("l2", "s2"))
+        # The shard without an answer ends the request first.
+        answer_late = fleet.network.reactor.callLater
+
+        def on_request(request):
+            answer_late(0.0005, leaf.on_request, request)
+
+        fleet.leafs["l2"].behave = on_request
+        fleet.start(1, FAST_BYTES_PER_S)
+        for path in ("/all/x", "/one/x"):
+            CallerLoad(fleet, path).run(20.0, 1.0)
+        leaf.asks_for_quiet = True
+        responses = []
+        fleet.call("vm0", "/all/x", "last", responses.append)
+        fleet.network.run_for(IN_FLIGHT_S + 0.1)
+        self.assertNotEqual([r.status for r in responses], [200])
+        self.assertTrue(leaf.quiet_since_s)
+        leaf.asks_for_quiet = False
+        CallerLoad(fleet, "/one/x").run(20.0, 1.5)
+        self.assertEqual(leaf.late, [])
+
+
 class QuietLeafsTest(unittest.TestCase):
     def start(self, leaf_count):
         routes = [documents.route_spec("one", service="s1")]
