Log the attempts of forwarded requests and count lost forwards

The log of a forwarded request named the VMs that were asked, but not what they had used: telling a lost answer that cost one attempt from one that cost all took the logs of all VMs. `used_attempts`, `has_arrived` and the counter of lost forwards tell it from one line.

--- a/src/oriolegate/runtime/request_forwarder.py
+++ b/src/oriolegate/runtime/request_forwarder.py
@@ -294,6 +294,7 @@
     def _on_lost(self, open_forward: OpenForward, vm: str, detail: str) -> None:
         self.choice.record_failure(self.clock.now_ms(), vm)
         open_forward.tried.append(f"{vm}: {detail}")
+        self.metrics.counter("oriolegate_forwards_lost_total").add()
         entry = self.choice.find_entry(vm)
         open_forward.attempts.record_lost(
             self.clock.now_ms(),
--- a/src/oriolegate/runtime/request_log.py
+++ b/src/oriolegate/runtime/request_log.py
@@ -146,6 +146,8 @@
             took_ms=round(took_ms, 1),
             left_ms=call.time_left_ms,
             vms=open_forward.tried,
+            used_attempts=open_forward.attempts.used,
+            has_arrived=open_forward.has_arrived,
             status=status,
         ).info("request forwarded")
         if status is None:
