--- a/tests/exchange/test_exchange.py
+++ b/tests/exchange/test_exchange.py
@@ -8,6 +8,7 @@
 from oriolegate.exchange.messages import AnswerGathered
 from oriolegate.exchange.messages import Refuse
 from oriolegate.exchange.messages import RelayAnswer
+from oriolegate.exchange.messages import RequestHistory
 from oriolegate.exchange.messages import SendOutcome
 from oriolegate.models.leaf_notice import LeafNotice
 from oriolegate.models.site import Repeatability
@@ -146,6 +147,60 @@
         self.assertEqual((reply.status, reply.reason), (503, "all leafs full"))
 
 
+class ForwardedRequestTest(unittest.TestCase):
+    """Requests that another VM has forwarded."""
+
+    HOLD_MS = 50.0
+
+    def start(self, **history):
+        self.context = build.exchange_context(
+            [build.leaf("near"), build.leaf("far", data_centre="dc-b")]
+        )
+        exchange = build.exchange(
+            build.route(attempts=2),
+            self.context,
+            history=RequestHistory(**history),
+        )
+        self.assertEqual(len(build.sends(exchange.start(0.0))), 1)
+        return exchange
+
+    def send_count_after(self, exchange, until_ms):
+        """Return the number of sends until a time."""
+        count = 0
+        while exchange.timer_due_ms < until_ms:
+            due_ms = exchange.timer_due_ms
+            count += len(build.sends(exchange.on_timer(due_ms)))
+            self.assertGreater(exchange.timer_due_ms, due_ms)
+        return count
+
+    def test_a_second_leaf_is_not_tried_while_attempts_are_held(self):
+        exchange = self.start(hold_until_ms=self.HOLD_MS)
+        failure = build.answer(status=500)
+        self.assertEqual(exchange.on_answer(5.0, 1, failure), [])
+        self.assertEqual(self.send_count_after(exchange, self.HOLD_MS), 0)
+        (send,) = build.sends(exchange.on_timer(self.HOLD_MS))
+        self.assertEqual(send.leaf.leaf_id, "far")
+
+    def test_no_hedge_is_sent_while_attempts_are_held(self):
+        hold_ms = 400.0
+        exchange = self.start(hold_until_ms=hold_ms)
+        self.assertEqual(self.send_count_after(exchange, hold_ms), 0)
+        self.assertEqual(self.send_count_after(exchange, hold_ms + 50.0), 1)
+
+    def test_a_leaf_that_did_not_run_it_is_followed_at_once(self):
+        exchange = self.start(hold_until_ms=self.HOLD_MS)
+        effects = exchange.on_failure(5.0, 1, SendOutcome.NOT_RUN, "503")
+        self.assertEqual(len(build.sends(effects)), 1)
+
+    def test_each_send_is_charged_after_an_arrival_at_another_vm(self):
+        exchange = self.start(is_counted=True, has_arrived=True)
+        (part,) = exchange.parts
+        self.assertEqual(part.charged, 1)
+        exchange.on_failure(5.0, 1, SendOutcome.UNSENT, "refused")
+        self.assertEqual(part.charged, 1)
+        self.assertEqual(part.arrivals, 2)
+
+
 class NonIdempotentTest(unittest.TestCase):
     def setUp(self):
         self.context = build.exchange_context(
--- a/tests/network/test_leaf_client.py
+++ b/tests/network/test_leaf_client.py
@@ -3,11 +3,13 @@
 import unittest
 
 import attrs
+from twisted.internet import task
 
 from oriolegate.clock import FakeClock
 from oriolegate.network.http_connection import Answered
 from oriolegate.network.http_reader import HttpResponse
 from oriolegate.network.leaf_client import LeafClient
+from oriolegate.network.leaf_client import REJECTION_WAIT_MS
 from tests import repeating_server
 from tests import site_builders as build
 from tests import virtual_network
@@ -17,6 +19,65 @@
 SIGNED = (b"server-seal", b"x.1")
 
 
+class AbandonTest(unittest.TestCase):
+    """Sends whose answer is no longer needed."""
+
+    def setUp(self):
+        self.timers = task.Clock()
+        self.clock = FakeClock()
+        self.client = LeafClient(self.timers, self.clock)
+        self.client._get_pool = lambda leaf: self
+        self.cancelled = []
+
+    def send(self, call):
+        """Take a call in place of a pool, as sent."""
+        call.connection = self
+
+    def cancel(self, call):
+        """Cancel a call in place of a pool."""
+        self.cancelled.append(call)
+
+    def advance(self, ms):
+        self.clock.advance(ms)
+        self.timers.advance(ms / 1_000.0)
+
+    def start(self, leaf_id="a"):
+        return self.client.send(
+            build.leaf(leaf_id), build.call(), b"", 9.0, lambda answer: None
+        )
+
+    def test_a_send_that_just_left_may_still_be_rejected(self):
+        open_send = self.start()
+        self.advance(1.0)
+        self.client.abandon(open_send)
+        self.advance(REJECTION_WAIT_MS - 2.0)
+        self.assertEqual(self.cancelled, [])
+        self.advance(2.0)
+        self.assertEqual(self.cancelled, [open_send.call])
+        self.assertEqual(self.client.closing, {})
+
+    def test_an_older_send_is_closed_at_once(self):
+        open_send = self.start()
+        self.advance(REJECTION_WAIT_MS)
+        self.client.abandon(open_send)
+        self.assertEqual(self.cancelled, [open_send.call])
+
+    def test_a_send_that_has_not_left_is_closed_at_once(self):
+        open_send = self.start()
+        open_send.call.connection = None
+        self.client.abandon(open_send)
+        self.assertEqual(self.cancelled, [open_send.call])
+
+    def test_a_further_send_to_the_leaf_needs_no_further_connection(self):
+        first, other = self.start(), self.start("b")
+        self.client.abandon(first)
+        self.client.abandon(other)
+        self.start()
+        self.assertEqual(self.cancelled, [first.call])
+        self.advance(REJECTION_WAIT_MS)
+        self.assertEqual(self.cancelled, [first.call, other.call])
+
+
 class NoticeTest(unittest.TestCase):
     def setUp(self):
         self.client = LeafClient(None, FakeClock())
--- a/tests/retries/test_retry_budget.py
+++ b/tests/retries/test_retry_budget.py
@@ -92,6 +92,15 @@
         self.budget.refund("s")
         self.assertEqual(self.budget.left("s", 0.0), before)
 
+    def test_services_are_charged_together_or_not_at_all(self):
+        while self.budget.take("full", 0.0, hedge=False):
+            pass
+        before = self.budget.left("s", 0.0)
+        self.assertFalse(self.budget.take_each(("s", "full"), 0.0))
+        self.assertEqual(self.budget.left("s", 0.0), before)
+        self.assertTrue(self.budget.take_each(("s", "t"), 0.0))
+        self.assertEqual(self.budget.left("s", 0.0), before - 1.0)
+
     @given(EVENTS, strategies.integers(1, 4))
     def test_all_vms_together_stay_within_the_bound_in_every_window(
         self, events, vms
--- a/tests/site_builders.py
+++ b/tests/site_builders.py
@@ -1,6 +1,7 @@
 """Builders of site records and exchanges for tests, with defaults."""
 
 from oriolegate.exchange.exchange import Exchange
+from oriolegate.exchange.exchange import NO_HISTORY
 from oriolegate.exchange.messages import CallerCall
 from oriolegate.exchange.messages import LeafAnswer
 from oriolegate.exchange.messages import SendToLeaf
@@ -97,10 +98,22 @@
     )
 
 
-def exchange(chosen_route, context, now_ms=0.0, time_left_ms=1_500.0):
+def exchange(
+    chosen_route,
+    context,
+    now_ms=0.0,
+    time_left_ms=1_500.0,
+    history=NO_HISTORY,
+):
     services = chosen_route.shards or (chosen_route.split[0].service,)
     return Exchange(
-        call(time_left_ms), chosen_route, services, 7, context, now_ms
+        call(time_left_ms),
+        chosen_route,
+        services,
+        7,
+        context,
+        now_ms,
+        history=history,
     )
 
 
