--- a/tools/soak/budget_play.py
+++ b/tools/soak/budget_play.py
@@ -54,6 +54,8 @@
 # Arrivals are recorded so much too late at most, or the report says so.
 LAG_INTERVAL_MS = 20.0
 MAX_LAG_MS = 100.0
+# Timers on time after which no request waits at the leafs any more.
+CALM_TICKS = 10
 
 
 @attrs.frozen
@@ -121,7 +123,9 @@
         events: What happened, for the report.
         statuses: Number of answers by status.
         lags_ms: When and by how much this process ran late.
-        ticked_ms: When it last handled its timers.
+        late_since_ms: Since when it runs late, or None; requests may have
+            waited at the leafs since.
+        calm_ticks: Timers in a row that were handled on time.
     """
 
     rng: random.Random
@@ -134,18 +138,19 @@
     events: list[str] = attrs.field(factory=list)
     statuses: dict[str, int] = attrs.field(factory=dict)
     lags_ms: list[tuple[float, float]] = attrs.field(factory=list)
-    ticked_ms: float = 0.0
+    late_since_ms: float | None = None
+    calm_ticks: int = 0
     started_ms: float = 0.0
     sent_count: int = 0
     is_over: bool = False
 
     def watch_lag(self) -> None:
         """Record when this process, which has all leafs, runs late."""
-        self.ticked_ms = self.clock.now_ms()
-        due_ms = self.ticked_ms + LAG_INTERVAL_MS
+        due_ms = self.clock.now_ms() + LAG_INTERVAL_MS
 
         def check() -> None:
             lag_ms = self.clock.now_ms() - due_ms
+            self._record_lag(due_ms, lag_ms)
             if lag_ms > MAX_LAG_MS:
                 self.lags_ms.append((due_ms - self.started_ms, lag_ms))
             if not self.is_over:
@@ -153,6 +158,18 @@
 
         reactor.callLater(LAG_INTERVAL_MS / 1_000.0, check)
 
+    def _record_lag(self, due_ms: float, lag_ms: float) -> None:
+        self.calm_ticks = 0 if lag_ms > LAG_INTERVAL_MS else self.calm_ticks + 1
+        if lag_ms > LAG_INTERVAL_MS and self.late_since_ms is None:
+            self.late_since_ms = due_ms - LAG_INTERVAL_MS
+        elif self.calm_ticks >= CALM_TICKS:
+            self.late_since_ms = None
+
+    def _waited_ms(self, now_ms: float) -> float:
+        if self.late_since_ms is None:
+            return 0.0
+        return now_ms - self.late_since_ms
+
     # Leafs
 
     def add_leaf(self, store: Any, service: str, number: int) -> None:
@@ -199,7 +216,7 @@
                 process.vm,
                 None if left is None else float(left),
                 runs,
-                max(0.0, now_ms - self.ticked_ms - LAG_INTERVAL_MS),
+                self._waited_ms(now_ms),
             )
         )
         if mode == "reject":
