Cut VMs off from leafs in the fleet model, and judge the retry budget there

The model left out what the incident was made of: VMs without leafs, slow and rejecting leafs, and three clauses of the budget. In quiet times it counted only requests that ran; the rule counts all that reach the leaf, rejected ones too (test_rejected_requests_in_a_quiet_time_are_seen fails on the judge before). The judge of the play with real processes is used here as well.

--- a/tests/fleet_model/history.py
+++ b/tests/fleet_model/history.py
@@ -41,6 +41,35 @@
     for_s: float
 
 
+@attrs.frozen
+class CutFromLeafs:
+    """Some VMs lose all leafs: bytes are lost, or connections are reset.
+
+    With `refuse`, open connections live on while new ones are refused.
+    """
+
+    vms: tuple[int, ...]
+    for_s: float
+    way: str
+
+
+@attrs.frozen
+class SlowLeafs:
+    """Every so-manieth leaf takes long for its requests."""
+
+    every: int
+    work_s: float
+    for_s: float
+
+
+@attrs.frozen
+class RejectingLeafs:
+    """Every so-manieth leaf turns all requests away."""
+
+    every: int
+    for_s: float
+
+
 @attrs.frozen
 class ResetStoreConnections:
     """All connections of some VMs to the store are reset."""
@@ -138,6 +167,9 @@
 Event = (
     CutFromStore
     | CutFromVm
+    | CutFromLeafs
+    | SlowLeafs
+    | RejectingLeafs
     | ResetStoreConnections
     | DropHistory
     | StoreAway
@@ -199,6 +231,24 @@
         strategies.sampled_from(("both", "to", "from")),
     ),
     strategies.builds(CutFromVm, _NUMBER, _NUMBER, _tenths(0.5, 8.0)),
+    *(
+        strategies.builds(
+            CutFromLeafs,
+            strategies.lists(_NUMBER, min_size=1, unique=True).map(tuple),
+            _tenths(2.0, 10.0),
+            strategies.sampled_from(("lose", "reset", "refuse")),
+        )
+        for _ in range(2)
+    ),
+    strategies.builds(
+        SlowLeafs,
+        strategies.integers(1, 3),
+        _tenths(0.1, 2.0),
+        _tenths(1.0, 8.0),
+    ),
+    strategies.builds(
+        RejectingLeafs, strategies.integers(1, 3), _tenths(0.5, 5.0)
+    ),
     strategies.builds(
         ResetStoreConnections,
         strategies.lists(_NUMBER, min_size=1, unique=True).map(tuple),
--- a/tests/fleet_model/record.py
+++ b/tests/fleet_model/record.py
@@ -18,6 +18,7 @@
         service: Its service.
         data_centre: Its data centre.
         vm: The VM that sent it.
+        left_ms: Timeout that the leaf was told, or None.
     """
 
     at_s: float
@@ -26,6 +27,7 @@
     service: str
     data_centre: str
     vm: str
+    left_ms: float | None = None
 
 
 @attrs.define
@@ -37,12 +39,18 @@
         sent_s: When it was sent.
         vm: The VM that it was sent to.
         status: HTTP status, or None without a response.
+        service: Service of the newest configuration when it was sent.
+        attempts: Leafs that may run it.
+        timeout_ms: Timeout that the caller stated.
     """
 
     route: str
     sent_s: float
     vm: str
     status: int | None = None
+    service: str = ""
+    attempts: int = 3
+    timeout_ms: float = 1_500.0
 
 
 @attrs.frozen
@@ -79,18 +87,22 @@
     Attributes:
         attempts: Attempts by id.
         runs: All runs, in order.
+        rejected: Requests that leafs turned away, in order.
         versions: Configurations, with the service of the route, in order.
         evacuations: Evacuations of data centres.
         drained: Leafs that drain.
         cold: Times in which each leaf is cold, by leaf.
         quiet: Times in which a leaf wants nothing from a VM, by both.
         restarts: When each leaf restarted, by leaf.
+        leaf_ends: When each leaf went down or left, by leaf.
         vm_trouble: Disturbances of each VM or of its links.
+        vm_cuts: Times in which a VM reaches no leaf, by VM; it stays in touch.
         store_trouble: Disturbances of the store.
     """
 
     attempts: dict[str, Attempt] = attrs.field(factory=dict)
     runs: list[Run] = attrs.field(factory=list)
+    rejected: list[Run] = attrs.field(factory=list)
     versions: list[Acknowledged] = attrs.field(factory=list)
     evacuations: list[Acknowledged] = attrs.field(factory=list)
     drained: list[Acknowledged] = attrs.field(factory=list)
@@ -103,9 +115,15 @@
     restarts: dict[str, list[float]] = attrs.field(
         factory=lambda: collections.defaultdict(list)
     )
+    leaf_ends: dict[str, list[float]] = attrs.field(
+        factory=lambda: collections.defaultdict(list)
+    )
     vm_trouble: dict[str, list[Span]] = attrs.field(
         factory=lambda: collections.defaultdict(list)
     )
+    vm_cuts: dict[str, list[Span]] = attrs.field(
+        factory=lambda: collections.defaultdict(list)
+    )
     store_trouble: list[Span] = attrs.field(factory=list)
 
     def is_store_stable(self, at_s: float) -> bool:
@@ -114,6 +132,19 @@
             span.overlaps(at_s - CONTACT_S, at_s) for span in self.store_trouble
         )
 
+    @property
+    def arrivals(self) -> list[Run]:
+        """All requests that reached leafs, in order."""
+        return sorted(
+            [*self.runs, *self.rejected], key=lambda arrival: arrival.at_s
+        )
+
+    def is_held_up(self, vm: str, at_s: float) -> bool:
+        """Return whether links of a VM to leafs were cut lately."""
+        return any(
+            span.overlaps(at_s - CONTACT_S, at_s) for span in self.vm_cuts[vm]
+        )
+
     def is_in_touch(self, vm: str, at_s: float) -> bool:
         """Return whether rules with a time bound hold for a VM."""
         return self.is_store_stable(at_s) and not any(
