--- a/tests/fleet_model/test_fleet_model.py
+++ b/tests/fleet_model/test_fleet_model.py
@@ -44,6 +44,9 @@
     def test_a_new_vm_spares_cold_leafs_after_the_store_was_restored(self):
         self.check("new-vm-after-restore")
 
+    def test_leafs_readmitted_while_the_store_is_restored_are_spared(self):
+        self.check("readmitted-while-restored")
+
 
 class JudgeTest(unittest.TestCase):
     """Each rule is seen when it is broken, and not where it is excused."""
