--- a/tools/soak/__main__.py
+++ b/tools/soak/__main__.py
@@ -22,6 +22,7 @@
 from tools.soak.environment import SoakEnvironment
 from tools.soak.faults import FaultInjector
 from tools.soak.gateways import GatewayProcess
+from tools.soak.run_main import run_until_done
 from twisted.internet import defer
 from twisted.internet import reactor as default_reactor
 
@@ -238,21 +239,8 @@
     parser.add_argument(
         "--keep", help="folder in which settings and logs are kept"
     )
-    statuses: list[int] = []
-    running = defer.ensureDeferred(run_all(parser.parse_args()))
-
-    def on_ended(outcome: Any) -> None:
-        if isinstance(outcome, int):
-            statuses.append(outcome)
-        else:
-            outcome.printTraceback()
-            statuses.append(2)
-        reactor.stop()
-
-    reactor.callWhenRunning(lambda: running.addBoth(on_ended))
-    reactor.run()
-    # There is no status if the soak was stopped.
-    return statuses[0] if statuses else 2
+    options = parser.parse_args()
+    return run_until_done(lambda: run_all(options))
 
 
 if __name__ == "__main__":
--- a/tools/soak/budget_play.py
+++ b/tools/soak/budget_play.py
@@ -8,6 +8,7 @@
 
 import argparse
 from collections.abc import Callable
+from collections.abc import Sequence
 import pathlib
 import random
 import signal
@@ -28,7 +29,7 @@
 from tools.soak.budget_judge import QuietTime
 from tools.soak.budget_judge import SentRequest
 from tools.soak.gateways import GatewayProcess
-from twisted.internet import defer
+from tools.soak.run_main import run_until_done
 from twisted.internet import reactor as default_reactor
 from twisted.internet import task
 
@@ -369,26 +370,45 @@
     def _disturb(self, process: GatewayProcess) -> None:
         self.judge.vm_disturbances_ms[process.vm].append(self.clock.now_ms())
 
-    def schedule(self, seconds: float, count: int) -> None:
-        """Schedule faults at random times, half of them close together."""
+    def schedule(
+        self, seconds: float, count: int, kinds: Sequence[str] = ()
+    ) -> None:
+        """Schedule faults at random times, half of them close together.
+
+        Args:
+            seconds: Length of the play.
+            count: Number of faults.
+            kinds: Names of the kinds of faults; empty for all.
+        """
         rng = self.fault_rng
-        faults: tuple[Callable[[], None], ...] = (
-            lambda: self.set_mode("reject", rng.uniform(0.1, 0.9), 4.0),
-            lambda: self.set_mode("quiet", rng.uniform(0.1, 0.9), 4.0),
-            lambda: self.set_mode("hang", rng.uniform(0.1, 0.5), 4.0),
-            lambda: self.set_mode("down", rng.uniform(0.1, 0.5), 1.5),
-            lambda: self.slow_leafs(12.0, rng.uniform(0.2, 0.8), 10.0),
-            lambda: self.cut_vms(rng.uniform(0.3, 0.8), 10.0, resets=False),
-            lambda: self.cut_vms(rng.uniform(0.3, 0.8), 10.0, resets=True),
-            lambda: self.signal_vms(signal.SIGKILL, rng.uniform(0.1, 0.6)),
-            lambda: self.signal_vms(signal.SIGTERM, rng.uniform(0.05, 0.3)),
-            lambda: self.signal_vms(
+        faults: dict[str, Callable[[], None]] = {
+            "reject": lambda: self.set_mode(
+                "reject", rng.uniform(0.1, 0.9), 4.0
+            ),
+            "quiet": lambda: self.set_mode("quiet", rng.uniform(0.1, 0.9), 4.0),
+            "hang": lambda: self.set_mode("hang", rng.uniform(0.1, 0.5), 4.0),
+            "down": lambda: self.set_mode("down", rng.uniform(0.1, 0.5), 1.5),
+            "slow": lambda: self.slow_leafs(12.0, rng.uniform(0.2, 0.8), 10.0),
+            "lose": lambda: self.cut_vms(
+                rng.uniform(0.3, 0.8), 10.0, resets=False
+            ),
+            "reset": lambda: self.cut_vms(
+                rng.uniform(0.3, 0.8), 10.0, resets=True
+            ),
+            "kill": lambda: self.signal_vms(
+                signal.SIGKILL, rng.uniform(0.1, 0.6)
+            ),
+            "stop": lambda: self.signal_vms(
+                signal.SIGTERM, rng.uniform(0.05, 0.3)
+            ),
+            "freeze": lambda: self.signal_vms(
                 signal.SIGSTOP, rng.uniform(0.05, 0.3), 2.0
             ),
-        )
+        }
+        chosen = [faults[kind] for kind in kinds or faults]
         at_s = 1.0
         for _ in range(count):
-            reactor.callLater(at_s, rng.choice(faults))
+            reactor.callLater(at_s, rng.choice(chosen))
             is_close = rng.random() < 0.5
             at_s += rng.uniform(0.1, 1.0 if is_close else 6.0)
             at_s = min(at_s, seconds - 1.0)
@@ -486,7 +506,7 @@
     }
     play.started_ms = clock.now_ms()
     play.watch_lag()
-    play.schedule(options.seconds, options.faults)
+    play.schedule(options.seconds, options.faults, options.kinds)
     loops = []
     for plan in ROUTES:
         loop = task.LoopingCall(play.send_request, plan, pools)
@@ -547,6 +567,9 @@
     parser.add_argument("--shards", type=int, default=36)
     parser.add_argument("--seconds", type=float, default=40.0)
     parser.add_argument("--faults", type=int, default=12)
+    parser.add_argument(
+        "--kinds", nargs="*", default=(), help="kinds of faults; default: all"
+    )
     parser.add_argument("--slack", type=float, default=220.0)
     parser.add_argument("--load", type=float, default=1.0, help="factor")
     parser.add_argument("--events", action="store_true", help="print events")
@@ -562,23 +585,8 @@
 
 def main() -> int:
     """Parse the arguments and run the plays; return the exit status."""
-    statuses: list[int] = []
     options = parse_options(sys.argv[1:])
-
-    def on_ended(outcome: Any) -> None:
-        if isinstance(outcome, int):
-            statuses.append(outcome)
-        else:
-            outcome.printTraceback()
-            statuses.append(2)
-        reactor.stop()
-
-    reactor.callWhenRunning(
-        lambda: defer.ensureDeferred(run_all(options)).addBoth(on_ended)
-    )
-    reactor.run()
-    # There is no status if the play was stopped.
-    return statuses[0] if statuses else 2
+    return run_until_done(lambda: run_all(options))
 
 
 if __name__ == "__main__":
--- a/tools/soak/crash_play.py
+++ b/tools/soak/crash_play.py
@@ -29,6 +29,7 @@
 from tools.soak.gateways import GatewayProcess
 from tools.soak.gateways import ROOT
 from tools.soak.proxy import LinkMode
+from tools.soak.run_main import run_until_done
 from twisted.internet import defer
 from twisted.internet import reactor as default_reactor
 
@@ -454,20 +455,8 @@
         type=pathlib.Path,
         help="folder of the package for every other gateway",
     )
-    statuses: list[int] = []
-    running = defer.ensureDeferred(run_all(parser.parse_args()))
-
-    def on_ended(outcome: Any) -> None:
-        if isinstance(outcome, int):
-            statuses.append(outcome)
-        else:
-            outcome.printTraceback()
-            statuses.append(2)
-        reactor.stop()
-
-    reactor.callWhenRunning(lambda: running.addBoth(on_ended))
-    reactor.run()
-    return statuses[0] if statuses else 2
+    options = parser.parse_args()
+    return run_until_done(lambda: run_all(options))
 
 
 if __name__ == "__main__":
