--- a/tools/soak/budget_play.py
+++ b/tools/soak/budget_play.py
@@ -99,24 +99,26 @@
         service: Its service.
         slow_factor: By which its work takes longer.
         mode: What becomes of requests: work, reject, quiet, hang or down.
-        running: Requests that it runs now.
     """
 
     leaf: StandInLeaf
     service: str
     slow_factor: float = 1.0
     mode: str = "work"
-    running: int = 0
 
 
 @attrs.define(eq=False)
 class BudgetPlay:
     """One play with its site and its judge.
 
+    All times in ms are of the process's clock; `started_ms` is the start of the
+    callers' requests.
+
     Attributes:
         rng: Draws callers and work.
         fault_rng: Draws faults, so that they follow from the seed alone.
         judge: Records what is seen.
+        shards: Services that answer a gather.
         gateways: The VMs by their address.
         leafs: All leafs by id.
         cut_hosts: Addresses of VMs that are cut off from all leafs, with
@@ -133,6 +135,7 @@
     fault_rng: random.Random
     judge: BudgetJudge
     clock: SystemClock
+    shards: tuple[str, ...]
     gateways: dict[str, GatewayProcess] = attrs.field(factory=dict)
     leafs: dict[str, PlayLeaf] = attrs.field(factory=dict)
     cut_hosts: dict[str, bool] = attrs.field(factory=dict)
@@ -260,11 +263,10 @@
         process = self.rng.choice(list(self.gateways.values()))
         self.sent_count += 1
         attempt = f"a{self.sent_count}"
-        shards = tuple(sorted({leaf.service for leaf in self.leafs.values()}))
-        services = tuple(s for s in shards if s != SINGLE_SERVICE)
+        services = self.shards if plan.is_gathered else (SINGLE_SERVICE,)
         self.judge.requests[attempt] = SentRequest(
             self.clock.now_ms(),
-            services if plan.is_gathered else (SINGLE_SERVICE,),
+            services,
             ATTEMPTS,
             float(plan.timeout_ms),
         )
@@ -419,7 +421,7 @@
     return task.deferLater(reactor, seconds, lambda: None)
 
 
-def _configuration(shards: list[str]) -> dict[str, Any]:
+def _configuration(shards: tuple[str, ...]) -> dict[str, Any]:
     routes = []
     for plan in ROUTES:
         fields: dict[str, Any] = {"service": SINGLE_SERVICE}
@@ -486,16 +488,16 @@
         random.Random(f"faults {seed}"),
         BudgetJudge(bounds),
         clock,
+        tuple(f"s{number}" for number in range(options.shards)),
     )
     stand_in_store.PAGE_ITEMS = PAGE_ITEMS
     store = stand_in_store.StandInStore()
     store_port = reactor.listenTCP(
         0, stand_in_store.StoreFactory(store), interface=HOST, backlog=512
     )
-    shards = [f"s{number}" for number in range(options.shards)]
-    store.put("config", "main", _configuration(shards))
+    store.put("config", "main", _configuration(play.shards))
     for number in range(COPIES):
-        for service in (*shards, SINGLE_SERVICE):
+        for service in (*play.shards, SINGLE_SERVICE):
             play.add_leaf(store, service, number)
     address = (HOST, store_port.getHost().port)
     _start_gateways(play, options.vms, address, folder, options.source)
