--- a/tests/virtual_network.py
+++ b/tests/virtual_network.py
@@ -156,7 +156,14 @@
 
 
 class Transport:
-    """One end of a connection."""
+    """One end of a connection.
+
+    Attributes:
+        other: The other end.
+        connected: Whether this end is open.
+        queued_bytes: Bytes that wait for the link of this host.
+        is_silent: Whether what this end sends, its close too, is lost.
+    """
 
     disconnecting = False
 
@@ -166,6 +173,7 @@
         self.other: Transport | None = None
         self.connected = True
         self.queued_bytes = 0
+        self.is_silent = False
 
     def write(self, data: bytes) -> None:
         """Send bytes over both links and the network between them."""
@@ -195,6 +203,8 @@
 
     def _on_arrived(self, segment: bytes) -> None:
         network = self.host.network
+        if self.is_silent:
+            return
         if network.is_cut(self.host.name, self.other.host.name):
             network.hold(self.host.name, self.other.host.name, self, segment)
         elif self.other.connected:
@@ -227,7 +237,9 @@
         call_later(0.0, self._on_lost, reason)
         network = self.host.network
         # Behind a cut, the other end does not learn of the close.
-        if not network.is_cut(self.host.name, self.other.host.name):
+        if not self.is_silent and not network.is_cut(
+            self.host.name, self.other.host.name
+        ):
             call_later(network.delay_s, self._on_close_arrived, reason)
 
     def _on_close_arrived(self, reason: Exception) -> None:
@@ -472,6 +484,36 @@
                 if peer is not None and peer.host.name in (one, other):
                     transport.abortConnection()
 
+    def silence_connections(
+        self,
+        one: str,
+        other: str,
+        is_chosen: Callable[[Transport], bool] = lambda transport: True,
+    ) -> int:
+        """Let open connections between two hosts go silent for good.
+
+        Neither end learns of it, and new connections work.
+
+        Args:
+            one: Host that opened the connections.
+            other: Host that accepted them.
+            is_chosen: Returns whether a connection is affected, by the end of
+                the host that opened it.
+
+        Returns:
+            The number of connections that went silent.
+        """
+        chosen = [
+            transport
+            for transport in self.hosts[one].transports
+            if transport.connected
+            and transport.other.host.name == other
+            and is_chosen(transport)
+        ]
+        for transport in chosen:
+            transport.is_silent = transport.other.is_silent = True
+        return len(chosen)
+
     def is_cut(self, sender: str, receiver: str) -> bool:
         """Return whether the bytes of one host to another are held."""
         return (sender, receiver) in self.held
