Log whether the store answered probes while a call failed

The line of a failed call now has the time that it waited and whether a probe was answered meanwhile, and a metric counts such calls. A test of the runner shows both cases; nothing else is changed.

--- a/src/oriolegate/runtime/gateway.py
+++ b/src/oriolegate/runtime/gateway.py
@@ -93,6 +93,10 @@
         registry.gauge(
             "oriolegate_store_calls", lambda: parts.store_client.calls_total
         )
+        registry.gauge(
+            "oriolegate_store_failures_while_answering",
+            lambda: parts.store.failures_while_answering,
+        )
         registry.gauge(
             "oriolegate_leaf_connections_opened",
             lambda: parts.leaf_client.opened_total,
--- a/src/oriolegate/runtime/gateway_composition.py
+++ b/src/oriolegate/runtime/gateway_composition.py
@@ -189,7 +189,7 @@
         store_client,
         followers,
         era,
-        StoreProbe(reactor, store_client, settings.vm),
+        StoreProbe(reactor, clock, store_client, settings.vm),
     )
     store.count_peers = lambda: len(choice.higher_ranked)
     views = ViewServer(
--- a/src/oriolegate/runtime/store_probe.py
+++ b/src/oriolegate/runtime/store_probe.py
@@ -9,6 +9,7 @@
 from typing import Any
 
 from oriolegate import structured_log
+from oriolegate.clock import Clock
 from oriolegate.network.http_client import CancelCall
 from oriolegate.network.http_reader import HttpResponse
 from oriolegate.network.store_client import StoreClient
@@ -32,16 +33,21 @@
         vm: Name of this VM, whose entry is read; it may be missing.
         has_answered: Whether the store answered since `start`.
         failures: Number of failed probes since the last answer.
+        answered_ms: When the last answer arrived.
         on_answered: Called after each answer, with the failures before it.
         on_failed: Called after each failed probe.
     """
 
-    def __init__(self, reactor: Any, client: StoreClient, vm: str) -> None:
+    def __init__(
+        self, reactor: Any, clock: Clock, client: StoreClient, vm: str
+    ) -> None:
         self.reactor = reactor
+        self.clock = clock
         self.client = client
         self.vm = vm
         self.has_answered = False
         self.failures = 0
+        self.answered_ms = float("-inf")
         self.on_answered: Callable[[int], None] = lambda failures: None
         self.on_failed: Callable[[], None] = lambda: None
         self.timer: Any = None
@@ -84,6 +90,7 @@
     def _record_answer(self) -> None:
         failures = self.failures
         self.failures = 0
+        self.answered_ms = self.clock.now_ms()
         self.has_answered = True
         if failures:
             log.bind(failures=failures).info("store answers probes again")
--- a/src/oriolegate/runtime/store_runner.py
+++ b/src/oriolegate/runtime/store_runner.py
@@ -58,6 +58,8 @@
         calls: Function that cancels the open call, by collection.
         parked: Calls that wait, while the store fails, until the call of
             another collection has succeeded.
+        failures_while_answering: Failed calls during which the store answered
+            a probe on another connection.
     """
 
     def __init__(
@@ -85,6 +87,7 @@
         self.timers: dict[Collection, Any] = {}
         self.calls: dict[Collection, CancelCall] = {}
         self.parked: dict[Collection, tuple[Follower, StoreQuery]] = {}
+        self.failures_while_answering = 0
 
     @property
     def is_confirmed(self) -> bool:
@@ -297,14 +300,16 @@
     ) -> StoreQuery:
         now_ms = self.clock.now_ms()
         if isinstance(outcome, str):
-            return self._on_failure(follower, outcome)
+            return self._on_failure(follower, outcome, sent_at_ms)
         if outcome.status == store_calls.STATUS_HISTORY_GONE:
             log.bind(collection=follower.collection.name).info(
                 "store no longer has the changes; listing anew"
             )
             return follower.on_history_missing(now_ms)
         if outcome.status != store_calls.STATUS_OK:
-            return self._on_failure(follower, f"status {outcome.status}")
+            return self._on_failure(
+                follower, f"status {outcome.status}", sent_at_ms
+            )
         failures = follower.failures
         try:
             next_request = self._apply_answer(
@@ -341,15 +346,22 @@
             confirmed_ms = min(now_ms, sent_at_ms + request.wait_ms)
         return follower.on_changes(now_ms, batch, confirmed_ms)
 
-    def _on_failure(self, follower: Follower, reason: str) -> StoreQuery:
+    def _on_failure(
+        self, follower: Follower, reason: str, sent_at_ms: float
+    ) -> StoreQuery:
         next_request = follower.on_failure()
-        age_ms = self.clock.now_ms() - follower.confirmed_ms
+        now_ms = self.clock.now_ms()
+        age_ms = now_ms - follower.confirmed_ms
+        answered_meanwhile = self.probe.answered_ms > sent_at_ms
+        self.failures_while_answering += answered_meanwhile
         is_first = follower.failures == 1
         log.bind(
             collection=follower.collection.name,
             reason=reason,
             failures=follower.failures,
             view_age_ms=round(min(age_ms, 1e9)),
+            waited_ms=round(now_ms - sent_at_ms),
+            probes_answered_meanwhile=answered_meanwhile,
             revision=store_era.plain(follower.revision),
             era=self.era.number,
             next_ms=round(next_request.delay_ms),
--- a/tests/runtime/test_store_probe.py
+++ b/tests/runtime/test_store_probe.py
@@ -7,6 +7,7 @@
 from oriolegate.network.http_reader import HttpResponse
 from oriolegate.runtime import store_probe
 from oriolegate.runtime.store_probe import StoreProbe
+from tests.reactor_clock import ReactorClock
 
 FOUND = HttpResponse(200, [], b"{}")
 NOT_FOUND = HttpResponse(404, [], b"{}")
@@ -34,7 +35,9 @@
     def setUp(self):
         self.reactor = task.Clock()
         self.client = FakeClient()
-        self.probe = StoreProbe(self.reactor, self.client, "vm-1")
+        self.probe = StoreProbe(
+            self.reactor, ReactorClock(self.reactor), self.client, "vm-1"
+        )
         self.results = []
         self.probe.on_answered = self.results.append
         self.probe.on_failed = lambda: self.results.append("failed")
--- a/tests/runtime/test_store_runner.py
+++ b/tests/runtime/test_store_runner.py
@@ -43,6 +43,7 @@
 
     def __init__(self):
         self.failures = 0
+        self.answered_ms = float("-inf")
         self.is_running = False
 
     def start(self):
@@ -134,6 +135,15 @@
         self.clock.advance(follower_module.MAX_FAILING_AGE_MS + 1.0)
         self.assertFalse(self.runner.is_confirmed)
 
+    def test_failures_are_counted_while_the_store_answers_probes(self):
+        self.list_all()
+        self.store.answer_all("no answer in time")
+        self.assertEqual(self.runner.failures_while_answering, 0)
+        self.advance(1.0)
+        self.probe.answered_ms = self.clock.now_ms() + 1.0
+        self.store.answer_all("no answer in time")
+        self.assertGreater(self.runner.failures_while_answering, 0)
+
     def test_all_collections_resume_once_the_store_answers(self):
         self.list_all()
         self.store.answer_all("refused")
