Judge CONFIG over all runs in one place; let connections go silent in the model

The fleet model draws connections of VMs to the store, to VMs or to leafs that go silent for good, all or every second or third of them.

--- a/tests/fleet_model/history.py
+++ b/tests/fleet_model/history.py
@@ -77,6 +77,21 @@
     vms: tuple[int, ...]
 
 
+@attrs.frozen
+class SilenceConnections:
+    """Open connections go silent for good, while new ones work.
+
+    Attributes:
+        vms: The VMs whose connections are affected.
+        target: The store, the other VMs or the leafs.
+        every: Every so-manieth connection is affected.
+    """
+
+    vms: tuple[int, ...]
+    target: str
+    every: int
+
+
 @attrs.frozen
 class DropHistory:
     """The store forgets its history and resets all its connections."""
@@ -171,6 +186,7 @@
     | SlowLeafs
     | RejectingLeafs
     | ResetStoreConnections
+    | SilenceConnections
     | DropHistory
     | StoreAway
     | StoreRefuses
@@ -253,6 +269,15 @@
         ResetStoreConnections,
         strategies.lists(_NUMBER, min_size=1, unique=True).map(tuple),
     ),
+    *(
+        strategies.builds(
+            SilenceConnections,
+            strategies.lists(_NUMBER, min_size=1, unique=True).map(tuple),
+            strategies.sampled_from(("store", "vms", "leafs")),
+            strategies.integers(1, 3),
+        )
+        for _ in range(2)
+    ),
     strategies.builds(DropHistory),
     strategies.builds(StoreAway, _tenths(0.5, 6.0), strategies.booleans()),
     strategies.builds(
--- a/tests/fleet_model/judge.py
+++ b/tests/fleet_model/judge.py
@@ -7,10 +7,15 @@
 import collections
 from collections.abc import Iterable
 
+from tools.soak import config_judge
 from tools.soak.budget_judge import Arrival
 from tools.soak.budget_judge import BudgetBounds
 from tools.soak.budget_judge import BudgetJudge
 from tools.soak.budget_judge import SentRequest
+from tools.soak.config_judge import ConfigBounds
+from tools.soak.config_judge import ConfigJudge
+from tools.soak.config_judge import ServiceRun
+from tools.soak.config_judge import WrittenVersion
 
 from oriolegate.models.site import Bounds
 from tests.fleet_model.record import CONTACT_S
@@ -26,56 +31,35 @@
 QUIET_LEARNED_S = 0.5
 MAX_QUIET_REQUESTS = 2
 MS_PER_S = 1_000.0
+ROUTES = ("one", "once")
 UNRUN_STATUSES = (408, 421, 429, 503)
 
 
 def judge_configuration(record: Record) -> list[str]:
     """CONFIG: a request is run as only an older version allows."""
-    violations = []
-    for run in record.runs:
-        sent = record.attempts[run.attempt]
-        due = [
-            version
-            for version in record.versions
-            if sent.sent_s > version.at_s + CONFIG_APPLY_S
-        ]
-        if not due or not record.is_in_touch(run.vm, sent.sent_s):
-            continue
-        start = record.versions.index(due[-1])
-        allowed = {version.subject for version in record.versions[start:]}
-        if run.service not in allowed:
-            late_s = sent.sent_s - due[-1].at_s
-            violations.append(
-                f"CONFIG {run.vm} {run.attempt} at {sent.sent_s:.2f} s: version"
-                f" {start + 1} acknowledged {late_s:.2f} s before"
-            )
-    return violations
-
-
-def judge_regressions(record: Record) -> list[str]:
-    """CONFIG: a VM goes back to an older version than a leaf has seen."""
-    violations = []
-    newest: dict[str, list[tuple[float, int]]] = collections.defaultdict(list)
-    for run in record.runs:
-        sent_s = record.attempts[run.attempt].sent_s
-        seen = [
-            index
-            for at_s, index in newest[run.vm]
-            if at_s < sent_s - DOWNGRADE_S
-        ]
-        possible = [
-            index
-            for index, version in enumerate(record.versions)
-            if version.subject == run.service and version.at_s <= run.at_s
-        ]
-        if seen and possible and max(possible) < max(seen):
-            violations.append(
-                f"CONFIG {run.vm} went back from version {max(seen) + 1}"
-                f" at {sent_s:.2f} s"
-            )
-        if possible:
-            newest[run.vm].append((run.at_s, min(possible)))
-    return violations
+    if not record.versions:
+        return []
+    config = ConfigJudge(
+        ConfigBounds(CONFIG_APPLY_S * MS_PER_S, DOWNGRADE_S * MS_PER_S),
+        lambda vm, at_ms: record.is_in_touch(vm, at_ms / MS_PER_S),
+    )
+    for version in record.versions:
+        service = frozenset({version.subject})
+        services = dict.fromkeys(ROUTES, service)
+        config.versions.append(
+            WrittenVersion(version.at_s * MS_PER_S, services)
+        )
+    for name, attempt in record.attempts.items():
+        config.requests[name] = config_judge.SentRequest(
+            attempt.sent_s * MS_PER_S, attempt.vm, attempt.route
+        )
+        if attempt.status == config_judge.STATUS_NOT_FOUND:
+            config.not_found.append(name)
+    config.runs += [
+        ServiceRun(run.at_s * MS_PER_S, run.attempt, run.service, run.vm)
+        for run in record.runs
+    ]
+    return [f"CONFIG {clause}" for clause in config.judge()]
 
 
 def judge_evacuations(record: Record) -> list[str]:
@@ -246,7 +230,6 @@
 
 JUDGES = (
     judge_configuration,
-    judge_regressions,
     judge_evacuations,
     judge_draining,
     judge_cold_leafs,
--- a/tests/fleet_model/player.py
+++ b/tests/fleet_model/player.py
@@ -1,6 +1,7 @@
 """Plays a history on whole gateways in virtual time."""
 
 from collections.abc import Callable
+import itertools
 import random
 from typing import Any
 
@@ -336,6 +337,9 @@
             case model.ResetStoreConnections(numbers):
                 for vm in {self._vm(number) for number in numbers}:
                     self._reset_store_connections(vm)
+            case model.SilenceConnections(numbers, target, every):
+                vms = sorted({self._vm(number) for number in numbers})
+                self._silence_connections(vms, target, every)
             case model.DropHistory():
                 self.record.store_trouble.append(Span(self.now_s, self.now_s))
                 self.store.forget()
@@ -410,6 +414,24 @@
         self.record.vm_trouble[vm].append(Span(self.now_s, self.now_s))
         self.network.reset_connections(vm, STORE)
 
+    def _silence_connections(
+        self, vms: list[str], target: str, every: int
+    ) -> None:
+        """Count as a reset of the connections of all VMs, as the rules do."""
+        for vm in self.fleet.gateways:
+            self.record.vm_trouble[vm].append(Span(self.now_s, self.now_s))
+        others = {
+            "store": [STORE],
+            "vms": list(self.fleet.gateways),
+            "leafs": list(self.leafs),
+        }[target]
+        count = itertools.count()
+        for vm in vms:
+            for other in others:
+                self.network.silence_connections(
+                    vm, other, lambda transport: next(count) % every == 0
+                )
+
     def _let_store_away(self, for_s: float, *, is_silent: bool) -> None:
         end_s = self.now_s + for_s
         self.record.store_trouble.append(Span(self.now_s, end_s))
