Trust the member list by its own confirmation

A VM took its member list for current while any collection was confirmed. With the watch of the members alone unanswered it went on to own cold leafs by a list of any age: the answers on one connection vouched for what another one read. Now the members' own confirmation counts, which their watch renews within the time in which views must be correct.

The new test failed before: members_known stayed true for as long as the other watches were answered. Restarts, drills, cut-off VMs and followed views pass.

--- a/src/oriolegate/runtime/gateway.py
+++ b/src/oriolegate/runtime/gateway.py
@@ -223,11 +223,11 @@
         self._report_view_ages(now_ms)
         for leaf_id in parts.directory.drop_expired(now_ms):
             parts.leaf_client.drop(leaf_id)
-        last_confirmed_ms = self._last_confirmed_ms()
+        members = parts.followers[Collection.MEMBERS]
         parts.directory.members_known = (
-            parts.followers[Collection.MEMBERS].complete
-            and last_confirmed_ms > self.last_pause_at_ms
-            and now_ms - last_confirmed_ms < MEMBERS_TRUSTED_MS
+            members.complete
+            and members.confirmed_ms > self.last_pause_at_ms
+            and now_ms - members.confirmed_ms < MEMBERS_TRUSTED_MS
         )
         parts.contact_watch.check()
         if self.ready != self.was_ready:
@@ -252,11 +252,6 @@
             else:
                 bound_log.info("view of the store is current again")
 
-    def _last_confirmed_ms(self) -> float:
-        """Return when any follower's view was last confirmed."""
-        followers = self.parts.followers.values()
-        return max(follower.confirmed_ms for follower in followers)
-
     def reload(self, settings: NodeSettings) -> None:
         """Apply changed settings, except for changed addresses."""
         if settings == self.settings:
--- a/tests/runtime/test_silent_connections.py
+++ b/tests/runtime/test_silent_connections.py
@@ -6,6 +6,7 @@
 
 from oriolegate.models.stored import Collection
 from oriolegate.platform import store_calls
+from oriolegate.runtime import gateway as gateway_module
 from tests.runtime.test_store_reader_cuts import CALM_S
 from tests.runtime.test_store_reader_cuts import STORE
 from tests.runtime.test_store_reader_cuts import StoreReaderCutCase
@@ -24,6 +25,7 @@
     collection: path.rpartition("/")[2]
     for collection, path in store_calls.PATHS.items()
 }
+MEMBERS_TRUSTED_S = gateway_module.MEMBERS_TRUSTED_MS / 1_000.0
 # Moments of the silence within the cycle of watches: the last change was that
 # long before.
 OFFSETS_S = [round(0.05 + 0.67 * number, 2) for number in range(10)]
@@ -162,3 +164,23 @@
                 self.network.run_for(CONTACT_S)
                 self.check_read(collection, name)
                 self.network.run_for(CALM_S - CONTACT_S)
+
+
+class StaleMembersTest(SilentConnectionCase):
+    def test_members_are_not_known_by_the_answers_to_other_watches(self):
+        reader = self.ranked[0]
+        gateway = self.fleet.gateways[reader]
+        path = store_calls.PATHS[Collection.MEMBERS]
+        handle = self.fleet.store.handle
+
+        def lose_members(request):
+            if not request.uri.decode().startswith(f"{path}?"):
+                handle(request)
+
+        self.fleet.store.handle = lose_members
+        self.assertTrue(gateway.parts.directory.members_known)
+        self.network.run_for(CALM_S + MEMBERS_TRUSTED_S)
+        self.assertFalse(gateway.parts.directory.members_known)
+        self.fleet.store.handle = handle
+        self.network.run_for(CONTACT_S)
+        self.assertTrue(gateway.parts.directory.members_known)
