--- a/tests/tools/test_soak.py
+++ b/tests/tools/test_soak.py
@@ -7,6 +7,8 @@
 from tools.soak import __main__ as soak
 from tools.soak import gateways
 from tools.soak import promises
+from tools.soak.config_judge import SentRequest
+from tools.soak.config_judge import WrittenVersion
 from tools.soak.gateways import ROOT
 
 SEED = 4
@@ -17,6 +19,7 @@
     def test_a_seed_keeps_all_promises(self):
         command = [sys.executable, "-m", "tools.soak"]
         command += ["--seeds", str(SEED), "--seconds", str(SECONDS)]
+        command += ["--silences", "1"]
         finished = subprocess.run(
             command, cwd=ROOT, capture_output=True, text=True, timeout=120
         )
@@ -81,6 +84,20 @@
         self.checker.on_arrival_at_draining_leaf(late_ms + 1.0, "s1-dca-1", 0.0)
         self.assertEqual(self.broken_promises(), ["leaving leafs are left"])
 
+    def test_a_run_by_an_old_configuration_is_a_violation(self):
+        judge = self.checker.configurations
+        for at_ms, service in ((0.0, "s1"), (1_000.0, "s2")):
+            services = {"one": frozenset({service})}
+            judge.versions.append(WrittenVersion(at_ms, services))
+        for name, sent_ms in (("b1", 7_000.0), ("b2", 20_000.0)):
+            judge.requests[name] = SentRequest(sent_ms, "vm-1", "one")
+            self.checker.on_run(sent_ms + 1.0, name, "s1-dca-1", "s1")
+        self.checker.view_fault_spans_ms.append((1_500.0, 2_500.0))
+        self.checker.judge_configurations()
+        self.assertEqual(
+            self.broken_promises(), ["configurations are in force"]
+        )
+
     def test_wrong_parts_of_a_gathered_answer_are_violations(self):
         self.checker.answers["s1-dca-1", "a3"] = b"x" * 16
         self.checker.answers["s1-dcb-2", "a3"] = b"y" * 16
--- a/tools/soak/__main__.py
+++ b/tools/soak/__main__.py
@@ -76,7 +76,7 @@
     environment.drain(leaving)
     await environment.sleep(CONFIGURATION_S)
     for process in gateways:
-        attempt, data = environment.make_request("all")
+        attempt, data = environment.make_request(process, "all")
         done: defer.Deferred[Any] = defer.Deferred()
         HttpClient(reactor, environment.clock, process.caller_address).send(
             data, 2_000.0, done.callback
@@ -104,6 +104,7 @@
     folder: pathlib.Path,
     restore_count: int = 0,
     limit_count: int = 0,
+    silence_count: int = 0,
     first_vm: int = 0,
 ) -> promises.PromiseChecker:
     """Run one seed; return its checker.
@@ -114,6 +115,7 @@
         folder: For settings and logs.
         restore_count: How often the store comes back from an older copy.
         limit_count: How often leafs limit their requests for a time.
+        silence_count: How often open connections to the store go silent.
         first_vm: Number of the first gateway, which decides its address.
     """
     rng = random.Random(seed)
@@ -150,10 +152,16 @@
     injector.schedule(faulty_s, FAULT_COUNT)
     injector.schedule_restores(faulty_s, restore_count)
     injector.schedule_limits(faulty_s, limit_count)
+    injector.schedule_silences(faulty_s, silence_count)
     await environment.sleep(faulty_s + SETTLE_S)
     await check_recovered(environment, gateways)
     environment.stopped = True
     await defer.DeferredList(callers)
+    for process in gateways:
+        environment.checker.configurations.starts_ms[process.vm] = (
+            process.starts_ms
+        )
+    environment.checker.judge_configurations()
     environment.close()
     for process in gateways:
         process.close()
@@ -193,6 +201,7 @@
                 folder,
                 arguments.restores,
                 arguments.limits,
+                arguments.silences,
                 arguments.first_vm,
             )
         totals += checker.counts
@@ -230,6 +239,12 @@
         default=0,
         help="how often leafs limit their requests for a time",
     )
+    parser.add_argument(
+        "--silences",
+        type=int,
+        default=0,
+        help="how often connections to the store go silent for good",
+    )
     parser.add_argument(
         "--first-vm",
         type=int,
--- a/tools/soak/environment.py
+++ b/tools/soak/environment.py
@@ -11,7 +11,10 @@
 from tests.platform.stand_in_leaf import StandInLeaf
 from tests.platform.stand_in_store import StandInStore
 from tests.platform.stand_in_store import StoreFactory
+from tools.soak import config_judge
 from tools.soak import promises
+from tools.soak.config_judge import SentRequest
+from tools.soak.config_judge import WrittenVersion
 from tools.soak.gateways import GatewayProcess
 from tools.soak.proxy import Link
 from twisted.internet import defer
@@ -30,6 +33,7 @@
 WARMUP_MS = 1_500
 DEADLINE_MS = 1_500
 WORK_S = (0.004, 0.02)
+# Type and method by route; a route of another name is idempotent.
 ROUTES = {
     "all": (documents.IDEMPOTENT, "GET"),
     "one": (documents.IDEMPOTENT, "GET"),
@@ -132,6 +136,12 @@
         )
         self.configuration = spec
         self.store.put("config", "main", spec)
+        services = {name: frozenset({"s1"}) for name in ROUTES}
+        self.checker.configurations.versions.append(
+            WrittenVersion(
+                self.clock.now_ms(), services | {"all": frozenset(shards)}
+            )
+        )
 
     # Store
 
@@ -275,11 +285,16 @@
 
     # Callers
 
-    def make_request(self, name: str) -> tuple[str, bytes]:
-        """Return a new attempt id and the bytes of its request."""
+    def make_request(
+        self, process: GatewayProcess, name: str
+    ) -> tuple[str, bytes]:
+        """Return a new attempt id and the bytes of a request, sent now."""
         self.attempt_count += 1
         attempt = f"a{self.attempt_count}"
-        kind, method = ROUTES[name]
+        self.checker.configurations.requests[attempt] = SentRequest(
+            self.clock.now_ms(), process.vm, name
+        )
+        kind, method = ROUTES.get(name, ROUTES["one"])
         if kind == documents.NON_IDEMPOTENT:
             self.checker.at_most_once.add(attempt)
         data = documents.caller_request(
@@ -292,7 +307,7 @@
     ) -> None:
         """Send one request to a gateway and check the result."""
         name = self.rng.choice(list(ROUTES))
-        attempt, data = self.make_request(name)
+        attempt, data = self.make_request(process, name)
         done: defer.Deferred[Any] = defer.Deferred()
         call = HttpCall(data, done.callback, accepts=lambda response: True)
         start_ms = self.clock.now_ms()
@@ -346,7 +361,8 @@
         checker.counts[f"{name} {response.status}"] += 1
         if response.status in (429, 503):
             checker.on_refused(attempt)
-        elif response.status == 404:
+        elif response.status == config_judge.STATUS_NOT_FOUND:
+            checker.configurations.not_found.append(attempt)
             checker.record_violation(
                 "known routes are found", f"{attempt} {name}"
             )
--- a/tools/soak/faults.py
+++ b/tools/soak/faults.py
@@ -69,6 +69,12 @@
                 start_s, lambda age_s=age_s: self.store_restored(age_s)
             )
 
+    def schedule_silences(self, period_s: float, count: int) -> None:
+        """Let open connections go silent, at random times."""
+        for _ in range(count):
+            at_s = self.focus_rng.uniform(0.0, period_s)
+            self._call_later(at_s, self.silent_connections)
+
     def schedule_limits(self, period_s: float, count: int) -> None:
         """Let leafs, or all of a service, limit their requests for a time."""
         for _ in range(count):
@@ -90,10 +96,13 @@
     def _call_later(self, after_s: float, call: Callable[[], None]) -> None:
         self.environment.reactor.callLater(after_s, call)
 
-    def _record_view_fault(self) -> None:
+    def _record_view_fault(self, for_s: float = 0.0) -> None:
+        """Record a fault of views; those that end later are recorded twice."""
         now_ms = self.environment.clock.now_ms()
-        self.environment.checker.view_faults_ms.append(now_ms)
-        self.environment.checker.view_faults_ms.sort()
+        checker = self.environment.checker
+        checker.view_faults_ms.append(now_ms)
+        checker.view_faults_ms.sort()
+        checker.view_fault_spans_ms.append((now_ms, now_ms + for_s * 1_000.0))
 
     def _choose_gateway(self) -> GatewayProcess:
         return self.rng.choice(self.gateways)
@@ -130,7 +139,8 @@
 
     def pause(self, duration_s: float) -> None:
         """Pause a process, as on a suspended machine."""
-        self._record_view_fault()
+        pause_s = min(duration_s, 2.5)
+        self._record_view_fault(pause_s)
         process = self._choose_gateway()
         process.signal(signal.SIGSTOP)
 
@@ -138,7 +148,7 @@
             self._record_view_fault()
             process.signal(signal.SIGCONT)
 
-        self._call_later(min(duration_s, 2.5), resume)
+        self._call_later(pause_s, resume)
 
     def reload(self, duration_s: float) -> None:
         """Send SIGHUP to all processes, up to four times in succession."""
@@ -150,7 +160,7 @@
 
     def store_link(self, duration_s: float) -> None:
         """Disturb the link between one process and the store."""
-        self._record_view_fault()
+        self._record_view_fault(duration_s)
         link = self._choose_gateway().store_link
         link.set_mode(self.rng.choice(list(LinkMode)))
 
@@ -160,9 +170,17 @@
 
         self._call_later(duration_s, heal)
 
+    def silent_connections(self) -> None:
+        """Let connections of some processes to the store go silent for good."""
+        self.environment.checker.counts["fault silent_connections"] += 1
+        self._record_view_fault()
+        count = self.focus_rng.choice([1, 1, 2, len(self.gateways)])
+        for process in self.focus_rng.sample(self.gateways, count):
+            process.store_link.silence_open()
+
     def store_refuses(self, duration_s: float) -> None:
         """Make the store refuse every call."""
-        self._record_view_fault()
+        self._record_view_fault(duration_s)
         self.environment.store.refuse = self.rng.choice([429, 503])
 
         def heal() -> None:
@@ -180,7 +198,7 @@
         """Bring the store back from a copy that is `duration_s` old."""
         environment = self.environment
         environment.checker.counts["fault store_restored"] += 1
-        self._record_view_fault()
+        self._record_view_fault(duration_s)
         restoring = defer.ensureDeferred(
             environment.restore_store(duration_s, rewrite_s=0.8)
         )
--- a/tools/soak/gateways.py
+++ b/tools/soak/gateways.py
@@ -54,7 +54,7 @@
         more_settings: Further lines of the settings file.
         process: Child process, or None while the gateway is down.
         disturbed_ms: Time of the last SIGKILL, SIGSTOP or SIGCONT.
-        start_count: Number of starts so far.
+        starts_ms: When the process was started.
     """
 
     def __init__(
@@ -84,7 +84,7 @@
         self.process: subprocess.Popen[bytes] | None = None
         self.disturbed_ms = float("-inf")
         self.is_paused = False
-        self.start_count = 0
+        self.starts_ms: list[float] = []
         self.closed = False
 
     def _settings(self, data_centre: str) -> str:
@@ -122,7 +122,7 @@
         """Start the process, unless it is running or the soak is over."""
         if self.closed or (self.process and self.process.poll() is None):
             return
-        self.start_count += 1
+        self.starts_ms.append(self.clock.now_ms())
         with self.log_path.open("ab") as log:
             self.process = subprocess.Popen(
                 [sys.executable, "-m", "tools.soak.bound_gateway", self.host],
--- a/tools/soak/promises.py
+++ b/tools/soak/promises.py
@@ -3,6 +3,9 @@
 import collections
 
 import attrs
+from tools.soak.config_judge import ConfigBounds
+from tools.soak.config_judge import ConfigJudge
+from tools.soak.config_judge import ServiceRun
 
 from oriolegate.exchange import merging
 
@@ -53,6 +56,8 @@
         cold_arrivals_ms: Arrival times at cold leafs, by leaf.
         limited_arrivals_ms: Arrival times at leafs that limit their requests,
             by leaf.
+        view_fault_spans_ms: Start and end of each fault that affects views.
+        configurations: Judge of the configurations in force.
         violations: Broken promises, each with a detail.
         counts: Number of events by kind.
     """
@@ -64,9 +69,28 @@
     view_faults_ms: list[float] = attrs.field(factory=list)
     cold_arrivals_ms: dict[str, list[float]] = attrs.field(factory=dict)
     limited_arrivals_ms: dict[str, list[float]] = attrs.field(factory=dict)
+    view_fault_spans_ms: list[tuple[float, float]] = attrs.field(factory=list)
+    configurations: ConfigJudge = attrs.field(init=False)
     violations: list[tuple[str, str]] = attrs.field(factory=list)
     counts: collections.Counter[str] = attrs.field(factory=collections.Counter)
 
+    def __attrs_post_init__(self) -> None:
+        self.configurations = ConfigJudge(
+            ConfigBounds(), lambda vm, at_ms: self.is_undisturbed(at_ms)
+        )
+
+    def is_undisturbed(self, at_ms: float) -> bool:
+        """Return whether views must be right, long after all faults."""
+        return not any(
+            start_ms <= at_ms <= end_ms + VIEW_SETTLE_MS
+            for start_ms, end_ms in self.view_fault_spans_ms
+        )
+
+    def judge_configurations(self) -> None:
+        """Record the runs that an older configuration alone allows."""
+        for violation in self.configurations.judge():
+            self.record_violation("configurations are in force", violation)
+
     def record_violation(self, promise: str, detail: str) -> None:
         """Record that a promise was broken."""
         self.violations.append((promise, detail))
@@ -77,6 +101,11 @@
         """Record a run by a leaf and check that the run is allowed."""
         runs = self.runs.setdefault(attempt, [])
         runs.append(Run(now_ms, leaf, service))
+        sent = self.configurations.requests.get(attempt)
+        if sent is not None:
+            self.configurations.runs.append(
+                ServiceRun(now_ms, attempt, service, sent.vm)
+            )
         if attempt in self.at_most_once and len(runs) > 1:
             self.record_violation(
                 "at most once", f"{attempt} ran {len(runs)} times"
--- a/tools/soak/proxy.py
+++ b/tools/soak/proxy.py
@@ -135,6 +135,13 @@
         if mode is LinkMode.RESET:
             self.reset_all()
 
+    def silence_open(self) -> None:
+        """Let all open connections go silent for good; new ones work."""
+        for connection in self.client_connections:
+            connection.is_silenced = True
+            if connection.peer is not None:
+                connection.peer.is_silenced = True
+
     def reset_all(self) -> None:
         """Reset every open connection."""
         for connection in list(self.client_connections):
