Show a quiet time that is missed when a request ends after 50 ms

A leaf that rejects with Retry-After is not heard if the request ends before the answer is read and more than 50 ms after the send: the connection is closed at once, and the VM sends on.

--- a/tests/runtime/test_quiet_leafs.py
+++ b/tests/runtime/test_quiet_leafs.py
@@ -49,7 +49,8 @@
 class AbandonedSendsTest(unittest.TestCase):
     """Leafs whose answer is on its way when the request is given up."""
 
-    def test_a_rejection_of_an_abandoned_send_still_brings_quiet(self):
+    def play(self, answer_s):
+        """Let both leafs reject, the second one a little later."""
         shards = ("s1", "s2")
         fleet = VirtualFleet(
             documents.configuration_spec(
@@ -63,15 +64,18 @@
                 shards,
             )
         )
-        fleet.add_leaf("l1", "s1").behave = lambda request: request.answer(
-            b"", 503, Server_Seal=None, Not_Executed="1"
+        answer_late = fleet.network.reactor.callLater
+        # The shard without an answer ends the request first.
+        fleet.add_leaf("l1", "s1").behave = lambda request: answer_late(
+            answer_s,
+            lambda: request.answer(
+                b"", 503, Server_Seal=None, Not_Executed="1"
+            ),
         )
         leaf = QuietLeaf(fleet, fleet.add_leaf("l2", "s2"))
-        # The shard without an answer ends the request first.
-        answer_late = fleet.network.reactor.callLater
 
         def on_request(request):
-            answer_late(0.0005, leaf.on_request, request)
+            answer_late(answer_s + 0.0005, leaf.on_request, request)
 
         fleet.leafs["l2"].behave = on_request
         fleet.start(1, FAST_BYTES_PER_S)
@@ -87,6 +91,12 @@
         CallerLoad(fleet, "/one/x").run(20.0, 1.5)
         self.assertEqual(leaf.late, [])
 
+    def test_a_rejection_of_an_abandoned_send_still_brings_quiet(self):
+        self.play(0.0)
+
+    def test_a_slow_rejection_of_an_abandoned_send_still_brings_quiet(self):
+        self.play(0.06)
+
 
 class QuietLeafsTest(unittest.TestCase):
     def start(self, leaf_count):
