--- a/tests/runtime/test_silent_connections.py
+++ b/tests/runtime/test_silent_connections.py
@@ -39,10 +39,10 @@
     def setUp(self):
         super().setUp()
         self.serial = 0
-        self.connections = self.connections_by_target()
+        self.targets = self.record_targets()
 
-    def connections_by_target(self):
-        """Record which call each connection to the store carried last."""
+    def record_targets(self):
+        """Record the target of the last call on each connection."""
         targets = {}
         handle = self.fleet.store.handle
 
@@ -54,7 +54,7 @@
         return targets
 
     def is_watch(self, transport):
-        return "watch=" in self.connections.get(transport.other, "")
+        return "watch=" in self.targets.get(transport.other, "")
 
     def write(self, collection):
         """Change a collection; return the name of the new object."""
