--- a/review/lib-2/leafs.py
+++ b/review/lib-2/leafs.py
@@ -5,6 +5,7 @@
 import hashlib
 import random
 import socket
+import struct
 import time
 
 from stage import Stage
@@ -19,6 +20,16 @@
     return first.split(" ")[1] == "/health"
 
 
+def reset(writer: asyncio.StreamWriter) -> None:
+    """Reset a connection."""
+    opened = writer.get_extra_info("socket")
+    if opened is not None and opened.fileno() >= 0:
+        opened.setsockopt(
+            socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0)
+        )
+    writer.transport.abort()
+
+
 class Job:
     """A request that waits for a slot or runs."""
 
@@ -130,7 +141,7 @@
             filler.close()
         self.fillers.clear()
         for writer in list(self.connections):
-            writer.transport.abort()
+            reset(writer)
         for task in list(self.tasks):
             task.cancel()
         await asyncio.sleep(0.01)
@@ -174,7 +185,7 @@
             limit //= 2
         if len(self.connections) >= limit:
             self.resets += 1
-            writer.transport.abort()
+            reset(writer)
             return
         self.connections.add(writer)
         copy = b""
