--- a/review/lib-2/leafs.py
+++ b/review/lib-2/leafs.py
@@ -13,6 +13,8 @@
 from stage import read_head
 
 POLL_S = 0.004
+# Time after which idle connections are closed, as the answers state.
+IDLE_S = 20
 
 
 def is_check(first: str) -> bool:
@@ -74,10 +76,12 @@
         self.rng = random.Random(seed)
         self.slow = 1.0
         self.extra_share = 0.0
+        self.cold_until = 0.0
         self.is_dark = False
         self.fillers: list[socket.socket] = []
         self.tasks: set[asyncio.Task] = set()
         self.runs: list[tuple[float, str, str]] = []
+        self.arrivals: list[float] = []
         self.running = 0
         self.waiting: collections.deque[Job] = collections.deque()
         self.connections: set = set()
@@ -167,12 +171,17 @@
                 "version": "v1",
                 "slots": self.slots,
                 "state": "ready",
-                "warmup_left_ms": 0,
+                "warmup_left_ms": self.cold_left_ms,
                 "sequence": self.sequence,
                 "born": self.born,
             },
         )
 
+    @property
+    def cold_left_ms(self) -> int:
+        """How much longer the leaf is cold."""
+        return max(0, int((self.cold_until - time.monotonic()) * 1000))
+
     @property
     def is_full(self) -> bool:
         """Whether a further request is rejected."""
@@ -191,7 +200,9 @@
         copy = b""
         try:
             while True:
-                first, headers = await read_head(reader)
+                first, headers = await asyncio.wait_for(
+                    read_head(reader), IDLE_S + 1
+                )
                 body = await reader.readexactly(
                     int(headers.get("content-length", 0))
                 )
@@ -214,7 +225,12 @@
                     self.extras += 1
                     self.spoiled += 1
                     copy = answer
-        except (OSError, asyncio.IncompleteReadError, asyncio.CancelledError):
+        except (
+            OSError,
+            TimeoutError,
+            asyncio.IncompleteReadError,
+            asyncio.CancelledError,
+        ):
             pass
         finally:
             self.connections.discard(writer)
@@ -248,6 +264,8 @@
         if not is_health and expected not in (None, self.leaf_id):
             fields = {"Instance-Id": self.leaf_id, "Attempt-Id": attempt}
             return encode_response(421, fields, b"")
+        if not is_health:
+            self.arrivals.append(time.monotonic())
         if self.is_full:
             return self._shed(headers)
         due = time.monotonic() + float(headers.get("deadline-ms", 5000)) / 1000
@@ -260,7 +278,11 @@
         try:
             if is_health:
                 await asyncio.sleep(0.001)
-                return encode_response(200, {"Instance-Id": self.leaf_id}, b"")
+                fields = {
+                    "Instance-Id": self.leaf_id,
+                    "Warmup-Ms": str(self.cold_left_ms),
+                }
+                return encode_response(200, fields, b"")
             self.runs.append((time.monotonic(), self.leaf_id, attempt))
             self.stage.record.add(
                 "run", leaf=self.leaf_id, attempt=attempt, request=f"{method}:{target}"
@@ -275,7 +297,11 @@
         finally:
             self._free_slot()
         text = hashlib.sha1(f"{attempt}/{self.leaf_id}".encode()).digest()[:16]
-        fields = {"Attempt-Id": attempt, "Server-Seal": f"s.{self.leaf_id}.{attempt}"}
+        fields = {
+            "Attempt-Id": attempt,
+            "Server-Seal": f"s.{self.leaf_id}.{attempt}",
+            "Keep-Alive": f"timeout={IDLE_S}",
+        }
         return encode_response(status, fields, text)
 
     async def _take_slot(self, job: Job, reader) -> bool:
@@ -321,7 +347,7 @@
                 "health_path": "/health",
                 "max_connections": limit,
                 "warmup_s": 3.0,
-                "warmup_per_s": 4.0,
+                "warmup_per_s": 2.0,
             }
             for name, limit in services.items()
         ],
--- a/review/lib-2/stage.py
+++ b/review/lib-2/stage.py
@@ -92,6 +92,13 @@
         self.server = await asyncio.start_server(self._serve, host, 0)
         self.address = self.server.sockets[0].getsockname()
 
+    async def open_door(self, host: str) -> "Door":
+        """Serve one machine on a port of its own."""
+        door = Door(self)
+        server = await asyncio.start_server(door.serve, host, 0)
+        door.address = server.sockets[0].getsockname()
+        return door
+
     def _changed(self, kind: str, event: dict) -> None:
         self.history.append((self.revision, kind, event))
         self.changed.set()
@@ -205,6 +212,55 @@
                 pass
 
 
+class Door:
+    """The store as one machine reaches it.
+
+    Attributes:
+        is_refusing: Whether the store turns the machine away with 503.
+    """
+
+    def __init__(self, store: Store) -> None:
+        self.store = store
+        self.is_refusing = False
+        self.address = ("", 0)
+        self.open: set[asyncio.StreamWriter] = set()
+
+    def refuse(self) -> None:
+        """Turn the machine away; a waiting watch is cut off."""
+        self.is_refusing = True
+        for writer in list(self.open):
+            writer.close()
+
+    async def serve(self, reader, writer) -> None:
+        """Serve a connection."""
+        self.open.add(writer)
+        try:
+            while True:
+                first, headers = await read_head(reader)
+                body = await reader.readexactly(
+                    int(headers.get("content-length", 0))
+                )
+                method, target, _ = first.split(" ")
+                status, document = 503, {}
+                if not self.is_refusing:
+                    status, document = await self.store._handle(
+                        method, target, body
+                    )
+                writer.write(
+                    encode_response(
+                        status,
+                        {"Content-Type": "application/json", "Store-Era": "1"},
+                        json.dumps(document).encode(),
+                    )
+                )
+                await writer.drain()
+        except (OSError, asyncio.IncompleteReadError, asyncio.CancelledError):
+            pass
+        finally:
+            self.open.discard(writer)
+            writer.close()
+
+
 class Gateway:
     """A gateway process with its settings file."""
 
@@ -221,6 +277,7 @@
         self.log_path = stage.folder / f"{self.name}.log"
         self.process: asyncio.subprocess.Process | None = None
         self.is_in_rotation = True
+        self.store_address = stage.store.address
         self.write_settings(bootstrap=bootstrap)
 
     def write_settings(self, *, bootstrap: bool, **more: object) -> None:
@@ -261,7 +318,7 @@
             "bounds.warmup_slack": 5,
             "bounds.evacuate_ms": 5000,
             "bounds.recover_s": 12,
-            "platform.address": "{}:{}".format(*stage.store.address[:2]),
+            "platform.address": "{}:{}".format(*self.store_address[:2]),
             "platform.form": "objects",
             **more,
         }
