--- a/review/lib-2/stage.py
+++ b/review/lib-2/stage.py
@@ -456,14 +456,19 @@
             self.writer.close()
 
 
-def run(case: str, play) -> None:
-    """Run a case and exit with its status: 1 broken, 0 held, 2 not run."""
+def run(case: str, play, *, is_troubled: bool) -> None:
+    """Run a case and exit with its status: 1 broken, 0 held, 2 not run.
+
+    Args:
+        case: Path of the script of the case.
+        play: Plays it in a folder, with or without the disruption.
+        is_troubled: Whether the disruption is played.
+    """
     folder = pathlib.Path(case).resolve().parent
-    trouble = os.environ.get("TROUBLE", "1") != "0"
 
     async def main() -> int:
         try:
-            return await asyncio.wait_for(play(folder, trouble), 115)
+            return await asyncio.wait_for(play(folder, is_troubled), 115)
         except (CannotRunError, TimeoutError) as error:
             print(f"could not run: {error!r}")
             return 2
