Take a rejected health check for no sign of a crash

Callers saw harmless requests refused with 503 after a connection to a busy leaf was lost. A leaf at its limit rejects a health check like any request, and the rejection names no leaf; the check took it for the answer of another leaf, so that the one asked had to have crashed, and reported the requests that its lost connections had carried. Such a rejection now says nothing of the leaf; a later check decides.

The new test failed before ([False, False] reported).

--- a/src/oriolegate/runtime/leaf_checker.py
+++ b/src/oriolegate/runtime/leaf_checker.py
@@ -215,6 +215,9 @@
     ) -> None:
         """Report whether the leaf is alive if the check shows that."""
         match report:
+            case HealthReport(leaf_id=""):
+                # A full leaf rejects a check like any request, without its id.
+                pass
             case HealthReport(leaf_id):
                 self.on_liveness_known(
                     record.entry, leaf_id == record.entry.leaf_id
--- a/tests/runtime/test_leaf_checker.py
+++ b/tests/runtime/test_leaf_checker.py
@@ -114,6 +114,22 @@
         self.assertEqual(crashed[0], False)
         self.assertTrue(self.record.suspect)
 
+    def test_a_rejected_check_does_not_show_whether_the_leaf_lives(self):
+        # A full leaf rejects checks without stating its id; its requests were
+        # blamed for a crash.
+        known = []
+        self.checker.on_liveness_known = lambda leaf, is_alive: known.append(
+            is_alive
+        )
+        rejection = HealthReport("", False, 0.0)
+        self.client.reports = [rejection, rejection]
+        self.checker.check_liveness(self.record)
+        self.checker.suspect(self.record, "reset")
+        self.assertEqual((known, len(self.client.checked_at_s)), ([], 2))
+        self.client.reports = [HealthReport("b", True, 0.0)]
+        self.run_for(leaf_checker.MAX_CHECK_INTERVAL_MS / 1_000.0)
+        self.assertEqual(known, [False])
+
     def test_a_healthy_leaf_is_in_use_again_after_one_check(self):
         self.client.reports = [HealthReport("a", True, 0.0)]
         self.checker.suspect(self.record, "reset")
