Try refused requests again at one leaf, and let reports end without their writer

Cause: a popular request is in flight at every leaf of a service that falls, so three crash reports refuse it; only a success withdraws reports, and a refused request can't succeed; the lifetime of a report was a timer of its writer.

A refused request now gets two trials over all VMs, claimed in the store, each at one leaf that a health check has found healthy. Each VM stops believing a report ten minutes after it has read it, and removes it if the writer does not.

test_a_harmless_request_is_not_refused_for_ever fails without trials (503), and test_an_expired_report_of_a_vm_that_is_gone_is_removed without the expiry.

--- a/src/oriolegate/crashes/crash_ledger.py
+++ b/src/oriolegate/crashes/crash_ledger.py
@@ -5,7 +5,9 @@
 success in between, is refused: sending it again would crash leaf after leaf.
 All VMs share the reports, since the caller may retry the request at any VM. A
 success at any VM withdraws the reports about the request; an error does not,
-since a leaf may fail a request without running it.
+since a leaf may fail a request without running it. `trial_schedule` decides
+when a refused request is tried again. A report ends some time after this VM has
+first read it, whatever became of the VM that wrote it.
 """
 
 from collections.abc import Collection
@@ -13,8 +15,11 @@
 
 import attrs
 
+from oriolegate.crashes.trial_schedule import TrialSchedule
 from oriolegate.exchange.messages import CallerCall
+from oriolegate.models.site import CrashEntry
 from oriolegate.models.site import CrashReport
+from oriolegate.models.site import CrashTrial
 from oriolegate.quarantine import fingerprint
 
 # Crashes after which a request is refused; users tolerate up to three.
@@ -28,6 +33,8 @@
 MAX_HARMLESS = 2_000
 MAX_SUSPECTS = 200
 MAX_LOST = 500
+# Lifetime of a report, and so of a refusal: time for an operator to react.
+ENTRY_TTL_MS = 600_000.0
 # How long before a crash is found a request may have been abandoned to be its
 # cause. Some leafs go on with a request whose connection was closed, and no
 # reset arrives from a leaf behind a link that is cut in one direction.
@@ -66,7 +73,9 @@
         reports: Number of reports about it.
         attempts: Number of attempts during which leafs crashed.
         is_harmless: Whether it succeeded here and no leaf crashed since.
-        must_refuse: Whether it must not be sent to any leaf.
+        must_refuse: Whether it must not be sent to any leaf, but for a trial.
+        trial_number: Number of the trial that may be claimed now, or None.
+        retry_after_ms: When a trial may have cleared it, or None if none will.
     """
 
     fingerprint: int
@@ -74,6 +83,8 @@
     attempts: int
     is_harmless: bool
     must_refuse: bool
+    trial_number: int | None
+    retry_after_ms: float | None
 
 
 class CrashLedger:
@@ -82,6 +93,9 @@
     Attributes:
         reports: Reports by fingerprint of the request and name of the report.
         fingerprints: Fingerprint by name of the report.
+        trials: When refused requests are tried again.
+        read_at_ms: When this VM first read each report and trial, by name,
+            oldest first.
         harmless: Fingerprints of requests that succeeded here and during which
             this VM has seen no crash since, oldest first. Other VMs' reports
             don't stop them: one more success withdraws the reports.
@@ -94,6 +108,8 @@
     def __init__(self) -> None:
         self.reports: dict[int, dict[str, CrashReport]] = {}
         self.fingerprints: dict[str, int] = {}
+        self.trials = TrialSchedule()
+        self.read_at_ms: dict[str, float] = {}
         self.harmless: dict[int, None] = {}
         self.lost_requests: dict[str, set[LostRequest]] = {}
         self.abandoned_requests: dict[str, dict[LostRequest, float]] = {}
@@ -158,7 +174,8 @@
         """Record that a leaf ran a request successfully.
 
         Returns:
-            Names of the reports about it, which are withdrawn.
+            Names of the reports about it and of its trials, which are
+            withdrawn.
         """
         request_fingerprint = call_fingerprint(call)
         self.harmless.pop(request_fingerprint, None)
@@ -166,17 +183,41 @@
         if len(self.harmless) > MAX_HARMLESS:
             del self.harmless[next(iter(self.harmless))]
         names = tuple(self.reports.get(request_fingerprint, ()))
+        names += self.trials.names(request_fingerprint)
         for name in names:
-            self.remove_report(name)
+            self.remove_entry(name)
         return names
 
-    def add_report(self, name: str, report: CrashReport) -> None:
-        """Add a report of this or another VM.
+    def add_entry(self, now_ms: float, name: str, entry: CrashEntry) -> None:
+        """Add a report or trial of this or another VM.
 
         Args:
-            name: Unique for the request and the incarnation of the leaf.
-            report: The report.
+            now_ms: Current time.
+            name: Unique for the request and the incarnation of the leaf, or the
+                number of the trial.
+            entry: The report or trial.
         """
+        self.read_at_ms.setdefault(name, now_ms)
+        match entry:
+            case CrashTrial():
+                self.trials.on_trial(now_ms, name, entry)
+            case CrashReport():
+                if name not in self.fingerprints:
+                    self.trials.on_report(now_ms, entry.fingerprint)
+                self._add_report(name, entry)
+        if len(self.trials.schedules) > MAX_SUSPECTS:
+            self._drop_schedule()
+
+    def _drop_schedule(self) -> None:
+        """Forget the trials of the request that needs them least."""
+        unneeded = (f for f in self.trials.schedules if f not in self.reports)
+        oldest = next(iter(self.trials.schedules))
+        dropped = next(unneeded, oldest)
+        for name in self.trials.names(dropped):
+            self.read_at_ms.pop(name, None)
+        self.trials.forget(dropped)
+
+    def _add_report(self, name: str, report: CrashReport) -> None:
         if report.fingerprint not in self.reports:
             if len(self.reports) >= MAX_SUSPECTS:
                 self._drop_reports(self._least_suspect())
@@ -184,21 +225,47 @@
         self.reports[report.fingerprint][name] = report
         self.fingerprints[name] = report.fingerprint
 
-    def find_report(self, name: str) -> CrashReport | None:
-        """Return a report by its name, or None if there is none."""
+    def find_entry(self, name: str) -> CrashEntry | None:
+        """Return a report or trial by its name, or None if there is none."""
         request_fingerprint = self.fingerprints.get(name)
         if request_fingerprint is None:
-            return None
+            return self.trials.find_trial(name)
         return self.reports[request_fingerprint][name]
 
-    def remove_report(self, name: str) -> None:
-        """Remove a report that was withdrawn or has expired."""
+    def remove_entry(self, name: str) -> None:
+        """Remove a report or trial that was withdrawn or has expired."""
+        self.read_at_ms.pop(name, None)
         request_fingerprint = self.fingerprints.pop(name, None)
-        if request_fingerprint is None:
-            return
-        del self.reports[request_fingerprint][name]
-        if not self.reports[request_fingerprint]:
-            del self.reports[request_fingerprint]
+        if request_fingerprint is not None:
+            del self.reports[request_fingerprint][name]
+            if not self.reports[request_fingerprint]:
+                del self.reports[request_fingerprint]
+        else:
+            request_fingerprint = self.trials.remove_trial(name)
+        if (
+            request_fingerprint is not None
+            and request_fingerprint not in self.reports
+            and not self.trials.names(request_fingerprint)
+        ):
+            self.trials.forget(request_fingerprint)
+
+    def next_expiry_ms(self) -> float | None:
+        """Return when the oldest report or trial expires, or None."""
+        for at_ms in self.read_at_ms.values():
+            return at_ms + ENTRY_TTL_MS
+        return None
+
+    def remove_expired(self, now_ms: float) -> dict[str, CrashEntry]:
+        """Remove the reports and trials that have expired; return them."""
+        expired = {}
+        for name, at_ms in list(self.read_at_ms.items()):
+            if now_ms - at_ms < ENTRY_TTL_MS:
+                break
+            entry = self.find_entry(name)
+            if entry is not None:
+                expired[name] = entry
+            self.remove_entry(name)
+        return expired
 
     def _least_suspect(self) -> int:
         """Return the oldest request among those with the fewest reports."""
@@ -211,8 +278,9 @@
     def _drop_reports(self, request_fingerprint: int) -> None:
         for name in self.reports.pop(request_fingerprint):
             del self.fingerprints[name]
+            self.read_at_ms.pop(name, None)
 
-    def suspicion(self, call: CallerCall) -> Suspicion | None:
+    def suspicion(self, now_ms: float, call: CallerCall) -> Suspicion | None:
         """Return what the reports say about a request, or None without any."""
         if not self.reports:
             return None
@@ -227,6 +295,8 @@
             len({report.attempt_id for report in reports.values()}),
             is_harmless,
             not is_harmless and _prove_cause(reports.values()),
+            self.trials.due_number(now_ms, request_fingerprint),
+            self.trials.retry_after_ms(now_ms, request_fingerprint),
         )
 
 
--- a/src/oriolegate/crashes/report_queue.py
+++ b/src/oriolegate/crashes/report_queue.py
@@ -1,4 +1,4 @@
-"""Store operations on crash reports that are still to be made.
+"""Store operations on crash reports and trials that are still to be made.
 
 A report is state that the store has to hold until it is withdrawn or expires.
 So an operation stays in the queue until the store has confirmed it, however
@@ -11,7 +11,7 @@
 
 import attrs
 
-from oriolegate.models.site import CrashReport
+from oriolegate.models.site import CrashEntry
 
 # Backoff while the store fails. 5 s after an outage all VMs must know of a
 # crash during it.
@@ -29,15 +29,15 @@
 
 @attrs.frozen
 class WriteReport:
-    """Store a report under its name."""
+    """Store a report or trial under its name."""
 
     name: str
-    report: CrashReport
+    report: CrashEntry
 
 
 @attrs.frozen
 class RemoveReport:
-    """Remove a report from the store."""
+    """Remove a report or trial from the store."""
 
     name: str
 
--- a/src/oriolegate/exchange/exchange.py
+++ b/src/oriolegate/exchange/exchange.py
@@ -36,6 +36,8 @@
         sender: Sends the parts to leafs.
         reply: The reply to the caller, or None before the caller gets it.
         answered_count: Number of parts with an answer.
+        awaits_trial: Whether the request may crash leafs: only its first part
+            is sent, to one leaf at a time, until a leaf has answered it.
     """
 
     def __init__(
@@ -48,6 +50,7 @@
         arrived_ms: float,
         *,
         history: RequestHistory = NO_HISTORY,
+        is_trial: bool = False,
     ) -> None:
         """Create the state of a request.
 
@@ -60,6 +63,7 @@
             arrived_ms: When the request arrived, here or at the VM that
                 forwarded it.
             history: What other VMs did with the request.
+            is_trial: Whether the request may crash leafs.
         """
         self.call = call
         self.route = route
@@ -80,6 +84,7 @@
         # Updated incrementally, so that handling an answer takes constant time
         # regardless of the number of parts.
         self.answered_count = 0
+        self.awaits_trial = is_trial
 
     @property
     def is_finished(self) -> bool:
@@ -109,19 +114,39 @@
         if self.deadlines.limit_ms <= now_ms:
             self.reply = Refuse(replying.STATUS_GATEWAY_TIMEOUT, "no time left")
             return [self.reply]
-        chosen_leafs = []
-        for part in self.parts:
-            if not self.is_counted:
+        if not self.is_counted:
+            for part in self.parts:
                 self.budget.count_request(part.service, now_ms)
-            chosen_leafs.append(self.sender.choose_or_wait(now_ms, part))
-        # Leafs must not work for a request that is refused in any case.
-        if not (self.sender.ended_count and self._is_coverage_unreachable()):
-            for part, leaf in zip(self.parts, chosen_leafs, strict=True):
-                if leaf is not None:
-                    self.sender.place_on(now_ms, part, leaf, effects)
+        first = self.parts[:1] if self.awaits_trial else self.parts
+        self._place_all(now_ms, first, effects)
         self._reply_if_due(now_ms, effects)
         return effects
 
+    def _place_all(
+        self, now_ms: float, parts: list[Part], effects: list[Effect]
+    ) -> None:
+        """Send parts, unless the request is refused in any case."""
+        chosen_leafs = [
+            self.sender.choose_or_wait(now_ms, part) for part in parts
+        ]
+        # Leafs must not work for a request that is refused in any case.
+        if self.sender.ended_count and self._is_coverage_unreachable():
+            return
+        for part, leaf in zip(parts, chosen_leafs, strict=True):
+            if leaf is not None:
+                self.sender.place_on(now_ms, part, leaf, effects)
+
+    def _end_trial(self, now_ms: float, effects: list[Effect]) -> None:
+        """Send the other parts after the first success, or end without one."""
+        first, *others = self.parts
+        if first.answer is not None:
+            self.awaits_trial = False
+            self._place_all(now_ms, others, effects)
+        elif first.is_resolved:
+            self.awaits_trial = False
+            for part in others:
+                self.sender.end(part)
+
     def on_answer(
         self, now_ms: float, number: int, answer: LeafAnswer
     ) -> list[Effect]:
@@ -183,7 +208,11 @@
             now_ms, f"send {outcome.value}", part.service, send.leaf_id, detail
         )
         effects: list[Effect] = []
-        self._retry(now_ms, part, effects)
+        if self.awaits_trial and outcome is SendOutcome.MAY_HAVE_RUN:
+            # The leaf may have crashed; another one must not.
+            self.sender.end(part)
+        else:
+            self._retry(now_ms, part, effects)
         self._reply_if_due(now_ms, effects)
         return effects
 
@@ -216,7 +245,10 @@
             elif stalled_at_ms is not None and now_ms >= stalled_at_ms:
                 self.sender.give_up(now_ms, part)
             elif part.hedge_at_ms is not None and now_ms >= part.hedge_at_ms:
-                stragglers.append(part)
+                if self.awaits_trial:
+                    part.hedge_at_ms = None
+                else:
+                    stragglers.append(part)
         return stragglers
 
     def on_process_end(self, now_ms: float) -> list[Effect]:
@@ -312,6 +344,8 @@
     def _reply_if_due(self, now_ms: float, effects: list[Effect]) -> None:
         if self.reply is not None:
             return
+        if self.awaits_trial:
+            self._end_trial(now_ms, effects)
         if self._is_resolved():
             self._finalize(now_ms, effects)
         elif now_ms >= self.deadlines.limit_ms or self._is_partial_due(now_ms):
--- a/src/oriolegate/models/site.py
+++ b/src/oriolegate/models/site.py
@@ -182,6 +182,28 @@
     wall_ms: int
 
 
+@attrs.frozen
+class CrashTrial:
+    """Claim of a VM to send a refused request to one leaf, once.
+
+    Attributes:
+        fingerprint: Hash of the request, the same for each retry.
+        number: Number of the trial, from 1; each is claimed by one VM.
+        attempt_id: Id of the caller's attempt.
+        vm: The VM that sends the request.
+        wall_ms: Unix time in ms of the claim.
+    """
+
+    fingerprint: int
+    number: int
+    attempt_id: str
+    vm: str
+    wall_ms: int
+
+
+CrashEntry = CrashReport | CrashTrial
+
+
 @attrs.frozen
 class Bounds:
     """Limits from the users' rules.
--- a/src/oriolegate/placement/leaf_directory.py
+++ b/src/oriolegate/placement/leaf_directory.py
@@ -460,6 +460,23 @@
             return NoLeaf.ALL_QUIET
         return NoLeaf.ALL_LIMITED
 
+    def choose_warm(
+        self, now_ms: float, criteria: LeafCriteria
+    ) -> LeafRecord | None:
+        """Return the warm and free leaf with the lowest expected latency."""
+        free = [
+            record
+            for record in self.by_service.get(criteria.service, {}).values()
+            if self._is_allowed(record, criteria)
+            and record.entry_removed_at_ms is None
+            and not record.is_cold(now_ms)
+            and not record.is_full(now_ms)
+            and not record.is_declining(now_ms)
+        ]
+        if not free or now_ms < self.hold_until_ms:
+            return None
+        return self._fastest(now_ms, free, criteria)
+
     def _fastest(
         self, now_ms: float, free: list[LeafRecord], criteria: LeafCriteria
     ) -> LeafRecord:
--- a/src/oriolegate/runtime/crash_reporter.py
+++ b/src/oriolegate/runtime/crash_reporter.py
@@ -1,4 +1,9 @@
-"""Reports requests that may have crashed leafs to the other VMs."""
+"""Reports requests that may have crashed leafs to the other VMs.
+
+Each VM stops believing a report some time after it has read it. The VM that
+wrote it removes it then; as that VM may be gone, each other one does so after a
+random delay, unless another was faster.
+"""
 
 import random
 from typing import Any
@@ -12,6 +17,7 @@
 from oriolegate.crashes.report_queue import ReportQueue
 from oriolegate.crashes.report_queue import WriteReport
 from oriolegate.metrics import MetricsRegistry
+from oriolegate.models.site import CrashEntry
 from oriolegate.models.site import CrashReport
 from oriolegate.models.site import LeafEntry
 from oriolegate.models.stored import Collection
@@ -30,8 +36,10 @@
 WRITTEN_STATUSES = (200, 201, 409)
 # Statuses after which a report does not exist.
 REMOVED_STATUSES = (200, 204, 404)
-# Lifetime of a report, and so of a refusal: time for an operator to react.
-REPORT_TTL_S = 600.0
+# Delays after which a VM removes an expired entry of another VM: the writer is
+# first, and few VMs remove the same one.
+MIN_REMOVAL_DELAY_S = 5.0
+MAX_REMOVAL_DELAY_S = 60.0
 
 
 class CrashReporter:
@@ -40,6 +48,8 @@
     Attributes:
         queue: Operations that the store has still to confirm.
         timer: Timer of the next look at the queue, or None.
+        expiry_timer: Timer of the next entry that expires, or None.
+        expired: Names of expired entries that the store may still hold.
     """
 
     def __init__(
@@ -56,10 +66,13 @@
         self.clock = clock
         self.client = client
         self.vm = vm
+        self.rng = rng
         self.ledger = ledger
         self.metrics = metrics
         self.queue = ReportQueue(rng, ledger.count_reports)
         self.timer: Any = None
+        self.expiry_timer: Any = None
+        self.expired: set[str] = set()
 
     def on_liveness_known(self, leaf: LeafEntry, is_alive: bool) -> None:
         """Report the lost requests of a leaf if it has crashed."""
@@ -107,32 +120,65 @@
             vm=self.vm,
             wall_ms=self.clock.wall_ms(),
         )
-        self.ledger.add_report(name, report)
+        self.on_entry(name, report)
         self._count("reported")
         self._log(leaf, lost).warning(
             "leaf crashed with a request in flight; reporting the request"
         )
         self.queue.add(WriteReport(name, report))
-        self.reactor.callLater(REPORT_TTL_S, self._expire, name)
 
-    def _expire(self, name: str) -> None:
-        if self.ledger.find_report(name) is not None:
-            self.withdraw((name,))
+    def on_entry(self, name: str, entry: CrashEntry) -> None:
+        """Believe a report or trial until it expires or is removed."""
+        self.ledger.add_entry(self.clock.now_ms(), name, entry)
+        self._set_expiry_timer()
+
+    def on_entry_removed(self, name: str) -> None:
+        """Handle that the store no longer holds a report or trial."""
+        self.expired.discard(name)
+        self.ledger.remove_entry(name)
+
+    def _set_expiry_timer(self) -> None:
+        due_ms = self.ledger.next_expiry_ms()
+        if due_ms is not None and self.expiry_timer is None:
+            delay_s = max(0.0, due_ms - self.clock.now_ms()) / MS_PER_S
+            self.expiry_timer = self.reactor.callLater(delay_s, self._expire)
+
+    def _expire(self) -> None:
+        self.expiry_timer = None
+        expired = self.ledger.remove_expired(self.clock.now_ms())
+        for name, entry in expired.items():
+            if entry.vm == self.vm:
+                self.queue.add(RemoveReport(name))
+                continue
+            self.expired.add(name)
+            delay_s = self.rng.uniform(MIN_REMOVAL_DELAY_S, MAX_REMOVAL_DELAY_S)
+            self.reactor.callLater(delay_s, self._remove_expired, name)
+        if expired:
+            log.bind(names=sorted(expired)).info("crash reports expired")
+        self._make_operations()
+        self._set_expiry_timer()
+
+    def _remove_expired(self, name: str) -> None:
+        if name in self.expired:
+            self.expired.discard(name)
+            self.queue.add(RemoveReport(name))
+            self._make_operations()
 
-    def on_report_absent(self, name: str, report: CrashReport) -> None:
-        """Write a report of this VM again that a restored store lacks."""
-        if report.vm == self.vm:
+    def on_entry_absent(self, name: str) -> None:
+        """Write an entry of this VM again that a restored store lacks."""
+        entry = self.ledger.find_entry(name)
+        if entry is not None and entry.vm == self.vm:
             log.bind(name=name).info(
                 "restored store lacks a crash report; writing it again"
             )
-            self.queue.add(WriteReport(name, report))
+            self.queue.add(WriteReport(name, entry))
             self._make_operations()
 
     def withdraw(self, names: tuple[str, ...]) -> None:
-        """Remove reports that expired or whose request has succeeded."""
+        """Remove the reports and trials of a request that has succeeded."""
         for name in names:
             self._count("withdrawn")
-            self.ledger.remove_report(name)
+            self.ledger.remove_entry(name)
             self.queue.add(RemoveReport(name))
         self._make_operations()
 
--- a/src/oriolegate/runtime/exchange_runner.py
+++ b/src/oriolegate/runtime/exchange_runner.py
@@ -7,6 +7,7 @@
 
 from oriolegate.clock import Clock
 from oriolegate.crashes.crash_ledger import CrashLedger
+from oriolegate.crashes.crash_ledger import Suspicion
 from oriolegate.exchange import replying
 from oriolegate.exchange.exchange import Exchange
 from oriolegate.exchange.exchange import NO_HISTORY
@@ -33,6 +34,7 @@
 from oriolegate.platform import leaf_protocol
 from oriolegate.platform.leaf_protocol import NoAnswer
 from oriolegate.routing.route_table import RouteTable
+from oriolegate.runtime.crash_trials import CrashTrials
 from oriolegate.runtime.forward_server import ForwardedRequest
 from oriolegate.runtime.leaf_outcomes import LeafOutcomes
 from oriolegate.runtime.request_handover import RequestHandover
@@ -49,8 +51,8 @@
 # retry as late as its deadline allows.
 NO_CONFIGURATION_RETRY_MS = 200.0
 STORE_UNAVAILABLE_AFTER_MS = 300.0
-# Retry-After of a request that crashes leafs: the request is refused for ten
-# minutes, and an operator may have acted on the crashes after this time.
+# Retry-After of a request that crashes leafs and is not tried any more: it is
+# refused for ten minutes, and an operator may have acted after this time.
 CRASHING_RETRY_MS = 60_000.0
 # Retry-After of a request that this VM can't end before it stops: another VM
 # takes it at once.
@@ -59,6 +61,21 @@
 Request = CallerHttpRequest | ForwardedRequest
 
 
+@attrs.frozen
+class Before:
+    """What happened to a request between its arrival and the first send.
+
+    Attributes:
+        arrived_ms: When it arrived.
+        failed: What other VMs did that were asked to serve it, or None.
+        is_trial: Whether it may crash leafs and a trial of it was claimed.
+    """
+
+    arrived_ms: float
+    failed: ForwardFailed | None = None
+    is_trial: bool = False
+
+
 @attrs.define(eq=False)
 class RunningExchange:
     """An exchange with its I/O state.
@@ -95,6 +112,7 @@
         on_arrival: Called before each request is handled.
         leaf_outcomes: Records what sends show of their leafs.
         running: Open exchanges by request.
+        trials: Claims trials of requests that are refused.
         handover: Hands requests over to other VMs.
     """
 
@@ -107,6 +125,7 @@
         configuration: ConfigurationSink,
         request_log: RequestLog,
         crashes: CrashLedger,
+        trials: CrashTrials,
         leaf_outcomes: LeafOutcomes,
         handover: RequestHandover,
     ) -> None:
@@ -117,6 +136,7 @@
         self.configuration = configuration
         self.leaf_outcomes = leaf_outcomes
         self.crashes = crashes
+        self.trials = trials
         self.request_log = request_log
         self.started_ms = clock.now_ms()
         self.stop_admission: StopAdmission | None = None
@@ -189,38 +209,69 @@
                 OTHER_VM_RETRY_MS,
             )
             return
-        if self._refuse_crashing(request, call):
+        must_forward = self.handover.must_forward(table.configuration.version)
+        suspicion = self._find_crash_cause(call)
+        if suspicion is not None:
+            if must_forward or not self._claim_trial(
+                request, call, suspicion, route, table
+            ):
+                self._refuse_crashing(request, call, suspicion)
             return
-        if self.handover.must_forward(
-            table.configuration.version
-        ) and self.handover.hand_over_new(
+        if must_forward and self.handover.hand_over_new(
             request,
             call,
             route,
             table,
             lambda arrived_ms, failed: self._serve(
-                request, call, route, table, arrived_ms, failed
+                request, call, route, table, Before(arrived_ms, failed)
             ),
         ):
             return
         self._serve(request, call, route, table)
 
-    def _refuse_crashing(self, request: Request, call: CallerCall) -> bool:
-        """Refuse a request that crashes leafs; return whether it does."""
-        suspicion = self.crashes.suspicion(call)
-        if suspicion is None:
-            return False
-        if suspicion.must_refuse:
-            self._refuse(
-                request,
-                call,
-                STATUS_UNAVAILABLE,
-                "upstreams fall when they run it",
-                CRASHING_RETRY_MS,
-            )
-            return True
+    def _find_crash_cause(self, call: CallerCall) -> Suspicion | None:
+        """Return why a request must be refused, or None if it need not be."""
+        suspicion = self.crashes.suspicion(self.clock.now_ms(), call)
+        if suspicion is None or suspicion.must_refuse:
+            return suspicion
         self.request_log.log_suspicious(call, suspicion)
-        return False
+        return None
+
+    def _refuse_crashing(
+        self, request: Request, call: CallerCall, suspicion: Suspicion
+    ) -> None:
+        """Refuse a request that crashes leafs."""
+        retry_after_ms = suspicion.retry_after_ms
+        if retry_after_ms is None:
+            retry_after_ms = CRASHING_RETRY_MS
+        self._refuse(
+            request,
+            call,
+            STATUS_UNAVAILABLE,
+            "upstreams fall when they run it",
+            retry_after_ms,
+        )
+
+    def _claim_trial(
+        self,
+        request: CallerHttpRequest,
+        call: CallerCall,
+        suspicion: Suspicion,
+        route: Route,
+        table: RouteTable,
+    ) -> bool:
+        """Claim a trial of a refused request; return whether one is due."""
+        before = Before(self.clock.now_ms(), is_trial=True)
+
+        def done(may_try: bool) -> None:
+            if may_try:
+                self._serve(request, call, route, table, before)
+            else:
+                self._refuse_crashing(request, call, suspicion)
+
+        return self.trials.claim(
+            request, call, suspicion, route, table.services(route), done
+        )
 
     def _serve(
         self,
@@ -228,8 +279,7 @@
         call: CallerCall,
         route: Route,
         table: RouteTable,
-        asked_others_ms: float | None = None,
-        failed: ForwardFailed | None = None,
+        before: Before | None = None,
     ) -> None:
         """Send a request to leafs.
 
@@ -238,16 +288,17 @@
             call: Its content.
             route: Its route.
             table: The configuration in force.
-            asked_others_ms: When the request arrived, if other VMs were asked
-                to serve it since.
-            failed: What these did with it, or None.
+            before: What happened since the request arrived, or None if it has
+                just arrived.
         """
         now_ms = self.clock.now_ms()
-        was_handed_over = asked_others_ms is not None
-        arrived_ms = now_ms if asked_others_ms is None else asked_others_ms
+        before = before or Before(now_ms)
+        arrived_ms = before.arrived_ms
         history = NO_HISTORY
-        if failed is not None:
-            history = RequestHistory(failed.is_counted, failed.has_arrived)
+        if before.failed is not None:
+            history = RequestHistory(
+                before.failed.is_counted, before.failed.has_arrived
+            )
         if isinstance(request, ForwardedRequest):
             forwarded = request.forwarded
             arrived_ms -= forwarded.elapsed_ms
@@ -265,12 +316,13 @@
             self.context,
             arrived_ms,
             history=history,
+            is_trial=before.is_trial,
         )
         running = RunningExchange(
             exchange,
             request,
             leaf_protocol.request_head(call),
-            was_handed_over,
+            before.failed is not None,
         )
         self.running[request] = running
         self._execute(running, exchange.start(now_ms))
@@ -296,7 +348,9 @@
             request.decline(ForwardState.CUT_OFF)
         elif forwarded.used_attempts >= route.attempts:
             request.decline()
-        elif not self._refuse_crashing(request, call):
+        elif (suspicion := self._find_crash_cause(call)) is not None:
+            self._refuse_crashing(request, call, suspicion)
+        else:
             self._serve(request, call, route, table)
 
     def cancel_forwarded(self, request: ForwardedRequest) -> None:
@@ -351,6 +405,7 @@
     def caller_gone(self, request: CallerHttpRequest) -> None:
         """Stop working on a request whose caller disconnected."""
         self.handover.cancel(request)
+        self.trials.cancel(request)
         self._cancel(request)
 
     def _cancel(self, request: Request) -> None:
@@ -367,6 +422,7 @@
         now_ms = self.clock.now_ms()
         for running in list(self.running.values()):
             self._execute(running, running.exchange.on_process_end(now_ms))
+        self.trials.end_all()
         self.handover.end_all()
 
     def _refuse(
--- a/src/oriolegate/runtime/gateway_composition.py
+++ b/src/oriolegate/runtime/gateway_composition.py
@@ -8,6 +8,7 @@
 
 from oriolegate import structured_log
 from oriolegate.clock import Clock
+from oriolegate.crashes import trial_schedule
 from oriolegate.crashes.crash_ledger import CrashLedger
 from oriolegate.exchange.part_sender import ExchangeContext
 from oriolegate.following.follower import CollectionSink
@@ -30,6 +31,7 @@
 from oriolegate.retries.retry_budget import RetryBudget
 from oriolegate.runtime.contact_watch import ContactWatch
 from oriolegate.runtime.crash_reporter import CrashReporter
+from oriolegate.runtime.crash_trials import CrashTrials
 from oriolegate.runtime.down_confirmation import DownConfirmation
 from oriolegate.runtime.exchange_runner import ExchangeRunner
 from oriolegate.runtime.forward_server import ForwardServer
@@ -126,6 +128,9 @@
     configuration = ConfigurationSink(directory)
 
     crashes = CrashLedger()
+    crashes.trials.draw_spread_ms = lambda: rng.uniform(
+        0.0, trial_schedule.SPREAD_PER_MEMBER_MS * len(directory.members)
+    )
     reporter = CrashReporter(
         reactor, clock, store_client, settings.vm, crashes, registry, rng
     )
@@ -163,7 +168,7 @@
         Collection.MEMBERS: MemberSink(
             settings.vm, on_members_changed, members.on_entry_absent
         ),
-        Collection.CRASHES: CrashSink(crashes, reporter.on_report_absent),
+        Collection.CRASHES: CrashSink(reporter),
     }
     errors = registry.counter("oriolegate_unexpected_errors_total")
     caches = {
@@ -265,6 +270,16 @@
         configuration,
         request_log,
         crashes,
+        CrashTrials(
+            reactor,
+            clock,
+            store_client,
+            settings.vm,
+            directory,
+            checker,
+            reporter,
+            registry,
+        ),
         leaf_outcomes,
         RequestHandover(
             clock,
--- a/src/oriolegate/runtime/leaf_checker.py
+++ b/src/oriolegate/runtime/leaf_checker.py
@@ -114,6 +114,24 @@
 
         self._request_health(record, on_report)
 
+    def check_before_trial(
+        self, record: LeafRecord, done: Callable[[bool], None]
+    ) -> None:
+        """Check whether a leaf is healthy before a request that may crash it.
+
+        Args:
+            record: The leaf.
+            done: Called with whether it is.
+        """
+
+        def on_report(report: HealthReport | NoAnswer) -> None:
+            is_healthy = _is_healthy(report, record)
+            if not is_healthy:
+                self.check_liveness_later(record)
+            done(is_healthy)
+
+        self._request_health(record, on_report)
+
     def check_liveness_later(self, record: LeafRecord) -> None:
         """Check later whether a leaf that rejected a connection has crashed.
 
--- a/src/oriolegate/runtime/site_sinks.py
+++ b/src/oriolegate/runtime/site_sinks.py
@@ -1,12 +1,14 @@
 """Sinks that apply objects of the store to this VM's state."""
 
 from collections.abc import Callable
+from typing import Protocol
 
 from oriolegate import structured_log
-from oriolegate.crashes.crash_ledger import CrashLedger
 from oriolegate.exceptions import MalformedEntryError
 from oriolegate.models.site import Configuration
+from oriolegate.models.site import CrashEntry
 from oriolegate.models.site import CrashReport
+from oriolegate.models.site import CrashTrial
 from oriolegate.models.site import LeafEntry
 from oriolegate.models.site import MemberEntry
 from oriolegate.models.stored import StoredObject
@@ -194,47 +196,61 @@
         """Do nothing; `put` and `remove` have applied every entry."""
 
 
+class CrashEntries(Protocol):
+    """Receives the reports and trials that the store holds."""
+
+    def on_entry(self, name: str, entry: CrashEntry) -> None:
+        """Handle an entry that was added or updated."""
+        ...
+
+    def on_entry_removed(self, name: str) -> None:
+        """Handle an entry that was removed."""
+        ...
+
+    def on_entry_absent(self, name: str) -> None:
+        """Handle an entry that a restored store lacks."""
+        ...
+
+
 class CrashSink:
-    """Applies crash reports to the crash ledger."""
+    """Applies crash reports, and trials of the requests they are about."""
 
-    def __init__(
-        self,
-        ledger: CrashLedger,
-        on_report_absent: Callable[[str, CrashReport], None],
-    ) -> None:
-        self.ledger = ledger
-        self.on_report_absent = on_report_absent
+    def __init__(self, entries: CrashEntries) -> None:
+        self.entries = entries
         self.invalid_entries = InvalidEntryLog("crashes")
 
     def put(self, now_ms: float, item: StoredObject) -> None:
-        """Add a crash report."""
+        """Add a crash report or a trial."""
         try:
-            report = crash_entry.decode(item.content)
+            entry = crash_entry.decode(item.content)
         except MalformedEntryError as error:
             self.invalid_entries.log_once(item, error)
             return
-        self.ledger.add_report(item.name, report)
-        log.bind(id=report.attempt_id, leaf=report.leaf_id, vm=report.vm).info(
-            "crash reported"
-        )
+        self.entries.on_entry(item.name, entry)
+        bound_log = log.bind(id=entry.attempt_id, vm=entry.vm)
+        match entry:
+            case CrashReport():
+                bound_log.bind(leaf=entry.leaf_id).info("crash reported")
+            case CrashTrial():
+                bound_log.bind(trial=entry.number).info(
+                    "trial of a refused request claimed"
+                )
 
     def put_restored(self, now_ms: float, item: StoredObject) -> None:
         """Apply an entry of a restored store like any other."""
         self.put(now_ms, item)
 
     def remove(self, now_ms: float, name: str, by_list: bool) -> None:
-        """Remove a crash report that is no longer valid."""
-        self.ledger.remove_report(name)
+        """Remove a crash report or trial that is no longer valid."""
+        self.entries.on_entry_removed(name)
         log.bind(name=name, by_list=by_list).info("crash report removed")
 
     def on_absent(self, now_ms: float, name: str) -> None:
-        """Let the VM that wrote a report write it again."""
-        report = self.ledger.find_report(name)
-        if report is not None:
-            self.on_report_absent(name, report)
+        """Let the VM that wrote an entry write it again."""
+        self.entries.on_entry_absent(name)
 
     def commit(self, now_ms: float, revision: int) -> None:
-        """Do nothing; `put` and `remove` have applied every report."""
+        """Do nothing; `put` and `remove` have applied every entry."""
 
 
 class MemberSink:
--- a/tests/crashes/test_crash_ledger.py
+++ b/tests/crashes/test_crash_ledger.py
@@ -5,9 +5,11 @@
 import attrs
 
 from oriolegate.crashes import crash_ledger
+from oriolegate.crashes import trial_schedule
 from oriolegate.crashes.crash_ledger import CrashLedger
 from oriolegate.crashes.crash_ledger import LostRequest
 from oriolegate.models.site import CrashReport
+from oriolegate.models.site import CrashTrial
 from tests import site_builders as build
 
 
@@ -23,13 +25,14 @@
         )
 
     def report(self, leaf_id, attempt_id="a1", vm="vm-1", wall_ms=0):
-        self.ledger.add_report(
+        self.ledger.add_entry(
+            0.0,
             f"{self.fingerprint}-{leaf_id}",
             CrashReport(self.fingerprint, attempt_id, leaf_id, vm, wall_ms),
         )
 
     def must_refuse(self):
-        suspicion = self.ledger.suspicion(self.call)
+        suspicion = self.ledger.suspicion(0.0, self.call)
         return suspicion is not None and suspicion.must_refuse
 
     def reported(self, leaf_id, now_ms=0.0):
@@ -139,28 +142,87 @@
     def test_a_removed_report_no_longer_counts(self):
         for number in range(3):
             self.report(f"l{number}", f"a{number}")
-        self.ledger.remove_report(f"{self.fingerprint}-l1")
-        self.ledger.remove_report("unknown")
+        self.ledger.remove_entry(f"{self.fingerprint}-l1")
+        self.ledger.remove_entry("unknown")
         self.assertFalse(self.must_refuse())
-        self.ledger.remove_report(f"{self.fingerprint}-l0")
-        self.ledger.remove_report(f"{self.fingerprint}-l2")
+        self.ledger.remove_entry(f"{self.fingerprint}-l0")
+        self.ledger.remove_entry(f"{self.fingerprint}-l2")
         self.assertEqual(self.ledger.reports, {})
 
+    def claim_trial(self, now_ms, number=1):
+        trial = CrashTrial(self.fingerprint, number, "a9", "vm-1", 0)
+        self.ledger.add_entry(now_ms, f"trial-{number}", trial)
+
+    def test_a_refused_request_is_due_for_a_trial(self):
+        for number in range(3):
+            self.report(f"l{number}", f"a{number}")
+        due_ms = trial_schedule.FIRST_TRIAL_MS
+        suspicion = self.ledger.suspicion(due_ms, self.call)
+        self.assertTrue(suspicion.must_refuse)
+        self.assertEqual(suspicion.trial_number, 1)
+        self.claim_trial(due_ms)
+        suspicion = self.ledger.suspicion(due_ms, self.call)
+        self.assertTrue(suspicion.must_refuse)
+        self.assertIsNone(suspicion.trial_number)
+
+    def test_a_success_withdraws_the_trials_too(self):
+        self.report("l1")
+        self.claim_trial(0.0)
+        self.assertEqual(len(self.ledger.record_success(self.call)), 2)
+        self.assertEqual(self.ledger.trials.schedules, {})
+        self.assertEqual(self.ledger.read_at_ms, {})
+
+    def test_a_report_read_again_does_not_postpone_a_trial(self):
+        for now_ms in (0.0, 500.0):
+            for number in range(3):
+                report = CrashReport(
+                    self.fingerprint, f"a{number}", "l", "vm-2", 0
+                )
+                self.ledger.add_entry(now_ms, f"r{number}", report)
+        due_ms = trial_schedule.FIRST_TRIAL_MS
+        suspicion = self.ledger.suspicion(due_ms, self.call)
+        self.assertEqual(suspicion.trial_number, 1)
+
+    def test_entries_expire_some_time_after_they_were_first_read(self):
+        # Their writers may be gone, which would remove them.
+        self.report("l1", vm="vm-gone")
+        self.claim_trial(1.0)
+        self.claim_trial(2.0)
+        ttl_ms = crash_ledger.ENTRY_TTL_MS
+        self.assertEqual(self.ledger.next_expiry_ms(), ttl_ms)
+        self.assertEqual(self.ledger.remove_expired(ttl_ms - 1.0), {})
+        self.assertEqual(
+            list(self.ledger.remove_expired(ttl_ms)), [f"{self.fingerprint}-l1"]
+        )
+        self.assertEqual(
+            list(self.ledger.remove_expired(ttl_ms + 1.0)), ["trial-1"]
+        )
+        self.assertIsNone(self.ledger.next_expiry_ms())
+        self.assertEqual(self.ledger.trials.schedules, {})
+
     def test_a_refused_request_stays_refused_among_many_suspects(self):
         for number in range(3):
             self.report(f"l{number}", f"a{number}")
         for number in range(crash_ledger.MAX_SUSPECTS + 10):
             report = CrashReport(number, "a1", "l1", "vm-1", 0)
-            self.ledger.add_report(str(number), report)
+            self.ledger.add_entry(0.0, str(number), report)
         self.assertTrue(self.must_refuse())
 
     def test_all_collections_are_bounded(self):
         for number in range(crash_ledger.MAX_SUSPECTS + 10):
             report = CrashReport(number, "a1", "l1", "vm-1", 0)
-            self.ledger.add_report(str(number), report)
+            self.ledger.add_entry(0.0, str(number), report)
             self.ledger.record_lost_request(
                 f"l{number}", LostRequest(number, "a1")
             )
+            trial = CrashTrial(-number, 1, "a1", "vm-1", 0)
+            self.ledger.add_entry(0.0, f"trial-{number}", trial)
+        self.assertEqual(
+            len(self.ledger.trials.schedules), crash_ledger.MAX_SUSPECTS
+        )
+        self.assertLessEqual(
+            len(self.ledger.read_at_ms), 2 * crash_ledger.MAX_SUSPECTS
+        )
         for number in range(crash_ledger.MAX_HARMLESS + 10):
             self.ledger.record_success(
                 attrs.evolve(self.call, body=b"%d" % number)
--- a/tests/exchange/test_exchange.py
+++ b/tests/exchange/test_exchange.py
@@ -201,6 +201,75 @@
         self.assertEqual(part.arrivals, 2)
 
 
+class TrialTest(unittest.TestCase):
+    """A request that may crash leafs is sent to one leaf at a time."""
+
+    def setUp(self):
+        self.services = ("s1", "s2", "s3")
+        leafs = [
+            build.leaf(f"{name}-{place}", name, f"dc-{place}")
+            for name in self.services
+            for place in "ab"
+        ]
+        self.context = build.exchange_context(leafs, self.services)
+
+    def start(self, **changes):
+        exchange = build.exchange(
+            build.gather_route(self.services, **changes),
+            self.context,
+            is_trial=True,
+        )
+        return exchange, build.sends(exchange.start(0.0))
+
+    def test_one_part_is_sent_until_it_has_succeeded(self):
+        exchange, sends = self.start()
+        self.assertEqual([send.leaf.service for send in sends], ["s1"])
+        sends = build.sends(exchange.on_answer(5.0, 1, build.answer()))
+        self.assertEqual([send.leaf.service for send in sends], ["s2", "s3"])
+        exchange.on_answer(9.0, 2, build.answer(signature=b"b"))
+        (reply,) = exchange.on_answer(9.0, 3, build.answer(signature=b"c"))
+        self.assertEqual(reply.missing, 0)
+
+    def test_no_second_leaf_gets_it_after_one_may_have_crashed(self):
+        exchange, _ = self.start()
+        (reply,) = exchange.on_failure(
+            5.0, 1, SendOutcome.MAY_HAVE_RUN, "reset"
+        )
+        self.assertEqual(reply.status, 502)
+        self.assertEqual(exchange.send_count, 1)
+
+    def test_a_leaf_that_did_not_run_it_is_followed_by_another(self):
+        exchange, _ = self.start()
+        (send,) = exchange.on_failure(5.0, 1, SendOutcome.NOT_RUN, "busy")
+        self.assertEqual(send.leaf.leaf_id, "s1-b")
+
+    def test_a_leaf_that_failed_it_is_followed_by_another(self):
+        exchange, _ = self.start()
+        (send,) = exchange.on_answer(5.0, 1, build.answer(status=500))
+        self.assertEqual(send.leaf.leaf_id, "s1-b")
+        (reply,) = exchange.on_failure(
+            9.0, 2, SendOutcome.MAY_HAVE_RUN, "reset"
+        )
+        self.assertEqual(reply.status, 502)
+
+    def test_it_gets_no_hedge(self):
+        exchange, _ = self.start()
+        effects = []
+        now_ms = 0.0
+        while exchange.reply is None:
+            now_ms = max(now_ms + 1.0, exchange.timer_due_ms)
+            effects += exchange.on_timer(now_ms)
+        self.assertEqual(build.sends(effects), [])
+        self.assertEqual(exchange.reply.status, 502)
+
+    def test_without_a_leaf_it_is_refused_at_once(self):
+        for record in self.context.directory.by_service["s1"].values():
+            record.suspect = True
+        exchange, sends = self.start()
+        self.assertEqual(sends, [])
+        self.assertEqual(exchange.reply.status, 503)
+
+
 class NonIdempotentTest(unittest.TestCase):
     def setUp(self):
         self.context = build.exchange_context(
--- a/tests/platform/test_gateway.py
+++ b/tests/platform/test_gateway.py
@@ -14,6 +14,7 @@
 
 from oriolegate.clock import SystemClock
 from oriolegate.crashes import crash_ledger
+from oriolegate.crashes import trial_schedule
 from oriolegate.following import follower
 from oriolegate.models.site import Bounds
 from oriolegate.models.site import CrashReport
@@ -571,6 +572,51 @@
         ]
         self.assertEqual(run_paths, [b"/one/good"])
 
+    async def block(self, site):
+        """Let the store hold reports about a request of VMs that are gone."""
+        call = attrs.evolve(build.call(), target=b"/one/blamed")
+        fingerprint = crash_ledger.call_fingerprint(call)
+        for number in range(3):
+            report = CrashReport(
+                fingerprint, f"a{number}", f"l{number}", "vm-gone", 0
+            )
+            content = crash_entry.encode(report)
+            site.store.put("oriolegate-crashes", f"{number}", content)
+        ledger = site.process.parts.runner.crashes
+        await site.wait_until(
+            lambda: len(ledger.reports.get(fingerprint, ())) == 3
+        )
+        self.assertEqual((await site.get(b"/one/blamed")).status, 503)
+
+    @on_site
+    async def test_a_harmless_request_is_not_refused_for_ever(self, site):
+        # Popular requests that waited at leafs which went dark were refused at
+        # all VMs, and nothing ended that.
+        await self.block(site)
+        await sleep(trial_schedule.FIRST_TRIAL_MS / 1_000 + 0.1)
+        self.assertEqual((await site.get(b"/one/blamed")).status, 200)
+        self.assertEqual((await site.get(b"/one/blamed")).status, 200)
+        entries = site.store.objects["oriolegate-crashes"]
+        await site.wait_until(lambda: not entries)
+
+    @on_site
+    async def test_a_trial_of_another_vm_prevents_one_here(self, site):
+        await self.block(site)
+        call = attrs.evolve(build.call(), target=b"/one/blamed")
+        fingerprint = crash_ledger.call_fingerprint(call)
+        await sleep(trial_schedule.FIRST_TRIAL_MS / 1_000 + 0.1)
+        # Written unnoticed, as before the watch returns it.
+        name = f"{fingerprint:016x}-trial-1"
+        site.store.objects["oriolegate-crashes"][name] = {}
+        response = await site.get(b"/one/blamed")
+        self.assertEqual(response.status, 503)
+        retry_after_s = float(response.header(b"retry-after"))
+        self.assertLess(retry_after_s, trial_schedule.RESULT_WAIT_MS / 1_000)
+        run_paths = [
+            r.path for leaf in site.leafs.values() for r in leaf.requests
+        ]
+        self.assertEqual(run_paths, [])
+
     @on_site
     async def test_an_error_answer_does_not_withdraw_crash_reports(self, site):
         call = attrs.evolve(build.call(), target=b"/one/bad")
--- a/tests/reactor_clock.py
+++ b/tests/reactor_clock.py
@@ -11,3 +11,6 @@
 
     def now_ms(self):
         return self.reactor.seconds() * MS_PER_S
+
+    def wall_ms(self):
+        return int(self.now_ms())
--- a/tests/runtime/test_crash_reporter.py
+++ b/tests/runtime/test_crash_reporter.py
@@ -11,6 +11,8 @@
 from oriolegate.crashes.crash_ledger import CrashLedger
 from oriolegate.crashes.crash_ledger import LostRequest
 from oriolegate.metrics import MetricsRegistry
+from oriolegate.models.site import CrashReport
+from oriolegate.models.site import CrashTrial
 from oriolegate.network.http_reader import HttpResponse
 from oriolegate.runtime import crash_reporter
 from oriolegate.runtime.crash_reporter import CrashReporter
@@ -101,7 +103,7 @@
         for leaf_id in ("l2", "l3", "l4"):
             self.lose_request(leaf_id, attempt_id=leaf_id)
             self.reporter.on_liveness_known(build.leaf(leaf_id), is_alive=False)
-        self.assertTrue(self.ledger.suspicion(self.call).must_refuse)
+        self.assertTrue(self.ledger.suspicion(0.0, self.call).must_refuse)
 
     def test_a_report_already_written_by_another_vm_is_not_retried(self):
         self.store.status = 409
@@ -113,7 +115,7 @@
     def test_a_report_is_removed_after_its_lifetime(self):
         self.lose_request("l1")
         self.reporter.on_liveness_known(build.leaf("l1"), is_alive=False)
-        self.advance(crash_reporter.REPORT_TTL_S, step_s=10.0)
+        self.advance(crash_ledger.ENTRY_TTL_MS / 1_000, step_s=10.0)
         self.assertEqual(self.store.calls, ["POST", "DELETE"])
         self.assertEqual(self.ledger.reports, {})
 
@@ -122,7 +124,7 @@
         self.reporter.on_liveness_known(build.leaf("l1"), is_alive=False)
         self.reporter.withdraw(self.ledger.record_success(self.call))
         self.assertEqual(self.store.calls, ["POST", "DELETE"])
-        self.advance(crash_reporter.REPORT_TTL_S, step_s=10.0)
+        self.advance(crash_ledger.ENTRY_TTL_MS / 1_000, step_s=10.0)
         self.assertEqual(self.store.calls, ["POST", "DELETE"])
 
     def test_reports_are_limited_when_many_leafs_crash_at_once(self):
@@ -166,3 +168,39 @@
         self.store.status = 200
         self.advance(3.0)
         self.assertEqual(self.store.calls, ["POST", "DELETE", "DELETE"])
+
+    def add_foreign_entry(self, name="n1"):
+        report = CrashReport(self.fingerprint, "a1", "l1", "vm-gone", 0)
+        self.reporter.on_entry(name, report)
+
+    def test_an_expired_report_of_a_vm_that_is_gone_is_removed(self):
+        # It was believed, and kept in the store, for ever.
+        self.add_foreign_entry()
+        self.advance(crash_ledger.ENTRY_TTL_MS / 1_000, step_s=10.0)
+        self.assertEqual((self.ledger.reports, self.store.calls), ({}, []))
+        self.advance(crash_reporter.MAX_REMOVAL_DELAY_S, step_s=10.0)
+        self.assertEqual(self.store.calls, ["DELETE"])
+
+    def test_an_expired_report_is_removed_by_one_vm(self):
+        self.add_foreign_entry()
+        self.advance(crash_ledger.ENTRY_TTL_MS / 1_000, step_s=10.0)
+        self.reporter.on_entry_removed("n1")
+        self.advance(crash_reporter.MAX_REMOVAL_DELAY_S, step_s=10.0)
+        self.assertEqual(self.store.calls, [])
+
+    def test_each_report_expires_in_its_turn(self):
+        self.add_foreign_entry("n1")
+        self.advance(300.0, step_s=10.0)
+        self.add_foreign_entry("n2")
+        self.advance(crash_ledger.ENTRY_TTL_MS / 1_000 - 300.0, step_s=10.0)
+        self.assertEqual(set(self.ledger.fingerprints), {"n2"})
+        self.advance(300.0, step_s=10.0)
+        self.assertEqual(self.ledger.reports, {})
+
+    def test_a_restored_store_gets_back_the_trials_of_this_vm(self):
+        for vm in ("vm-1", "vm-2"):
+            trial = CrashTrial(self.fingerprint, 1, "a1", vm, 0)
+            self.reporter.on_entry(vm, trial)
+            self.reporter.on_entry_absent(vm)
+        self.assertEqual(self.store.calls, ["POST"])
+        self.assertIn(b'"trial":1', self.store.bodies[0])
--- a/tests/site_builders.py
+++ b/tests/site_builders.py
@@ -104,6 +104,7 @@
     now_ms=0.0,
     time_left_ms=1_500.0,
     history=NO_HISTORY,
+    is_trial=False,
 ):
     services = chosen_route.shards or (chosen_route.split[0].service,)
     return Exchange(
@@ -114,6 +115,7 @@
         context,
         now_ms,
         history=history,
+        is_trial=is_trial,
     )
 
 
