Skip interim responses to HEAD requests

A leaf's 103 or 100 to a HEAD request reached the caller as the answer, and the connection was closed: the reader ended a response without a body at its head, interim or not. It now skips interim ones, as for other methods.

test_interim_responses_to_a_head_request_are_skipped failed before.

--- a/src/oriolegate/network/http_reader.py
+++ b/src/oriolegate/network/http_reader.py
@@ -128,11 +128,12 @@
         current = self.current
         current.status = self.parser.get_status_code()
         current.keep_alive = bool(self.parser.should_keep_alive())
-        has_no_body = current.status < 200 or current.status in (204, 304)
+        is_interim = current.status < 200
+        has_no_body = is_interim or current.status in (204, 304)
         self.ends_with_connection = (
             not self.has_framing_header and not has_no_body
         )
-        if self.expect_no_body:
+        if self.expect_no_body and not is_interim:
             # The parser doesn't know that the request was a HEAD.
             current.keep_alive = False
             self.in_progress = False
--- a/tests/network/test_http_reader.py
+++ b/tests/network/test_http_reader.py
@@ -64,6 +64,15 @@
         (response,) = self.reader.feed(WITH_LENGTH[:-3])
         self.assertEqual((response.body, response.keep_alive), (b"", False))
 
+    def test_interim_responses_to_a_head_request_are_skipped(self):
+        for status in (100, 103):
+            reader = ResponseReader()
+            reader.expect_no_body = True
+            data = b"HTTP/1.1 %d x\r\nA: b\r\n\r\n" % status
+            self.assertEqual(reader.feed(data), [])
+            (response,) = reader.feed(WITH_LENGTH[:-3])
+            self.assertEqual(response.status, 200)
+
     def test_invalid_http_is_rejected(self):
         for data in (
             b"garbage\r\n\r\n",
