Take an answer with an invalid status for no answer

A leaf in trouble may answer with the status 000. The reader took a status below 200 for that of an interim response, so that a GET waited for the rest until its time was over, and a HEAD got it as its answer; 600 and 999 reached the caller as they were. RFC 9110 has 100 to 599. Any other one now breaks the connection: the request may have run, and the caller gets another leaf's answer or 502.

test_a_status_that_http_does_not_have_is_rejected and test_no_status_that_http_does_not_have_is_passed_on (GET, HEAD, POST, gather) failed before.

--- a/src/oriolegate/network/http_reader.py
+++ b/src/oriolegate/network/http_reader.py
@@ -11,6 +11,11 @@
 # byte.
 MAX_HEAD_BYTES = 64 * 1024
 MAX_FRAMING_FACTOR = 8
+# Statuses that HTTP has (RFC 9110, section 15), and the first of a final
+# response.
+MIN_STATUS = 100
+MAX_STATUS = 599
+MIN_FINAL_STATUS = 200
 # Headers that state where the body ends.
 FRAMING_HEADERS = (b"content-length", b"transfer-encoding")
 
@@ -48,6 +53,7 @@
         expect_no_body: Whether the request in flight is a HEAD.
         max_body_bytes: Longest body.
         fed_bytes: Bytes since the last complete response.
+        has_invalid_status: Whether a response had a status that HTTP lacks.
     """
 
     def __init__(self, max_body_bytes: int = DEFAULT_MAX_BODY_BYTES) -> None:
@@ -62,6 +68,7 @@
         self.has_framing_header = False
         self.ends_with_connection = False
         self.expect_no_body = False
+        self.has_invalid_status = False
 
     def feed(self, data: bytes) -> list[HttpResponse]:
         """Parse received bytes and return the responses they complete.
@@ -82,6 +89,10 @@
                 raise UpstreamMessageError(
                     "the response body is too large"
                 ) from error
+            if self.has_invalid_status:
+                raise UpstreamMessageError(
+                    f"the response has the status {self.current.status:03}"
+                ) from error
             raise UpstreamMessageError(
                 f"malformed HTTP response: {error}"
             ) from error
@@ -127,8 +138,12 @@
         """Store the status (parser callback)."""
         current = self.current
         current.status = self.parser.get_status_code()
+        if not MIN_STATUS <= current.status <= MAX_STATUS:
+            # Callback errors reach `feed` only as the cause of its own.
+            self.has_invalid_status = True
+            raise ValueError("the status is not one of HTTP")
         current.keep_alive = bool(self.parser.should_keep_alive())
-        is_interim = current.status < 200
+        is_interim = current.status < MIN_FINAL_STATUS
         has_no_body = is_interim or current.status in (204, 304)
         self.ends_with_connection = (
             not self.has_framing_header and not has_no_body
@@ -151,7 +166,7 @@
         if not self.in_progress:
             return
         self.in_progress = False
-        if self.current.status < 200:
+        if self.current.status < MIN_FINAL_STATUS:
             # An interim response; the final response follows.
             return
         self.current.body = b"".join(self.chunks)
--- a/tests/network/test_http_reader.py
+++ b/tests/network/test_http_reader.py
@@ -73,6 +73,19 @@
             (response,) = reader.feed(WITH_LENGTH[:-3])
             self.assertEqual(response.status, 200)
 
+    def test_a_status_that_http_does_not_have_is_rejected(self):
+        # A leaf in trouble sent 000, and the caller got it as an answer.
+        for status in (b"000", b"001", b"099", b"600", b"999"):
+            for is_head in (False, True):
+                reader = ResponseReader()
+                reader.expect_no_body = is_head
+                data = WITH_LENGTH.replace(b"200", status)
+                with (
+                    self.subTest(status=status, is_head=is_head),
+                    self.assertRaisesRegex(UpstreamMessageError, "status"),
+                ):
+                    reader.feed(data)
+
     def test_invalid_http_is_rejected(self):
         for data in (
             b"garbage\r\n\r\n",
--- a/tests/runtime/test_broken_answers.py
+++ b/tests/runtime/test_broken_answers.py
@@ -2,6 +2,7 @@
 
 import unittest
 
+from oriolegate.network.http_connection import HttpCall
 from tests.platform import stand_in_documents as documents
 from tests.virtual_fleet import CALLER_TIMEOUT_MS
 from tests.virtual_fleet import FAST_BYTES_PER_S
@@ -65,16 +66,45 @@
     def call(self, route, framing, missing_bytes):
         self.framing = framing
         self.missing_bytes = missing_bytes
+        return self.send("POST" if route == "once" else "GET", route)
+
+    def send(self, method, route):
         self.attempt_count += 1
-        responses = []
-        method = "POST" if route == "once" else "GET"
+        results = []
         data = documents.caller_request(
             method, f"/{route}/x", f"a{self.attempt_count}", CALLER_TIMEOUT_MS
         )
-        client = self.fleet.client("vm0")
-        client.send(data, CALLER_TIMEOUT_MS + 500.0, responses.append)
+        self.fleet.client("vm0").pool.send(
+            HttpCall(
+                data,
+                results.append,
+                lambda response: True,
+                is_head=method == "HEAD",
+            )
+        )
         self.fleet.network.run_for(CALLER_TIMEOUT_MS / 1_000 + 1.0)
-        return responses[0]
+        return results[0].response
+
+    def send_status(self, request):
+        """Send a whole answer with the status of the test."""
+        whole = build_answer(request, "length")
+        request.connection.transport.write(whole.replace(b"200", self.status))
+
+    def test_no_status_that_http_does_not_have_is_passed_on(self):
+        for leaf in self.fleet.leafs.values():
+            leaf.behave = self.send_status
+        for self.status in (b"000", b"099", b"600", b"999"):
+            for method, route in (
+                ("GET", "one"),
+                ("HEAD", "one"),
+                ("POST", "once"),
+                ("GET", "all"),
+            ):
+                with self.subTest(status=self.status, route=route):
+                    response = self.send(method, route)
+                    self.assertEqual(response.status, 502)
+                    self.assertIsNone(response.header(b"server-seal"))
+                self.fleet.network.run_for(10.0)
 
     def test_no_answer_that_a_leaf_broke_off_is_passed_on_as_whole(self):
         for framing in FRAMINGS:
