Close a connection after too many responses to other requests

A faulty leaf may send whole responses without end that bear the id of another request. Each was parsed and dropped for as long as the caller waited. After eight of them the connection is closed and the request counts as possibly run.

test_responses_to_other_requests_without_end_break_a_connection failed before. Bytes without end in a head or in a body were limited already (tests/runtime/test_endless_answers.py, test_http_reader).

--- a/src/oriolegate/network/http_connection.py
+++ b/src/oriolegate/network/http_connection.py
@@ -33,6 +33,9 @@
 # A response to a longer request may arrive before all its bytes are sent, so
 # that the connection can't be reused.
 MAX_REUSE_REQUEST_BYTES = 16_384
+# Responses to other requests that may come before the one that is awaited: a
+# few late copies of earlier ones.
+MAX_UNMATCHED_RESPONSES = 8
 
 
 @attrs.frozen
@@ -182,8 +185,7 @@
         try:
             responses = self.reader.feed(data)
         except UpstreamMessageError as malformed:
-            self._finish_call(Broken(malformed.message))
-            self.transport.abortConnection()
+            self._break(malformed.message)
             return
         if self.buffer is not None:
             self._update_buffer(self.buffer)
@@ -210,10 +212,9 @@
             # For example a late second response to an earlier request.
             self.unmatched_responses += 1
             if not response.keep_alive:
-                self._finish_call(
-                    Broken("closed after a response to another request")
-                )
-                self.transport.abortConnection()
+                self._break("closed after a response to another request")
+            elif self.unmatched_responses > MAX_UNMATCHED_RESPONSES:
+                self._break("too many responses to other requests")
             return
         is_reusable = (
             response.keep_alive
@@ -230,6 +231,10 @@
             self.transport.abortConnection()
         call.done(Answered(response))
 
+    def _break(self, detail: str) -> None:
+        self._finish_call(Broken(detail))
+        self.transport.abortConnection()
+
     def _read_keep_alive(self, response: HttpResponse) -> None:
         value = response.header(b"keep-alive")
         if value is None:
--- a/tests/network/test_http_connection.py
+++ b/tests/network/test_http_connection.py
@@ -101,3 +101,21 @@
 
     def test_a_connection_closed_in_order_was_not_rejected(self):
         self.assertFalse(self.lose(1.0, CLOSED).rejected)
+
+
+class UnmatchedResponsesTest(unittest.TestCase):
+    def setUp(self):
+        self.owner = FakeOwner()
+        self.connection = HttpConnection(self.owner, FakeClock())
+        self.connection.makeConnection(FakeTransport())
+        self.connection.call.accepts = lambda response: False
+
+    def test_responses_to_other_requests_without_end_break_a_connection(self):
+        # Each one was parsed and dropped for as long as the caller waited.
+        for _ in range(http_connection.MAX_UNMATCHED_RESPONSES):
+            self.connection.dataReceived(ANSWER)
+        self.assertEqual(self.owner.results, [])
+        self.connection.dataReceived(10 * ANSWER)
+        (result,) = self.owner.results
+        self.assertIsInstance(result, Broken)
+        self.assertTrue(self.connection.transport.aborted)
