Let timers follow the monotonic clock

After the time of day of a machine was set back, it went on with an old configuration and did not end its planned stop in time. Twisted's timers follow the time of day, so each one was late by the jump.

--- a/src/oriolegate/commands/demo.py
+++ b/src/oriolegate/commands/demo.py
@@ -10,9 +10,9 @@
 
 import attrs
 from twisted.internet import defer
-from twisted.internet import reactor as default_reactor
 from twisted.internet import task
 
+from oriolegate import system_reactor
 from oriolegate.cli.status_codes import ExitStatus
 from oriolegate.logging_setup import setup_logging
 from oriolegate.measurement.caller import Caller
@@ -227,7 +227,7 @@
         The exit status: not 0 if a step did not have the expected result.
     """
     setup_logging()
-    reactor: Any = default_reactor
+    reactor = system_reactor.get_reactor()
     failures: list[str] = []
 
     def main() -> "defer.Deferred[None]":
--- a/src/oriolegate/commands/emulate.py
+++ b/src/oriolegate/commands/emulate.py
@@ -9,8 +9,8 @@
 from typing import Any
 
 from twisted.internet import error
-from twisted.internet import reactor as default_reactor
 
+from oriolegate import system_reactor
 from oriolegate.cli.status_codes import ExitStatus
 from oriolegate.exceptions import SettingsError
 from oriolegate.standins import api_resource
@@ -121,7 +121,7 @@
 
 def run(arguments: argparse.Namespace) -> int:
     """Run until the process gets a signal to stop; return the exit status."""
-    reactor: Any = default_reactor
+    reactor = system_reactor.get_reactor()
     site, routes = build(arguments, reactor)
     port = listen(arguments, site, routes, reactor)[0].getHost().port
     print(
--- a/src/oriolegate/commands/measure.py
+++ b/src/oriolegate/commands/measure.py
@@ -6,8 +6,8 @@
 from typing import Any
 
 from twisted.internet import defer
-from twisted.internet import reactor as default_reactor
 
+from oriolegate import system_reactor
 from oriolegate.cli.status_codes import ExitStatus
 from oriolegate.exceptions import OriolegateError
 from oriolegate.exceptions import SettingsError
@@ -58,7 +58,7 @@
     if arguments.seconds <= 0:
         raise SettingsError("--seconds must be more than 0")
     setup_logging()
-    reactor: Any = default_reactor
+    reactor = system_reactor.get_reactor()
     names = arguments.scenario or list(registry.SCENARIOS)
     options = registry.ScenarioOptions(
         reactor, arguments.seconds, arguments.seed
--- a/src/oriolegate/commands/serve.py
+++ b/src/oriolegate/commands/serve.py
@@ -4,12 +4,11 @@
 import os
 import random
 import signal
-from typing import Any
 
 from twisted.internet import error
-from twisted.internet import reactor as default_reactor
 
 from oriolegate import logging_setup
+from oriolegate import system_reactor
 from oriolegate.cli import options
 from oriolegate.clock import SystemClock
 from oriolegate.exceptions import SettingsError
@@ -31,7 +30,7 @@
     settings = load_serve_settings(vars(arguments), os.environ)
     logging_setup.setup_logging(settings.log_format, settings.verbose)
     logging_setup.forward_twisted_logs()
-    reactor: Any = default_reactor
+    reactor = system_reactor.get_reactor()
     platform = PlatformClient(
         reactor, PlatformClientSettings(settings.platform_urls[0])
     )
--- a/src/oriolegate/runtime/gateway_process.py
+++ b/src/oriolegate/runtime/gateway_process.py
@@ -5,6 +5,7 @@
 from typing import Any
 
 from oriolegate import structured_log
+from oriolegate import system_reactor
 from oriolegate.clock import SystemClock
 from oriolegate.exceptions import SettingsError
 from oriolegate.platform import node_settings
@@ -49,9 +50,7 @@
     Raises:
         SettingsError: If the settings file is unreadable or invalid.
     """
-    from twisted.internet import reactor as default_reactor
-
-    reactor: Any = default_reactor
+    reactor = system_reactor.get_reactor()
     clock = SystemClock()
     settings = node_settings.read(path)
     structured_log.start_logging(
--- a/tests/reactor_case.py
+++ b/tests/reactor_case.py
@@ -12,9 +12,11 @@
 from typing import Any
 
 from twisted.internet import defer
-from twisted.internet import reactor
 from twisted.python import failure
 
+from oriolegate import system_reactor
+
+reactor = system_reactor.get_reactor()
 TEST_TIMEOUT_S = 20.0
 
 
--- a/tools/soak/__main__.py
+++ b/tools/soak/__main__.py
@@ -24,12 +24,12 @@
 from tools.soak.gateways import GatewayProcess
 from tools.soak.run_main import run_until_done
 from twisted.internet import defer
-from twisted.internet import reactor as default_reactor
 
+from oriolegate import system_reactor
 from oriolegate.network.http_client import HttpClient
 from oriolegate.network.http_pool import HttpPool
 
-reactor: Any = default_reactor
+reactor = system_reactor.get_reactor()
 
 REGRESSIONS = pathlib.Path(__file__).with_name("regressions.txt")
 GATEWAY_COUNT = 4
--- a/tools/soak/budget_play.py
+++ b/tools/soak/budget_play.py
@@ -30,15 +30,15 @@
 from tools.soak.budget_judge import SentRequest
 from tools.soak.gateways import GatewayProcess
 from tools.soak.run_main import run_until_done
-from twisted.internet import reactor as default_reactor
 from twisted.internet import task
 
+from oriolegate import system_reactor
 from oriolegate.clock import SystemClock
 from oriolegate.network.http_connection import Answered
 from oriolegate.network.http_connection import HttpCall
 from oriolegate.network.http_pool import HttpPool
 
-reactor: Any = default_reactor
+reactor = system_reactor.get_reactor()
 
 HOST = "127.0.0.1"
 DATA_CENTRES = ("dca", "dcb", "dcc")
--- a/tools/soak/config_play.py
+++ b/tools/soak/config_play.py
@@ -29,12 +29,12 @@
 from tools.soak.proxy import LinkMode
 from tools.soak.run_main import run_until_done
 from twisted.internet import defer
-from twisted.internet import reactor as default_reactor
 
+from oriolegate import system_reactor
 from oriolegate.network.http_client import HttpClient
 from oriolegate.network.http_reader import HttpResponse
 
-reactor: Any = default_reactor
+reactor = system_reactor.get_reactor()
 
 SERVICES = ("s1", "n1", "s2", "n2", "s3", "n3", "s4")
 START_S = 6.0
--- a/tools/soak/crash_play.py
+++ b/tools/soak/crash_play.py
@@ -31,13 +31,13 @@
 from tools.soak.proxy import LinkMode
 from tools.soak.run_main import run_until_done
 from twisted.internet import defer
-from twisted.internet import reactor as default_reactor
 
+from oriolegate import system_reactor
 from oriolegate.network.http_connection import Answered
 from oriolegate.network.http_connection import HttpCall
 from oriolegate.network.http_pool import HttpPool
 
-reactor: Any = default_reactor
+reactor = system_reactor.get_reactor()
 
 GATEWAY_COUNT = 6
 CALLER_COUNT = 6
--- a/tools/soak/gateways.py
+++ b/tools/soak/gateways.py
@@ -168,6 +168,12 @@
             self.is_paused = False
         self.process.send_signal(number)
 
+    def set_clock(self, offset_s: float) -> None:
+        """Let the time of day of the process differ from the machine's."""
+        path = self.settings_path.with_name(self.settings_path.name + ".clock")
+        path.write_text(str(offset_s))
+        self.signal(signal.SIGUSR1)
+
     def close(self) -> None:
         """Kill the process and close its link."""
         self.closed = True
--- a/tools/soak/run_main.py
+++ b/tools/soak/run_main.py
@@ -5,9 +5,10 @@
 from typing import Any
 
 from twisted.internet import defer
-from twisted.internet import reactor as default_reactor
 
-reactor: Any = default_reactor
+from oriolegate import system_reactor
+
+reactor = system_reactor.get_reactor()
 
 STATUS_UNEXPECTED = 2
 
