Count the age of a member entry by the reader's monotonic clock

A VM whose time of day was an hour ahead took live VMs for lost and removed their entries. test_no_vm_is_removed_when_the_time_of_day_jumps failed before.

--- a/src/oriolegate/runtime/member_registration.py
+++ b/src/oriolegate/runtime/member_registration.py
@@ -37,7 +37,8 @@
     """Writes this VM's entry, renews it, and removes it at a planned stop.
 
     Attributes:
-        members: The member entries last received.
+        renewals: When this VM first read each entry as it is now, by VM, with
+            the time that it states: VMs differ in their time of day.
         is_leaving: Whether a planned stop has begun.
         is_writing: Whether a call that creates the entry is open.
     """
@@ -55,7 +56,7 @@
         self.client = client
         self.settings = settings
         self.rng = rng
-        self.members: tuple[MemberEntry, ...] = ()
+        self.renewals: dict[str, tuple[int, float]] = {}
         self.is_leaving = False
         self.is_writing = False
 
@@ -67,7 +68,14 @@
 
     def on_members_listed(self, members: tuple[MemberEntry, ...]) -> None:
         """Store the member list; write this VM's entry if it is missing."""
-        self.members = members
+        now_ms = self.clock.now_ms()
+        known = self.renewals
+        self.renewals = {}
+        for entry in members:
+            renewal = known.get(entry.vm)
+            if renewal is None or renewal[0] != entry.renewed_wall_ms:
+                renewal = (entry.renewed_wall_ms, now_ms)
+            self.renewals[entry.vm] = renewal
         if all(entry.vm != self.settings.vm for entry in members):
             self._write()
 
@@ -126,12 +134,12 @@
             ),
             "renewal of member entry finished",
         )
-        now_ms = self.clock.wall_ms()
-        for entry in self.members:
-            if now_ms - entry.renewed_wall_ms > LOST_AFTER_MS:
+        now_ms = self.clock.now_ms()
+        for vm, (_, read_at_ms) in self.renewals.items():
+            if now_ms - read_at_ms > LOST_AFTER_MS:
                 self._call(
-                    store_calls.delete_call(Collection.MEMBERS, entry.vm),
-                    f"removal of entry of lost VM {entry.vm} finished",
+                    store_calls.delete_call(Collection.MEMBERS, vm),
+                    f"removal of entry of lost VM {vm} finished",
                 )
         self._schedule_renewal()
 
