Let leafs of the same-id crash play come back

The play asked a closed port for its number, so that no crashed leaf came back under its id and the rest of the play had ever fewer leafs. The number is now read before the port is closed.

--- a/tools/soak/crash_play.py
+++ b/tools/soak/crash_play.py
@@ -140,6 +140,7 @@
             return
         self.judge.crashes_ms.append(self.now_ms())
         self.note(f"{name} crashes under {attempt} by {vm}")
+        port_number = soak_leaf.port.getHost().port
         soak_leaf.port.stopListening()
         if self.is_silent:
             soak_leaf.link.mode = LinkMode.SILENT
@@ -148,7 +149,9 @@
             soak_leaf.link.close()
             soak_leaf.leaf.crash()
         if self.keeps_id:
-            reactor.callLater(SAME_ID_DOWN_S, self._start_again, soak_leaf)
+            reactor.callLater(
+                SAME_ID_DOWN_S, self._start_again, soak_leaf, port_number
+            )
             return
         reactor.callLater(ENTRY_REMOVED_S, self._remove_entry, name)
         reactor.callLater(DOWN_S, self._replace, soak_leaf)
@@ -165,14 +168,13 @@
         """Start a leaf that the crashing request crashes."""
         self.take_over(self.environment.add_leaf(service, data_centre))
 
-    def _start_again(self, soak_leaf: SoakLeaf) -> None:
+    def _start_again(self, soak_leaf: SoakLeaf, port_number: int) -> None:
         """Start a leaf under its id and address."""
         if self.environment.stopped:
             return
         soak_leaf.born_ms = self.environment.clock.wall_ms()
-        number = soak_leaf.port.getHost().port
         soak_leaf.port = reactor.listenTCP(
-            number, LeafFactory(soak_leaf.leaf), interface="127.0.0.1"
+            port_number, LeafFactory(soak_leaf.leaf), interface="127.0.0.1"
         )
         soak_leaf.link.reopen()
         self.environment.leafs[soak_leaf.leaf.leaf_id] = soak_leaf
