Take the view of a VM elsewhere without the store and a VM of the data centre

The only VM of a data centre, turned away by the store, sent cold leafs two to three times what they bear: nothing told it that the data centre had been evacuated and was back, since only VMs of the same data centre passed on views. It now asks three VMs of its region, then of others.

--- a/src/oriolegate/following/source_choice.py
+++ b/src/oriolegate/following/source_choice.py
@@ -10,7 +10,8 @@
 also for the VM itself, so that all VMs go by the same rates.
 
 A VM that has lost the store and has no VM above itself takes the view of one
-below. It vouches for no view meanwhile, so that no cycle can arise.
+below, and if none has a view that the store confirms, of one in another data
+centre. It vouches for no view meanwhile, so that no cycle can arise.
 """
 
 import attrs
@@ -22,7 +23,9 @@
 # it while their own parent fails.
 FAN_OUT = 6
 MAX_FOLLOWERS = 2 * FAN_OUT
-# Number of VMs that a VM without the store and without a VM above itself asks.
+DISTANT_KEY = "distant-view"
+# Number of VMs below itself, and of VMs in other data centres, that a VM
+# without the store and without a VM above itself asks.
 MAX_FALLBACKS = 3
 # First and maximum backoff for a VM that did not answer.
 FIRST_BACKOFF_MS = 4_000.0
@@ -30,11 +33,14 @@
 # Backoff for a VM that answers but whose view the store doesn't confirm. Short,
 # since this VM may watch the store meanwhile, and watches are billed.
 UNCONFIRMED_BACKOFF_MS = 400.0
+# The same for a VM of another data centre: while the store is away for all, no
+# VM has anything to pass on.
+DISTANT_BACKOFF_MS = 1_500.0
 
 
 @attrs.frozen
 class Peer:
-    """A VM of the same data centre.
+    """Another VM.
 
     Attributes:
         vm: Name of the VM.
@@ -80,6 +86,7 @@
         vm: Name of this VM.
         higher_ranked: Peers that are tried, best first; all rank above this VM.
         lower_ranked: Peers that are tried while the store doesn't answer.
+        distant: VMs of other data centres that are tried after these.
         backoffs: Current backoff by name of the VM.
     """
 
@@ -87,6 +94,7 @@
         self.vm = vm
         self.higher_ranked: tuple[Peer, ...] = ()
         self.lower_ranked: tuple[Peer, ...] = ()
+        self.distant: tuple[Peer, ...] = ()
         self.backoffs: dict[str, Backoff] = {}
 
     def set_peers(self, peers: dict[str, Peer]) -> None:
@@ -106,10 +114,28 @@
         )
         below = ranking[own_rank + 1 : own_rank + 1 + MAX_FALLBACKS]
         self.lower_ranked = tuple(peers[name] for name in below)
+        self._forget_backoffs({*peers, *(peer.vm for peer in self.distant)})
+
+    def set_distant_peers(self, near: list[Peer], far: list[Peer]) -> None:
+        """Set the VMs of the other data centres.
+
+        Args:
+            near: Those in this VM's region, which are preferred.
+            far: Those in other regions.
+        """
+        chosen: list[Peer] = []
+        for peers in (near, far):
+            by_name = {peer.vm: peer for peer in peers}
+            # Each VM asks others, so that none is asked by many.
+            names = rendezvous.ranked(f"{DISTANT_KEY}/{self.vm}", by_name)
+            chosen += [by_name[name] for name in names]
+        self.distant = tuple(chosen[:MAX_FALLBACKS])
+
+    def _forget_backoffs(self, known: set[str]) -> None:
         self.backoffs = {
             name: backoff
             for name, backoff in self.backoffs.items()
-            if name in peers
+            if name in known
         }
 
     def choose(self, now_ms: float) -> Peer | None:
@@ -118,7 +144,13 @@
 
     def choose_fallback(self, now_ms: float) -> Peer | None:
         """Return a peer to ask while the store doesn't answer, or None."""
-        return self._first_available(now_ms, self.lower_ranked)
+        return self._first_available(
+            now_ms, (*self.lower_ranked, *self.distant)
+        )
+
+    def is_fallback(self, peer: Peer) -> bool:
+        """Return whether a peer is asked only without the store."""
+        return peer in self.lower_ranked or peer in self.distant
 
     def _first_available(
         self, now_ms: float, peers: tuple[Peer, ...]
@@ -139,7 +171,10 @@
 
     def record_unconfirmed(self, now_ms: float, vm: str) -> None:
         """Back off briefly from a VM whose view the store doesn't confirm."""
-        until_ms = now_ms + UNCONFIRMED_BACKOFF_MS
+        is_distant = any(peer.vm == vm for peer in self.distant)
+        until_ms = now_ms + (
+            DISTANT_BACKOFF_MS if is_distant else UNCONFIRMED_BACKOFF_MS
+        )
         self.backoffs[vm] = Backoff(until_ms, FIRST_BACKOFF_MS / 2.0)
 
     def record_answer(self, vm: str) -> None:
--- a/src/oriolegate/runtime/gateway_composition.py
+++ b/src/oriolegate/runtime/gateway_composition.py
@@ -106,6 +106,27 @@
     forward_server: ForwardServer
 
 
+def _set_view_sources(
+    choice: SourceChoice,
+    settings: NodeSettings,
+    entries: tuple[MemberEntry, ...],
+) -> None:
+    """Set the VMs from which this VM may take its view of the store."""
+    local: dict[str, Peer] = {}
+    near: list[Peer] = []
+    far: list[Peer] = []
+    for entry in entries:
+        peer = Peer(entry.vm, entry.host, entry.port, entry.link_mbps)
+        if entry.data_centre == settings.data_centre:
+            local[entry.vm] = peer
+        elif settings.regions.get(entry.data_centre) == settings.region:
+            near.append(peer)
+        else:
+            far.append(peer)
+    choice.set_distant_peers(near, far)
+    choice.set_peers(local)
+
+
 def build_parts(
     reactor: Any, clock: Clock, settings: NodeSettings, rng: random.Random
 ) -> GatewayParts:
@@ -149,15 +170,7 @@
         )
         directory.refresh_capacities()
         budget.set_members(clock.now_ms(), len(directory.members))
-        choice.set_peers(
-            {
-                entry.vm: Peer(
-                    entry.vm, entry.host, entry.port, entry.link_mbps
-                )
-                for entry in entries
-                if entry.data_centre == settings.data_centre
-            }
-        )
+        _set_view_sources(choice, settings, entries)
         targets.set_members(clock.now_ms(), entries)
         members.on_members_listed(entries)
 
--- a/src/oriolegate/runtime/peer_feed.py
+++ b/src/oriolegate/runtime/peer_feed.py
@@ -1,7 +1,7 @@
 """Follows a VM of the same data centre instead of the store.
 
 A VM that reads the store and loses it takes the view of a VM that ranks below
-it, until the store answers again.
+it or is in another data centre, until the store answers again.
 """
 
 from collections.abc import Callable
@@ -151,11 +151,10 @@
             self.store.resume()
             self._query_fallback()
             return
-        self.fallback = None
         self._query_peer(peer)
 
     def _query_fallback(self) -> None:
-        """Query a VM that ranks below if the store is cut off."""
+        """Query a VM that this one doesn't follow if the store is cut off."""
         peer = None
         if self.store.is_cut_off:
             peer = self.choice.choose_fallback(self.clock.now_ms())
@@ -281,7 +280,7 @@
             self._schedule_poll(0.0)
             return
         self.choice.record_answer(peer.vm)
-        if peer in self.choice.lower_ranked:
+        if self.choice.is_fallback(peer):
             self._set_fallback(peer)
         else:
             self._set_peer(peer)
@@ -358,6 +357,7 @@
         )
 
     def _set_peer(self, peer: Peer) -> None:
+        self.fallback = None
         if self.peer == peer:
             return
         self.peer = peer
@@ -370,7 +370,7 @@
             return
         self.fallback = peer
         log.bind(peer=peer.vm).warning(
-            "store does not answer; taking the view of a peer that ranks below"
+            "store does not answer; taking the view of another VM"
         )
 
     def _abandon_peer(self, reason: str) -> None:
--- a/tests/following/test_source_choice.py
+++ b/tests/following/test_source_choice.py
@@ -173,3 +173,54 @@
                 self.assertNotIn(name, seen)
                 seen.add(name)
                 name = follows[name]
+
+
+class DistantPeersTest(unittest.TestCase):
+    """10 data centres of 220 VMs, 55 of them near each, are the target."""
+
+    def setUp(self):
+        self.near = [Peer(f"n{n}", f"n{n}", 1) for n in range(440)]
+        self.far = [Peer(f"f{n}", f"f{n}", 1) for n in range(1_540)]
+
+    def choose(self, own):
+        choice = SourceChoice(own)
+        choice.set_distant_peers(self.near, self.far)
+        choice.set_peers({})
+        return choice
+
+    def test_vms_of_the_region_are_preferred(self):
+        for peer in self.choose("own").distant:
+            self.assertIn(peer, self.near)
+        self.near = self.near[:1]
+        distant = self.choose("own").distant
+        self.assertEqual(distant[0], self.near[0])
+        self.assertEqual(len(distant), source_choice.MAX_FALLBACKS)
+
+    def test_a_data_centre_without_the_store_spreads_over_the_others(self):
+        asked = collections.Counter(
+            self.choose(f"vm-{n}").choose_fallback(0.0).vm for n in range(220)
+        )
+        self.assertLessEqual(max(asked.values()), source_choice.MAX_FOLLOWERS)
+
+    def test_peers_below_are_asked_first(self):
+        choice = self.choose("own")
+        below = Peer("b", "b", 1)
+        choice.lower_ranked = (below,)
+        self.assertEqual(choice.choose_fallback(0.0), below)
+        choice.record_unconfirmed(0.0, "b")
+        first = choice.choose_fallback(0.0)
+        self.assertIn(first, choice.distant)
+        self.assertTrue(choice.is_fallback(first))
+        choice.record_unconfirmed(0.0, first.vm)
+        until_ms = source_choice.UNCONFIRMED_BACKOFF_MS
+        self.assertEqual(choice.choose_fallback(until_ms), below)
+
+    def test_backoffs_of_distant_vms_last_while_these_are_known(self):
+        choice = self.choose("own")
+        first = choice.distant[0]
+        choice.record_failure(0.0, first.vm)
+        choice.set_peers({})
+        self.assertIn(first.vm, choice.backoffs)
+        choice.set_distant_peers([], [])
+        choice.set_peers({})
+        self.assertEqual(choice.backoffs, {})
--- a/tests/runtime/test_peer_feed.py
+++ b/tests/runtime/test_peer_feed.py
@@ -17,6 +17,7 @@
 from tests.following.test_follower import Sink
 
 PEER = Peer("above", "10.0.0.1", 1)
+DISTANT = Peer("distant", "10.0.9.9", 1)
 BELOW = Peer("below", "10.0.0.2", 1)
 NO_UPDATES = HttpResponse(200, [], b"{}")
 UNCONFIRMED = HttpResponse(503, [], b"")
@@ -161,3 +162,34 @@
         self.run_for(5.0)
         self.assertEqual(self.client.request_count, before)
         self.assertIsNone(self.feed.fallback)
+
+    def test_a_vm_alone_in_its_data_centre_takes_the_view_of_a_distant_one(
+        self,
+    ):
+        # It sent full loads to leafs that had become cold unnoticed.
+        self.choice.set_distant_peers([], [DISTANT])
+        self.choice.higher_ranked = ()
+        self.store.is_cut_off = True
+        self.run_for(1.0)
+        self.assertEqual(self.feed.fallback, DISTANT)
+        self.assertIsNone(self.feed.peer)
+        self.assertTrue(self.store.suspended)
+
+    def test_little_is_asked_while_the_store_is_away_for_all(self):
+        self.choice.set_distant_peers([], [DISTANT])
+        self.client.outcome = UNCONFIRMED
+        self.lose_the_store()
+        before = self.client.request_count
+        self.run_for(10.0)
+        self.assertLess(self.client.request_count - before, 40)
+
+    def test_a_fallback_stays_while_the_peer_above_has_no_view(self):
+        self.client.outcome = lambda data: (
+            NO_UPDATES if DISTANT.host.encode() in data else UNCONFIRMED
+        )
+        self.choice.set_distant_peers([], [DISTANT])
+        self.store.is_cut_off = True
+        self.run_for(1.0)
+        for _ in range(100):
+            self.assertEqual(self.feed.fallback, DISTANT)
+            self.run_for(0.05)
