Give a response to a request only if it states the request's id

Callers got 503 for requests that ran, and others ran twice: the late second copy of a health check that a full leaf had rejected was taken for the answer to the request sent next on the connection. It bears no id, and its Not-Executed was believed.

After one that shows neither an id nor a leaf the connection is closed, and the request counts as possibly run. A check never follows another one on a connection.

--- a/src/oriolegate/network/http_connection.py
+++ b/src/oriolegate/network/http_connection.py
@@ -77,6 +77,11 @@
         data: Bytes of the request.
         done: Called with the result; not called after a cancel.
         accepts: Returns whether a response belongs to this request.
+        states_request: Returns whether a response shows which request it
+            answers. After one that doesn't, the connection is closed: a late
+            copy could be taken for the answer to the next request.
+        is_anonymous: Whether no response shows that it answers this request
+            and not an earlier one like it.
         is_head: Whether this is a HEAD request, whose response has no body.
         connection: Connection on which the request was sent, or None.
         cancelled: Whether the result is no longer needed.
@@ -86,6 +91,8 @@
     data: bytes
     done: Callable[[Result], None]
     accepts: Callable[[HttpResponse], bool]
+    states_request: Callable[[HttpResponse], bool] = lambda response: True
+    is_anonymous: bool = False
     is_head: bool = False
     connection: "HttpConnection | None" = None
     cancelled: bool = False
@@ -131,6 +138,7 @@
         has_answered: Whether any response was received on the connection.
         buffer: Buffer that incomplete responses share, or None.
         unmatched_responses: Responses that did not match the call in flight.
+        was_anonymous: Whether an anonymous call was sent.
     """
 
     def __init__(
@@ -149,6 +157,7 @@
         self.opened_at_ms = 0.0
         self.has_answered = False
         self.unmatched_responses = 0
+        self.was_anonymous = False
 
     def connectionMade(self) -> None:  # noqa: N802 (Twisted's name)
         """Configure the socket and notify the owner."""
@@ -160,6 +169,7 @@
         """Send the request of a call."""
         self.call = call
         call.connection = self
+        self.was_anonymous |= call.is_anonymous
         self.reader.expect_no_body = call.is_head
         # The write buffer is empty, so the bytes can go to the socket directly;
         # a write through the reactor would cost two more epoll calls.
@@ -208,16 +218,20 @@
         if call is None:
             self.transport.abortConnection()
             return
+        states_request = call.states_request(response)
         if not call.accepts(response):
             # For example a late second response to an earlier request.
             self.unmatched_responses += 1
-            if not response.keep_alive:
+            if not states_request:
+                self._break("a response that states no request")
+            elif not response.keep_alive:
                 self._break("closed after a response to another request")
             elif self.unmatched_responses > MAX_UNMATCHED_RESPONSES:
                 self._break("too many responses to other requests")
             return
         is_reusable = (
             response.keep_alive
+            and states_request
             and not self.reader.in_progress
             and not self.unmatched_responses
             and len(call.data) <= MAX_REUSE_REQUEST_BYTES
--- a/src/oriolegate/network/http_pool.py
+++ b/src/oriolegate/network/http_pool.py
@@ -53,7 +53,7 @@
 
     def send(self, call: HttpCall) -> None:
         """Send a call over an idle connection or a new one."""
-        connection = self._take_idle()
+        connection = self._take_idle(call)
         if connection is not None:
             self.busy.add(connection)
             connection.send_call(call)
@@ -67,10 +67,17 @@
             timeout=self.connect_timeout_s,
         )
 
-    def _take_idle(self) -> HttpConnection | None:
+    def _take_idle(self, call: HttpCall) -> HttpConnection | None:
         now_ms = self.clock.now_ms()
+        if call.is_anonymous:
+            # A late copy of an earlier response could be taken for the next.
+            self.idle.sort(key=lambda idle: not idle.was_anonymous)
         while self.idle:
             connection = self.idle.pop()
+            if call.is_anonymous and connection.was_anonymous:
+                # In place of this one, so that no more are open.
+                connection.abort()
+                return None
             idle_limit_ms = DEFAULT_IDLE_MS
             if connection.keep_alive_ms is not None:
                 idle_limit_ms = connection.keep_alive_ms - IDLE_MARGIN_MS
--- a/src/oriolegate/network/leaf_client.py
+++ b/src/oriolegate/network/leaf_client.py
@@ -176,6 +176,7 @@
             accepts=lambda response: leaf_protocol.is_answer_to(
                 response, call.attempt_id
             ),
+            states_request=leaf_protocol.states_request,
             is_head=call.method == HEAD,
         )
         # A connection more than the leaf's share must not be needed.
@@ -275,6 +276,8 @@
             leaf_protocol.health_request(leaf, path),
             on_result,
             leaf_protocol.is_health_response,
+            states_request=leaf_protocol.states_request,
+            is_anonymous=True,
         )
         sent_at_ms = self.clock.now_ms()
         self.contact.record_send(sent_at_ms, leaf.leaf_id)
--- a/src/oriolegate/platform/leaf_protocol.py
+++ b/src/oriolegate/platform/leaf_protocol.py
@@ -166,13 +166,10 @@
 def is_answer_to(response: HttpResponse, attempt_id: str) -> bool:
     """Return whether a response answers the attempt `attempt_id`.
 
-    A late copy of a response to a health check doesn't.
+    Leafs echo the id in each response to a request. One without it may be a
+    late copy of what a leaf has answered to a health check.
     """
     echoed = response.header(header_names.ATTEMPT_ID)
-    if echoed is None:
-        is_signed = response.header(header_names.SIGNATURE) is not None
-        names_leaf = response.header(header_names.LEAF_ID) is not None
-        return is_signed or not names_leaf
     return echoed == attempt_id.encode("latin-1")
 
 
@@ -184,6 +181,18 @@
     return response.header(header_names.ATTEMPT_ID) is None
 
 
+def states_request(response: HttpResponse) -> bool:
+    """Return whether a response shows what it answers.
+
+    An answer to an attempt states it, and a health report its leaf. A check
+    that a full leaf rejects gets neither.
+    """
+    return (
+        response.header(header_names.ATTEMPT_ID) is not None
+        or response.header(header_names.LEAF_ID) is not None
+    )
+
+
 def end_to_end_headers(headers: Headers | list[tuple[bytes, bytes]]) -> Headers:
     """Return the headers that are not limited to one connection."""
     connection_options = {
--- a/tests/platform/test_leaf_protocol.py
+++ b/tests/platform/test_leaf_protocol.py
@@ -90,11 +90,31 @@
         self.assertIs(decoded.outcome, SendOutcome.WRONG_LEAF)
 
     def test_the_echoed_attempt_id_identifies_the_request(self):
-        self.assertTrue(leaf_protocol.is_answer_to(response(), "a1"))
         for echoed, is_answer in ((b"a1", True), (b"a2", False)):
             echo = response(headers=[(b"attempt-id", echoed)])
             self.assertIs(leaf_protocol.is_answer_to(echo, "a1"), is_answer)
 
+    def test_a_response_without_an_attempt_id_answers_no_request(self):
+        # A late copy of a rejected health check has none.
+        for headers in (
+            [],
+            [(b"not-executed", b"1")],
+            [(b"instance-id", b"i-1")],
+            SIGNED,
+        ):
+            for status in (200, 421, 503):
+                answer = response(status, headers)
+                self.assertFalse(leaf_protocol.is_answer_to(answer, "a1"))
+
+    def test_a_rejected_check_states_no_request(self):
+        for headers, states_request in (
+            ([(b"not-executed", b"1")], False),
+            ([(b"instance-id", b"i-1")], True),
+            ([(b"attempt-id", b"a1"), (b"not-executed", b"1")], True),
+        ):
+            answer = response(503, headers)
+            self.assertIs(leaf_protocol.states_request(answer), states_request)
+
 
 class NoticeTest(unittest.TestCase):
     def decode(self, name, value):
