Wait anew for absent objects after the store was away

After a restored store was away again, VMs took a data centre for readmitted whose evacuation it had lost, and sent its cold leafs twice what they bear. The time for which an absent object stays ran on while nobody could write it. It now begins anew as long as no change of an entry can reach the VM.

KeptHistoriesTest.test_leafs_readmitted_while_the_store_is_restored_are_spared was known red and passes; test_an_absent_object_stays_while_the_store_is_away fails without the change.

--- a/src/oriolegate/following/follower.py
+++ b/src/oriolegate/following/follower.py
@@ -293,6 +293,12 @@
                 self.absent.setdefault(name, due_ms)
                 self.sink.on_absent(now_ms, name)
 
+    def postpone_removals(self, now_ms: float) -> None:
+        """Wait anew for absent objects: nobody can write them now."""
+        due_ms = now_ms + ABSENT_GRACE_MS[self.collection]
+        for name in self.absent:
+            self.absent[name] = max(self.absent[name], due_ms)
+
     def remove_absent(self, now_ms: float) -> None:
         """Remove objects that have been absent for too long."""
         due = [name for name, due_ms in self.absent.items() if now_ms >= due_ms]
--- a/src/oriolegate/runtime/gateway.py
+++ b/src/oriolegate/runtime/gateway.py
@@ -218,8 +218,12 @@
         self._check_pause()
         now_ms = self.clock.now_ms()
         parts = self.parts
+        is_view_current = parts.directory.is_view_current()
         for follower in parts.followers.values():
-            follower.remove_absent(now_ms)
+            if is_view_current:
+                follower.remove_absent(now_ms)
+            else:
+                follower.postpone_removals(now_ms)
         self._report_view_ages(now_ms)
         for leaf_id in parts.directory.drop_expired(now_ms):
             parts.leaf_client.drop(leaf_id)
--- a/tests/following/test_follower.py
+++ b/tests/following/test_follower.py
@@ -223,6 +223,16 @@
         self.follower.remove_absent(self.grace_ms)
         self.assertEqual(set(self.sink.contents), {"a"})
 
+    def test_an_absent_object_stays_while_the_store_is_away(self):
+        # VMs took a data centre for readmitted whose evacuation a store had
+        # lost that was away before the operator could write it again.
+        self.restore()
+        self.follower.postpone_removals(self.grace_ms - 1.0)
+        self.follower.remove_absent(2.0 * self.grace_ms - 2.0)
+        self.assertEqual(set(self.sink.contents), {"a", "b"})
+        self.follower.remove_absent(2.0 * self.grace_ms - 1.0)
+        self.assertEqual(set(self.sink.contents), {"a"})
+
     def test_an_object_that_is_written_again_stays(self):
         self.restore()
         again = Change(item("b", self.tag(2, 81), "again"), removed=False)
