Keep abandoned connections open while another one is idle

A leaf's rejection with a time for which it wants no requests was lost when another request to the leaf came within 50 ms after one was given up: that closed the connection of the first, so that no further one was needed. It is now closed only if no connection is idle.

test_a_further_send_over_an_idle_connection_closes_none failed before.

--- a/src/oriolegate/network/leaf_client.py
+++ b/src/oriolegate/network/leaf_client.py
@@ -179,8 +179,9 @@
             states_request=leaf_protocol.states_request,
             is_head=call.method == HEAD,
         )
-        # A connection more than the leaf's share must not be needed.
-        self._close_all_abandoned(leaf.leaf_id)
+        if not self.has_idle(leaf.leaf_id):
+            # A connection more than the leaf's share must not be needed.
+            self._close_all_abandoned(leaf.leaf_id)
         pool = self._get_pool(leaf)
         sent_at_ms = self.clock.now_ms()
         self.contact.record_send(sent_at_ms, leaf.leaf_id)
--- a/tests/network/test_leaf_client.py
+++ b/tests/network/test_leaf_client.py
@@ -83,6 +83,16 @@
         self.advance(REJECTION_WAIT_MS)
         self.assertEqual(self.cancelled, [first.call, other.call])
 
+    def test_a_further_send_over_an_idle_connection_closes_none(self):
+        # The rejection of an abandoned send was lost with its connection.
+        first = self.start()
+        self.client.abandon(first)
+        self.client.has_idle = lambda leaf_id: True
+        self.start()
+        self.assertEqual(self.cancelled, [])
+        self.advance(REJECTION_WAIT_MS + 0.1)
+        self.assertEqual(self.cancelled, [first.call])
+
 
 class NoticeTest(unittest.TestCase):
     def setUp(self):
