--- a/tests/reactor_case.py
+++ b/tests/reactor_case.py
@@ -20,7 +20,9 @@
 TEST_TIMEOUT_S = 20.0
 
 
-def wait_for(deferred: defer.Deferred) -> Any:
+def wait_for(
+    deferred: defer.Deferred, timeout_s: float = TEST_TIMEOUT_S
+) -> Any:
     """Run the reactor until a deferred fires and return its result.
 
     Raises the exception of a failed deferred, or a timeout.
@@ -32,7 +34,7 @@
         if reactor.running:
             reactor.crash()
 
-    deferred.addTimeout(TEST_TIMEOUT_S, reactor)
+    deferred.addTimeout(timeout_s, reactor)
     deferred.addBoth(finish)
     # If the deferred has already fired, nothing would stop the reactor.
     if not outcomes:
