Free a call to a leaf once it has its result

What operators saw: the memory of a gateway stayed at its peak after a crowd of callers with answers of 400 kB was gone (103 MB with six idle connections, 200 connections refused).

Cause: the function that takes the result of a call refers to the call, and the call to the function. The cycle held the request, its body and, through the exchange, every part's answer until the garbage collector ran over its oldest generation.

A call drops its function and its bytes when it has its result or is cancelled. Three tests with the collector switched off failed before (answered, broken, cancelled).

--- a/src/oriolegate/network/http_connection.py
+++ b/src/oriolegate/network/http_connection.py
@@ -69,6 +69,10 @@
 Result = Answered | NotSent | Broken
 
 
+def _ignore_result(result: Result) -> None:
+    """Do nothing, as the result is not needed."""
+
+
 @attrs.define(eq=False)
 class HttpCall:
     """A request to send over a connection.
@@ -98,6 +102,21 @@
     cancelled: bool = False
     received_bytes: int = 0
 
+    def finish(self, result: Result) -> None:
+        """Report the result and free what it needed.
+
+        `done` mostly refers to this call again; such a cycle would keep the
+        request and its answer in memory until the garbage collector runs.
+        """
+        done = self.done
+        self.drop()
+        done(result)
+
+    def drop(self) -> None:
+        """Free what only a result would need."""
+        self.done = _ignore_result
+        self.data = b""
+
 
 class ConnectionOwner(Protocol):
     """Opens connections and receives their events."""
@@ -243,7 +262,7 @@
             self.owner.on_idle(self)
         else:
             self.transport.abortConnection()
-        call.done(Answered(response))
+        call.finish(Answered(response))
 
     def _break(self, detail: str) -> None:
         self._finish_call(Broken(detail))
@@ -262,7 +281,7 @@
         call = self.call
         self.call = None
         if call is not None:
-            call.done(result)
+            call.finish(result)
 
     def connectionLost(self, reason: Any = None) -> None:  # noqa: N802
         """Report the result of the call in flight, if any."""
--- a/src/oriolegate/network/http_pool.py
+++ b/src/oriolegate/network/http_pool.py
@@ -88,7 +88,7 @@
 
     def _on_connect_failed(self, call: HttpCall, detail: str) -> None:
         if not call.cancelled:
-            call.done(NotSent(detail))
+            call.finish(NotSent(detail))
 
     def on_connected(self, connection: HttpConnection) -> None:
         """Send the call for which the connection was opened."""
@@ -115,6 +115,7 @@
     def cancel(self, call: HttpCall) -> None:
         """Cancel a call; close its connection if the request was sent."""
         call.cancelled = True
+        call.drop()
         if call.connection is not None and call.connection.call is call:
             self.busy.discard(call.connection)
             call.connection.abort()
--- a/tests/network/test_http_connection.py
+++ b/tests/network/test_http_connection.py
@@ -1,6 +1,9 @@
 """Tests of distinguishing rejected connections from lost ones."""
 
+import functools
+import gc
 import unittest
+import weakref
 
 from twisted.internet import error
 from twisted.python import failure
@@ -9,6 +12,7 @@
 from oriolegate.network.http_connection import Broken
 from oriolegate.network.http_connection import HttpCall
 from oriolegate.network.http_connection import HttpConnection
+from oriolegate.network.http_pool import HttpPool
 
 RESET = failure.Failure(error.ConnectionLost())
 CLOSED = failure.Failure(error.ConnectionDone())
@@ -119,3 +123,51 @@
         (result,) = self.owner.results
         self.assertIsInstance(result, Broken)
         self.assertTrue(self.connection.transport.aborted)
+
+
+class Requested:
+    """Stands for what a request keeps in memory."""
+
+
+class FreedCallTest(unittest.TestCase):
+    """What a call needed is freed without the garbage collector.
+
+    The function that takes a result mostly refers to its call.
+    """
+
+    def keep(self, call, requested, result):
+        """Take a result."""
+
+    def assert_freed(self, finish):
+        gc.collect()
+        gc.disable()
+        try:
+            connection = HttpConnection(FakeOwner(), FakeClock())
+            connection.makeConnection(FakeTransport())
+            requested = Requested()
+            reference = weakref.ref(requested)
+            # In a cycle with its function, as the calls of the clients are.
+            call = HttpCall(b"GET", lambda result: None, lambda response: True)
+            call.done = functools.partial(self.keep, call, requested)
+            connection.send_call(call)
+            finish(connection, call)
+            del call, requested, connection
+            self.assertIsNone(reference())
+        finally:
+            gc.enable()
+
+    def test_an_answered_call_is_freed(self):
+        self.assert_freed(lambda connection, _: connection.dataReceived(ANSWER))
+
+    def test_a_broken_call_is_freed(self):
+        self.assert_freed(
+            lambda connection, _: connection.connectionLost(RESET)
+        )
+
+    def test_a_cancelled_call_is_freed(self):
+        pool = HttpPool(None, FakeClock(), ("h", 1))
+
+        def cancel(connection, call):
+            pool.cancel(call)
+
+        self.assert_freed(cancel)
