Keep a gateway within the limits of its machine

What callers saw: many requests at once, each within the limits, ended a process. 1,200 bodies of 256 KB that stopped short of their end took 365 MB of 300, 300 connections with short trailers 345 MB; bodies in chunks of one byte kept the process busy for over 100 s, in which nobody was served; 900 connections of a few bytes took 917 descriptors of 600.

Cause: limits.memory_mb and limits.max_fds of the settings were read nowhere. Only a single request had a limit, and nothing bounded the processor time of a connection. A closed connection stayed in memory with its buffers, as its chunk decoder and it refer to each other (found with the collector off).

What changes: connections/connection_budget.py, without I/O, counts what all connections of callers and of the internal ports hold and decides which are closed: those without progress first, the largest before others, never one whose request runs. A complete request without room is answered 503 before it runs. connections/work_queue.py lets chunks and pipelined requests be parsed in short turns, the least served connection first. Callers and internal ports have parts of their own, and descriptors are left for leafs and the store.

--- /dev/null
+++ b/src/oriolegate/connections/__init__.py
@@ -0,0 +1,1 @@
+"""Decides which connections of clients a process keeps and serves."""
--- a/src/oriolegate/models/site.py
+++ b/src/oriolegate/models/site.py
@@ -5,6 +5,8 @@
 
 import attrs
 
+from oriolegate.models.machine import MachineLimits
+
 
 class Repeatability(enum.Enum):
     """Whether a request may run more than once."""
@@ -254,6 +256,7 @@
         first_start: True only if the whole tier starts for the first time.
         bounds: Limits from the users' rules.
         link_mbps: Rate of the VM's link.
+        limits: What the process may use.
     """
 
     vm: str
@@ -268,6 +271,7 @@
     first_start: bool
     bounds: Bounds
     link_mbps: float = 0.0
+    limits: MachineLimits = MachineLimits()
 
     @property
     def region(self) -> str:
--- a/src/oriolegate/network/caller_server.py
+++ b/src/oriolegate/network/caller_server.py
@@ -8,12 +8,15 @@
 from typing import Any
 from typing import Protocol
 
-from twisted.internet import protocol
-from twisted.web import http
-
+from oriolegate.connections.connection_budget import ConnectionGroup
+from oriolegate.connections.connection_budget import RefusalReason
 from oriolegate.exchange.messages import Headers
 from oriolegate.models.site import CallerLimits
 from oriolegate.network import graceful_close
+from oriolegate.network.bounded_channel import BoundedChannel
+from oriolegate.network.bounded_channel import BoundedFactory
+from oriolegate.network.bounded_channel import BoundedRequest
+from oriolegate.network.server_connections import ServerConnections
 
 MS_PER_S = 1_000.0
 # Callers reuse a connection for up to four fifths of the configured idle time.
@@ -58,63 +61,15 @@
         """Record that a connection was closed after a header timeout."""
         ...
 
+    def request_refused(self, headers: Headers, reason: RefusalReason) -> None:
+        """Record that a request was refused before it was complete."""
+        ...
+
     def caller_gone(self, request: "CallerHttpRequest") -> None:
         """Stop serving a request whose caller has disconnected."""
         ...
 
 
-class BoundedRequest(http.Request):
-    """An HTTP request whose body is kept in memory, up to a limit.
-
-    Attributes:
-        too_large: Whether the body exceeds the limit.
-        received_bytes: Size of the body received so far.
-        open: Whether the response is still to be sent.
-    """
-
-    def __init__(self, *args: Any, **kwargs: Any) -> None:
-        super().__init__(*args, **kwargs)
-        self.too_large = False
-        self.received_bytes = 0
-        self.open = False
-
-    @property
-    def max_body_bytes(self) -> int:
-        """Longest body."""
-        return MAX_FORWARDED_BYTES
-
-    def requestReceived(  # noqa: N802
-        self, command: bytes, path: bytes, version: bytes
-    ) -> None:
-        """Handle the complete request; don't parse its body."""
-        self.content.seek(0, 0)
-        self.method = command
-        self.uri = path
-        self.clientproto = version
-        self.open = True
-        self.process()
-
-    def gotLength(self, length: int | None) -> None:  # noqa: N802
-        """Check the Content-Length before the body is stored."""
-        if length is not None and length > self.max_body_bytes:
-            self.too_large = True
-        # Twisted stores bodies of unknown or large size in a file. This class
-        # limits bodies, so it passes a length of 0 to keep them in memory.
-        super().gotLength(0)
-
-    def handleContentChunk(self, data: bytes) -> None:  # noqa: N802
-        """Store part of the body unless the body exceeds the limit."""
-        self.received_bytes += len(data)
-        if self.received_bytes > self.max_body_bytes:
-            self.too_large = True
-        if not self.too_large:
-            super().handleContentChunk(data)
-
-    def read_body(self) -> bytes:
-        """Return the complete body."""
-        return bytes(self.content.read())
-
-
 class CallerHttpRequest(BoundedRequest):
     """One HTTP request of a caller."""
 
@@ -137,14 +92,6 @@
         if was_open:
             self.handler.caller_gone(self)
 
-    def header_list(self) -> Headers:
-        """Return all headers, grouped by name."""
-        return tuple(
-            (name, value)
-            for name, values in self.requestHeaders.getAllRawHeaders()
-            for value in values
-        )
-
     def reply(self, status: int, headers: Headers, body: bytes) -> None:
         """Send the response, unless it was sent or the caller disconnected."""
         if not self.open:
@@ -164,7 +111,7 @@
         self.finish()
 
 
-class CallerChannel(http.HTTPChannel):
+class CallerChannel(BoundedChannel):
     """One connection of a caller.
 
     Attributes:
@@ -221,6 +168,13 @@
         self.has_header = False
         super().allContentReceived()
 
+    def on_request_refused(
+        self, request: BoundedRequest, reason: RefusalReason
+    ) -> None:
+        """Notify the handler."""
+        self._stop_header_timer()
+        self.factory.handler.request_refused(request.header_list(), reason)
+
     def _stop_header_timer(self) -> None:
         if self.header_timer is not None:
             self.header_timer.cancel()
@@ -242,16 +196,17 @@
         )
 
 
-class CallerFactory(protocol.ServerFactory):
+class CallerFactory(BoundedFactory):
     """Creates a channel for each connection of a caller.
 
     Attributes:
         channels: Open connections.
     """
 
-    noisy = False
-
-    def __init__(self, handler: CallerHandler) -> None:
+    def __init__(
+        self, server: ServerConnections, handler: CallerHandler
+    ) -> None:
+        super().__init__(server)
         self.channels: set[CallerChannel] = set()
         self.handler = handler
 
@@ -264,7 +219,7 @@
     def buildProtocol(self, addr: Any) -> CallerChannel:  # noqa: N802
         """Create a channel with the limits of the current configuration."""
         limits = self.handler.limits
-        channel = CallerChannel()
+        channel = CallerChannel(self.server, ConnectionGroup.CALLERS)
         channel.factory = self
         channel.requestFactory = self.request_class
         channel.timeOut = limits.idle_limit_ms * IDLE_TIMEOUT_FACTOR / MS_PER_S
@@ -272,9 +227,6 @@
         channel.header_limit_s = limits.header_limit_ms / MS_PER_S
         return channel
 
-    def log(self, request: Any) -> None:
-        """Write no access log; the handler logs each request."""
-
     def close_idle(self) -> int:
         """Close idle connections; return how many connections remain."""
         for channel in list(self.channels):
@@ -300,6 +252,11 @@
     handle_forwarded: "Callable[[InternalRequest], None] | None" = None
     on_disconnected: Callable[[], None] | None = None
 
+    @property
+    def max_body_bytes(self) -> int:
+        """Longest request that another VM forwards."""
+        return MAX_FORWARDED_BYTES
+
     def process(self) -> None:
         """Pass the request on; the response may come later."""
         handle_forwarded = type(self).handle_forwarded
@@ -327,23 +284,24 @@
         self.finish()
 
 
-class InternalHttpFactory(protocol.ServerFactory):
+class InternalHttpFactory(BoundedFactory):
     """Creates channels that pass every request to one function."""
 
-    noisy = False
-
     def __init__(
         self,
+        server: ServerConnections,
         handle: Handle,
         handle_forwarded: Callable[[InternalRequest], None] | None = None,
     ) -> None:
         """Create the factory.
 
         Args:
+            server: Limits that all connections of the process share.
             handle: Called with path and query, and with a function that sends
                 the response, given its status and body.
             handle_forwarded: Called with each POST request, if not None.
         """
+        super().__init__(server)
 
         class BoundRequest(InternalRequest):
             """Request class bound to this factory's function."""
@@ -353,13 +311,10 @@
             BoundRequest.handle_forwarded = staticmethod(handle_forwarded)
         self.request_class = BoundRequest
 
-    def buildProtocol(self, addr: Any) -> http.HTTPChannel:  # noqa: N802
+    def buildProtocol(self, addr: Any) -> BoundedChannel:  # noqa: N802
         """Create a channel."""
-        channel = http.HTTPChannel()
+        channel = BoundedChannel(self.server, ConnectionGroup.INTERNAL)
         channel.factory = self
         channel.requestFactory = self.request_class
         channel.timeOut = INTERNAL_IDLE_TIMEOUT_S
         return channel
-
-    def log(self, request: Any) -> None:
-        """Write no access log."""
--- a/src/oriolegate/network/graceful_close.py
+++ b/src/oriolegate/network/graceful_close.py
@@ -30,3 +30,19 @@
     poll = select.poll()
     poll.register(descriptor, select.POLLIN)
     return bool(poll.poll(0))
+
+
+def count_unsent(transport: Any) -> int:
+    """Return how many bytes written to a transport its socket has not taken."""
+    return int(
+        len(transport.dataBuffer) - transport.offset + transport._tempDataLen
+    )
+
+
+def abort(transport: Any) -> None:
+    """Reset a connection and free at once what was not sent on it."""
+    transport.abortConnection()
+    transport.dataBuffer = b""
+    transport.offset = 0
+    transport._tempDataBuffer = []
+    transport._tempDataLen = 0
--- /dev/null
+++ b/src/oriolegate/network/server_connections.py
@@ -0,0 +1,134 @@
+"""Connections that others open to this process, within its limits."""
+
+import collections
+from collections.abc import Callable
+import functools
+from typing import Any
+
+from oriolegate.clock import Clock
+from oriolegate.connections.connection_budget import Connection
+from oriolegate.connections.connection_budget import ConnectionBudget
+from oriolegate.connections.connection_budget import ConnectionGroup
+from oriolegate.connections.connection_budget import RefusalReason
+from oriolegate.connections.work_queue import WorkQueue
+from oriolegate.metrics import MetricsRegistry
+from oriolegate.models.machine import MachineLimits
+
+MS_PER_S = 1_000.0
+# Interval of checking how much of the responses clients have taken.
+UNSENT_CHECK_S = 0.25
+# Interval of log lines about refused connections, which are counted meanwhile.
+REPORT_INTERVAL_S = 1.0
+
+
+class ServerConnections:
+    """Wires the channels of all servers of a process to its limits.
+
+    Attributes:
+        clock: Clock of the process.
+        budget: Decides which connections are closed.
+        work: Order in which channels use the processor.
+        unsent: Channels whose clients have not taken all responses.
+        report: Called with the number of refused connections by group and
+            reason, at most once in a while.
+    """
+
+    def __init__(
+        self,
+        reactor: Any,
+        clock: Clock,
+        limits: MachineLimits,
+        metrics: MetricsRegistry | None = None,
+    ) -> None:
+        self.reactor = reactor
+        self.clock = clock
+        self.budget = ConnectionBudget(limits)
+        self.budget.on_refused = self._on_refused
+        self.work = WorkQueue()
+        self.unsent: set[Any] = set()
+        self.metrics = metrics
+        self.refused: collections.Counter[str] = collections.Counter()
+        self.report: Callable[[dict[str, int]], None] = lambda refused: None
+        self.turn_timer: Any = None
+        self.unsent_timer: Any = None
+        self.report_timer: Any = None
+        if metrics is not None:
+            self._add_gauges(metrics)
+
+    def _add_gauges(self, metrics: MetricsRegistry) -> None:
+        for group in ConnectionGroup:
+            metrics.gauge(
+                "oriolegate_connections",
+                functools.partial(self.budget.count, group),
+                group=group.value,
+            )
+            metrics.gauge(
+                "oriolegate_connection_bytes",
+                functools.partial(self.budget.held_bytes, group),
+                group=group.value,
+            )
+
+    def set_limits(self, limits: MachineLimits) -> None:
+        """Use other limits from now on."""
+        self.budget.limits = limits
+
+    def _on_refused(
+        self, group: ConnectionGroup, reason: RefusalReason
+    ) -> None:
+        if self.metrics is not None:
+            self.metrics.counter(
+                "oriolegate_connections_refused_total",
+                group=group.value,
+                reason=reason.name.lower(),
+            ).add()
+        self.refused[f"{group.value}: {reason.value}"] += 1
+        if self.report_timer is None:
+            self.report_timer = self.reactor.callLater(
+                REPORT_INTERVAL_S, self._report
+            )
+
+    def _report(self) -> None:
+        self.report_timer = None
+        refused = dict(self.refused)
+        self.refused.clear()
+        self.report(refused)
+
+    def start_turn(self) -> None:
+        """Let the waiting work be done in the next turn of the event loop."""
+        if self.turn_timer is None:
+            self.turn_timer = self.reactor.callLater(0.0, self._run_turn)
+
+    def _run_turn(self) -> None:
+        self.turn_timer = None
+        self.work.run_turn()
+        if self.work.has_work:
+            self.start_turn()
+
+    def set_data(
+        self,
+        channel: Any,
+        connection: Connection,
+        input_bytes: int,
+        unsent_bytes: int,
+    ) -> None:
+        """Set what a channel holds; may close it or others."""
+        if unsent_bytes:
+            self.unsent.add(channel)
+            if self.unsent_timer is None:
+                self.unsent_timer = self.reactor.callLater(
+                    UNSENT_CHECK_S, self._check_unsent
+                )
+        else:
+            self.unsent.discard(channel)
+        self.budget.set_data(
+            self.clock.now_ms(), connection, input_bytes, unsent_bytes
+        )
+
+    def _check_unsent(self) -> None:
+        self.unsent_timer = None
+        if self.unsent:
+            self.unsent_timer = self.reactor.callLater(
+                UNSENT_CHECK_S, self._check_unsent
+            )
+        for channel in list(self.unsent):
+            channel.count_data()
--- a/src/oriolegate/platform/caller_protocol.py
+++ b/src/oriolegate/platform/caller_protocol.py
@@ -28,6 +28,14 @@
     body: bytes
 
 
+def decode_attempt_id(headers: Headers) -> str:
+    """Return the id of a caller's attempt, or an empty string."""
+    for name, value in reversed(headers):
+        if name.lower() == header_names.ATTEMPT_ID:
+            return value.decode("latin-1").strip()
+    return ""
+
+
 def decode_call(
     method: bytes, target: bytes, headers: Headers, body: bytes
 ) -> CallerCall:
@@ -43,9 +51,7 @@
     host = value_by_name.get(b"host", b"").decode("latin-1").strip().lower()
     path = target.partition(b"?")[0].decode("latin-1")
     return CallerCall(
-        attempt_id=value_by_name.get(header_names.ATTEMPT_ID, b"")
-        .decode("latin-1")
-        .strip(),
+        attempt_id=decode_attempt_id(headers),
         method=method,
         target=target,
         host=host.partition(":")[0],
--- a/src/oriolegate/platform/node_settings.py
+++ b/src/oriolegate/platform/node_settings.py
@@ -1,9 +1,11 @@
 """Reads the settings file that the platform places on each VM."""
 
 from collections.abc import Mapping
+import math
 import pathlib
 
 from oriolegate.exceptions import SettingsError
+from oriolegate.models.machine import MachineLimits
 from oriolegate.models.site import Bounds
 from oriolegate.models.site import NodeSettings
 
@@ -86,6 +88,16 @@
     )
 
 
+def _limits(fields: Mapping[str, str]) -> MachineLimits:
+    default = MachineLimits()
+    memory_mb = _number(fields, "limits.memory_mb", default.memory_mb)
+    descriptors = _number(fields, "limits.max_fds", default.descriptors)
+    for name, value in (("memory_mb", memory_mb), ("max_fds", descriptors)):
+        if not 1.0 <= value < math.inf:
+            raise SettingsError(f"`limits.{name}` must be a number from 1 on")
+    return MachineLimits(memory_mb, int(descriptors))
+
+
 def decode(text: str) -> NodeSettings:
     """Decode the text of a settings file.
 
@@ -111,6 +123,7 @@
         first_start=fields.get("bootstrap") == "true",
         bounds=_bounds(fields),
         link_mbps=_number(fields, "limits.link_mbps", 0.0),
+        limits=_limits(fields),
     )
 
 
--- a/src/oriolegate/runtime/exchange_runner.py
+++ b/src/oriolegate/runtime/exchange_runner.py
@@ -6,6 +6,7 @@
 import attrs
 
 from oriolegate.clock import Clock
+from oriolegate.connections.connection_budget import RefusalReason
 from oriolegate.crashes.crash_ledger import CrashLedger
 from oriolegate.crashes.crash_ledger import Suspicion
 from oriolegate.exchange import replying
@@ -15,6 +16,7 @@
 from oriolegate.exchange.messages import AnswerGathered
 from oriolegate.exchange.messages import CallerCall
 from oriolegate.exchange.messages import Effect
+from oriolegate.exchange.messages import Headers
 from oriolegate.exchange.messages import LeafAnswer
 from oriolegate.exchange.messages import Refuse
 from oriolegate.exchange.messages import RelayAnswer
@@ -57,6 +59,8 @@
 # Retry-After of a request that this VM can't end before it stops: another VM
 # takes it at once.
 OTHER_VM_RETRY_MS = 0.0
+# Retry-After of a request that this VM has no memory for; others take it.
+NO_MEMORY_RETRY_MS = 500.0
 
 Request = CallerHttpRequest | ForwardedRequest
 
@@ -209,6 +213,15 @@
                 OTHER_VM_RETRY_MS,
             )
             return
+        if not request.reserve_parts(len(route.shards) or 1):
+            self._refuse(
+                request,
+                call,
+                STATUS_UNAVAILABLE,
+                "no memory to run it",
+                NO_MEMORY_RETRY_MS,
+            )
+            return
         must_forward = self.handover.must_forward(table.configuration.version)
         suspicion = self._find_crash_cause(call)
         if suspicion is not None:
@@ -350,6 +363,8 @@
             request.decline()
         elif (suspicion := self._find_crash_cause(call)) is not None:
             self._refuse_crashing(request, call, suspicion)
+        elif not request.http_request.reserve_parts(len(route.shards) or 1):
+            request.decline()
         else:
             self._serve(request, call, route, table)
 
@@ -402,6 +417,11 @@
         """Log a connection that was closed due to the header timeout."""
         self.request_log.log_header_timeout(limit_ms)
 
+    def request_refused(self, headers: Headers, reason: RefusalReason) -> None:
+        """Log a request that was refused before it was complete."""
+        attempt_id = caller_protocol.decode_attempt_id(headers)
+        self.request_log.log_incomplete(attempt_id, reason.value)
+
     def caller_gone(self, request: CallerHttpRequest) -> None:
         """Stop working on a request whose caller disconnected."""
         self.handover.cancel(request)
--- a/src/oriolegate/runtime/gateway.py
+++ b/src/oriolegate/runtime/gateway.py
@@ -8,6 +8,7 @@
 from oriolegate import metrics as metrics_module
 from oriolegate import structured_log
 from oriolegate.clock import Clock
+from oriolegate.connections.connection_budget import ConnectionGroup
 from oriolegate.following.view_age import ViewAgeMonitor
 from oriolegate.membership.pause_detector import PauseDetector
 from oriolegate.models.site import NodeSettings
@@ -74,7 +75,7 @@
         self.parts = parts
         self.stopping_since_ms: float | None = None
         self.on_exit: Callable[[], None] = lambda: None
-        self.caller_factory = CallerFactory(parts.runner)
+        self.caller_factory = CallerFactory(parts.connections, parts.runner)
         self.was_ready = False
         self.ports: list[Any] = []
         self.accepting = True
@@ -85,6 +86,7 @@
         parts.store.on_call_ended = self._on_view_update
         parts.feed.on_update = self._on_view_update
         self.ended = False
+        parts.connections.report = self._on_connections_refused
         self._add_gauges()
 
     def _add_gauges(self) -> None:
@@ -136,6 +138,7 @@
     def start(self) -> None:
         """Open the ports and start following the store."""
         settings = self.settings
+        parts = self.parts
         listen = self.reactor.listenTCP
         host, port = settings.caller_address
         ready_host, ready_port = settings.ready_address
@@ -148,13 +151,15 @@
             ),
             listen(
                 ready_port,
-                InternalHttpFactory(self._answer_ready),
+                InternalHttpFactory(parts.connections, self._answer_ready),
                 interface=ready_host,
             ),
             listen(
                 settings.internal_ports[0],
                 InternalHttpFactory(
-                    self._answer_internal, self.parts.forward_server.handle
+                    parts.connections,
+                    self._answer_internal,
+                    parts.forward_server.handle,
                 ),
                 interface=settings.host,
             ),
@@ -173,6 +178,14 @@
         self.parts.feed.start()
         self._tick()
 
+    def _on_connections_refused(self, refused: dict[str, int]) -> None:
+        budget = self.parts.connections.budget
+        log.bind(
+            **{group.value: budget.count(group) for group in ConnectionGroup},
+            held_bytes=sum(budget.held_bytes(g) for g in ConnectionGroup),
+            refused=refused,
+        ).warning("connections refused; the process is at its limits")
+
     def _answer_ready(self, target: bytes, respond: Respond) -> None:
         if self.ready:
             respond(200, b"ready\n")
@@ -263,6 +276,7 @@
         bounds = settings.bounds
         self.settings = settings
         self.parts.directory.bounds = bounds
+        self.parts.connections.set_limits(settings.limits)
         self.view_ages.set_bounds(bounds)
         for follower in self.parts.followers.values():
             follower.set_contact_ms(bounds.contact_ms)
--- a/src/oriolegate/runtime/gateway_composition.py
+++ b/src/oriolegate/runtime/gateway_composition.py
@@ -24,6 +24,7 @@
 from oriolegate.models.site import NodeSettings
 from oriolegate.models.stored import Collection
 from oriolegate.network.leaf_client import LeafClient
+from oriolegate.network.server_connections import ServerConnections
 from oriolegate.network.store_client import StoreClient
 from oriolegate.placement.leaf_directory import LeafChange
 from oriolegate.placement.leaf_directory import LeafDirectory
@@ -87,6 +88,7 @@
         slow_runner: Exchanges with peers which leafs are slow.
         contact_watch: Watches whether this VM reaches leafs.
         forward_server: Serves requests that other VMs forward.
+        connections: Limits of all connections that others open.
     """
 
     directory: LeafDirectory
@@ -104,6 +106,7 @@
     slow_runner: SlowLeafRunner
     contact_watch: ContactWatch
     forward_server: ForwardServer
+    connections: ServerConnections
 
 
 def _set_view_sources(
@@ -325,4 +328,7 @@
         slow_runner=slow_runner,
         contact_watch=contact_watch,
         forward_server=forward_server,
+        connections=ServerConnections(
+            reactor, clock, settings.limits, registry
+        ),
     )
--- a/src/oriolegate/runtime/request_log.py
+++ b/src/oriolegate/runtime/request_log.py
@@ -15,6 +15,7 @@
 from oriolegate.runtime.site_sinks import ConfigurationSink
 
 STATUS_REQUEST_TIMEOUT = 408
+STATUS_UNAVAILABLE = 503
 
 log = structured_log.get_logger("requests")
 
@@ -42,6 +43,13 @@
         ).info("request refused")
         self._count(refusal.status)
 
+    def log_incomplete(self, attempt_id: str, reason: str) -> None:
+        """Log a request that was refused before it was complete."""
+        log.bind(id=attempt_id, status=STATUS_UNAVAILABLE, reason=reason).info(
+            "incomplete request refused; connection closed"
+        )
+        self._count(STATUS_UNAVAILABLE)
+
     def log_suspicious(self, call: CallerCall, suspicion: Suspicion) -> None:
         """Log a request that is sent although leafs crashed during it."""
         log.bind(
--- a/tests/network/test_graceful_close.py
+++ b/tests/network/test_graceful_close.py
@@ -7,8 +7,11 @@
 from twisted.internet import reactor
 from twisted.internet import task
 
+from oriolegate.clock import SystemClock
+from oriolegate.models.machine import MachineLimits
 from oriolegate.network import graceful_close
 from oriolegate.network.caller_server import InternalHttpFactory
+from oriolegate.network.server_connections import ServerConnections
 from tests.reactor_case import on_reactor
 
 HOST = "127.0.0.1"
@@ -34,8 +37,9 @@
 class AcceptWaitingTest(unittest.TestCase):
     @on_reactor
     async def test_requests_that_wait_at_a_closing_port_are_answered(self):
+        server = ServerConnections(reactor, SystemClock(), MachineLimits())
         factory = InternalHttpFactory(
-            lambda target, respond: respond(200, b"ok")
+            server, lambda target, respond: respond(200, b"ok")
         )
         port = reactor.listenTCP(
             0, factory, backlog=graceful_close.LISTEN_BACKLOG, interface=HOST
--- a/tests/platform/test_node_settings.py
+++ b/tests/platform/test_node_settings.py
@@ -5,6 +5,7 @@
 import unittest
 
 from oriolegate.exceptions import SettingsError
+from oriolegate.models.machine import MachineLimits
 from oriolegate.platform import node_settings
 
 TEXT = """node_name=edge-1
@@ -41,6 +42,14 @@
     def test_missing_bounds_keep_their_default(self):
         self.assertEqual(node_settings.decode(TEXT).bounds.cold_slack, 5.0)
 
+    def test_the_limits_of_the_machine_are_decoded(self):
+        limits = "limits.memory_mb=300\nlimits.max_fds=4100\n"
+        self.assertEqual(
+            node_settings.decode(TEXT + limits).limits,
+            MachineLimits(memory_mb=300.0, descriptors=4_100),
+        )
+        self.assertEqual(node_settings.decode(TEXT).limits, MachineLimits())
+
     def test_each_missing_required_field_is_rejected(self):
         for name in (
             "node_name",
@@ -64,6 +73,11 @@
             "bounds.grace_s=soon",
             "listen.front=10.1.0.39",
             "internal_ports=7740",
+            "limits.memory_mb=0",
+            "limits.memory_mb=nan",
+            "limits.max_fds=-1",
+            "limits.max_fds=inf",
+            "limits.max_fds=many",
         ):
             with self.subTest(line=line), self.assertRaises(SettingsError):
                 node_settings.decode(TEXT + line)
