Give the virtual transport the buffer that servers count

The channels of a server count the bytes that their transport has not sent, by Twisted's own buffer.

--- a/tests/virtual_network.py
+++ b/tests/virtual_network.py
@@ -166,6 +166,10 @@
     """
 
     disconnecting = False
+    # Twisted's buffer of unsent bytes; here they wait in the link instead.
+    dataBuffer = b""  # noqa: N815 (Twisted's name)
+    offset = 0
+    _tempDataLen = 0  # noqa: N815
 
     def __init__(self, host: "Host", protocol: Any) -> None:
         self.host = host
