Keep no answer of a leaf on its connection

Cause: a closed connection waits for the garbage collector, as Twisted's client, connector and factory refer to each other. It held its reader, which its parser refers to, with the answer received, and the factory held the call with the request. 55 closed connections held 17.9 MB (collector with DEBUG_SAVEALL in the running process). Idle connections kept their last answer too.

The reader drops a response when it is complete, everything when the connection is lost, and the factory its call when it is connected. The three tests failed before.

--- a/src/oriolegate/network/http_connection.py
+++ b/src/oriolegate/network/http_connection.py
@@ -73,6 +73,11 @@
     """Do nothing, as the result is not needed."""
 
 
+def _accept_none(response: HttpResponse) -> bool:
+    """Accept no response, as the call has its result."""
+    return False
+
+
 @attrs.define(eq=False)
 class HttpCall:
     """A request to send over a connection.
@@ -115,6 +120,7 @@
     def drop(self) -> None:
         """Free what only a result would need."""
         self.done = _ignore_result
+        self.accepts = _accept_none
         self.data = b""
 
 
@@ -288,10 +294,11 @@
         if self.buffer is not None:
             self.buffer.release(self)
         self.owner.on_lost(self)
-        if self.call is None:
-            return
         was_closed = reason is not None and reason.check(error.ConnectionDone)
         response = self.reader.finish_on_close() if was_closed else None
+        self.reader.close()
+        if self.call is None:
+            return
         if response is not None and self.call.accepts(response):
             self._finish_call(Answered(response))
             return
@@ -317,17 +324,21 @@
         self.limits = limits
         self.owner = owner
         self.clock = clock
-        self.call = call
+        self.call: HttpCall | None = call
         self.on_failure = on_failure
 
     def buildProtocol(self, addr: object) -> HttpConnection:  # noqa: N802
         """Create the protocol of the connection."""
         connection = HttpConnection(self.owner, self.clock, self.limits)
         connection.call = self.call
+        # The transport keeps this factory in memory.
+        self.call = None
         return connection
 
     def clientConnectionFailed(  # noqa: N802
         self, connector: object, reason: Any
     ) -> None:
         """Report that the connection could not be opened."""
-        self.on_failure(self.call, reason.getErrorMessage())
+        call, self.call = self.call, None
+        if call is not None:
+            self.on_failure(call, reason.getErrorMessage())
--- a/src/oriolegate/network/http_reader.py
+++ b/src/oriolegate/network/http_reader.py
@@ -118,6 +118,13 @@
         self.in_progress = False
         return self.current
 
+    def close(self) -> None:
+        """Free what was received; the parser refers to this reader."""
+        self.parser = None
+        self.current = HttpResponse()
+        self.chunks = []
+        self.completed = []
+
     def on_message_begin(self) -> None:
         """Start a new response (parser callback)."""
         self.current = HttpResponse()
@@ -171,3 +178,6 @@
             return
         self.current.body = b"".join(self.chunks)
         self.completed.append(self.current)
+        # A connection that waits for its next request keeps no body.
+        self.current = HttpResponse()
+        self.chunks = []
--- a/tests/network/test_http_connection.py
+++ b/tests/network/test_http_connection.py
@@ -12,6 +12,7 @@
 from oriolegate.network.http_connection import Broken
 from oriolegate.network.http_connection import HttpCall
 from oriolegate.network.http_connection import HttpConnection
+from oriolegate.network.http_connection import HttpFactory
 from oriolegate.network.http_pool import HttpPool
 
 RESET = failure.Failure(error.ConnectionLost())
@@ -171,3 +172,38 @@
             pool.cancel(call)
 
         self.assert_freed(cancel)
+
+
+class FreedAnswerTest(unittest.TestCase):
+    """A connection keeps no answer: closed ones wait for the collector."""
+
+    def setUp(self):
+        self.owner = FakeOwner()
+        self.connection = HttpConnection(self.owner, FakeClock())
+        self.connection.makeConnection(FakeTransport())
+
+    def count_kept_bytes(self):
+        reader = self.connection.reader
+        kept = [reader.current.body, *reader.chunks]
+        kept += [response.body for response in reader.completed]
+        return sum(map(len, kept))
+
+    def test_an_idle_connection_keeps_no_answer(self):
+        self.connection.dataReceived(ANSWER)
+        self.assertEqual(self.owner.results[0].response.body, b"ok")
+        self.assertEqual(self.count_kept_bytes(), 0)
+
+    def test_a_closed_connection_keeps_no_part_of_an_answer(self):
+        self.connection.dataReceived(ANSWER[:-1])
+        self.connection.connectionLost(RESET)
+        self.assertEqual(self.count_kept_bytes(), 0)
+        self.assertIsNone(self.connection.reader.parser)
+
+    def test_a_factory_keeps_no_call_once_it_is_connected(self):
+        call = HttpCall(b"GET", lambda result: None, lambda response: True)
+        factory = HttpFactory(
+            self.owner, FakeClock(), call, lambda call, detail: None
+        )
+        connection = factory.buildProtocol(None)
+        self.assertIs(connection.call, call)
+        self.assertIsNone(factory.call)
