Keep serve within the limits of its machine

What callers saw: 400 open chunked bodies took 823 descriptors of 600, as each goes to a temporary file (memory, on machines without disks); 300 connections with short trailers 351 MB of 90; beside 400 bodies in chunks of one byte no request and no health check was answered in 30 s.

Cause: Twisted's own site served both ports: a body of unknown or large size goes to a file, and neither memory, descriptors nor processor time had a bound over all connections.

A query without room for its copies to all shards is answered 429, not run, with Retry-After.

--- a/src/oriolegate/network/admin.py
+++ b/src/oriolegate/network/admin.py
@@ -13,12 +13,14 @@
 from twisted.web import resource
 from twisted.web import server
 
+from oriolegate.connections.connection_budget import ConnectionGroup
 from oriolegate.exceptions import CallerInputError
 from oriolegate.exceptions import OriolegateError
 from oriolegate.logging_setup import get_logger
 from oriolegate.network import caller_resource
 from oriolegate.network.caller_wire import HTTP_STATUS
 from oriolegate.network.caller_wire import WireResponse
+from oriolegate.network.server_connections import ServerConnections
 from oriolegate.result_codes import ResultCode
 
 MAX_BODY_BYTES = 1_100_000
@@ -127,7 +129,7 @@
     body: Any = {}
     if request.method == b"POST":
         try:
-            body = json.loads(request.content.read() or b"{}")
+            body = json.loads(request.read_body() or b"{}")
         except ValueError:
             body = None
         if not isinstance(body, dict):
@@ -189,8 +191,13 @@
     )
 
 
-def admin_site(handler: AdminHandler, admin_key: str) -> server.Site:
+def admin_site(
+    handler: AdminHandler, admin_key: str, connections: ServerConnections
+) -> server.Site:
     """Return the site that serves operators and the balancer."""
     return caller_resource.bounded_site(
-        AdminResource(handler, admin_key), MAX_BODY_BYTES
+        AdminResource(handler, admin_key),
+        MAX_BODY_BYTES,
+        connections,
+        ConnectionGroup.INTERNAL,
     )
--- a/src/oriolegate/network/bounded_channel.py
+++ b/src/oriolegate/network/bounded_channel.py
@@ -39,22 +39,21 @@
 )
 
 
-class BoundedRequest(http.Request):
-    """An HTTP request whose body is kept in memory, up to a limit.
+class BoundedBody:
+    """Keeps the body of an HTTP request of Twisted in memory, up to a limit.
 
     Attributes:
         too_large: Whether the body exceeds the limit.
         received_bytes: Size of the body received so far.
         header_bytes: Size of the header.
-        open: Whether the response is still to be sent.
     """
 
-    def __init__(self, *args: Any, **kwargs: Any) -> None:
-        super().__init__(*args, **kwargs)
-        self.too_large = False
-        self.received_bytes = 0
-        self.header_bytes = 0
-        self.open = False
+    too_large = False
+    received_bytes = 0
+    header_bytes = 0
+    channel: Any
+    content: Any
+    requestHeaders: Any  # noqa: N815 (Twisted's name)
 
     @property
     def max_body_bytes(self) -> int:
@@ -66,24 +65,13 @@
         """Bytes of the body that are kept."""
         return 0 if self.too_large else self.received_bytes
 
-    def requestReceived(  # noqa: N802 (Twisted's name)
-        self, command: bytes, path: bytes, version: bytes
-    ) -> None:
-        """Handle the complete request; don't parse its body."""
-        self.content.seek(0, 0)
-        self.method = command
-        self.uri = path
-        self.clientproto = version
-        self.open = True
-        self.process()
-
     def gotLength(self, length: int | None) -> None:  # noqa: N802
         """Check the Content-Length before the body is stored."""
         if length is not None and length > self.max_body_bytes:
             self.too_large = True
         # Twisted stores bodies of unknown or large size in a file. This class
         # limits bodies, so it passes a length of 0 to keep them in memory.
-        super().gotLength(0)
+        super().gotLength(0)  # type: ignore[misc]
 
     def handleContentChunk(self, data: bytes) -> None:  # noqa: N802
         """Store part of the body unless the body exceeds the limit."""
@@ -93,7 +81,7 @@
             self.content.seek(0)
             self.content.truncate()
         if not self.too_large:
-            super().handleContentChunk(data)
+            super().handleContentChunk(data)  # type: ignore[misc]
 
     def read_body(self) -> bytes:
         """Return the complete body; it shares its memory with `content`."""
@@ -130,6 +118,27 @@
         )
 
 
+class BoundedRequest(BoundedBody, http.Request):
+    """A request that its handler answers later.
+
+    Attributes:
+        open: Whether the response is still to be sent.
+    """
+
+    open = False
+
+    def requestReceived(  # noqa: N802 (Twisted's name)
+        self, command: bytes, path: bytes, version: bytes
+    ) -> None:
+        """Handle the complete request; don't parse its body."""
+        self.content.seek(0, 0)
+        self.method = command
+        self.uri = path
+        self.clientproto = version
+        self.open = True
+        self.process()
+
+
 def _ignore(reason: RefusalReason) -> None:
     """Do nothing, as the connection is lost."""
 
@@ -196,7 +205,7 @@
         self._free_input()
 
     def on_request_refused(
-        self, request: BoundedRequest, reason: RefusalReason
+        self, request: BoundedBody, reason: RefusalReason
     ) -> None:
         """Handle that a request is refused before it is complete."""
 
--- a/src/oriolegate/network/caller_resource.py
+++ b/src/oriolegate/network/caller_resource.py
@@ -1,7 +1,7 @@
 """The HTTP resource that callers use, on twisted.web."""
 
-from collections.abc import Callable
 import math
+from typing import Any
 from typing import Protocol
 
 import attrs
@@ -9,16 +9,22 @@
 from twisted.web import resource
 from twisted.web import server
 
+from oriolegate.connections.connection_budget import ConnectionGroup
 from oriolegate.exceptions import CallerInputError
 from oriolegate.models.answer import Outcome
 from oriolegate.models.answer import Refusal
 from oriolegate.models.request import CallerRequest
 from oriolegate.network import caller_wire
+from oriolegate.network.bounded_channel import BoundedBody
+from oriolegate.network.bounded_channel import BoundedChannel
 from oriolegate.network.caller_wire import WireResponse
+from oriolegate.network.server_connections import ServerConnections
 from oriolegate.result_codes import ResultCode
 from oriolegate.result_codes import RunState
 
 IDLE_TIMEOUT_S = 60
+# Retry-After of a request that this VM has no memory for.
+OVERLOADED_RETRY_MS = 1_000
 
 
 class RequestHandler(Protocol):
@@ -29,6 +35,11 @@
         """Whether this process is stopping, so that callers must reconnect."""
         ...
 
+    @property
+    def most_parts(self) -> int:
+        """Most leafs that get one request at the same time."""
+        ...
+
     def handle(self, request: CallerRequest) -> "defer.Deferred[Outcome]":
         """Serve one request."""
         ...
@@ -46,36 +57,13 @@
         ...
 
 
-def limited_request(max_body_bytes: int) -> Callable[..., server.Request]:
-    """Return a request class that limits the size of bodies."""
-
-    class LimitedRequest(server.Request):
-        """A request with a limited body.
-
-        Attributes:
-            too_large: Whether the body exceeds the limit.
-            received_bytes: Size of the body received so far.
-        """
-
-        too_large = False
-        received_bytes = 0
+class LimitedRequest(BoundedBody, server.Request):
+    """A request with a limited body, whose forms are not parsed."""
 
-        def gotLength(self, length: int | None) -> None:  # noqa: N802
-            """Check the Content-Length before the body is stored."""
-            if length is not None and length > max_body_bytes:
-                self.too_large = True
-                length = 0
-            super().gotLength(length)
+    max_body_bytes = 0
 
-        def handleContentChunk(self, data: bytes) -> None:  # noqa: N802
-            """Store part of the body unless the body exceeds the limit."""
-            self.received_bytes += len(data)
-            if self.received_bytes > max_body_bytes:
-                self.too_large = True
-            if not self.too_large:
-                super().handleContentChunk(data)
-
-    return LimitedRequest
+    def __init__(self, *args: Any, **kwargs: Any) -> None:
+        super().__init__(*args, **kwargs, parsePOSTFormSubmission=False)
 
 
 class CallerResource(resource.Resource):
@@ -97,6 +85,9 @@
                 error.code,
                 RunState.NOT_RUN,
                 error.message,
+                OVERLOADED_RETRY_MS
+                if error.code is ResultCode.OVERLOADED
+                else None,
             )
             write_response(request, caller_wire.refusal_response(refusal))
             return server.NOT_DONE_YET
@@ -112,8 +103,13 @@
         fresh_id = self.handler.fresh_request_id()
         path = [part.decode("utf-8", "replace") for part in request.postpath]
         caller_request = caller_wire.read_request(
-            path, request.getHeader, request.content.read(), fresh_id
+            path, request.getHeader, request.read_body(), fresh_id
         )
+        if not request.reserve_parts(self.handler.most_parts):
+            raise CallerInputError(
+                "this VM has no memory for the request; ask another",
+                ResultCode.OVERLOADED,
+            )
         unique_id = self.handler.unique_request_id(caller_request.request_id)
         return attrs.evolve(caller_request, request_id=unique_id)
 
@@ -153,17 +149,41 @@
     request.finish()
 
 
-def bounded_site(root: resource.Resource, max_body_bytes: int) -> server.Site:
-    """Return a site that limits body size and idle time."""
-    site = server.Site(root, requestFactory=limited_request(max_body_bytes))
+def bounded_site(
+    root: resource.Resource,
+    max_body_bytes: int,
+    connections: ServerConnections,
+    group: ConnectionGroup,
+) -> server.Site:
+    """Return a site that keeps within the limits of its process.
+
+    Args:
+        root: The resource that is served.
+        max_body_bytes: Longest body of a request.
+        connections: Limits that all connections of the process share.
+        group: Which part of the limits the connections use.
+    """
+
+    class SiteRequest(LimitedRequest):
+        """Request class with the limit of this site."""
+
+    SiteRequest.max_body_bytes = max_body_bytes
+    site = server.Site(root, requestFactory=SiteRequest)
+    site.protocol = lambda: BoundedChannel(connections, group)
     site.timeOut = IDLE_TIMEOUT_S
     site.displayTracebacks = False
     site.log = lambda request: None
     return site
 
 
-def caller_site(handler: RequestHandler, max_body_bytes: int) -> server.Site:
+def caller_site(
+    handler: RequestHandler,
+    max_body_bytes: int,
+    connections: ServerConnections,
+) -> server.Site:
     """Return the site that serves callers."""
     root = resource.Resource()
     root.putChild(b"v1", CallerResource(handler))
-    return bounded_site(root, max_body_bytes)
+    return bounded_site(
+        root, max_body_bytes, connections, ConnectionGroup.CALLERS
+    )
--- a/src/oriolegate/network/caller_server.py
+++ b/src/oriolegate/network/caller_server.py
@@ -13,6 +13,7 @@
 from oriolegate.exchange.messages import Headers
 from oriolegate.models.site import CallerLimits
 from oriolegate.network import graceful_close
+from oriolegate.network.bounded_channel import BoundedBody
 from oriolegate.network.bounded_channel import BoundedChannel
 from oriolegate.network.bounded_channel import BoundedFactory
 from oriolegate.network.bounded_channel import BoundedRequest
@@ -169,7 +170,7 @@
         super().allContentReceived()
 
     def on_request_refused(
-        self, request: BoundedRequest, reason: RefusalReason
+        self, request: BoundedBody, reason: RefusalReason
     ) -> None:
         """Notify the handler."""
         self._stop_header_timer()
--- a/src/oriolegate/runtime/composition.py
+++ b/src/oriolegate/runtime/composition.py
@@ -18,6 +18,7 @@
 from oriolegate.network.peer_codec import PeerCodec
 from oriolegate.network.peer_handshake import PeerIdentity
 from oriolegate.network.peer_mesh import PeerMesh
+from oriolegate.network.server_connections import ServerConnections
 from oriolegate.network.upstream_client import UpstreamClient
 from oriolegate.quarantine import messages as quarantine_messages
 from oriolegate.quarantine.quarantine import Quarantine
@@ -188,12 +189,16 @@
         events=events,
     )
     routes = AdminRoutes(settings, clock, parts, metrics)
+    connections = ServerConnections(
+        dependencies.reactor, clock, settings.machine_limits, metrics
+    )
     return Process(
         settings=settings,
         dependencies=dependencies,
         parts=parts,
         caller_site=caller_resource.caller_site(
-            tier.flow, settings.max_body_bytes
+            tier.flow, settings.max_body_bytes, connections
         ),
-        admin_site=admin.admin_site(routes, settings.admin_key),
+        admin_site=admin.admin_site(routes, settings.admin_key, connections),
+        connections=connections,
     )
--- a/src/oriolegate/runtime/process.py
+++ b/src/oriolegate/runtime/process.py
@@ -10,6 +10,7 @@
 from oriolegate.logging_setup import get_logger
 from oriolegate.network import graceful_close
 from oriolegate.network.claim_store import ClaimStore
+from oriolegate.network.server_connections import ServerConnections
 from oriolegate.quarantine import messages as quarantine_messages
 from oriolegate.runtime.document_runner import DocumentRunner
 from oriolegate.runtime.forward_runner import ForwardRunner
@@ -74,12 +75,14 @@
         parts: ProcessParts,
         caller_site: server.Site,
         admin_site: server.Site,
+        connections: ServerConnections,
     ) -> None:
         self.settings = settings
         self.dependencies = dependencies
         self.parts = parts
         self.caller_site = caller_site
         self.admin_site = admin_site
+        connections.report = self._on_connections_refused
         self.caller_port: Any = None
         self.ports: list[Any] = []
         self.timer: Any = None
@@ -193,6 +196,11 @@
         """Start the planned stop; a second call has no effect."""
         self.stop_runner.receive(StopRequested())
 
+    def _on_connections_refused(self, refused: dict[str, int]) -> None:
+        log.warning(
+            "The process is at its limits; connections refused: {}.", refused
+        )
+
     def set_not_ready(self) -> None:
         """Fail the readiness check but continue to serve requests."""
         self.parts.tier.flow.state.leaving = True
--- a/src/oriolegate/runtime/request_flow.py
+++ b/src/oriolegate/runtime/request_flow.py
@@ -129,6 +129,19 @@
         """Whether callers should send new requests to other VMs."""
         return self.state.leaving
 
+    @property
+    def most_parts(self) -> int:
+        """Most leafs that get one request at the same time."""
+        topologies = self.runner.coordinator.state.leafs.topologies.values()
+        return max(
+            (
+                len(version.shards)
+                for topology in topologies
+                for version in topology.versions.values()
+            ),
+            default=1,
+        )
+
     def fresh_request_id(self) -> str:
         """Return a new unique request id."""
         return f"{self.process}-{next(self.request_numbers)}"
--- a/src/oriolegate/settings/serve.py
+++ b/src/oriolegate/settings/serve.py
@@ -2,10 +2,12 @@
 
 from collections.abc import Mapping
 import ipaddress
+import resource
 from typing import Any
 
 import attrs
 
+from oriolegate.models.machine import MachineLimits
 from oriolegate.quarantine.settings import CanaryMode
 from oriolegate.settings import keys
 from oriolegate.settings import kinds
@@ -17,6 +19,7 @@
 
 PORT = kinds.WholeNumber(1, 65_535)
 PORT_FIELDS = ("caller_port", "admin_port", "peer_port")
+MAX_DESCRIPTORS = 1_048_576
 # The largest whole number that a JSON number (a double) holds exactly.
 MAX_INCARNATION = 2**53 - 1
 
@@ -51,6 +54,9 @@
             platform's store.
         max_concurrent_queries: Maximum number of queries that run concurrently
             in this process.
+        memory_mb: Memory of the machine for this process, in MB.
+        max_descriptors: Number of file descriptors; None for the process's
+            own limit.
         canary: See `CanaryMode`.
     """
 
@@ -75,8 +81,19 @@
     stop_limit_ms: int
     watchers_per_data_centre: int
     max_concurrent_queries: int
+    memory_mb: int
+    max_descriptors: int | None
     canary: CanaryMode
 
+    @property
+    def machine_limits(self) -> MachineLimits:
+        """What the process may use of its machine."""
+        allowed, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+        if allowed == resource.RLIM_INFINITY:
+            allowed = MAX_DESCRIPTORS
+        descriptors = min(self.max_descriptors or allowed, allowed)
+        return MachineLimits(float(self.memory_mb), descriptors)
+
 
 IDENTITY_SETTINGS = (
     Setting(
@@ -166,6 +183,18 @@
         summary="queries that run concurrently in this process",
         default="512",
     ),
+    Setting(
+        name="memory-mb",
+        kind=kinds.WholeNumber(32, 1_048_576),
+        summary="memory that this process may use, in MB",
+        default="512",
+    ),
+    Setting(
+        name="max-descriptors",
+        kind=kinds.WholeNumber(64, MAX_DESCRIPTORS),
+        summary="file descriptors that this process may use; if unset, its "
+        "own limit",
+    ),
     Setting(
         name="watchers-per-data-centre",
         kind=kinds.WholeNumber(1, 16),
