Stop reading a body that goes on far beyond its limit

A body above the limit was read and discarded to its end before the 413, and a chunked one has no end: such a client used the processor for as long as it liked. After 1 MB beyond the limit it is answered 413 and closed; a caller that sends a body that is a little too long still reads its 413 as before.

EndlessBodyTest failed before: the channel still read at twice the limit.

--- a/src/oriolegate/connections/connection_budget.py
+++ b/src/oriolegate/connections/connection_budget.py
@@ -76,6 +76,7 @@
     IDLE = "idle while memory is short"
     NO_MEMORY = "no memory to run it"
     NO_TIME = "too much to decode while others wait"
+    ENDLESS = "body far beyond its limit"
 
 
 class Rank(enum.IntEnum):
--- a/src/oriolegate/network/bounded_channel.py
+++ b/src/oriolegate/network/bounded_channel.py
@@ -31,6 +31,13 @@
 # memory. Connections without progress are closed within a second, so that
 # there is room again, and another VM may take the request at once.
 REFUSED_RETRY_S = 0.5
+# Bytes beyond the limit that are read: a client that sends its whole body
+# first can read its response.
+MAX_DISCARDED_BYTES = 1024 * 1024
+TOO_LARGE_RESPONSE = (
+    b"HTTP/1.1 413 Content Too Large\r\n"
+    b"Content-Length: 0\r\nConnection: close\r\n\r\n"
+)
 # A request that was never read completely has not run.
 REFUSED_RESPONSE = (
     b"HTTP/1.1 503 Service Unavailable\r\n"
@@ -60,6 +67,12 @@
         """Longest body."""
         raise NotImplementedError
 
+    @property
+    def is_endless(self) -> bool:
+        """Whether the body is so large that it isn't read to its end."""
+        limit_bytes = self.max_body_bytes + MAX_DISCARDED_BYTES
+        return self.received_bytes > limit_bytes
+
     @property
     def body_bytes(self) -> int:
         """Bytes of the body that are kept."""
@@ -198,7 +211,11 @@
         self.server.work.cancel(self.account)
         self.server.unsent.discard(self)
         if self.requests and not graceful_close.count_unsent(self.transport):
-            self.transport.write(REFUSED_RESPONSE)
+            self.transport.write(
+                TOO_LARGE_RESPONSE
+                if reason is RefusalReason.ENDLESS
+                else REFUSED_RESPONSE
+            )
             self.loseConnection()
         else:
             graceful_close.abort(self.transport)
@@ -355,6 +372,10 @@
         if self.is_refused:
             return
         connection = self.connection
+        is_receiving = self.requests and not self._handlingRequest
+        if is_receiving and self.requests[-1].is_endless:
+            self.server.budget.refuse(connection, RefusalReason.ENDLESS)
+            return
         unsent_bytes = graceful_close.count_unsent(self.transport)
         if unsent_bytes < connection.unsent_bytes:
             connection.moved_ms = self.server.clock.now_ms()
--- a/tests/network/test_bounded_channel.py
+++ b/tests/network/test_bounded_channel.py
@@ -12,11 +12,14 @@
 from oriolegate.connections.connection_budget import ConnectionGroup
 from oriolegate.models.machine import MachineLimits
 from oriolegate.network import bounded_channel
+from oriolegate.network import caller_server
 from oriolegate.network.caller_server import InternalHttpFactory
 from oriolegate.network.server_connections import ServerConnections
 from tests.network.fake_transport import FakeTransport
 
 HEAD = b"POST /x HTTP/1.1\r\nHost: h\r\n"
+# Bytes beyond the limit of a body that may be read.
+DISCARDED_BYTES = 1024 * 1024
 CHUNKED = HEAD + b"Transfer-Encoding: chunked\r\n\r\n"
 
 
@@ -114,6 +117,28 @@
         self.assertFalse(self.server.work.has_work)
 
 
+class EndlessBodyTest(ChannelCase):
+    def test_a_body_without_end_is_answered_and_no_longer_read(self):
+        self.server.set_limits(MachineLimits(memory_mb=1_000.0))
+        piece = b"a" * bounded_channel.READ_BYTES
+        limit_bytes = caller_server.MAX_FORWARDED_BYTES
+        limit_bytes += DISCARDED_BYTES
+        for chunk in (b"%x\r\n%s\r\n" % (len(piece), piece), piece):
+            channel, transport = self.connect()
+            head = HEAD + b"Content-Length: 100000000000\r\n\r\n"
+            channel.dataReceived(CHUNKED if chunk != piece else head)
+            sent = 0
+            while not transport.disconnecting and sent < 2 * limit_bytes:
+                channel.dataReceived(chunk)
+                sent += len(piece)
+                while channel.undecoded:
+                    self.run_turns()
+            with self.subTest(chunk=chunk[:10]):
+                self.assertTrue(transport.written.startswith(b"HTTP/1.1 413 "))
+                self.assertLess(sent, limit_bytes + 2 * len(piece))
+        self.assertEqual(self.targets, [])
+
+
 class PipelinedRequestTest(ChannelCase):
     def test_each_request_gets_its_response_in_order(self):
         channel, transport = self.connect()
