Play four more crowds: trickling bodies, many kinds at once, internal ports

Bodies whose last bytes trickle in, so that no connection stands still; ten kinds of clients at once; bodies of 4 MiB at the port of other VMs that are no forwarded requests; and more connections to the port of health checks than descriptors.

--- a/tests/crowds/crowd_clients.py
+++ b/tests/crowds/crowd_clients.py
@@ -28,7 +28,24 @@
 SETTLE_LIMIT_S = 25.0
 ROUND_PAUSE_S = 0.5
 
+# Bytes that come one at a time, with a pause after each.
+TRICKLE_BYTES = 100
+TRICKLE_PAUSE_S = 0.3
+MIXED_KINDS = (
+    "whole",
+    "large_chunks",
+    "one_byte_chunks",
+    "complete",
+    "complete_to_shards",
+    "many_headers",
+    "short_trailers",
+    "pipelined",
+    "unknown_routes",
+    "few_bytes",
+)
+
 attempt_numbers = itertools.count(1)
+mixed_numbers = itertools.count()
 
 
 def head(path: str, *lines: str, method: str = "POST") -> bytes:
@@ -137,6 +154,26 @@
     return iter(())
 
 
+def trickle() -> Iterator[bytes]:
+    """Send most of a body, then a byte at a time without its end."""
+    yield head("/one/a", LENGTH)
+    yield BODY[: -2 * TRICKLE_BYTES]
+    for _ in range(TRICKLE_BYTES):
+        yield b"a"
+
+
+def forwarded_complete() -> Iterator[bytes]:
+    """Send complete bodies to the port of other VMs that are no requests."""
+    yield head("/forwarded", f"Content-Length: {FORWARDED_BYTES}")
+    for _ in range(FORWARDED_BYTES // SLICE_BYTES):
+        yield BODY[:SLICE_BYTES]
+
+
+def mixed() -> Iterator[bytes]:
+    """Do what one of several other clients does, in turn."""
+    return KINDS[MIXED_KINDS[next(mixed_numbers) % len(MIXED_KINDS)]]()
+
+
 def forwarded() -> Iterator[bytes]:
     """Send a body to the port of other VMs, but for its last byte."""
     yield head("/forwarded", f"Content-Length: {FORWARDED_BYTES}")
@@ -191,6 +228,9 @@
         query_chunks,
         query_one_byte_chunks,
         query_short_trailers,
+        trickle,
+        forwarded_complete,
+        mixed,
     )
 }
 
@@ -227,7 +267,10 @@
                 for start in range(0, len(data), SLICE_BYTES):
                     writer.write(data[start : start + SLICE_BYTES])
                     await writer.drain()
-                    self._record_progress()
+                    if len(data) == 1:
+                        await asyncio.sleep(TRICKLE_PAUSE_S)
+                    else:
+                        self._record_progress()
         except OSError:
             pass
         finally:
--- a/tests/crowds/crowd_stage.py
+++ b/tests/crowds/crowd_stage.py
@@ -283,6 +283,13 @@
         )
         self.store.put("config", "main", spec)
 
+    def address(self, name: str) -> tuple[str, int]:
+        """Return an address of the gateway by its name."""
+        if name == "ready_address":
+            return self.gateway.host, self.gateway.ports[1]
+        address: tuple[str, int] = getattr(self.gateway, name)
+        return address
+
     async def get(self) -> int | None:
         """Send an ordinary request; return the status of its answer."""
         data = crowd_clients.head("/one/ordinary", method="GET")
@@ -333,7 +340,7 @@
             )
             try:
                 await stage.start()
-                address = getattr(stage.gateway, address_name)
+                address = stage.address(address_name)
                 crowd = CrowdProcess(address, kind, count, rounds)
                 try:
                     await crowd.settle()
--- a/tests/crowds/test_gateway_crowds.py
+++ b/tests/crowds/test_gateway_crowds.py
@@ -50,6 +50,14 @@
     async def test_chunks_of_one_byte_without_an_end(self):
         await self.play("one_byte_chunks", 400)
 
+    @with_processes
+    async def test_long_bodies_whose_last_bytes_trickle_in(self):
+        await self.play("trickle", 400)
+
+    @with_processes
+    async def test_clients_of_many_kinds(self):
+        await self.play("mixed", 550)
+
     @with_processes
     async def test_complete_requests_with_long_bodies(self):
         await self.play("complete", 400)
@@ -102,6 +110,16 @@
     async def test_long_bodies_at_the_port_of_other_vms(self):
         await self.play("forwarded", 30, address_name="internal_address")
 
+    @with_processes
+    async def test_long_bodies_that_are_no_forwarded_requests(self):
+        await self.play(
+            "forwarded_complete", 30, address_name="internal_address"
+        )
+
+    @with_processes
+    async def test_more_connections_to_the_port_of_health_checks(self):
+        await self.play("few_bytes", 900, address_name="ready_address")
+
     @with_processes
     async def test_chunks_of_one_byte_at_the_port_of_other_vms(self):
         await self.play("one_byte_chunks", 400, address_name="internal_address")
