Check leafs after a start if the store was ever restored

A VM started two seconds after the store had come back from a copy; it read the entry of a leaf that had restarted since, and that had not written it again.

Cause: a VM that is up knows of the new era and holds back; one that has just started finds the same store as always. Nothing tells it when the store came back.

For contact_ms from its start, unless all VMs start for the first time, such a VM checks the health of a leaf before its first connection to it, if the era of the store shows that it has ever come back. That is what a VM without news of the entries does already. Without a drill nothing changes.

--- a/src/oriolegate/following/store_era.py
+++ b/src/oriolegate/following/store_era.py
@@ -12,6 +12,8 @@
 # four months.
 REVISION_BITS = 40
 REVISION_MASK = (1 << REVISION_BITS) - 1
+# Era of a store that has never come back from a copy.
+FIRST_ERA = 1
 
 
 def tag(era: int, revision: int) -> int:
@@ -47,6 +49,11 @@
     def __init__(self) -> None:
         self.number = 0
 
+    @property
+    def was_restored(self) -> bool:
+        """Whether the store has ever come back from an older copy."""
+        return self.number > FIRST_ERA
+
     def observe(self, era: int | None) -> Observation:
         """Compare the era of an answer, and remember it if it is newer.
 
--- a/src/oriolegate/runtime/gateway_composition.py
+++ b/src/oriolegate/runtime/gateway_composition.py
@@ -261,9 +261,17 @@
     leaf_client.on_notice = on_notice
     checker = LeafChecker(reactor, clock, leaf_client, directory, rng)
     directory.on_unverified = checker.verify
-    directory.is_view_current = lambda: (
-        store.is_current or feed.fallback is not None
-    )
+    started_ms = clock.now_ms()
+
+    def is_view_current() -> bool:
+        # A VM that has just started can't tell whether the store came back
+        # from an older copy a moment ago, and which entries lag behind.
+        may_lag = era.was_restored and not settings.first_start
+        if may_lag and clock.now_ms() < started_ms + bounds.contact_ms:
+            return False
+        return store.is_current or feed.fallback is not None
+
+    directory.is_view_current = is_view_current
     confirmation = DownConfirmation(clock, leaf_client.contact)
     contact_watch = ContactWatch(
         clock,
