Begin waiting requests when others are lost; don't time them out

Two faults of the turns, found by reading. If connections whose pipelined requests ran were lost, nothing began the requests that waited for them: they waited until some other request ended. And a request that waits here for its turn got 408 after the header limit, as if its caller were late.

The end of a connection starts a turn, and the header limit doesn't apply while a channel waits. A chunked body that waits counts as moving when it is decoded, as it isn't read meanwhile.

--- a/src/oriolegate/connections/connection_budget.py
+++ b/src/oriolegate/connections/connection_budget.py
@@ -261,7 +261,8 @@
         connection.is_running = True
         connection.request_bytes = request_bytes
         connection.overhead_bytes = 0
-        self._recount(connection)
+        if connection in self.pool_by_connection:
+            self._recount(connection)
 
     def reserve(
         self,
--- a/src/oriolegate/network/bounded_channel.py
+++ b/src/oriolegate/network/bounded_channel.py
@@ -188,7 +188,7 @@
     def connectionLost(self, reason: Any) -> None:  # noqa: N802
         """Stop counting the connection and free what it holds."""
         self.server.budget.remove(self.connection)
-        self.server.work.cancel(self.account)
+        self.server.cancel_work(self.account)
         self.server.unsent.discard(self)
         super().connectionLost(reason)
         self._free()
@@ -208,7 +208,7 @@
         self.is_refused = True
         if self.requests:
             self.on_request_refused(self.requests[-1], reason)
-        self.server.work.cancel(self.account)
+        self.server.cancel_work(self.account)
         self.server.unsent.discard(self)
         if self.requests and not graceful_close.count_unsent(self.transport):
             self.transport.write(
@@ -328,6 +328,7 @@
         data = bytes(self.undecoded[:STEP_BYTES])
         del self.undecoded[:STEP_BYTES]
         self.resetTimeout()
+        self.connection.moved_ms = self.server.clock.now_ms()
         self._decode(data)
         return work_queue.decoding_cost(data)
 
@@ -337,16 +338,14 @@
         self.server.work.begin_pipelined(self.account)
         self.dataReceived(b"")
         if not self._handlingRequest:
-            self.server.work.end_pipelined(self.account)
+            self.server.end_pipelined(self.account)
         return work_queue.REQUEST_COST
 
     def requestDone(self, request: Any) -> None:  # noqa: N802
         """Let a request that was sent meanwhile wait for its turn."""
         server = self.server
         server.budget.end_request(server.clock.now_ms(), self.connection)
-        server.work.end_pipelined(self.account)
-        if server.work.has_work:
-            server.start_turn()
+        server.end_pipelined(self.account)
         is_next_waiting = bool(self._buffer) or any(self._dataBuffer)
         if self.persistent and is_next_waiting:
             self.paused = True
--- a/src/oriolegate/network/caller_server.py
+++ b/src/oriolegate/network/caller_server.py
@@ -149,7 +149,8 @@
             )
 
     def _is_reading_header(self) -> bool:
-        if self.has_header:
+        # While requests wait here for their turn, the caller isn't late.
+        if self.has_header or self.paused or self.is_refused:
             return False
         # Twisted keeps the request line in `_command` until the body is
         # complete. Bytes received while a request is open wait in the same
--- a/src/oriolegate/network/server_connections.py
+++ b/src/oriolegate/network/server_connections.py
@@ -10,6 +10,7 @@
 from oriolegate.connections.connection_budget import ConnectionBudget
 from oriolegate.connections.connection_budget import ConnectionGroup
 from oriolegate.connections.connection_budget import RefusalReason
+from oriolegate.connections.work_queue import Account
 from oriolegate.connections.work_queue import WorkQueue
 from oriolegate.metrics import MetricsRegistry
 from oriolegate.models.machine import MachineLimits
@@ -98,11 +99,24 @@
         if self.turn_timer is None:
             self.turn_timer = self.reactor.callLater(0.0, self._run_turn)
 
+    def cancel_work(self, account: Account) -> None:
+        """Forget the work of a connection that is closed."""
+        self.work.cancel(account)
+        self._start_waiting()
+
+    def end_pipelined(self, account: Account) -> None:
+        """Let another connection begin a pipelined request."""
+        self.work.end_pipelined(account)
+        self._start_waiting()
+
+    def _start_waiting(self) -> None:
+        if self.work.has_work:
+            self.start_turn()
+
     def _run_turn(self) -> None:
         self.turn_timer = None
         self.work.run_turn()
-        if self.work.has_work:
-            self.start_turn()
+        self._start_waiting()
 
     def set_data(
         self,
--- a/tests/network/test_bounded_channel.py
+++ b/tests/network/test_bounded_channel.py
@@ -9,8 +9,10 @@
 from twisted.python import failure
 
 from oriolegate.clock import FakeClock
+from oriolegate.connections import work_queue
 from oriolegate.connections.connection_budget import ConnectionGroup
 from oriolegate.models.machine import MachineLimits
+from oriolegate.models.site import CallerLimits
 from oriolegate.network import bounded_channel
 from oriolegate.network import caller_server
 from oriolegate.network.caller_server import InternalHttpFactory
@@ -23,6 +25,27 @@
 CHUNKED = HEAD + b"Transfer-Encoding: chunked\r\n\r\n"
 
 
+class StandInHandler:
+    """Keeps requests open until a test lets them be answered."""
+
+    closes_connections = False
+    limits = CallerLimits()
+
+    def __init__(self):
+        self.requests = []
+
+    def handle(self, request):
+        self.requests.append(request)
+
+    def caller_gone(self, request):
+        self.requests.remove(request)
+
+    def answer_all(self):
+        requests, self.requests = self.requests, []
+        for request in requests:
+            request.reply(200, (), b"ok")
+
+
 class ChannelCase(unittest.TestCase):
     def setUp(self):
         self.reactor = task.Clock()
@@ -180,6 +203,44 @@
         self.assertEqual(transport.written.count(b"200 OK"), 2)
 
 
+class WaitingRequestTest(ChannelCase):
+    """Pipelined requests that wait while many others run."""
+
+    def setUp(self):
+        super().setUp()
+        self.handler = StandInHandler()
+        self.factory = caller_server.CallerFactory(self.server, self.handler)
+
+    def open_channels(self, count):
+        pairs = [self.connect() for _ in range(count)]
+        for channel, _ in pairs:
+            channel.dataReceived(b"GET /x HTTP/1.1\r\n\r\n" * 3)
+        self.handler.answer_all()
+        self.run_turns(20)
+        return pairs
+
+    def test_they_begin_when_connections_whose_requests_run_are_lost(self):
+        limit = work_queue.MAX_PIPELINED_REQUESTS
+        pairs = self.open_channels(limit + 3)
+        self.assertEqual(len(self.handler.requests), limit)
+        for request in list(self.handler.requests)[:3]:
+            request.channel.connectionLost(failure.Failure(ConnectionDone()))
+        self.run_turns(20)
+        self.assertEqual(len(self.handler.requests), limit)
+        self.assertEqual(len(pairs), limit + 3)
+
+    def test_their_header_is_not_late(self):
+        pairs = self.open_channels(work_queue.MAX_PIPELINED_REQUESTS + 3)
+        self.reactor.advance(4.0)
+        for _, transport in pairs:
+            self.assertNotIn(b"408", transport.written)
+        for _ in range(5):
+            self.handler.answer_all()
+            self.run_turns(20)
+        for _, transport in pairs:
+            self.assertEqual(transport.written.count(b"200 OK"), 3)
+
+
 class RefusedRequestTest(ChannelCase):
     def test_a_refused_request_is_told_that_it_has_not_run(self):
         pairs = [self.connect() for _ in range(40)]
