--- a/tests/fleet_model/test_fleet_model.py
+++ b/tests/fleet_model/test_fleet_model.py
@@ -47,6 +47,9 @@
     def test_leafs_readmitted_while_the_store_is_restored_are_spared(self):
         self.check("readmitted-while-restored")
 
+    def test_leafs_that_come_back_cold_after_lost_history_are_spared(self):
+        self.check("back-after-lost-history")
+
     def test_no_old_route_is_served_though_store_connections_are_silent(self):
         self.check("silent-store-connections")
 
