Close the oldest unauthenticated link for a further one

64 connections to the peer port of serve that send nothing kept all peers out for the 5 s of the handshake, again and again: a further link was refused, whoever it was of. A handshake takes a round trip, so the oldest link is the one that hangs; it is closed now.

A crowd of 900 connections at that port stays within its descriptors (it did before).

--- a/src/oriolegate/network/peer_mesh.py
+++ b/src/oriolegate/network/peer_mesh.py
@@ -81,7 +81,7 @@
         self.addresses: collections.OrderedDict[str, tuple[str, int]] = (
             collections.OrderedDict()
         )
-        self.unauthenticated: set[PeerLink] = set()
+        self.unauthenticated: dict[PeerLink, None] = {}
         self.on_message: Callable[[str, object], None] = lambda *_: None
         self.on_linked: Callable[[str], None] = lambda _: None
         self.on_lost: Callable[[str], None] = lambda _: None
@@ -200,14 +200,15 @@
 
     def accept_link(self) -> PeerLink | None:
         """Create a link for an incoming connection, or None to refuse it."""
-        if (
-            self.stopped
-            or len(self.unauthenticated) >= MAX_UNAUTHENTICATED_LINKS
-        ):
+        if self.stopped:
             self.counters.refused_links += 1
             return None
+        if len(self.unauthenticated) >= MAX_UNAUTHENTICATED_LINKS:
+            # A handshake takes a round trip, so the oldest link hangs.
+            self.counters.refused_links += 1
+            next(iter(self.unauthenticated)).fail(ResultCode.PEER_UNAUTHORIZED)
         link = self.make_link(None, "")
-        self.unauthenticated.add(link)
+        self.unauthenticated[link] = None
         return link
 
     def on_dial_failed(self, vm: str) -> None:
@@ -238,7 +239,7 @@
 
     def on_link_ready(self, link: PeerLink) -> None:
         """Use an authenticated link unless the current one is preferred."""
-        self.unauthenticated.discard(link)
+        self.unauthenticated.pop(link, None)
         vm = link.peer_vm
         peer = self.peers.setdefault(vm, PeerState())
         if link.dialed_vm is not None:
@@ -273,7 +274,7 @@
 
     def on_link_lost(self, link: PeerLink, code: ResultCode) -> None:
         """Remove a link; redial later if the peer is persistent."""
-        self.unauthenticated.discard(link)
+        self.unauthenticated.pop(link, None)
         self._count_loss(code)
         vm = link.dialed_vm or link.peer_vm
         peer = self.peers.get(vm)
--- a/src/oriolegate/network/peer_state.py
+++ b/src/oriolegate/network/peer_state.py
@@ -34,7 +34,7 @@
             or its queue was unavailable.
         bad_messages: Links closed because of an invalid message.
         unauthorized: Links closed because authentication failed.
-        refused_links: Incoming connections refused because there were too
+        refused_links: Incoming connections closed because there were too
             many unauthenticated links.
     """
 
--- a/tests/crowds/test_serve_crowds.py
+++ b/tests/crowds/test_serve_crowds.py
@@ -113,3 +113,7 @@
     @with_processes
     async def test_more_connections_to_the_admin_port(self):
         await self.play("few_bytes", 900, port=fleet.ADMIN_PORT)
+
+    @with_processes
+    async def test_more_connections_to_the_port_of_other_vms(self):
+        await self.play("few_bytes", 900, port=fleet.PEER_PORT)
