Split the limits on connections into smaller modules

What a machine's limits give to clients, what a connection holds, and which is closed were one module; requests and channels another.

--- a/src/oriolegate/connections/connection_budget.py
+++ b/src/oriolegate/connections/connection_budget.py
@@ -12,176 +12,25 @@
 """
 
 from collections.abc import Callable
-import enum
-
-import attrs
 
+from oriolegate.connections import machine_share
+from oriolegate.connections.connection import Connection
+from oriolegate.connections.connection import Pool
+from oriolegate.connections.connection import REASONS
+from oriolegate.connections.connection import RefusalReason
+from oriolegate.connections.machine_share import ConnectionGroup
 from oriolegate.models.machine import MachineLimits
 
-BYTES_PER_MB = 1024 * 1024
-# Memory that the process needs without connections of clients.
-CONTROL_BYTES = 64 * BYTES_PER_MB
-# Part of the other memory that counted bytes may use. Neither short-lived
-# copies are counted nor freed blocks that the allocator can't return.
-COUNTED_FRACTION = 0.5
-# The same as a part of all memory, for machines with little of it.
-MIN_COUNTED_FRACTION = 0.1
-# Descriptors for files, and their greatest part of all descriptors.
-FILE_DESCRIPTORS = 200
-MAX_FILES_FRACTION = 0.25
-# Memory of an open connection without data.
-CONNECTION_BYTES = 4 * 1024
 # A connection with more data has a long request or response.
 LONG_BYTES = 96 * 1024
-# A connection that has moved no byte for so long makes no progress.
-STALL_MS = 1_000.0
 # Connections are closed until this fraction of a limit is left, so that the
 # choice is made once for many.
 KEPT_FRACTION = 0.875
-
-
-class ConnectionGroup(enum.Enum):
-    """Connections that share a part of the limits.
-
-    Attributes:
-        CALLERS: Connections of callers.
-        INTERNAL: Connections of other VMs, operators and health checks.
-    """
-
-    CALLERS = "callers"
-    INTERNAL = "internal"
-
-
-# Each group's part of the counted bytes and of the sockets. The other sockets
-# are for connections that this process opens: to leafs, the store and VMs.
-BYTES_FRACTIONS = {
-    ConnectionGroup.CALLERS: 0.8,
-    ConnectionGroup.INTERNAL: 0.2,
-}
-SOCKET_FRACTIONS = {
-    ConnectionGroup.CALLERS: 0.5,
-    ConnectionGroup.INTERNAL: 0.15,
-}
 # Most of a group's bytes that connections with long requests or responses may
 # hold. The others may hold whatever these don't.
 LONG_FRACTION = 0.5
 
 
-class RefusalReason(enum.Enum):
-    """Why a connection is closed or a request is refused."""
-
-    TOO_MANY = "too many connections"
-    STALLED = "no progress while memory is short"
-    LARGEST = "too many bytes while memory is short"
-    IDLE = "idle while memory is short"
-    NO_MEMORY = "no memory to run it"
-    NO_TIME = "too much to decode while others wait"
-    ENDLESS = "body far beyond its limit"
-
-
-class Rank(enum.IntEnum):
-    """Order in which connections are closed."""
-
-    STALLED = 0
-    INCOMPLETE = 1
-    IDLE = 2
-
-
-REASONS = {
-    Rank.STALLED: RefusalReason.STALLED,
-    Rank.INCOMPLETE: RefusalReason.LARGEST,
-    Rank.IDLE: RefusalReason.IDLE,
-}
-
-
-def bytes_for(limits: MachineLimits, group: ConnectionGroup) -> float:
-    """Return how many bytes the connections of a group may hold."""
-    memory_bytes = limits.memory_mb * BYTES_PER_MB
-    counted_bytes = max(
-        COUNTED_FRACTION * (memory_bytes - CONTROL_BYTES),
-        MIN_COUNTED_FRACTION * memory_bytes,
-    )
-    return BYTES_FRACTIONS[group] * counted_bytes
-
-
-def connections_for(limits: MachineLimits, group: ConnectionGroup) -> int:
-    """Return how many connections a group may have."""
-    files = min(FILE_DESCRIPTORS, MAX_FILES_FRACTION * limits.descriptors)
-    sockets = limits.descriptors - files
-    return max(1, int(SOCKET_FRACTIONS[group] * sockets))
-
-
-@attrs.define(eq=False)
-class Connection:
-    """What a connection holds.
-
-    Attributes:
-        group: Connections that it shares limits with.
-        close: Closes the connection, given the reason, and frees what it
-            holds; must not call the budget.
-        moved_ms: When it last made progress.
-        input_bytes: Bytes received of requests that are not complete.
-        unsent_bytes: Bytes of responses that the client has not taken.
-        request_bytes: Bytes that the running request needs, with its copies.
-        overhead_bytes: Bytes that the running request needs beside its data.
-        is_running: Whether a complete request has no response yet.
-        has_served: Whether a request was answered.
-    """
-
-    group: ConnectionGroup
-    close: Callable[[RefusalReason], None]
-    moved_ms: float
-    input_bytes: int = 0
-    unsent_bytes: int = 0
-    request_bytes: int = 0
-    overhead_bytes: int = 0
-    is_running: bool = False
-    has_served: bool = False
-
-    @property
-    def data_bytes(self) -> int:
-        """Bytes of requests and responses."""
-        return self.input_bytes + self.unsent_bytes + self.request_bytes
-
-    @property
-    def held_bytes(self) -> int:
-        """All bytes that count for this connection."""
-        return CONNECTION_BYTES + self.overhead_bytes + self.data_bytes
-
-    def rank(self, now_ms: float) -> Rank | None:
-        """Return when it is closed in relation to others, or None for never."""
-        if self.is_running:
-            return None
-        if self.has_served and not self.data_bytes:
-            return Rank.IDLE
-        if now_ms - self.moved_ms >= STALL_MS:
-            return Rank.STALLED
-        return Rank.INCOMPLETE
-
-
-@attrs.define(eq=False)
-class Pool:
-    """Connections of one group with long data, or those with short data.
-
-    Attributes:
-        connections: The connections and the bytes counted for each.
-        held_bytes: Sum of the bytes.
-    """
-
-    connections: dict[Connection, int] = attrs.field(factory=dict)
-    held_bytes: int = 0
-
-    def add(self, connection: Connection) -> None:
-        """Count a connection."""
-        held_bytes = connection.held_bytes
-        self.connections[connection] = held_bytes
-        self.held_bytes += held_bytes
-
-    def discard(self, connection: Connection) -> None:
-        """Stop counting a connection."""
-        self.held_bytes -= self.connections.pop(connection, 0)
-
-
 class ConnectionBudget:
     """All connections that others opened to this process.
 
@@ -222,7 +71,7 @@
         Those with short data have at least their part, and may use what the
         long ones leave; long ones then find less.
         """
-        group_bytes = bytes_for(self.limits, group)
+        group_bytes = machine_share.bytes_for(self.limits, group)
         most_long_bytes = LONG_FRACTION * group_bytes
         other_bytes = self.pools[group, not is_long].held_bytes
         if is_long:
@@ -232,7 +81,7 @@
     def open(self, now_ms: float, connection: Connection) -> None:
         """Add a connection; close others, or it, if there are too many."""
         self._recount(connection)
-        limit = connections_for(self.limits, connection.group)
+        limit = machine_share.connections_for(self.limits, connection.group)
         count = self.count(connection.group)
         if count > limit:
             kept = min(limit, max(1, int(KEPT_FRACTION * limit)))
--- a/src/oriolegate/network/admin.py
+++ b/src/oriolegate/network/admin.py
@@ -13,7 +13,7 @@
 from twisted.web import resource
 from twisted.web import server
 
-from oriolegate.connections.connection_budget import ConnectionGroup
+from oriolegate.connections.machine_share import ConnectionGroup
 from oriolegate.exceptions import CallerInputError
 from oriolegate.exceptions import OriolegateError
 from oriolegate.logging_setup import get_logger
--- a/src/oriolegate/network/caller_resource.py
+++ b/src/oriolegate/network/caller_resource.py
@@ -9,14 +9,14 @@
 from twisted.web import resource
 from twisted.web import server
 
-from oriolegate.connections.connection_budget import ConnectionGroup
+from oriolegate.connections.machine_share import ConnectionGroup
 from oriolegate.exceptions import CallerInputError
 from oriolegate.models.answer import Outcome
 from oriolegate.models.answer import Refusal
 from oriolegate.models.request import CallerRequest
 from oriolegate.network import caller_wire
-from oriolegate.network.bounded_channel import BoundedBody
 from oriolegate.network.bounded_channel import BoundedChannel
+from oriolegate.network.bounded_request import BoundedBody
 from oriolegate.network.caller_wire import WireResponse
 from oriolegate.network.server_connections import ServerConnections
 from oriolegate.result_codes import ResultCode
--- a/src/oriolegate/network/caller_server.py
+++ b/src/oriolegate/network/caller_server.py
@@ -8,15 +8,15 @@
 from typing import Any
 from typing import Protocol
 
-from oriolegate.connections.connection_budget import ConnectionGroup
-from oriolegate.connections.connection_budget import RefusalReason
+from oriolegate.connections.connection import RefusalReason
+from oriolegate.connections.machine_share import ConnectionGroup
 from oriolegate.exchange.messages import Headers
 from oriolegate.models.site import CallerLimits
 from oriolegate.network import graceful_close
-from oriolegate.network.bounded_channel import BoundedBody
 from oriolegate.network.bounded_channel import BoundedChannel
 from oriolegate.network.bounded_channel import BoundedFactory
-from oriolegate.network.bounded_channel import BoundedRequest
+from oriolegate.network.bounded_request import BoundedBody
+from oriolegate.network.bounded_request import BoundedRequest
 from oriolegate.network.server_connections import ServerConnections
 
 MS_PER_S = 1_000.0
--- a/src/oriolegate/network/server_connections.py
+++ b/src/oriolegate/network/server_connections.py
@@ -6,10 +6,10 @@
 from typing import Any
 
 from oriolegate.clock import Clock
-from oriolegate.connections.connection_budget import Connection
+from oriolegate.connections.connection import Connection
+from oriolegate.connections.connection import RefusalReason
 from oriolegate.connections.connection_budget import ConnectionBudget
-from oriolegate.connections.connection_budget import ConnectionGroup
-from oriolegate.connections.connection_budget import RefusalReason
+from oriolegate.connections.machine_share import ConnectionGroup
 from oriolegate.connections.work_queue import Account
 from oriolegate.connections.work_queue import WorkQueue
 from oriolegate.metrics import MetricsRegistry
--- a/src/oriolegate/runtime/exchange_runner.py
+++ b/src/oriolegate/runtime/exchange_runner.py
@@ -6,7 +6,7 @@
 import attrs
 
 from oriolegate.clock import Clock
-from oriolegate.connections.connection_budget import RefusalReason
+from oriolegate.connections.connection import RefusalReason
 from oriolegate.crashes.crash_ledger import CrashLedger
 from oriolegate.crashes.crash_ledger import Suspicion
 from oriolegate.exchange import replying
--- a/src/oriolegate/runtime/gateway.py
+++ b/src/oriolegate/runtime/gateway.py
@@ -8,7 +8,7 @@
 from oriolegate import metrics as metrics_module
 from oriolegate import structured_log
 from oriolegate.clock import Clock
-from oriolegate.connections.connection_budget import ConnectionGroup
+from oriolegate.connections.machine_share import ConnectionGroup
 from oriolegate.following.view_age import ViewAgeMonitor
 from oriolegate.membership.pause_detector import PauseDetector
 from oriolegate.models.site import NodeSettings
--- a/tests/connections/test_connection_budget.py
+++ b/tests/connections/test_connection_budget.py
@@ -6,11 +6,11 @@
 from hypothesis import given
 from hypothesis import strategies
 
-from oriolegate.connections import connection_budget
-from oriolegate.connections.connection_budget import Connection
+from oriolegate.connections import machine_share
+from oriolegate.connections.connection import Connection
+from oriolegate.connections.connection import RefusalReason
 from oriolegate.connections.connection_budget import ConnectionBudget
-from oriolegate.connections.connection_budget import ConnectionGroup
-from oriolegate.connections.connection_budget import RefusalReason
+from oriolegate.connections.machine_share import ConnectionGroup
 from oriolegate.models.machine import MachineLimits
 
 CALLERS = ConnectionGroup.CALLERS
@@ -102,7 +102,7 @@
 
     def test_short_requests_may_use_what_long_ones_leave(self):
         self.budget.limits = attrs.evolve(LIMITS, descriptors=20_000)
-        half_bytes = connection_budget.bytes_for(LIMITS, CALLERS) / 2
+        half_bytes = machine_share.bytes_for(LIMITS, CALLERS) / 2
         count = int(half_bytes // 10_000) + 500
         running = [self.run_request(0.0, 500) for _ in range(count)]
         self.assertTrue(all(may_run for _, may_run in running))
@@ -150,7 +150,7 @@
 
 class DescriptorTest(BudgetCase):
     def test_the_oldest_without_a_request_make_room_for_new_ones(self):
-        limit = connection_budget.connections_for(LIMITS, CALLERS)
+        limit = machine_share.connections_for(LIMITS, CALLERS)
         connections = [self.open(float(n)) for n in range(limit + 1)]
         closed = self.closed_connections()
         self.assertEqual(closed, connections[: len(closed)])
@@ -158,7 +158,7 @@
         self.assertLessEqual(self.budget.count(CALLERS), limit)
 
     def test_a_new_connection_is_closed_if_all_others_run_requests(self):
-        limit = connection_budget.connections_for(LIMITS, CALLERS)
+        limit = machine_share.connections_for(LIMITS, CALLERS)
         for _ in range(limit):
             self.run_request(0.0, 100)
         newest = self.open(1.0)
@@ -167,7 +167,7 @@
     def test_descriptors_are_left_for_connections_that_this_vm_opens(self):
         limits = MachineLimits(memory_mb=300.0, descriptors=4_100)
         accepted = sum(
-            connection_budget.connections_for(limits, group)
+            machine_share.connections_for(limits, group)
             for group in ConnectionGroup
         )
         # 32 leafs of each of 36 shards, less than one connection each.
@@ -218,7 +218,7 @@
             self._check()
 
     def _check(self):
-        group_bytes = connection_budget.bytes_for(self.budget.limits, CALLERS)
+        group_bytes = machine_share.bytes_for(self.budget.limits, CALLERS)
         for (group, is_long), pool in self.budget.pools.items():
             limit_bytes = group_bytes * (0.5 if is_long else 1.0)
             if group is INTERNAL:
@@ -243,5 +243,5 @@
         self.assertFalse(any(c.is_running for c in self.closed_connections()))
         self.assertLessEqual(
             self.budget.count(CALLERS),
-            connection_budget.connections_for(self.budget.limits, CALLERS),
+            machine_share.connections_for(self.budget.limits, CALLERS),
         )
--- a/tests/network/test_bounded_channel.py
+++ b/tests/network/test_bounded_channel.py
@@ -10,7 +10,7 @@
 
 from oriolegate.clock import FakeClock
 from oriolegate.connections import work_queue
-from oriolegate.connections.connection_budget import ConnectionGroup
+from oriolegate.connections.machine_share import ConnectionGroup
 from oriolegate.models.machine import MachineLimits
 from oriolegate.models.site import CallerLimits
 from oriolegate.network import bounded_channel
