Leave other VMs memory to read whole views at the same time

On a machine of 160 MB the internal ports had 4.8 MB for long responses: five VMs that read a view with a configuration of 1 MB at once, as after a restart of the store, would have lost their connections without any crowd.

The internal ports have 0.3 of the counted bytes instead of 0.2, and nine tenths of these may be long. test_all_vms_of_a_small_machine_may_read_a_large_ view_at_once failed before (twelve VMs, 1 MB each); all crowds still pass.

--- a/src/oriolegate/connections/connection_budget.py
+++ b/src/oriolegate/connections/connection_budget.py
@@ -26,9 +26,6 @@
 # Connections are closed until this fraction of a limit is left, so that the
 # choice is made once for many.
 KEPT_FRACTION = 0.875
-# Most of a group's bytes that connections with long requests or responses may
-# hold. The others may hold whatever these don't.
-LONG_FRACTION = 0.5
 
 
 class ConnectionBudget:
@@ -72,7 +69,7 @@
         long ones leave; long ones then find less.
         """
         group_bytes = machine_share.bytes_for(self.limits, group)
-        most_long_bytes = LONG_FRACTION * group_bytes
+        most_long_bytes = machine_share.LONG_FRACTIONS[group] * group_bytes
         other_bytes = self.pools[group, not is_long].held_bytes
         if is_long:
             return min(most_long_bytes, max(0.0, group_bytes - other_bytes))
--- a/src/oriolegate/connections/machine_share.py
+++ b/src/oriolegate/connections/machine_share.py
@@ -32,8 +32,15 @@
 # Each group's part of the counted bytes and of the sockets. The other sockets
 # are for connections that this process opens: to leafs, the store and VMs.
 BYTES_FRACTIONS = {
-    ConnectionGroup.CALLERS: 0.8,
-    ConnectionGroup.INTERNAL: 0.2,
+    ConnectionGroup.CALLERS: 0.7,
+    ConnectionGroup.INTERNAL: 0.3,
+}
+# Most of a group's bytes that connections with long requests or responses may
+# hold; the others may hold whatever these don't. Other VMs read whole views at
+# the same time, of up to 1 MB each.
+LONG_FRACTIONS = {
+    ConnectionGroup.CALLERS: 0.5,
+    ConnectionGroup.INTERNAL: 0.9,
 }
 SOCKET_FRACTIONS = {
     ConnectionGroup.CALLERS: 0.5,
--- a/tests/connections/test_connection_budget.py
+++ b/tests/connections/test_connection_budget.py
@@ -130,6 +130,14 @@
         self.assertTrue(may_run)
         self.assertEqual(self.closed, [])
 
+    def test_all_vms_of_a_small_machine_may_read_a_large_view_at_once(self):
+        for _ in range(12):
+            connection, may_run = self.run_request(0.0, 500, group=INTERNAL)
+            self.assertTrue(may_run)
+            self.budget.end_request(0.0, connection)
+            self.budget.set_data(0.0, connection, 0, 1024 * 1024)
+        self.assertEqual(self.closed, [])
+
     def test_what_a_request_needed_is_free_after_its_response(self):
         for _ in range(1_000):
             connection, may_run = self.run_request(0.0, LEGAL_BODY_BYTES)
