Log the status that an endless body gets

The line of a request refused before its end, and the counter of requests, named 503 where the caller got 413. The test of the line failed before: the status could not be given. A constant without a use is gone."

--- a/src/oriolegate/network/server_connections.py
+++ b/src/oriolegate/network/server_connections.py
@@ -15,7 +15,6 @@
 from oriolegate.metrics import MetricsRegistry
 from oriolegate.models.machine import MachineLimits
 
-MS_PER_S = 1_000.0
 # Interval of checking how much of the responses clients have taken.
 UNSENT_CHECK_S = 0.25
 # Interval of log lines about refused connections, which are counted meanwhile.
--- a/src/oriolegate/runtime/exchange_runner.py
+++ b/src/oriolegate/runtime/exchange_runner.py
@@ -420,7 +420,10 @@
     def request_refused(self, headers: Headers, reason: RefusalReason) -> None:
         """Log a request that was refused before it was complete."""
         attempt_id = caller_protocol.decode_attempt_id(headers)
-        self.request_log.log_incomplete(attempt_id, reason.value)
+        status = STATUS_UNAVAILABLE
+        if reason is RefusalReason.ENDLESS:
+            status = STATUS_TOO_LARGE
+        self.request_log.log_incomplete(attempt_id, status, reason.value)
 
     def caller_gone(self, request: CallerHttpRequest) -> None:
         """Stop working on a request whose caller disconnected."""
--- a/src/oriolegate/runtime/request_log.py
+++ b/src/oriolegate/runtime/request_log.py
@@ -15,7 +15,6 @@
 from oriolegate.runtime.site_sinks import ConfigurationSink
 
 STATUS_REQUEST_TIMEOUT = 408
-STATUS_UNAVAILABLE = 503
 
 log = structured_log.get_logger("requests")
 
@@ -43,12 +42,12 @@
         ).info("request refused")
         self._count(refusal.status)
 
-    def log_incomplete(self, attempt_id: str, reason: str) -> None:
+    def log_incomplete(self, attempt_id: str, status: int, reason: str) -> None:
         """Log a request that was refused before it was complete."""
-        log.bind(id=attempt_id, status=STATUS_UNAVAILABLE, reason=reason).info(
+        log.bind(id=attempt_id, status=status, reason=reason).info(
             "incomplete request refused; connection closed"
         )
-        self._count(STATUS_UNAVAILABLE)
+        self._count(status)
 
     def log_suspicious(self, call: CallerCall, suspicion: Suspicion) -> None:
         """Log a request that is sent although leafs crashed during it."""
--- a/tests/runtime/test_request_log.py
+++ b/tests/runtime/test_request_log.py
@@ -51,6 +51,16 @@
             'oriolegate_requests_total{status="503"} 1', self.exported()
         )
 
+    def test_a_request_refused_before_it_was_complete_is_logged(self):
+        self.log.log_incomplete("a7", 413, "body far beyond its limit")
+        line = self.line()
+        self.assertEqual(line["id"], "a7")
+        self.assertEqual(line["status"], 413)
+        self.assertEqual(line["reason"], "body far beyond its limit")
+        self.assertIn(
+            'oriolegate_requests_total{status="413"} 1', self.exported()
+        )
+
     def test_a_request_logs_its_decisions(self):
         exchange_context = build.exchange_context([build.leaf("near")])
         exchange = build.exchange(build.route(), exchange_context)
