Serve one long body in chunks of one byte in a test of serve

The crowds of serve had no counterpart in calm: a single request within the limits, 256 KB in chunks of one byte, on the same small machine.

--- a/tests/crowds/test_serve_crowds.py
+++ b/tests/crowds/test_serve_crowds.py
@@ -1,5 +1,7 @@
 """Crowds of clients that no one controls, at the ports of `serve`."""
 
+from collections.abc import Awaitable
+from collections.abc import Callable
 import os
 import pathlib
 import tempfile
@@ -31,6 +33,14 @@
         self, kind: str, count: int, port: int = fleet.CALLER_PORT
     ) -> None:
         """Play a crowd and check that the process bears it."""
+        await self.run_with_fleet(
+            lambda started: self._play_on(started, kind, count, port)
+        )
+
+    async def run_with_fleet(
+        self, run: Callable[[fleet.Fleet], Awaitable[None]]
+    ) -> None:
+        """Run a coroutine beside one process on a small machine."""
         pid = os.getpid()
         network = f"127.{1 + pid // 250 % 250}.{1 + pid % 250}"
         addresses = fleet.FleetAddresses(
@@ -46,13 +56,14 @@
             )
             try:
                 await threads.deferToThread(started.start, rules)
-                await self._play_on(started, kind, count, port)
+                await run(started)
             finally:
                 started.close()
 
     async def _play_on(
         self, started: fleet.Fleet, kind: str, count: int, port: int
     ) -> None:
+        """Play a crowd against the VM of a fleet."""
         (vm,) = started.vms
         process = started.processes[vm.name]
         usage = crowd_stage.ProcessUsage(process.pid)
@@ -117,3 +128,20 @@
     @with_processes
     async def test_more_connections_to_the_port_of_other_vms(self):
         await self.play("few_bytes", 900, port=fleet.PEER_PORT)
+
+    @with_processes
+    async def test_one_long_body_in_chunks_of_one_byte_is_served(self):
+        chunks = b"1\r\na\r\n" * crowd_clients.BODY_BYTES
+        query = "/v1/query/receipts"
+        slices = [
+            crowd_clients.head(query, crowd_clients.CHUNKED),
+            chunks,
+            b"0\r\n\r\n",
+        ]
+
+        async def send(started: fleet.Fleet) -> None:
+            address = (started.vms[0].host, fleet.CALLER_PORT)
+            status = await crowd_stage.send_slices(address, slices, 0.0)
+            self.assertEqual(status, 200)
+
+        await self.run_with_fleet(send)
