--- a/review/lib-3/site3.py
+++ b/review/lib-3/site3.py
@@ -4,6 +4,7 @@
 """
 
 import asyncio
+import bisect
 import itertools
 import json
 import os
@@ -102,7 +103,8 @@
     def __init__(self) -> None:
         self.revision = 10
         self.kinds: dict[str, dict[str, dict]] = {}
-        self.log: list[tuple[int, str, dict, bool]] = []
+        self.revisions: list[int] = []
+        self.log: list[tuple[str, dict, bool]] = []
         self.changed = asyncio.Event()
         self.server = None
         self.address = ("", 0)
@@ -135,7 +137,8 @@
             "status": {},
         }
         objects[name] = item
-        self.log.append((self.revision, kind, item, False))
+        self.revisions.append(self.revision)
+        self.log.append((kind, item, False))
         self._wake()
         return item
 
@@ -146,7 +149,8 @@
             return False
         self.revision += 1
         item = {**item, "meta": {**item["meta"], "revision": self.revision}}
-        self.log.append((self.revision, kind, item, True))
+        self.revisions.append(self.revision)
+        self.log.append((kind, item, True))
         self._wake()
         return True
 
@@ -209,10 +213,11 @@
             return 410, {}
         due = now() + min(wait_ms, 30_000) / 1000
         while True:
+            begin = bisect.bisect_right(self.revisions, revision)
             events = [
                 {"object": item, "deleted": deleted}
-                for at, of, item, deleted in self.log
-                if at > revision and of == kind
+                for of, item, deleted in self.log[begin:]
+                if of == kind
             ]
             left = due - now()
             if events or left <= 0:
