Exit a stopping gateway only once nothing can bring it a request

What callers saw: in one of some 200 planned stops a request that a leaf had begun was cut some 50 ms later, without an answer; a request that may not be repeated had run.

Cause: whether a request was taken rested on an exit at 0.92 of the grace time, and two things moved the exit without telling that decision. A process with no open connection accepted what waited at its port and exited 50 ms later, whatever it had just accepted. And settings that changed during the stop replaced the grace time, so that a shorter one cut what had been taken.

Change: `exchange/planned_stop.py`, a state machine without I/O, holds the exit, all that moves it and all that rests on it: it takes the place of the decisions in the gateway and of `StopAdmission`. The time of exit is fixed at SIGTERM. The process exits earlier only if its ports are closed and then no connection that they accepted is open; from the exit on it takes nothing. All ports count, so that a request that another VM forwards is no special case. A connection gets 500 ms for its first request before it is closed as idle.

--- a/src/oriolegate/exchange/part_sender.py
+++ b/src/oriolegate/exchange/part_sender.py
@@ -16,6 +16,7 @@
 from oriolegate.exchange.messages import SendToLeaf
 from oriolegate.exchange.part import Part
 from oriolegate.exchange.part import Send
+from oriolegate.exchange.planned_stop import PlannedStop
 from oriolegate.exchange.timing import Deadlines
 from oriolegate.models.site import Repeatability
 from oriolegate.models.site import Route
@@ -48,6 +49,7 @@
     directory: LeafDirectory
     budget: RetryBudget
     latencies: RouteLatencies
+    stop: PlannedStop
 
 
 class PartSender:
--- a/src/oriolegate/exchange/replying.py
+++ b/src/oriolegate/exchange/replying.py
@@ -21,6 +21,9 @@
 # Retry-After if leafs are only busy: a few times the typical work time of a
 # request.
 BUSY_RETRY_AFTER_MS = 150.0
+# Retry-After of a request that this VM can't end before it exits: another VM
+# takes it at once.
+OTHER_VM_RETRY_AFTER_MS = 0.0
 # Values of `Part.wait_reason` after which a leaf is usually available within a
 # few times the typical work time of a request, at this VM or at another one.
 BUSY_REASONS = frozenset(
--- a/src/oriolegate/network/bounded_channel.py
+++ b/src/oriolegate/network/bounded_channel.py
@@ -71,10 +71,12 @@
         """Count the connection; it may be refused at once."""
         self.transport.bufferSize = READ_BYTES
         super().connectionMade()
+        self.server.channels.add(self)
         self.server.budget.open(self.server.clock.now_ms(), self.connection)
 
     def connectionLost(self, reason: Any) -> None:  # noqa: N802
         """Stop counting the connection and free what it holds."""
+        self.server.channels.discard(self)
         self.server.budget.remove(self.connection)
         self.server.cancel_work(self.account)
         self.server.unsent.discard(self)
@@ -84,6 +86,15 @@
         self.connection.close = _ignore
         self.account.worker = None
 
+    @property
+    def is_idle(self) -> bool:
+        """Whether no request on this connection is open, begun or unread."""
+        return (
+            not self.requests
+            and not self._buffer
+            and not graceful_close.has_unread_bytes(self.transport)
+        )
+
     def _free(self) -> None:
         """Drop buffers; the decoder refers to this channel."""
         self._transferDecoder: Any = None
--- a/src/oriolegate/network/caller_server.py
+++ b/src/oriolegate/network/caller_server.py
@@ -12,7 +12,6 @@
 from oriolegate.connections.machine_share import ConnectionGroup
 from oriolegate.exchange.messages import Headers
 from oriolegate.models.site import CallerLimits
-from oriolegate.network import graceful_close
 from oriolegate.network.bounded_channel import BoundedChannel
 from oriolegate.network.bounded_channel import BoundedFactory
 from oriolegate.network.bounded_request import BoundedBody
@@ -126,16 +125,14 @@
     header_timer: Any = None
 
     def connectionMade(self) -> None:  # noqa: N802 (Twisted's name)
-        """Add this channel to the factory's open connections."""
+        """Set the options of the connection."""
         self.transport.setTcpNoDelay(True)
         self.transport.setTcpKeepAlive(True)
         super().connectionMade()
-        self.factory.channels.add(self)
 
     def connectionLost(self, reason: Any) -> None:  # noqa: N802
-        """Remove this channel from the factory's open connections."""
+        """Stop limiting the time of a header."""
         self._stop_header_timer()
-        self.factory.channels.discard(self)
         super().connectionLost(reason)
 
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
@@ -188,28 +185,14 @@
         self.transport.write(HEADER_TIMEOUT_RESPONSE)
         self.loseConnection()
 
-    @property
-    def is_idle(self) -> bool:
-        """Whether no request on this connection is open, begun or unread."""
-        return (
-            not self.requests
-            and not self._buffer
-            and not graceful_close.has_unread_bytes(self.transport)
-        )
-
 
 class CallerFactory(BoundedFactory):
-    """Creates a channel for each connection of a caller.
-
-    Attributes:
-        channels: Open connections.
-    """
+    """Creates a channel for each connection of a caller."""
 
     def __init__(
         self, server: ServerConnections, handler: CallerHandler
     ) -> None:
         super().__init__(server)
-        self.channels: set[CallerChannel] = set()
         self.handler = handler
 
         class BoundRequest(CallerHttpRequest):
@@ -229,13 +212,6 @@
         channel.header_limit_s = limits.header_limit_ms / MS_PER_S
         return channel
 
-    def close_idle(self) -> int:
-        """Close idle connections; return how many connections remain."""
-        for channel in list(self.channels):
-            if channel.is_idle:
-                channel.loseConnection()
-        return len(self.channels)
-
 
 Respond = Callable[[int, bytes], None]
 Handle = Callable[[bytes, Respond], None]
--- a/src/oriolegate/network/server_connections.py
+++ b/src/oriolegate/network/server_connections.py
@@ -17,6 +17,8 @@
 
 # Interval of checking how much of the responses clients have taken.
 UNSENT_CHECK_S = 0.25
+# A client that has just connected sends its first request within this time.
+FIRST_REQUEST_MS = 500.0
 # Interval of log lines about refused connections, which are counted meanwhile.
 REPORT_INTERVAL_S = 1.0
 
@@ -28,6 +30,7 @@
         clock: Clock of the process.
         budget: Decides which connections are closed.
         work: Order in which channels use the processor.
+        channels: Open channels.
         unsent: Channels whose clients have not taken all responses.
         report: Called with the number of refused connections by group and
             reason, at most once in a while.
@@ -45,6 +48,7 @@
         self.budget = ConnectionBudget(limits)
         self.budget.on_refused = self._on_refused
         self.work = WorkQueue()
+        self.channels: set[Any] = set()
         self.unsent: set[Any] = set()
         self.metrics = metrics
         self.refused: collections.Counter[str] = collections.Counter()
@@ -93,6 +97,17 @@
         self.refused.clear()
         self.report(refused)
 
+    def close_idle(self) -> None:
+        """Close the connections on which no request is open or on its way."""
+        first_request_since_ms = self.clock.now_ms() - FIRST_REQUEST_MS
+        for channel in list(self.channels):
+            connection = channel.connection
+            if channel.is_idle and (
+                connection.has_served
+                or connection.moved_ms < first_request_since_ms
+            ):
+                channel.loseConnection()
+
     def start_turn(self) -> None:
         """Let the waiting work be done in the next turn of the event loop."""
         if self.turn_timer is None:
--- a/src/oriolegate/runtime/exchange_runner.py
+++ b/src/oriolegate/runtime/exchange_runner.py
@@ -9,6 +9,7 @@
 from oriolegate.connections.connection import RefusalReason
 from oriolegate.crashes.crash_ledger import CrashLedger
 from oriolegate.crashes.crash_ledger import Suspicion
+from oriolegate.exchange import planned_stop
 from oriolegate.exchange import replying
 from oriolegate.exchange.exchange import Exchange
 from oriolegate.exchange.exchange import NO_HISTORY
@@ -24,7 +25,6 @@
 from oriolegate.exchange.messages import RequestHistory
 from oriolegate.exchange.messages import SendToLeaf
 from oriolegate.exchange.part_sender import ExchangeContext
-from oriolegate.exchange.stop_admission import StopAdmission
 from oriolegate.forwarding.forwarded_call import ForwardFailed
 from oriolegate.forwarding.forwarded_call import ForwardState
 from oriolegate.models.site import CallerLimits
@@ -56,9 +56,6 @@
 # Retry-After of a request that crashes leafs and is not tried any more: it is
 # refused for ten minutes, and an operator may have acted after this time.
 CRASHING_RETRY_MS = 60_000.0
-# Retry-After of a request that this VM can't end before it stops: another VM
-# takes it at once.
-OTHER_VM_RETRY_MS = 0.0
 # Retry-After of a request that this VM has no memory for; others take it.
 NO_MEMORY_RETRY_MS = 500.0
 
@@ -107,9 +104,6 @@
     """Serves callers' requests.
 
     Attributes:
-        stop_admission: Decides which requests are taken while this VM stops,
-            or None.
-        accepts_forwards: Whether requests of other VMs are served.
         is_isolated: Returns whether this VM reaches neither leafs nor other
             VMs.
         limits: Limits on callers' requests.
@@ -143,8 +137,6 @@
         self.trials = trials
         self.request_log = request_log
         self.started_ms = clock.now_ms()
-        self.stop_admission: StopAdmission | None = None
-        self.accepts_forwards = True
         self.is_isolated: Callable[[], bool] = lambda: False
         self.on_arrival: Callable[[], None] = lambda: None
         self.running: dict[Request, RunningExchange] = {}
@@ -154,15 +146,7 @@
     @property
     def leaving(self) -> bool:
         """Whether this VM is stopping."""
-        return self.stop_admission is not None
-
-    def plan_stop(self, exit_ms: float) -> None:
-        """Take only requests that probably end before the exit.
-
-        Args:
-            exit_ms: When all open requests are answered.
-        """
-        self.stop_admission = StopAdmission(exit_ms, self.context.latencies)
+        return self.context.stop.is_stopping
 
     @property
     def closes_connections(self) -> bool:
@@ -202,15 +186,13 @@
         if route is None:
             self._refuse(request, call, STATUS_NOT_FOUND, "no route")
             return
-        if self.stop_admission and not self.stop_admission.can_end(
-            now_ms, route
-        ):
+        if not self.context.stop.can_take(now_ms, route):
             self._refuse(
                 request,
                 call,
                 STATUS_UNAVAILABLE,
-                "stopping before it could end",
-                OTHER_VM_RETRY_MS,
+                planned_stop.REFUSAL_REASON,
+                replying.OTHER_VM_RETRY_AFTER_MS,
             )
             return
         if not request.reserve_parts(len(route.shards) or 1):
@@ -351,7 +333,8 @@
         version = table.configuration.version if table else 0
         request.version = version
         is_current = version >= forwarded.min_version
-        if table is None or not is_current or not self.accepts_forwards:
+        takes_forwards = self.context.stop.takes_forwards
+        if table is None or not is_current or not takes_forwards:
             request.decline()
             return
         route = table.match(call.host, call.path)
--- a/src/oriolegate/runtime/gateway.py
+++ b/src/oriolegate/runtime/gateway.py
@@ -9,6 +9,8 @@
 from oriolegate import structured_log
 from oriolegate.clock import Clock
 from oriolegate.connections.machine_share import ConnectionGroup
+from oriolegate.exchange import planned_stop
+from oriolegate.exchange.planned_stop import StopEffect
 from oriolegate.following.view_age import ViewAgeMonitor
 from oriolegate.membership.pause_detector import PauseDetector
 from oriolegate.models.site import NodeSettings
@@ -35,16 +37,6 @@
 MEMBERS_TRUSTED_MS = 8_000.0
 # Age that is logged for a view that the store never confirmed.
 MAX_LOGGED_AGE_MS = 1e9
-# Fraction of the grace time after SIGTERM before idle connections are closed:
-# the balancer takes two checks, a second apart, to stop sending.
-NOTICE_FRACTION = 0.45
-# Fraction of the grace time after which no new connection is accepted; the
-# remaining time is for requests in progress.
-ACCEPT_FRACTION = 0.7
-# Fraction of the grace time after which a stopping process exits in any case.
-EXIT_FRACTION = 0.92
-# Delay of the exit, in which the last answers are written to their sockets.
-FLUSH_S = 0.05
 
 
 class Gateway:
@@ -56,7 +48,6 @@
         caller_factory: Accepts the connections of callers.
         pause_detector: Detects pauses of this process.
         view_ages: Reports views that are older than a rule allows.
-        stopping_since_ms: When the planned stop began, or None.
         on_exit: Called when the process should exit.
         last_pause_at_ms: When a process pause was last detected; views
             confirmed before the pause need a new confirmation.
@@ -73,19 +64,16 @@
         self.clock = clock
         self.settings = settings
         self.parts = parts
-        self.stopping_since_ms: float | None = None
         self.on_exit: Callable[[], None] = lambda: None
         self.caller_factory = CallerFactory(parts.connections, parts.runner)
         self.was_ready = False
         self.ports: list[Any] = []
-        self.accepting = True
         self.pause_detector = PauseDetector(MIN_PAUSE_MS)
         self.view_ages = ViewAgeMonitor(parts.followers, settings.bounds)
         self.last_pause_at_ms = float("-inf")
         parts.runner.on_arrival = self._on_arrival
         parts.store.on_call_ended = self._on_view_update
         parts.feed.on_update = self._on_view_update
-        self.ended = False
         parts.connections.report = self._on_connections_refused
         self._add_gauges()
 
@@ -129,7 +117,7 @@
     @property
     def ready(self) -> bool:
         """Whether the balancer should send requests to this VM."""
-        if self.stopping_since_ms is not None:
+        if self.parts.stop.is_stopping:
             return False
         if self.parts.contact_watch.is_isolated():
             return False
@@ -250,8 +238,6 @@
         if self.ready != self.was_ready:
             self.was_ready = self.ready
             log.bind(ready=self.ready).info("readiness changed")
-        if self.stopping_since_ms is not None:
-            self._continue_stop(now_ms - self.stopping_since_ms)
 
     def _report_view_ages(self, now_ms: float) -> None:
         peer = self.parts.feed.peer
@@ -288,49 +274,59 @@
 
     def plan_stop(self) -> None:
         """Begin the planned stop; further calls have no effect."""
-        if self.stopping_since_ms is not None:
-            return
-        self.stopping_since_ms = self.clock.now_ms()
         grace_ms = self.settings.bounds.grace_ms
-        self.parts.runner.plan_stop(
-            self.stopping_since_ms + EXIT_FRACTION * grace_ms
-        )
+        effects = self.parts.stop.begin(self.clock.now_ms(), grace_ms)
+        if not effects:
+            return
         self.parts.members.leave()
         self.parts.views.on_view_changed()
         log.bind(open=len(self.parts.runner.running)).info("stopping")
+        self._carry_out_stop(effects)
 
-    def _continue_stop(self, since_ms: float) -> None:
-        grace_ms = self.settings.bounds.grace_ms
-        if since_ms < NOTICE_FRACTION * grace_ms:
-            return
-        self.parts.runner.accepts_forwards = False
-        if since_ms >= ACCEPT_FRACTION * grace_ms:
-            self._stop_accepting()
-        connections = self.caller_factory.close_idle()
-        forwarded = len(self.parts.forward_server.open_requests)
-        if not connections + forwarded or since_ms >= EXIT_FRACTION * grace_ms:
-            self._end(since_ms, connections)
+    def _continue_stop(self) -> None:
+        open_connections = len(self.parts.connections.channels)
+        self._carry_out_stop(
+            self.parts.stop.step(self.clock.now_ms(), open_connections)
+        )
 
-    def _stop_accepting(self) -> None:
-        """Stop listening, so that new callers connect to other VMs."""
-        if self.accepting:
-            self.accepting = False
-            graceful_close.accept_waiting(self.ports[0])
-            self.ports[0].stopListening()
+    def _carry_out_stop(self, effects: list[StopEffect]) -> None:
+        for effect in effects:
+            match effect:
+                case planned_stop.CloseIdle():
+                    self.parts.connections.close_idle()
+                case planned_stop.ClosePorts():
+                    self._close_ports()
+                case planned_stop.AnswerOpen():
+                    # An error answer is better for a caller than a closed
+                    # connection.
+                    self.parts.runner.answer_all()
+                case planned_stop.WakeAt(at_ms):
+                    delay_ms = max(0.0, at_ms - self.clock.now_ms())
+                    self.reactor.callLater(
+                        delay_ms / MS_PER_S, self._continue_stop
+                    )
+                case planned_stop.Exit():
+                    self._exit()
 
-    def _end(self, since_ms: float, connections: int) -> None:
-        if self.ended:
-            return
-        self.ended = True
-        self._stop_accepting()
+    def _close_ports(self) -> None:
+        """Stop listening, so that new callers connect to other VMs."""
+        for port in self.ports:
+            graceful_close.accept_waiting(port)
+            port.stopListening()
         log.bind(
             open=len(self.parts.runner.running),
-            connections=connections,
-            after_ms=round(since_ms),
-        ).info("stopped; answering open requests and exiting")
-        # An error answer is better for a caller than a closed connection.
-        self.parts.runner.answer_all()
+            connections=len(self.parts.connections.channels),
+            after_ms=self._stopping_for_ms(),
+        ).info("ports closed; finishing open requests")
+
+    def _exit(self) -> None:
+        log.bind(
+            connections=len(self.parts.connections.channels),
+            after_ms=self._stopping_for_ms(),
+        ).info("stopped; exiting")
         self.parts.feed.stop()
         self.parts.store.pause()
-        # The answers above are still to be written to their sockets.
-        self.reactor.callLater(FLUSH_S, self.on_exit)
+        self.on_exit()
+
+    def _stopping_for_ms(self) -> int:
+        return round(self.clock.now_ms() - self.parts.stop.started_ms)
--- a/src/oriolegate/runtime/gateway_composition.py
+++ b/src/oriolegate/runtime/gateway_composition.py
@@ -11,6 +11,7 @@
 from oriolegate.crashes import trial_schedule
 from oriolegate.crashes.crash_ledger import CrashLedger
 from oriolegate.exchange.part_sender import ExchangeContext
+from oriolegate.exchange.planned_stop import PlannedStop
 from oriolegate.following.follower import CollectionSink
 from oriolegate.following.follower import Follower
 from oriolegate.following.source_choice import Peer
@@ -89,6 +90,7 @@
         contact_watch: Watches whether this VM reaches leafs.
         forward_server: Serves requests that other VMs forward.
         connections: Limits of all connections that others open.
+        stop: Decides about the planned stop.
     """
 
     directory: LeafDirectory
@@ -107,6 +109,7 @@
     contact_watch: ContactWatch
     forward_server: ForwardServer
     connections: ServerConnections
+    stop: PlannedStop
 
 
 def _set_view_sources(
@@ -286,11 +289,13 @@
     leaf_outcomes = LeafOutcomes(
         clock, leaf_client, directory, checker, crashes
     )
+    latencies = RouteLatencies()
+    stop = PlannedStop(latencies)
     runner = ExchangeRunner(
         reactor,
         clock,
         leaf_client,
-        ExchangeContext(directory, budget, RouteLatencies()),
+        ExchangeContext(directory, budget, latencies, stop),
         configuration,
         request_log,
         crashes,
@@ -339,4 +344,5 @@
         connections=ServerConnections(
             reactor, clock, settings.limits, registry
         ),
+        stop=stop,
     )
--- a/tests/fleet_model/player.py
+++ b/tests/fleet_model/player.py
@@ -521,7 +521,7 @@
 
     def _stop(self, vm: str) -> None:
         process = self.fleet.gateways[vm]
-        if process.stopping_since_ms is not None:
+        if process.parts.stop.is_stopping:
             return
         self.record.vm_trouble[vm].append(Span(self.now_s))
         process.on_exit = lambda: self._end_vm(vm)
--- a/tests/platform/test_gateway.py
+++ b/tests/platform/test_gateway.py
@@ -2,6 +2,7 @@
 
 import functools
 import random
+import re
 import socket
 import unittest
 
@@ -15,11 +16,13 @@
 from oriolegate.clock import SystemClock
 from oriolegate.crashes import crash_ledger
 from oriolegate.crashes import trial_schedule
+from oriolegate.exchange import planned_stop
 from oriolegate.following import follower
 from oriolegate.models.site import Bounds
 from oriolegate.models.site import CrashReport
 from oriolegate.models.site import NodeSettings
 from oriolegate.models.stored import Collection
+from oriolegate.network import server_connections
 from oriolegate.network.http_connection import Answered
 from oriolegate.network.http_connection import Broken
 from oriolegate.network.http_connection import HttpCall
@@ -38,9 +41,58 @@
 from tests.reactor_case import on_reactor
 
 HOST = "127.0.0.1"
+READ_TIMEOUT_S = 10.0
+READ_INTERVAL_S = 0.01
 SHARDS = ("s1", "s2", "s3")
 
 
+class Caller:
+    """A caller on a socket, which never blocks the gateway on the reactor.
+
+    Its connection is open, and its data is sent, before the gateway accepts it.
+    """
+
+    def __init__(self, address, data=b""):
+        self.socket = socket.create_connection(address, READ_TIMEOUT_S)
+        self.socket.setblocking(False)
+        self.received = b""
+        self.send(data)
+
+    def send(self, data):
+        self.socket.sendall(data)
+
+    def response(self):
+        """Return status and body of the response, or None if incomplete."""
+        head, _, body = self.received.partition(b"\r\n\r\n")
+        length = re.search(rb"(?i)\r\ncontent-length: *(\d+)", head)
+        if length is None or len(body) < int(length[1]):
+            return None
+        return int(head.split()[1]), body
+
+    async def read_response(self):
+        """Return status and body, or None if the connection ends first."""
+        try:
+            for _ in range(int(READ_TIMEOUT_S / READ_INTERVAL_S)):
+                try:
+                    data = self.socket.recv(65_536)
+                except BlockingIOError:
+                    await sleep(READ_INTERVAL_S)
+                    continue
+                self.received += data
+                if not data or self.response():
+                    break
+        except ConnectionError:
+            pass
+        finally:
+            self.socket.close()
+        return self.response()
+
+    async def read_status(self):
+        """Return the status of the response, or None without one."""
+        response = await self.read_response()
+        return response[0] if response else None
+
+
 def configuration(version=1, more_routes=()):
     routes = [
         documents.route_spec("all", **documents.gather_fields(SHARDS, 10, 0.6)),
@@ -104,6 +156,25 @@
             await sleep(0.02)
         raise AssertionError("the condition was not met in time")
 
+    def exit_as_a_process(self):
+        """Reset all callers at the exit, as the end of a process would.
+
+        Returns:
+            A deferred that fires at the exit.
+        """
+        exited = defer.Deferred()
+
+        def on_exit():
+            self.abort_callers()
+            exited.callback(None)
+
+        self.process.on_exit = on_exit
+        return exited
+
+    def abort_callers(self):
+        for channel in list(self.process.parts.connections.channels):
+            channel.transport.abortConnection()
+
     async def close(self):
         self.caller_pool.close()
         for pool in self.process.parts.leaf_client.pools.values():
@@ -113,8 +184,7 @@
         self.process.parts.store_client.close()
         for port in [*self.ports, *self.process.ports]:
             await defer.maybeDeferred(port.stopListening)
-        for channel in list(self.process.caller_factory.channels):
-            channel.transport.abortConnection()
+        self.abort_callers()
         for call in reactor.getDelayedCalls():
             call.cancel()
         await sleep(0.01)
@@ -770,7 +840,7 @@
         )
         site.process.plan_stop()
         pending = defer.ensureDeferred(site.get(b"/once/x", method=b"POST"))
-        await sleep(gateway.ACCEPT_FRACTION * 0.8 + 0.3)
+        await sleep(planned_stop.ACCEPT_FRACTION * 0.8 + 0.3)
         # The request that was already open is answered, but new connections are
         # refused.
         self.assertEqual((await pending).body, b"late")
@@ -816,7 +886,7 @@
     ):
         site.process.plan_stop()
         callers = [self.send_unread(site) for _ in range(20)]
-        site.process._stop_accepting()
+        site.process._close_ports()
         self.assertEqual(await self.statuses(callers), [200] * 20)
 
     @on_site
@@ -827,13 +897,13 @@
         site.process.on_exit = lambda: exited.callback(None)
         address = site.process.settings.caller_address
         callers = [socket.create_connection(address, 2.0) for _ in range(20)]
-        await sleep(0.1)
-        self.assertEqual(len(site.process.caller_factory.channels), 20)
+        # Younger connections aren't closed.
+        await sleep(server_connections.FIRST_REQUEST_MS / 1_000.0 + 0.1)
+        self.assertEqual(len(site.process.parts.connections.channels), 20)
         site.process.plan_stop()
         for caller in callers:
             self.send_unread(site, connection=caller)
-        grace_ms = site.process.settings.bounds.grace_ms
-        site.process._continue_stop(gateway.NOTICE_FRACTION * grace_ms)
+        site.process.parts.connections.close_idle()
         self.assertEqual(await self.statuses(callers), [200] * 20)
         await exited
 
--- /dev/null
+++ b/tests/platform/test_gateway_stop.py
@@ -0,0 +1,156 @@
+"""Tests of the order of events in a planned stop, with a gateway on sockets."""
+
+import os
+import time
+import unittest
+
+import attrs
+from twisted.internet import defer
+from twisted.internet import reactor
+
+from oriolegate.models.site import Bounds
+from tests.platform import stand_in_documents as documents
+from tests.platform.test_gateway import Caller
+from tests.platform.test_gateway import on_site
+from tests.platform.test_gateway import sleep
+
+GRACE_MS = 2_000.0
+# Shorter than a pause that the process detects, longer than its intervals.
+BLOCKED_S = 0.5
+WORK_S = 0.15
+DEADLINE_MS = 1_200
+
+
+class BeforeTimers:
+    """Calls a function between two turns of the event loop.
+
+    The reactor polls its sockets, handles what it found, and then makes all
+    calls that are due. A function that is called while sockets are handled
+    runs before those calls and after the poll, so that what arrives during the
+    function is not read before them.
+    """
+
+    def __init__(self, function):
+        self.function = function
+        self.finished = defer.Deferred()
+        self.receiver, sender = os.pipe()
+        os.write(sender, b"x")
+        os.close(sender)
+        reactor.addReader(self)
+
+    def fileno(self):
+        return self.receiver
+
+    def doRead(self):  # noqa: N802 (Twisted's name)
+        reactor.removeReader(self)
+        os.close(self.receiver)
+        defer.execute(self.function).chainDeferred(self.finished)
+
+    def connectionLost(self, reason):  # noqa: N802 (Twisted's name)
+        """Do nothing."""
+
+    def logPrefix(self):  # noqa: N802 (Twisted's name)
+        return "before timers"
+
+
+def request(route, attempt, method="GET"):
+    return documents.caller_request(
+        method, f"/{route}/x", attempt, DEADLINE_MS, b""
+    )
+
+
+class GatewayStopTest(unittest.TestCase):
+    def prepare(self, site):
+        """Let leafs work for a time; return when the process exits."""
+        process = site.process
+        process.settings = attrs.evolve(
+            process.settings, bounds=Bounds(grace_ms=GRACE_MS)
+        )
+        for leaf in site.leafs.values():
+            leaf.behave = lambda request: reactor.callLater(
+                WORK_S, request.answer, b"done"
+            )
+        return site.exit_as_a_process()
+
+    def runs(self, site):
+        return {
+            request.attempt_id.decode()
+            for leaf in site.leafs.values()
+            for request in leaf.requests
+        }
+
+    # A process that stopped with no connection open accepted those that waited
+    # at its port and exited before their requests were answered.
+    @on_site
+    async def test_connections_accepted_at_the_end_are_answered(self, site):
+        exited = self.prepare(site)
+        address = site.process.settings.caller_address
+        callers = []
+
+        def connect_and_block():
+            for route, method in (("one", "GET"), ("once", "POST")):
+                data = request(route, f"late-{route}", method)
+                callers.append(Caller(address, data))
+            time.sleep(BLOCKED_S)
+
+        site.process.plan_stop()
+        await sleep(0.45 * GRACE_MS / 1_000.0 - BLOCKED_S / 2)
+        await BeforeTimers(connect_and_block).finished
+        statuses = await defer.gatherResults(
+            [defer.ensureDeferred(caller.read_status()) for caller in callers]
+        )
+        await exited
+        self.assertEqual(statuses, [200, 200])
+        self.assertEqual(self.runs(site), {"late-one", "late-once"})
+
+    # A process that is late at the end of its grace time takes nothing on.
+    @on_site
+    async def test_connections_accepted_after_the_end_are_refused_unrun(
+        self, site
+    ):
+        exited = self.prepare(site)
+        for leaf in site.leafs.values():
+            leaf.behave = lambda request: None
+        address = site.process.settings.caller_address
+        callers = []
+
+        def connect_and_block():
+            callers.append(Caller(address, request("once", "late", "POST")))
+            time.sleep(BLOCKED_S)
+
+        site.process.plan_stop()
+        await sleep(0.4 * GRACE_MS / 1_000.0)
+        # Without an open request the process would exit earlier.
+        pending = defer.ensureDeferred(
+            site.get(b"/once/x", method=b"POST", attempt="open")
+        )
+        # Accepting ends at 0.7 of the grace time, and the process at 0.92.
+        await sleep(0.285 * GRACE_MS / 1_000.0)
+        await BeforeTimers(connect_and_block).finished
+        (caller,) = callers
+        self.assertEqual(await caller.read_status(), 503)
+        self.assertEqual((await pending).status, 502)
+        await exited
+        self.assertEqual(self.runs(site), {"open"})
+
+    # A request that was taken with much time left was cut when a shorter
+    # grace time came into force meanwhile.
+    @on_site
+    async def test_changed_settings_do_not_move_the_exit(self, site):
+        exited = self.prepare(site)
+        for leaf in site.leafs.values():
+            leaf.behave = lambda request: reactor.callLater(
+                0.5, request.answer, b"done"
+            )
+        settings = site.process.settings
+        site.process.plan_stop()
+        pending = defer.ensureDeferred(site.get(b"/once/x", method=b"POST"))
+        await sleep(0.1)
+        shorter = attrs.evolve(settings.bounds, grace_ms=GRACE_MS / 10)
+        site.process.reload(attrs.evolve(settings, bounds=shorter))
+        self.assertEqual((await pending).status, 200)
+        await exited
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/site_builders.py
+++ b/tests/site_builders.py
@@ -6,6 +6,7 @@
 from oriolegate.exchange.messages import LeafAnswer
 from oriolegate.exchange.messages import SendToLeaf
 from oriolegate.exchange.part_sender import ExchangeContext
+from oriolegate.exchange.planned_stop import PlannedStop
 from oriolegate.models.site import Bounds
 from oriolegate.models.site import LeafEntry
 from oriolegate.models.site import Repeatability
@@ -78,10 +79,12 @@
 
 
 def exchange_context(leafs=(), services=("s",), slack=50.0):
+    latencies = RouteLatencies()
     return ExchangeContext(
         directory(leafs, services),
         RetryBudget(0.2, 10_000.0, slack),
-        RouteLatencies(),
+        latencies,
+        PlannedStop(latencies),
     )
 
 
