Send no waiting or returning request that can't end before the exit

What callers saw: a request that a stopping process had taken was sent to a leaf later than the process would have taken it, and ended with 502, possibly run, though another VM could have run it.

Cause: the time left was judged once, on arrival. A request that waited for a busy leaf, that a leaf had rejected, that came back from another VM or from the claim of a trial was sent without asking again; one that another VM had forwarded was never judged.

Change: a part that no leaf may have begun is sent only if `PlannedStop` takes the request at that moment, in the one place that chooses leafs. If not, it is refused as not run with a Retry-After of 0; a forwarded one is declined. The other parts of a gathered request that has begun are sent as before.

Evidence: four tests failed before (three of the exchange, and one that forwards a request to a stopping gateway on sockets, answered in place of declined); a fifth, on gathered requests, holds before and after.

--- a/src/oriolegate/exchange/part_sender.py
+++ b/src/oriolegate/exchange/part_sender.py
@@ -9,6 +9,7 @@
 
 import attrs
 
+from oriolegate.exchange import planned_stop
 from oriolegate.exchange import timing
 from oriolegate.exchange.messages import AbandonSend
 from oriolegate.exchange.messages import Decision
@@ -111,12 +112,29 @@
             part.wait_reason = ATTEMPTS_HELD
             self.ensure_timer_by(self.hold_until_ms)
             return None
+        if not self._can_begin(now_ms, part):
+            part.wait_reason = planned_stop.REFUSAL_REASON
+            self.record_decision(
+                now_ms, "not sent", part.service, detail=part.wait_reason
+            )
+            self.end(part)
+            return None
         chosen = self._choose(now_ms, part)
         if isinstance(chosen, NoLeaf):
             self._wait_or_end(now_ms, part, chosen)
             return None
         return chosen
 
+    def _can_begin(self, now_ms: float, part: Part) -> bool:
+        """Return whether a part that has not run yet may still be sent.
+
+        The other parts of a request that has begun are sent until the exit, as
+        it may be answered without them.
+        """
+        if part.possible_runs or (self.route.shards and self.send_count):
+            return True
+        return self.context.stop.can_take(now_ms, self.route)
+
     def place(self, now_ms: float, part: Part, effects: list[Effect]) -> None:
         """Send a part to a leaf; if none can take it, let it wait or end."""
         chosen = self.choose_or_wait(now_ms, part)
--- a/src/oriolegate/exchange/replying.py
+++ b/src/oriolegate/exchange/replying.py
@@ -3,6 +3,7 @@
 from collections.abc import Sequence
 
 from oriolegate.exchange import merging
+from oriolegate.exchange import planned_stop
 from oriolegate.exchange.messages import AnswerGathered
 from oriolegate.exchange.messages import Refuse
 from oriolegate.exchange.messages import RelayAnswer
@@ -64,6 +65,8 @@
     preferred_ms = LONGEST_RETRY_AFTER_MS
     if reasons <= BUSY_REASONS:
         preferred_ms = BUSY_RETRY_AFTER_MS
+    if reasons == {planned_stop.REFUSAL_REASON}:
+        preferred_ms = OTHER_VM_RETRY_AFTER_MS
     usable_at_ms = [
         part.usable_at_ms for part in parts if part.usable_at_ms is not None
     ]
--- a/tests/exchange/test_exchange.py
+++ b/tests/exchange/test_exchange.py
@@ -3,6 +3,7 @@
 import unittest
 
 from oriolegate.exchange import part_sender
+from oriolegate.exchange import planned_stop
 from oriolegate.exchange import timing
 from oriolegate.exchange.messages import AbandonSend
 from oriolegate.exchange.messages import AnswerGathered
@@ -147,6 +148,76 @@
         self.assertEqual((reply.status, reply.reason), (503, "all leafs full"))
 
 
+class StoppingTest(unittest.TestCase):
+    """Requests of a process that exits before a leaf could answer them."""
+
+    # A refused request has not run; one that is sent too late is cut by the
+    # exit and may have run.
+
+    def setUp(self):
+        self.context = build.exchange_context(
+            [build.leaf("near"), build.leaf("far", data_centre="dc-b")]
+        )
+
+    def start(self, route, exit_after_ms, **changes):
+        self.context.stop.begin(0.0, exit_after_ms / planned_stop.EXIT_FRACTION)
+        exchange = build.exchange(route, self.context, **changes)
+        return exchange, exchange.start(0.0)
+
+    def needed_ms(self, route):
+        latency = self.context.latencies.for_route(route.name, route.target_ms)
+        return (
+            planned_stop.ONCE_FACTOR * latency.usual_ms + planned_stop.REPLY_MS
+        )
+
+    def check_refused_unrun(self, effects):
+        (reply,) = effects
+        self.assertEqual((reply.status, reply.retry_after_ms), (503, 0.0))
+
+    def test_a_request_that_waited_for_a_leaf_is_not_sent_too_late(self):
+        route = build.route(repeatability=Repeatability.NON_IDEMPOTENT)
+        for record in self.context.directory.leafs.values():
+            record.outstanding = dict.fromkeys(range(record.capacity), 0.0)
+        exchange, effects = self.start(route, self.needed_ms(route) + 1.0)
+        self.assertEqual(effects, [])
+        for record in self.context.directory.leafs.values():
+            record.outstanding.clear()
+        self.check_refused_unrun(exchange.on_timer(exchange.timer_due_ms))
+
+    def test_a_request_that_a_leaf_rejected_is_not_sent_again_too_late(self):
+        route = build.route(repeatability=Repeatability.NON_IDEMPOTENT)
+        exchange, effects = self.start(route, self.needed_ms(route) + 1.0)
+        self.assertEqual(len(build.sends(effects)), 1)
+        self.check_refused_unrun(
+            exchange.on_failure(5.0, 1, SendOutcome.NOT_RUN, "503")
+        )
+
+    def test_a_request_that_comes_back_from_another_vm_is_not_sent_too_late(
+        self,
+    ):
+        route = build.route(repeatability=Repeatability.NON_IDEMPOTENT)
+        _, effects = self.start(
+            route,
+            self.needed_ms(route) - 1.0,
+            history=RequestHistory(is_counted=True),
+        )
+        self.check_refused_unrun(effects)
+
+    def test_the_other_parts_of_a_request_that_has_begun_are_sent(self):
+        self.context = build.exchange_context(
+            [build.leaf("a", "a"), build.leaf("b", "b")], ("a", "b")
+        )
+        route = build.route(shards=("a", "b"), min_coverage=0.5, split=())
+        record = self.context.directory.leafs["b"]
+        record.outstanding = dict.fromkeys(range(record.capacity), 0.0)
+        exchange, effects = self.start(route, self.needed_ms(route))
+        self.assertEqual(len(build.sends(effects)), 1)
+        record.outstanding.clear()
+        self.context.stop.exit_ms = 1.0
+        (send,) = build.sends(exchange.on_timer(exchange.timer_due_ms))
+        self.assertEqual(send.leaf.leaf_id, "b")
+
+
 class ForwardedRequestTest(unittest.TestCase):
     """Requests that another VM has forwarded."""
 
--- a/tests/platform/test_gateway_stop.py
+++ b/tests/platform/test_gateway_stop.py
@@ -8,9 +8,14 @@
 from twisted.internet import defer
 from twisted.internet import reactor
 
+from oriolegate.forwarding.forwarded_call import ForwardedCall
+from oriolegate.forwarding.forwarded_call import ForwardState
 from oriolegate.models.site import Bounds
+from oriolegate.network import forward_wire
+from oriolegate.platform import caller_protocol
 from tests.platform import stand_in_documents as documents
 from tests.platform.test_gateway import Caller
+from tests.platform.test_gateway import configuration
 from tests.platform.test_gateway import on_site
 from tests.platform.test_gateway import sleep
 
@@ -151,6 +156,57 @@
         self.assertEqual((await pending).status, 200)
         await exited
 
+    async def forward(self, site, route, attempt):
+        """Forward a request to the gateway, as another VM does."""
+        settings = site.process.settings
+        address = (settings.host, settings.internal_ports[0])
+        call = caller_protocol.decode_call(
+            b"POST",
+            b"/%s/x" % route.encode(),
+            (
+                (b"Host", b"h.example"),
+                (b"Attempt-Id", attempt.encode()),
+                (b"Deadline-Ms", b"%d" % DEADLINE_MS),
+            ),
+            b"",
+        )
+        forwarded = ForwardedCall(
+            call,
+            elapsed_ms=0.0,
+            min_version=0,
+            used_attempts=0,
+            is_counted=False,
+            vm="vm-other",
+        )
+        peer = Caller(address, forward_wire.encode_call(*address, forwarded))
+        _, body = await peer.read_response()
+        return forward_wire.decode_reply(body)
+
+    # A request of another VM that could not end before the exit was taken, and
+    # was answered as possibly run, though the other VM could have run it.
+    @on_site
+    async def test_a_forwarded_request_without_enough_time_is_declined(
+        self, site
+    ):
+        exited = self.prepare(site)
+        slow = documents.route_spec(
+            "slow",
+            service="s1",
+            type=documents.NON_IDEMPOTENT,
+            target_latency_ms=2.0 * GRACE_MS,
+        )
+        site.store.put("config", "main", configuration(2, [slow]))
+        table = site.process.parts.configuration
+        await site.wait_until(lambda: table.table.configuration.version == 2)
+        site.process.plan_stop()
+        reply = await self.forward(site, "slow", "late")
+        self.assertIs(reply.state, ForwardState.DECLINED)
+        self.assertFalse(reply.may_have_run)
+        reply = await self.forward(site, "once", "short")
+        self.assertIs(reply.state, ForwardState.ANSWERED)
+        await exited
+        self.assertEqual(self.runs(site), {"short"})
+
 
 if __name__ == "__main__":
     unittest.main()
