Close the ports of a stopping process in the turn that empties them

What callers saw: a connection that reached a closing port after the process had accepted those that waited was established and then reset, though the caller could have asked another VM at once.

Cause: `stopListening` of Twisted closes the socket in a later turn of the event loop. Until then the system goes on establishing connections that nobody accepts.

Change: `graceful_close.close_port` accepts what waits and closes the socket in the same call. A stopping gateway closes all its ports with it.

Evidence: the test connects in the same turn, after the port is closed; with `stopListening` the connection was established (failed before), now it is refused, and the request that waited before is answered.

--- a/src/oriolegate/network/graceful_close.py
+++ b/src/oriolegate/network/graceful_close.py
@@ -7,6 +7,9 @@
 import select
 from typing import Any
 
+from twisted.internet import error
+from twisted.python import failure
+
 # Connections that may wait at a port of callers. Large, since all callers of a
 # failed VM reconnect at the same time.
 LISTEN_BACKLOG = 512
@@ -22,6 +25,20 @@
     port.doRead()
 
 
+def close_port(port: Any) -> None:
+    """Accept the connections that wait at a port, and close it at once.
+
+    `stopListening` closes it in a later turn of the event loop, and would reset
+    the connections that arrive until then.
+
+    Args:
+        port: A listening port of Twisted.
+    """
+    accept_waiting(port)
+    port.stopReading()
+    port.connectionLost(failure.Failure(error.ConnectionDone()))
+
+
 def has_unread_bytes(transport: Any) -> bool:
     """Return whether bytes, or the end of a connection, wait to be read."""
     descriptor = transport.getHandle().fileno()
--- a/src/oriolegate/runtime/gateway.py
+++ b/src/oriolegate/runtime/gateway.py
@@ -311,8 +311,7 @@
     def _close_ports(self) -> None:
         """Stop listening, so that new callers connect to other VMs."""
         for port in self.ports:
-            graceful_close.accept_waiting(port)
-            port.stopListening()
+            graceful_close.close_port(port)
         log.bind(
             open=len(self.parts.runner.running),
             connections=len(self.parts.connections.channels),
--- a/tests/network/test_graceful_close.py
+++ b/tests/network/test_graceful_close.py
@@ -54,3 +54,23 @@
         for caller in callers:
             caller.close()
         self.assertEqual(statuses, [b"200"] * CALLER_COUNT)
+
+    # A port that closes in a later turn of the event loop resets what arrives
+    # until then, though the caller could have asked another process.
+    @on_reactor
+    async def test_a_closed_port_refuses_connections_in_the_same_turn(self):
+        server = ServerConnections(reactor, SystemClock(), MachineLimits())
+        factory = InternalHttpFactory(
+            server, lambda target, respond: respond(200, b"ok")
+        )
+        port = reactor.listenTCP(
+            0, factory, backlog=graceful_close.LISTEN_BACKLOG, interface=HOST
+        )
+        number = port.getHost().port
+        before = connect(number, REQUEST)
+        graceful_close.close_port(port)
+        with self.assertRaises(ConnectionRefusedError):
+            connect(number, REQUEST)
+        await task.deferLater(reactor, 0.2, lambda: None)
+        self.assertEqual(read_status(before), b"200")
+        before.close()
--- a/tests/platform/test_gateway.py
+++ b/tests/platform/test_gateway.py
@@ -22,6 +22,7 @@
 from oriolegate.models.site import CrashReport
 from oriolegate.models.site import NodeSettings
 from oriolegate.models.stored import Collection
+from oriolegate.network import graceful_close
 from oriolegate.network import server_connections
 from oriolegate.network.http_connection import Answered
 from oriolegate.network.http_connection import Broken
@@ -886,7 +887,7 @@
     ):
         site.process.plan_stop()
         callers = [self.send_unread(site) for _ in range(20)]
-        site.process._close_ports()
+        graceful_close.close_port(site.process.ports[0])
         self.assertEqual(await self.statuses(callers), [200] * 20)
 
     @on_site
--- a/tests/virtual_network.py
+++ b/tests/virtual_network.py
@@ -293,10 +293,17 @@
     def doRead(self) -> None:  # noqa: N802 (Twisted's name)
         """Do nothing; connections don't wait here."""
 
+    def stopReading(self) -> None:  # noqa: N802 (Twisted's name)
+        """Do nothing; connections don't wait here."""
+
     def stopListening(self) -> None:  # noqa: N802 (Twisted's name)
         """Refuse further connections."""
         self.network.listeners.pop(self.address, None)
 
+    def connectionLost(self, reason: Any) -> None:  # noqa: N802
+        """Refuse further connections."""
+        self.stopListening()
+
 
 class Host:
     """A host of the network; offers `callLater`, `connectTCP`, `listenTCP`.
