Read without blocking in tests of a gateway on the same reactor

Cause: the test waited 0.2 s and then read each of its 20 responses with a blocking call of up to 2 s, in the thread of the gateway under test. One response later than 0.2 s stopped the gateway, so that none of the 20 came: 40 s. With sockets that don't block the same answers arrive.

Change: `tests/socket_caller.py` opens a connection and sends before the server accepts, as the test needs, and reads without blocking; a response counts only if it is whole. The same pattern in the tests of closing ports goes too. What is checked stays: all 20 requests that are unread while idle connections are closed get 200, and the process exits. Without the look at unread bytes the test fails, as before.

--- a/tests/platform/test_gateway.py
+++ b/tests/platform/test_gateway.py
@@ -2,8 +2,6 @@
 
 import functools
 import random
-import re
-import socket
 import unittest
 
 import attrs
@@ -40,60 +38,12 @@
 from tests.platform.stand_in_store import StandInStore
 from tests.platform.stand_in_store import StoreFactory
 from tests.reactor_case import on_reactor
+from tests.socket_caller import Caller
 
 HOST = "127.0.0.1"
-READ_TIMEOUT_S = 10.0
-READ_INTERVAL_S = 0.01
 SHARDS = ("s1", "s2", "s3")
 
 
-class Caller:
-    """A caller on a socket, which never blocks the gateway on the reactor.
-
-    Its connection is open, and its data is sent, before the gateway accepts it.
-    """
-
-    def __init__(self, address, data=b""):
-        self.socket = socket.create_connection(address, READ_TIMEOUT_S)
-        self.socket.setblocking(False)
-        self.received = b""
-        self.send(data)
-
-    def send(self, data):
-        self.socket.sendall(data)
-
-    def response(self):
-        """Return status and body of the response, or None if incomplete."""
-        head, _, body = self.received.partition(b"\r\n\r\n")
-        length = re.search(rb"(?i)\r\ncontent-length: *(\d+)", head)
-        if length is None or len(body) < int(length[1]):
-            return None
-        return int(head.split()[1]), body
-
-    async def read_response(self):
-        """Return status and body, or None if the connection ends first."""
-        try:
-            for _ in range(int(READ_TIMEOUT_S / READ_INTERVAL_S)):
-                try:
-                    data = self.socket.recv(65_536)
-                except BlockingIOError:
-                    await sleep(READ_INTERVAL_S)
-                    continue
-                self.received += data
-                if not data or self.response():
-                    break
-        except ConnectionError:
-            pass
-        finally:
-            self.socket.close()
-        return self.response()
-
-    async def read_status(self):
-        """Return the status of the response, or None without one."""
-        response = await self.read_response()
-        return response[0] if response else None
-
-
 def configuration(version=1, more_routes=()):
     routes = [
         documents.route_spec("all", **documents.gather_fields(SHARDS, 10, 0.6)),
@@ -861,32 +811,19 @@
         self.assertIsNone(response.header(b"retry-after"))
         await exited
 
-    def send_unread(self, site, *, connection=None):
-        """Send a request that this process has not read yet."""
-        if connection is None:
-            address = site.process.settings.caller_address
-            connection = socket.create_connection(address, 2.0)
-        data = documents.caller_request("GET", "/one/x", "a1", 1_200, b"")
-        connection.sendall(data)
-        return connection
-
-    async def statuses(self, connections):
-        await sleep(0.2)
-        statuses = []
-        for connection in connections:
-            try:
-                statuses.append(int(connection.recv(1_000).split()[1]))
-            except (IndexError, OSError):
-                statuses.append(None)
-            connection.close()
-        return statuses
+    async def statuses(self, callers):
+        return await defer.gatherResults(
+            [defer.ensureDeferred(caller.read_status()) for caller in callers]
+        )
 
     @on_site
     async def test_a_planned_stop_answers_requests_that_wait_at_the_port(
         self, site
     ):
+        address = site.process.settings.caller_address
+        data = documents.caller_request("GET", "/one/x", "a1", 1_200)
         site.process.plan_stop()
-        callers = [self.send_unread(site) for _ in range(20)]
+        callers = [Caller(address, data) for _ in range(20)]
         graceful_close.close_port(site.process.ports[0])
         self.assertEqual(await self.statuses(callers), [200] * 20)
 
@@ -894,16 +831,18 @@
     async def test_a_planned_stop_answers_requests_that_are_not_read_yet(
         self, site
     ):
-        exited = defer.Deferred()
-        site.process.on_exit = lambda: exited.callback(None)
+        exited = site.exit_as_a_process()
         address = site.process.settings.caller_address
-        callers = [socket.create_connection(address, 2.0) for _ in range(20)]
+        callers = [Caller(address) for _ in range(20)]
+        channels = site.process.parts.connections.channels
+        await site.wait_until(lambda: len(channels) == 20)
         # Younger connections aren't closed.
         await sleep(server_connections.FIRST_REQUEST_MS / 1_000.0 + 0.1)
-        self.assertEqual(len(site.process.parts.connections.channels), 20)
         site.process.plan_stop()
+        data = documents.caller_request("GET", "/one/x", "a1", 1_200)
         for caller in callers:
-            self.send_unread(site, connection=caller)
+            caller.send(data)
+        # Their bytes are unread while idle connections are closed.
         site.process.parts.connections.close_idle()
         self.assertEqual(await self.statuses(callers), [200] * 20)
         await exited
--- a/tests/platform/test_gateway_stop.py
+++ b/tests/platform/test_gateway_stop.py
@@ -14,10 +14,10 @@
 from oriolegate.network import forward_wire
 from oriolegate.platform import caller_protocol
 from tests.platform import stand_in_documents as documents
-from tests.platform.test_gateway import Caller
 from tests.platform.test_gateway import configuration
 from tests.platform.test_gateway import on_site
 from tests.platform.test_gateway import sleep
+from tests.socket_caller import Caller
 
 GRACE_MS = 2_000.0
 # Shorter than a pause that the process detects, longer than its intervals.
