Let serve keep its slots until nothing can bring it a request

What callers saw: a query that waited at the port of a stopping process was accepted and then got no slot: 503 after its whole deadline, 4 s in the test. So did one that came on a kept connection while the process closed.

Cause: the sequence counted running requests alone. In the step that accepted what waited at the port, nothing ran yet: peers were notified, the shares handed over and the connections to leafs closed, while the requests were still to be read, and nothing refused them.

Change: after the port is closed, callers' idle connections are closed and the others counted, each 0.1 s. The process leaves its peers and gives its shares away once none is open, or 2 s later; what comes from then on is refused at once as not run. The port is closed in the turn that empties it, as the gateway's is.

Evidence: the tests force the order on sockets. The property over random orders has the new rule as well.

--- a/src/oriolegate/network/server_connections.py
+++ b/src/oriolegate/network/server_connections.py
@@ -97,10 +97,22 @@
         self.refused.clear()
         self.report(refused)
 
-    def close_idle(self) -> None:
-        """Close the connections on which no request is open or on its way."""
+    def open_channels(self, group: ConnectionGroup | None = None) -> list[Any]:
+        """Return the open channels of a group, or of all groups."""
+        return [
+            channel
+            for channel in self.channels
+            if group in (None, channel.connection.group)
+        ]
+
+    def close_idle(self, group: ConnectionGroup | None = None) -> None:
+        """Close the connections on which no request is open or on its way.
+
+        Args:
+            group: The group whose connections are closed, or None for all.
+        """
         first_request_since_ms = self.clock.now_ms() - FIRST_REQUEST_MS
-        for channel in list(self.channels):
+        for channel in self.open_channels(group):
             connection = channel.connection
             if channel.is_idle and (
                 connection.has_served
--- a/src/oriolegate/runtime/process.py
+++ b/src/oriolegate/runtime/process.py
@@ -7,6 +7,7 @@
 from twisted.web import server
 
 from oriolegate.claims import messages as claims_messages
+from oriolegate.connections.machine_share import ConnectionGroup
 from oriolegate.logging_setup import get_logger
 from oriolegate.network import graceful_close
 from oriolegate.network.claim_store import ClaimStore
@@ -22,6 +23,7 @@
 from oriolegate.runtime.rules_service import RulesService
 from oriolegate.runtime.share_runner import ShareRunner
 from oriolegate.runtime.stop_runner import StopRunner
+from oriolegate.runtime.stop_sequence import CallersCounted
 from oriolegate.runtime.stop_sequence import ConnectionsClosed
 from oriolegate.runtime.stop_sequence import RunningChanged
 from oriolegate.runtime.stop_sequence import SharesHandedOver
@@ -82,6 +84,7 @@
         self.parts = parts
         self.caller_site = caller_site
         self.admin_site = admin_site
+        self.connections = connections
         connections.report = self._on_connections_refused
         self.caller_port: Any = None
         self.ports: list[Any] = []
@@ -214,10 +217,19 @@
 
     def stop_accepting(self) -> None:
         """Close the callers' port; open connections are still served."""
-        graceful_close.accept_waiting(self.caller_port)
-        self.caller_port.stopListening()
+        graceful_close.close_port(self.caller_port)
         self.caller_port = None
 
+    def close_idle_callers(self) -> None:
+        """Close callers' idle connections; report how many are open."""
+        self.connections.close_idle(ConnectionGroup.CALLERS)
+        callers = self.connections.open_channels(ConnectionGroup.CALLERS)
+        self.stop_runner.receive(CallersCounted(len(callers)))
+
+    def refuse_new(self) -> None:
+        """Refuse all further requests as not run."""
+        self.parts.tier.flow.state.stopping = True
+
     def hand_over_shares(self) -> None:
         """Return the shares to the store, each as soon as it is unused.
 
@@ -233,15 +245,13 @@
         if self.parts.tier.flow.active:
             self.dependencies.call_later(HAND_OVER_CHECK_S, self._announce_end)
             return
-        self.parts.tier.flow.state.stopping = True
         for pool in self.tier.client.pools.values():
             pool.close()
         self.parts.shares.announce_end()
         self.stop_runner.receive(SharesHandedOver())
 
     def answer_running(self) -> None:
-        """Answer running requests with partial results; refuse new ones."""
-        self.parts.tier.flow.state.stopping = True
+        """Answer running requests with partial results."""
         self.parts.tier.runner.answer_all()
 
     def close_connections(self) -> None:
@@ -255,6 +265,7 @@
         self.dependencies.call_later(LAST_FORWARDED_S, self._close)
 
     def _close(self) -> None:
+        self.connections.close_idle(ConnectionGroup.CALLERS)
         self.stop()
         self.dependencies.call_later(
             FLUSH_S, lambda: self.stop_runner.receive(ConnectionsClosed())
--- a/src/oriolegate/runtime/stop_runner.py
+++ b/src/oriolegate/runtime/stop_runner.py
@@ -33,12 +33,20 @@
         """Close the listening ports."""
         ...
 
+    def close_idle_callers(self) -> None:
+        """Close callers' idle connections; report `CallersCounted`."""
+        ...
+
+    def refuse_new(self) -> None:
+        """Refuse all further requests as not run."""
+        ...
+
     def hand_over_shares(self) -> None:
         """Return the shares; report `SharesHandedOver` at the end."""
         ...
 
     def answer_running(self) -> None:
-        """Answer running requests with partial results; refuse new ones."""
+        """Answer running requests with partial results."""
         ...
 
     def close_connections(self) -> None:
@@ -109,6 +117,10 @@
                 self.actions.close_after_answers()
             case stop.StopAccepting():
                 self.actions.stop_accepting()
+            case stop.CloseIdleCallers():
+                self.actions.close_idle_callers()
+            case stop.RefuseNew():
+                self.actions.refuse_new()
             case stop.HandOverShares():
                 self.actions.hand_over_shares()
             case stop.AnswerRunning():
--- a/src/oriolegate/runtime/stop_sequence.py
+++ b/src/oriolegate/runtime/stop_sequence.py
@@ -2,8 +2,11 @@
 
 The state machine decides when a stopping process leaves the balancer, stops
 accepting connections, returns its shares, closes its connections and exits. A
-running request is never aborted before the stop limit. A second stop request
-has no effect.
+running request is never aborted before the stop limit. The process leaves its
+peers and returns its shares, without which no request gets a slot, once nothing
+can bring it a request: the callers' port is closed, and so are the connections
+that it accepted. After a while, callers that keep theirs are refused. A second
+stop request has no effect.
 """
 
 import enum
@@ -13,6 +16,10 @@
 # Requests that still run this long before the stop's time limit get partial
 # results.
 ANSWER_RESERVE_MS = 1_000.0
+# Interval of closing idle connections of callers and counting the others.
+CALLERS_CHECK_MS = 100.0
+# Time after which the process refuses callers that still have connections.
+CALLERS_WAIT_MS = 2_000.0
 
 
 class StopPhase(enum.Enum):
@@ -37,6 +44,13 @@
     count: int
 
 
+@attrs.frozen
+class CallersCounted:
+    """The number of callers' connections that are open."""
+
+    count: int
+
+
 @attrs.frozen
 class SharesHandedOver:
     """This process holds no share of any leaf's limits any more."""
@@ -53,7 +67,12 @@
 
 
 StopEvent = (
-    StopRequested | RunningChanged | SharesHandedOver | ConnectionsClosed | Tick
+    StopRequested
+    | RunningChanged
+    | CallersCounted
+    | SharesHandedOver
+    | ConnectionsClosed
+    | Tick
 )
 
 
@@ -77,6 +96,16 @@
     """Close the listening ports; open connections are still served."""
 
 
+@attrs.frozen
+class CloseIdleCallers:
+    """Close callers' idle connections; report how many are open."""
+
+
+@attrs.frozen
+class RefuseNew:
+    """Refuse all further requests as not run."""
+
+
 @attrs.frozen
 class HandOverShares:
     """Return this process's shares of leaf limits."""
@@ -84,7 +113,7 @@
 
 @attrs.frozen
 class AnswerRunning:
-    """Answer running requests with partial results, and refuse new ones.
+    """Answer running requests with partial results.
 
     An answer states its true coverage; a refusal states whether the request
     may have run.
@@ -123,6 +152,8 @@
     | AnnounceLeaving
     | CloseAfterAnswers
     | StopAccepting
+    | CloseIdleCallers
+    | RefuseNew
     | HandOverShares
     | AnswerRunning
     | CloseConnections
@@ -137,6 +168,10 @@
     Attributes:
         phase: Present phase.
         running: Number of running requests.
+        callers: Number of callers' connections, or None before they were
+            counted without an open port.
+        callers_counted_ms: When callers' connections were last counted.
+        has_left_peers: Whether `AnnounceLeaving` was returned.
         shares_held: Whether shares may still be held.
         has_answered_running: Whether `AnswerRunning` was returned.
         has_begun_hand_over: Whether `HandOverShares` was returned.
@@ -144,6 +179,8 @@
         accept_until_ms: Time at which the process stops accepting
             connections; set by the stop request.
         answer_at_ms: Time at which running requests get partial results.
+        callers_until_ms: Time at which the process stops waiting for callers'
+            connections on which no request runs.
         limit_ms: Time at which the process exits in any case.
     """
 
@@ -159,12 +196,16 @@
         self.stop_limit_ms = stop_limit_ms
         self.phase = StopPhase.SERVING
         self.running = 0
+        self.callers: int | None = None
+        self.callers_counted_ms = float("-inf")
+        self.has_left_peers = False
         self.shares_held = True
         self.has_answered_running = False
         self.has_begun_hand_over = False
         self.has_closed = False
         self.accept_until_ms = 0.0
         self.answer_at_ms = 0.0
+        self.callers_until_ms = 0.0
         self.limit_ms = 0.0
 
     def step(self, now_ms: float, event: StopEvent) -> list[StopEffect]:
@@ -182,6 +223,8 @@
                 return self._request_stop(now_ms)
             case RunningChanged(count):
                 self.running = count
+            case CallersCounted(count):
+                self.callers = count
             case SharesHandedOver():
                 self.shares_held = False
             case ConnectionsClosed():
@@ -200,6 +243,9 @@
         self.answer_at_ms = max(
             self.accept_until_ms, self.limit_ms - ANSWER_RESERVE_MS
         )
+        self.callers_until_ms = min(
+            self.accept_until_ms + CALLERS_WAIT_MS, self.answer_at_ms
+        )
         effects: list[StopEffect] = [SetNotReady(), CloseAfterAnswers()]
         return effects + self._advance(now_ms)
 
@@ -211,7 +257,11 @@
         effects: list[StopEffect] = []
         if self._must_stop_accepting(now_ms):
             self.phase = StopPhase.FINISHING
-            effects += [StopAccepting(), AnnounceLeaving()]
+            self.callers = None
+            effects.append(StopAccepting())
+        if self._may_leave_peers(now_ms):
+            self.has_left_peers = True
+            effects += [RefuseNew(), AnnounceLeaving()]
         if self._must_answer_running(now_ms):
             self.has_answered_running = True
             effects.append(AnswerRunning())
@@ -221,6 +271,9 @@
         if self._may_close():
             self.phase = StopPhase.CLOSING
             effects.append(CloseConnections())
+        if self._must_count_callers(now_ms):
+            self.callers_counted_ms = now_ms
+            effects.append(CloseIdleCallers())
         return [*effects, WakeAt(self._next_ms())]
 
     def _must_stop_accepting(self, now_ms: float) -> bool:
@@ -237,15 +290,30 @@
             and now_ms >= self.answer_at_ms
         )
 
+    def _may_leave_peers(self, now_ms: float) -> bool:
+        return self._is_waiting_for_callers() and (
+            self.callers == 0 or now_ms >= self.callers_until_ms
+        )
+
     def _may_hand_over(self) -> bool:
         # Sub-requests that wait for a slot at a leaf can be sent only while
         # this process holds its shares of the leaf limits.
         return (
             self.phase is StopPhase.FINISHING
             and self.running == 0
+            and self.has_left_peers
             and not self.has_begun_hand_over
         )
 
+    def _is_waiting_for_callers(self) -> bool:
+        return self.phase is StopPhase.FINISHING and not self.has_left_peers
+
+    def _must_count_callers(self, now_ms: float) -> bool:
+        return (
+            self._is_waiting_for_callers()
+            and now_ms >= self.callers_counted_ms + CALLERS_CHECK_MS
+        )
+
     def _may_close(self) -> bool:
         return (
             self.phase is StopPhase.FINISHING
@@ -261,9 +329,13 @@
     def _next_ms(self) -> float:
         if self.phase is StopPhase.LEAVING_BALANCER:
             return self.accept_until_ms
+        due_ms = [self.limit_ms]
         if self.phase is StopPhase.FINISHING and not self.has_answered_running:
-            return self.answer_at_ms
-        return self.limit_ms
+            due_ms.append(self.answer_at_ms)
+        if self._is_waiting_for_callers():
+            due_ms.append(self.callers_counted_ms + CALLERS_CHECK_MS)
+            due_ms.append(self.callers_until_ms)
+        return min(due_ms)
 
     def _exit(self) -> list[StopEffect]:
         self.phase = StopPhase.STOPPED
--- a/tests/platform/test_gateway_stop.py
+++ b/tests/platform/test_gateway_stop.py
@@ -1,6 +1,5 @@
 """Tests of the order of events in a planned stop, with a gateway on sockets."""
 
-import os
 import time
 import unittest
 
@@ -13,6 +12,7 @@
 from oriolegate.models.site import Bounds
 from oriolegate.network import forward_wire
 from oriolegate.platform import caller_protocol
+from tests.before_timers import BeforeTimers
 from tests.platform import stand_in_documents as documents
 from tests.platform.test_gateway import configuration
 from tests.platform.test_gateway import on_site
@@ -26,38 +26,6 @@
 DEADLINE_MS = 1_200
 
 
-class BeforeTimers:
-    """Calls a function between two turns of the event loop.
-
-    The reactor polls its sockets, handles what it found, and then makes all
-    calls that are due. A function that is called while sockets are handled
-    runs before those calls and after the poll, so that what arrives during the
-    function is not read before them.
-    """
-
-    def __init__(self, function):
-        self.function = function
-        self.finished = defer.Deferred()
-        self.receiver, sender = os.pipe()
-        os.write(sender, b"x")
-        os.close(sender)
-        reactor.addReader(self)
-
-    def fileno(self):
-        return self.receiver
-
-    def doRead(self):  # noqa: N802 (Twisted's name)
-        reactor.removeReader(self)
-        os.close(self.receiver)
-        defer.execute(self.function).chainDeferred(self.finished)
-
-    def connectionLost(self, reason):  # noqa: N802 (Twisted's name)
-        """Do nothing."""
-
-    def logPrefix(self):  # noqa: N802 (Twisted's name)
-        return "before timers"
-
-
 def request(route, attempt, method="GET"):
     return documents.caller_request(
         method, f"/{route}/x", attempt, DEADLINE_MS, b""
--- a/tests/runtime/test_stop_runner.py
+++ b/tests/runtime/test_stop_runner.py
@@ -55,6 +55,7 @@
 
     def test_an_idle_process_goes_through_every_phase(self):
         self.actions.events_by_action = [
+            ("close_idle_callers", stop.CallersCounted(0)),
             ("hand_over_shares", stop.SharesHandedOver()),
             ("close_connections", stop.ConnectionsClosed()),
         ]
@@ -66,6 +67,8 @@
             self.actions.calls[2:],
             [
                 ("stop_accepting",),
+                ("close_idle_callers",),
+                ("refuse_new",),
                 ("announce_leaving",),
                 ("hand_over_shares",),
                 ("close_connections",),
@@ -79,6 +82,9 @@
         )
 
     def test_a_request_that_never_ends_is_aborted_only_at_the_limit(self):
+        self.actions.events_by_action = [
+            ("close_idle_callers", stop.CallersCounted(0)),
+        ]
         self.runner.receive(stop.RunningChanged(1))
         self.runner.receive(stop.StopRequested())
         self.advance(100.0)
--- a/tests/runtime/test_stop_sequence.py
+++ b/tests/runtime/test_stop_sequence.py
@@ -13,6 +13,7 @@
     stop.SetNotReady(),
     stop.CloseAfterAnswers(),
 ]
+LEAVE_PEERS = [stop.RefuseNew(), stop.AnnounceLeaving()]
 
 
 def make_sequence(running=0):
@@ -38,13 +39,24 @@
                 stop.Tick(),
                 [
                     stop.StopAccepting(),
-                    stop.AnnounceLeaving(),
-                    stop.WakeAt(4_000.0),
+                    stop.CloseIdleCallers(),
+                    stop.WakeAt(200.0),
                 ],
             ),
-            (150, stop.RunningChanged(1), [stop.WakeAt(4_000.0)]),
+            (100, stop.CallersCounted(2), [stop.WakeAt(200.0)]),
+            (150, stop.RunningChanged(1), [stop.WakeAt(200.0)]),
             (
                 200,
+                stop.Tick(),
+                [stop.CloseIdleCallers(), stop.WakeAt(300.0)],
+            ),
+            (
+                200,
+                stop.CallersCounted(0),
+                [*LEAVE_PEERS, stop.WakeAt(4_000.0)],
+            ),
+            (
+                250,
                 stop.RunningChanged(0),
                 [stop.HandOverShares(), stop.WakeAt(4_000.0)],
             ),
@@ -71,6 +83,7 @@
         sequence = make_sequence(1)
         sequence.step(0.0, stop.StopRequested())
         sequence.step(100.0, stop.Tick())
+        sequence.step(100.0, stop.CallersCounted(0))
         sequence.step(150.0, stop.SharesHandedOver())
         effects = sequence.step(4_000.0, stop.Tick())
         self.assertEqual(effects, [stop.AnswerRunning(), stop.WakeAt(LIMIT_MS)])
@@ -93,7 +106,8 @@
         sequence = make_sequence()
         sequence.step(0.0, stop.SharesHandedOver())
         sequence.step(0.0, stop.StopRequested())
-        effects = sequence.step(100.0, stop.Tick())
+        sequence.step(100.0, stop.Tick())
+        effects = sequence.step(100.0, stop.CallersCounted(0))
         self.assertIn(stop.CloseConnections(), effects)
         sequence.step(101.0, stop.RunningChanged(1))
         effects = sequence.step(102.0, stop.ConnectionsClosed())
@@ -109,22 +123,50 @@
             [
                 *FIRST_EFFECTS,
                 stop.StopAccepting(),
-                stop.AnnounceLeaving(),
+                stop.CloseIdleCallers(),
+                stop.WakeAt(7.0 + stop.CALLERS_CHECK_MS),
+            ],
+        )
+        effects = sequence.step(7.0, stop.CallersCounted(0))
+        self.assertEqual(
+            effects,
+            [
+                *LEAVE_PEERS,
                 stop.HandOverShares(),
                 stop.WakeAt(LIMIT_MS + 7.0 - stop.ANSWER_RESERVE_MS),
             ],
         )
 
+    # Without its place among the peers and its shares, the process has no slots
+    # for a request that is still to be read.
+    def test_shares_are_kept_while_callers_have_connections(self):
+        sequence = make_sequence()
+        sequence.step(0.0, stop.StopRequested())
+        effects = sequence.step(NOTICE_MS, stop.Tick())
+        self.assertIn(stop.CloseIdleCallers(), effects)
+        counted = stop.CallersCounted(1)
+        end_ms = NOTICE_MS + stop.CALLERS_WAIT_MS
+        for now_ms in (NOTICE_MS, end_ms - 1.0):
+            *others, wake = sequence.step(now_ms, counted)
+            self.assertLessEqual(set(others), {stop.CloseIdleCallers()})
+            self.assertLessEqual(wake.at_ms, end_ms)
+        effects = sequence.step(end_ms, stop.Tick())
+        self.assertEqual(effects[:3], [*LEAVE_PEERS, stop.HandOverShares()])
+
 
 EVENTS = st.one_of(
     st.just(stop.StopRequested()),
     st.builds(stop.RunningChanged, st.integers(0, 3)),
+    st.builds(stop.CallersCounted, st.integers(0, 2)),
     st.just(stop.SharesHandedOver()),
     st.just(stop.ConnectionsClosed()),
     st.just(stop.Tick()),
 )
 
 
+REPEATED = (stop.WakeAt, stop.CloseIdleCallers)
+
+
 class StopSequencePropertyTest(unittest.TestCase):
     @hypothesis.settings(derandomize=True, max_examples=300)
     @hypothesis.given(
@@ -151,8 +193,15 @@
             for effect in sequence.step(now_ms, event):
                 self.check(effect, now_ms, requested_ms or 0.0)
                 is_early = now_ms < (requested_ms or 0.0) + LIMIT_MS
+                if isinstance(effect, stop.AnnounceLeaving):
+                    self.assertIn(stop.StopAccepting(), seen)
+                    self.assertEqual(seen[-1], stop.RefuseNew())
+                    waited_ms = requested_ms + NOTICE_MS + stop.CALLERS_WAIT_MS
+                    if now_ms < waited_ms:
+                        self.assertEqual(event, stop.CallersCounted(0))
                 if isinstance(effect, stop.HandOverShares):
                     self.assertEqual(running, 0)
+                    self.assertIn(stop.AnnounceLeaving(), seen)
                 if isinstance(effect, stop.CloseConnections):
                     self.assertEqual((running, shares_held), (0, False))
                 if isinstance(effect, stop.Exit):
@@ -160,7 +209,7 @@
                     if is_early:
                         self.assertEqual(effect.status, 0)
                         self.assertIn(stop.CloseConnections(), seen)
-                if not isinstance(effect, stop.WakeAt):
+                if not isinstance(effect, REPEATED):
                     self.assertNotIn(type(effect), map(type, seen))
                 seen.append(effect)
         if requested_ms is not None:
