Wake a stopping serve process only for what is still to come

Cause: while a process waited for its shares to be returned, with nothing running, the next wake-up was the time of the answers to running requests, also once that had passed. The timer was due at once, again and again, for the last second before the stop limit, and took the processor from what was to be sent.

--- a/src/oriolegate/runtime/stop_sequence.py
+++ b/src/oriolegate/runtime/stop_sequence.py
@@ -274,7 +274,7 @@
         if self._must_count_callers(now_ms):
             self.callers_counted_ms = now_ms
             effects.append(CloseIdleCallers())
-        return [*effects, WakeAt(self._next_ms())]
+        return [*effects, WakeAt(self._next_ms(now_ms))]
 
     def _must_stop_accepting(self, now_ms: float) -> bool:
         return (
@@ -326,11 +326,11 @@
         # A request may have arrived just before its connection closed.
         return self.has_closed and self.running == 0
 
-    def _next_ms(self) -> float:
+    def _next_ms(self, now_ms: float) -> float:
         if self.phase is StopPhase.LEAVING_BALANCER:
             return self.accept_until_ms
         due_ms = [self.limit_ms]
-        if self.phase is StopPhase.FINISHING and not self.has_answered_running:
+        if self.phase is StopPhase.FINISHING and now_ms < self.answer_at_ms:
             due_ms.append(self.answer_at_ms)
         if self._is_waiting_for_callers():
             due_ms.append(self.callers_counted_ms + CALLERS_CHECK_MS)
--- a/tests/runtime/test_stop_sequence.py
+++ b/tests/runtime/test_stop_sequence.py
@@ -153,6 +153,14 @@
         effects = sequence.step(end_ms, stop.Tick())
         self.assertEqual(effects[:3], [*LEAVE_PEERS, stop.HandOverShares()])
 
+    def test_a_process_that_keeps_its_shares_does_not_wake_without_end(self):
+        sequence = make_sequence()
+        sequence.step(0.0, stop.StopRequested())
+        sequence.step(NOTICE_MS, stop.Tick())
+        sequence.step(NOTICE_MS, stop.CallersCounted(0))
+        effects = sequence.step(LIMIT_MS - 1.0, stop.Tick())
+        self.assertEqual(effects, [stop.WakeAt(LIMIT_MS)])
+
 
 EVENTS = st.one_of(
     st.just(stop.StopRequested()),
