Keep serve alive at SIGHUP

What callers saw: SIGHUP, which supervisors send when settings change, ended `oriolegate serve` at once, with all its open requests.

Change: `serve` logs that its settings are read at the start alone, and goes on.

Evidence: the test sends SIGHUP to a real process and then a request; the process was gone (failed before).

--- a/src/oriolegate/commands/serve.py
+++ b/src/oriolegate/commands/serve.py
@@ -19,6 +19,8 @@
 from oriolegate.settings.serve import load_serve_settings
 from oriolegate.settings.serve import SERVE_SETTINGS
 
+log = logging_setup.get_logger("main")
+
 
 def add_options(parser: argparse.ArgumentParser) -> None:
     """Add the flags of the settings."""
@@ -42,6 +44,13 @@
         signal.signal(
             signal_number, lambda *_: reactor.callFromThread(process.plan_stop)
         )
+    # Its default ends the process. Settings are read at the start alone.
+    signal.signal(
+        signal.SIGHUP,
+        lambda *_: reactor.callFromThread(
+            log.warning, "SIGHUP ignored; restart to change settings."
+        ),
+    )
     process.on_exit = reactor.stop
     try:
         process.start()
--- a/tests/runtime/test_planned_stop.py
+++ b/tests/runtime/test_planned_stop.py
@@ -76,6 +76,15 @@
         self.assertIn(b"NOT_READY", answer.read())
         self.assertIsNone(process.poll())
 
+    # Sent to all processes of a terminal or a supervisor when settings change.
+    def test_a_hangup_signal_cuts_no_request(self):
+        process = self.start(notice_ms=0)
+        os.kill(process.pid, signal.SIGHUP)
+        self.read_until(process, "SIGHUP")
+        answer = self.send_request(self.caller, "POST", "/v1/query/forecast")
+        self.assertIn(b"NOT_READY", answer.read())
+        self.assertIsNone(process.poll())
+
     def test_an_idle_process_exits_with_status_0(self):
         process = self.start(notice_ms=0)
         os.kill(process.pid, signal.SIGTERM)
