Refuse requests that are incomplete when the process exits

What callers saw: a request whose body was still on its way at the exit was cut without an answer. It had not run, but nothing told its caller so.

Change: at the exit of a gateway, and when `serve` closes its connections, such requests are refused as not run, like those that come too late.

Evidence: the test leaves a body two bytes short; its connection ended without an answer (failed before), now it gets 503.

--- a/src/oriolegate/connections/connection.py
+++ b/src/oriolegate/connections/connection.py
@@ -23,6 +23,7 @@
     NO_MEMORY = "no memory to run it"
     NO_TIME = "too much to decode while others wait"
     ENDLESS = "body far beyond its limit"
+    STOPPING = "process exits before it is complete"
 
 
 class Rank(enum.IntEnum):
--- a/src/oriolegate/network/bounded_channel.py
+++ b/src/oriolegate/network/bounded_channel.py
@@ -120,6 +120,12 @@
             graceful_close.abort(self.transport)
         self._free_input()
 
+    def refuse_incomplete(self) -> None:
+        """Refuse a request that has begun and is not complete."""
+        if self.requests and not self._handlingRequest and not self.is_refused:
+            self.server.budget.remove(self.connection)
+            self._refuse(RefusalReason.STOPPING)
+
     def on_request_refused(
         self, request: BoundedBody, reason: RefusalReason
     ) -> None:
--- a/src/oriolegate/network/server_connections.py
+++ b/src/oriolegate/network/server_connections.py
@@ -120,6 +120,15 @@
             ):
                 channel.loseConnection()
 
+    def refuse_incomplete(self, group: ConnectionGroup) -> None:
+        """Refuse the requests that have begun and are not complete.
+
+        Args:
+            group: The group whose connections are closed.
+        """
+        for channel in self.open_channels(group):
+            channel.refuse_incomplete()
+
     def start_turn(self) -> None:
         """Let the waiting work be done in the next turn of the event loop."""
         if self.turn_timer is None:
--- a/src/oriolegate/runtime/gateway.py
+++ b/src/oriolegate/runtime/gateway.py
@@ -297,9 +297,7 @@
                 case planned_stop.ClosePorts():
                     self._close_ports()
                 case planned_stop.AnswerOpen():
-                    # An error answer is better for a caller than a closed
-                    # connection.
-                    self.parts.runner.answer_all()
+                    self._answer_open()
                 case planned_stop.WakeAt(at_ms):
                     delay_ms = max(0.0, at_ms - self.clock.now_ms())
                     self.reactor.callLater(
@@ -318,6 +316,11 @@
             after_ms=self._stopping_for_ms(),
         ).info("ports closed; finishing open requests")
 
+    def _answer_open(self) -> None:
+        # An error answer is better for a caller than a closed connection.
+        self.parts.runner.answer_all()
+        self.parts.connections.refuse_incomplete(ConnectionGroup.CALLERS)
+
     def _exit(self) -> None:
         log.bind(
             connections=len(self.parts.connections.channels),
--- a/src/oriolegate/runtime/process.py
+++ b/src/oriolegate/runtime/process.py
@@ -266,6 +266,7 @@
 
     def _close(self) -> None:
         self.connections.close_idle(ConnectionGroup.CALLERS)
+        self.connections.refuse_incomplete(ConnectionGroup.CALLERS)
         self.stop()
         self.dependencies.call_later(
             FLUSH_S, lambda: self.stop_runner.receive(ConnectionsClosed())
--- a/tests/platform/test_gateway_stop.py
+++ b/tests/platform/test_gateway_stop.py
@@ -106,6 +106,21 @@
         await exited
         self.assertEqual(self.runs(site), {"open"})
 
+    # A request whose last bytes come after the exit was cut without an answer,
+    # though its caller may send it again: it has not run.
+    @on_site
+    async def test_an_incomplete_request_is_refused_before_the_exit(self, site):
+        exited = self.prepare(site)
+        data = documents.caller_request(
+            "POST", "/once/x", "late", DEADLINE_MS, b"seat 7"
+        )
+        caller = Caller(site.process.settings.caller_address, data[:-2])
+        site.process.plan_stop()
+        status = await caller.read_status()
+        await exited
+        self.assertEqual(status, 503)
+        self.assertEqual(self.runs(site), set())
+
     # A request that was taken with much time left was cut when a shorter
     # grace time came into force meanwhile.
     @on_site
