Let callers take their answers until shortly before the kill

What callers saw: an answer that a slow caller had not taken was cut 50 ms after the exit time of a planned stop.

Cause: a fixed delay, although 8 in 100 of the grace time were left.

Change: the process exits once every connection is closed, at the latest at 0.97 of the grace time.

Evidence: the state machine exited at 9,250 ms with a connection open (the test failed before); it waits until 9,300 ms, when there is none, or until 9,700 ms.

--- a/src/oriolegate/exchange/planned_stop.py
+++ b/src/oriolegate/exchange/planned_stop.py
@@ -29,8 +29,12 @@
 EXIT_FRACTION = 0.92
 # Interval of closing idle connections and of counting those that remain.
 CHECK_MS = 100.0
-# Time in which the last answers are written to their sockets.
+# Shortest time in which the last answers are written to their sockets, and the
+# interval of looking whether they are.
 FLUSH_MS = 50.0
+# Fraction of the grace time after which callers that have not taken their
+# answers are left.
+FLUSH_FRACTION = 0.97
 # Time that must be left, as a multiple of the route's usual latency. More for
 # requests that may not be repeated, as their callers can't try again.
 REPEATABLE_FACTOR = 1.0
@@ -92,7 +96,7 @@
         notice_ms: When idle connections begin to be closed.
         accept_until_ms: When the ports are closed at the latest.
         exit_ms: When all open requests are answered at the latest.
-        flushed_ms: When the last answers are written.
+        flush_until_ms: When callers that have not taken their answers are left.
     """
 
     def __init__(self, latencies: RouteLatencies) -> None:
@@ -102,7 +106,7 @@
         self.notice_ms = 0.0
         self.accept_until_ms = 0.0
         self.exit_ms = 0.0
-        self.flushed_ms = 0.0
+        self.flush_until_ms = 0.0
 
     @property
     def is_stopping(self) -> bool:
@@ -148,6 +152,7 @@
         self.notice_ms = now_ms + NOTICE_FRACTION * grace_ms
         self.accept_until_ms = now_ms + ACCEPT_FRACTION * grace_ms
         self.exit_ms = now_ms + EXIT_FRACTION * grace_ms
+        self.flush_until_ms = now_ms + FLUSH_FRACTION * grace_ms
         return [WakeAt(self.notice_ms)]
 
     def step(self, now_ms: float, open_connections: int) -> list[StopEffect]:
@@ -170,11 +175,8 @@
                 return self._close_idle_or_ports(now_ms, open_connections)
             case StopPhase.FINISHING:
                 return self._finish(now_ms, open_connections)
-            case StopPhase.ENDING if now_ms < self.flushed_ms:
-                return [WakeAt(self.flushed_ms)]
             case StopPhase.ENDING:
-                self.phase = StopPhase.STOPPED
-                return [Exit()]
+                return self._flush(now_ms, open_connections)
 
     def _close_idle_or_ports(
         self, now_ms: float, open_connections: int
@@ -198,8 +200,14 @@
 
     def _end(self, now_ms: float) -> list[StopEffect]:
         self.phase = StopPhase.ENDING
-        self.flushed_ms = now_ms + FLUSH_MS
-        return [AnswerOpen(), WakeAt(self.flushed_ms)]
+        return [AnswerOpen(), WakeAt(now_ms + FLUSH_MS)]
+
+    def _flush(self, now_ms: float, open_connections: int) -> list[StopEffect]:
+        if open_connections and now_ms < self.flush_until_ms:
+            wake_ms = min(now_ms + FLUSH_MS, self.flush_until_ms)
+            return [CloseIdle(), WakeAt(wake_ms)]
+        self.phase = StopPhase.STOPPED
+        return [Exit()]
 
     def _wake_by(self, now_ms: float, latest_ms: float) -> WakeAt:
         return WakeAt(min(now_ms + CHECK_MS, latest_ms))
--- a/tests/exchange/test_planned_stop.py
+++ b/tests/exchange/test_planned_stop.py
@@ -61,6 +61,7 @@
 
     def test_a_stop_with_open_requests_passes_through_all_phases(self):
         flushed_ms = EXIT_MS + FLUSH_MS
+        until_ms = planned_stop.FLUSH_FRACTION * GRACE_MS
         stop = self.check_steps(
             [
                 (3_000.0, 5, [WakeAt(NOTICE_MS)]),
@@ -69,12 +70,25 @@
                 (ACCEPT_MS, 3, [ClosePorts(), WakeAt(ACCEPT_MS + CHECK_MS)]),
                 (9_150.0, 2, [CloseIdle(), WakeAt(EXIT_MS)]),
                 (EXIT_MS, 2, [AnswerOpen(), WakeAt(flushed_ms)]),
-                (flushed_ms, 1, [Exit()]),
-                (flushed_ms, 0, []),
+                (flushed_ms, 1, [CloseIdle(), WakeAt(flushed_ms + FLUSH_MS)]),
+                (until_ms - 1.0, 1, [CloseIdle(), WakeAt(until_ms)]),
+                (until_ms, 1, [Exit()]),
+                (until_ms, 0, []),
             ]
         )
         self.assertIs(stop.phase, StopPhase.STOPPED)
 
+    # An answer that a slow caller had not taken was cut 50 ms after the exit
+    # time, though the process had time left.
+    def test_an_exit_waits_until_callers_have_taken_their_answers(self):
+        self.check_steps(
+            [
+                (EXIT_MS, 1, [ClosePorts(), AnswerOpen(), WakeAt(9_250.0)]),
+                (9_250.0, 1, [CloseIdle(), WakeAt(9_300.0)]),
+                (9_300.0, 0, [Exit()]),
+            ]
+        )
+
     # The last connections may wait at the port that an idle process closes.
     def test_an_idle_process_counts_what_it_accepted_before_it_exits(self):
         self.check_steps(
