Hold the heads and bodies of responses as bytes

Cause: limits count the bytes received, but each header line was kept as a pair of objects: 20 to 40 times as much. Chunks of a body and trailers were objects too. A response that was abandoned for the common limit kept its memory until its connection was lost, a turn of the event loop later.

Change: `HeaderLines` keeps the fields of a message as the bytes of their lines, in requests, responses and between VMs, and looks a field up when asked. Bodies grow in one buffer, trailers are dropped, and an abandoned or malformed response is freed at once. No limit is new, so no answer is refused that was taken.

--- a/src/oriolegate/exchange/messages.py
+++ b/src/oriolegate/exchange/messages.py
@@ -4,10 +4,9 @@
 
 import attrs
 
+from oriolegate.models.header_lines import HeaderLines
 from oriolegate.models.site import LeafEntry
 
-Headers = tuple[tuple[bytes, bytes], ...]
-
 
 @attrs.frozen
 class CallerCall:
@@ -29,7 +28,7 @@
     target: bytes
     host: str
     path: str
-    headers: Headers
+    headers: HeaderLines
     body: bytes
     time_left_ms: float | None
 
@@ -62,7 +61,7 @@
     """
 
     status: int
-    headers: Headers
+    headers: HeaderLines
     body: bytes
     signature: bytes | None
 
--- a/src/oriolegate/forwarding/forwarded_call.py
+++ b/src/oriolegate/forwarding/forwarded_call.py
@@ -5,7 +5,7 @@
 import attrs
 
 from oriolegate.exchange.messages import CallerCall
-from oriolegate.exchange.messages import Headers
+from oriolegate.models.header_lines import HeaderLines
 
 
 @attrs.frozen
@@ -74,7 +74,7 @@
     may_have_run: bool
     version: int
     status: int
-    headers: Headers
+    headers: HeaderLines
     body: bytes
     used_attempts: int | None = None
     has_arrived: bool = True
--- a/src/oriolegate/network/bounded_request.py
+++ b/src/oriolegate/network/bounded_request.py
@@ -4,7 +4,7 @@
 
 from twisted.web import http
 
-from oriolegate.exchange.messages import Headers
+from oriolegate.models.header_lines import HeaderLines
 
 # Memory of a request that runs, and of each part of it that is sent to a leaf,
 # beside their data.
@@ -69,9 +69,9 @@
         """Return the complete body; it shares its memory with `content`."""
         return bytes(self.content.getvalue())
 
-    def header_list(self) -> Headers:
+    def header_list(self) -> HeaderLines:
         """Return all headers, grouped by name."""
-        return tuple(
+        return HeaderLines.of(
             (name, value)
             for name, values in self.requestHeaders.getAllRawHeaders()
             for value in values
--- a/src/oriolegate/network/caller_server.py
+++ b/src/oriolegate/network/caller_server.py
@@ -10,7 +10,7 @@
 
 from oriolegate.connections.connection import RefusalReason
 from oriolegate.connections.machine_share import ConnectionGroup
-from oriolegate.exchange.messages import Headers
+from oriolegate.models.header_lines import HeaderLines
 from oriolegate.models.site import CallerLimits
 from oriolegate.network.bounded_channel import BoundedChannel
 from oriolegate.network.bounded_channel import BoundedFactory
@@ -61,7 +61,9 @@
         """Record that a connection was closed after a header timeout."""
         ...
 
-    def request_refused(self, headers: Headers, reason: RefusalReason) -> None:
+    def request_refused(
+        self, headers: HeaderLines, reason: RefusalReason
+    ) -> None:
         """Record that a request was refused before it was complete."""
         ...
 
@@ -92,7 +94,7 @@
         if was_open:
             self.handler.caller_gone(self)
 
-    def reply(self, status: int, headers: Headers, body: bytes) -> None:
+    def reply(self, status: int, headers: HeaderLines, body: bytes) -> None:
         """Send the response, unless it was sent or the caller disconnected."""
         if not self.open:
             return
--- a/src/oriolegate/network/forward_wire.py
+++ b/src/oriolegate/network/forward_wire.py
@@ -11,22 +11,22 @@
 
 from oriolegate.exceptions import PeerMessageError
 from oriolegate.exchange.messages import CallerCall
-from oriolegate.exchange.messages import Headers
 from oriolegate.forwarding.forwarded_call import ForwardedCall
 from oriolegate.forwarding.forwarded_call import ForwardedReply
 from oriolegate.forwarding.forwarded_call import ForwardState
+from oriolegate.models.header_lines import HeaderLines
 
 PATH = b"/forwarded"
 CONTENT_TYPE = b"application/x-oriolegate-forwarded"
 SEPARATOR = b"\n"
 
 
-def _encode_headers(headers: Headers) -> list[list[str]]:
+def _encode_headers(headers: HeaderLines) -> list[list[str]]:
     return [[n.decode("latin-1"), v.decode("latin-1")] for n, v in headers]
 
 
-def _decode_headers(fields: Any) -> Headers:
-    return tuple(
+def _decode_headers(fields: Any) -> HeaderLines:
+    return HeaderLines.of(
         (name.encode("latin-1"), value.encode("latin-1"))
         for name, value in fields
     )
--- a/src/oriolegate/network/http_connection.py
+++ b/src/oriolegate/network/http_connection.py
@@ -235,6 +235,9 @@
 
     def _abandon_response(self) -> None:
         self.transport.abortConnection()
+        # The connection is lost in a later turn of the event loop, and others
+        # may be read before.
+        self.reader.close()
         self._finish_call(Broken("too many bytes of responses at once"))
 
     def _on_response(self, response: HttpResponse) -> None:
@@ -273,6 +276,7 @@
     def _break(self, detail: str) -> None:
         self._finish_call(Broken(detail))
         self.transport.abortConnection()
+        self.reader.close()
 
     def _read_keep_alive(self, response: HttpResponse) -> None:
         value = response.header(b"keep-alive")
--- a/src/oriolegate/network/http_reader.py
+++ b/src/oriolegate/network/http_reader.py
@@ -4,6 +4,8 @@
 import httptools
 
 from oriolegate.exceptions import UpstreamMessageError
+from oriolegate.models import header_lines
+from oriolegate.models.header_lines import HeaderLines
 from oriolegate.network.receive_limits import DEFAULT_MAX_BODY_BYTES
 
 # Most bytes of a response that belong to no body, interim responses included,
@@ -26,22 +28,19 @@
 
     Attributes:
         status: HTTP status.
-        headers: Pairs of lower-case name and value, in order.
+        headers: The header fields, with lower-case names.
         body: The body, with any transfer coding removed.
         keep_alive: Whether the connection may be reused.
     """
 
     status: int = 0
-    headers: list[tuple[bytes, bytes]] = attrs.field(factory=list)
+    headers: HeaderLines = HeaderLines()
     body: bytes = b""
     keep_alive: bool = True
 
     def header(self, name: bytes) -> bytes | None:
         """Return the first value of a header, or None."""
-        for key, value in self.headers:
-            if key == name:
-                return value
-        return None
+        return self.headers.first(name)
 
 
 class ResponseReader:
@@ -54,6 +53,7 @@
         max_body_bytes: Longest body.
         fed_bytes: Bytes since the last complete response.
         has_invalid_status: Whether a response had a status that HTTP lacks.
+        is_body_too_large: Whether a body exceeded the limit.
     """
 
     def __init__(self, max_body_bytes: int = DEFAULT_MAX_BODY_BYTES) -> None:
@@ -62,13 +62,17 @@
         self.parser = httptools.HttpResponseParser(self)
         self.completed: list[HttpResponse] = []
         self.current = HttpResponse()
-        self.chunks: list[bytes] = []
-        self.size_bytes = 0
+        # Lines and chunks may be as short as a byte; an object for each would
+        # need many times the bytes received.
+        self.head = bytearray()
+        self.body = bytearray()
+        self.is_in_head = False
         self.in_progress = False
         self.has_framing_header = False
         self.ends_with_connection = False
         self.expect_no_body = False
         self.has_invalid_status = False
+        self.is_body_too_large = False
 
     def feed(self, data: bytes) -> list[HttpResponse]:
         """Parse received bytes and return the responses they complete.
@@ -85,7 +89,7 @@
                 "the server switches to another protocol"
             ) from error
         except (httptools.HttpParserError, ValueError) as error:
-            if self.size_bytes > self.max_body_bytes:
+            if self.is_body_too_large:
                 raise UpstreamMessageError(
                     "the response body is too large"
                 ) from error
@@ -105,15 +109,16 @@
         return completed
 
     def _is_head_too_large(self) -> bool:
-        outside_bytes = self.fed_bytes - self.size_bytes
-        allowed_bytes = MAX_HEAD_BYTES + MAX_FRAMING_FACTOR * self.size_bytes
+        body_bytes = len(self.body)
+        outside_bytes = self.fed_bytes - body_bytes
+        allowed_bytes = MAX_HEAD_BYTES + MAX_FRAMING_FACTOR * body_bytes
         return outside_bytes > allowed_bytes
 
     def finish_on_close(self) -> HttpResponse | None:
         """Return the response that the closed connection ends, if any."""
         if not self.in_progress or not self.ends_with_connection:
             return None
-        self.current.body = b"".join(self.chunks)
+        self.current.body = bytes(self.body)
         self.current.keep_alive = False
         self.in_progress = False
         return self.current
@@ -121,29 +126,38 @@
     def close(self) -> None:
         """Free what was received; the parser refers to this reader."""
         self.parser = None
-        self.current = HttpResponse()
-        self.chunks = []
+        self.in_progress = False
         self.completed = []
+        self._clear()
+
+    def _clear(self) -> None:
+        self.current = HttpResponse()
+        self.head = bytearray()
+        self.body = bytearray()
 
     def on_message_begin(self) -> None:
         """Start a new response (parser callback)."""
-        self.current = HttpResponse()
-        self.chunks = []
-        self.size_bytes = 0
+        self._clear()
+        self.is_in_head = True
         self.in_progress = True
         self.has_framing_header = False
         self.ends_with_connection = False
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Store one header (parser callback)."""
+        """Store one header (parser callback); trailers are dropped."""
+        if not self.is_in_head:
+            return
         lower_name = name.lower()
-        self.current.headers.append((lower_name, value))
+        self.head += header_lines.encode_line(lower_name, value)
         if lower_name in FRAMING_HEADERS:
             self.has_framing_header = True
 
     def on_headers_complete(self) -> None:
-        """Store the status (parser callback)."""
+        """Store status and headers (parser callback)."""
         current = self.current
+        current.headers = HeaderLines(bytes(self.head))
+        self.head = bytearray()
+        self.is_in_head = False
         current.status = self.parser.get_status_code()
         if not MIN_STATUS <= current.status <= MAX_STATUS:
             # Callback errors reach `feed` only as the cause of its own.
@@ -163,10 +177,10 @@
 
     def on_body(self, data: bytes) -> None:
         """Store part of the body (parser callback)."""
-        self.size_bytes += len(data)
-        if self.size_bytes > self.max_body_bytes:
+        if len(self.body) + len(data) > self.max_body_bytes:
+            self.is_body_too_large = True
             raise ValueError("the response body is too large")
-        self.chunks.append(data)
+        self.body += data
 
     def on_message_complete(self) -> None:
         """Finish a response (parser callback)."""
@@ -176,8 +190,7 @@
         if self.current.status < MIN_FINAL_STATUS:
             # An interim response; the final response follows.
             return
-        self.current.body = b"".join(self.chunks)
+        self.current.body = bytes(self.body)
         self.completed.append(self.current)
         # A connection that waits for its next request keeps no body.
-        self.current = HttpResponse()
-        self.chunks = []
+        self._clear()
--- a/src/oriolegate/platform/caller_protocol.py
+++ b/src/oriolegate/platform/caller_protocol.py
@@ -6,10 +6,10 @@
 
 from oriolegate.exchange.messages import AnswerGathered
 from oriolegate.exchange.messages import CallerCall
-from oriolegate.exchange.messages import Headers
 from oriolegate.exchange.messages import Refuse
 from oriolegate.exchange.messages import RelayAnswer
 from oriolegate.exchange.messages import Reply
+from oriolegate.models.header_lines import HeaderLines
 from oriolegate.platform import header_names
 from oriolegate.platform import leaf_protocol
 
@@ -24,20 +24,18 @@
     """
 
     status: int
-    headers: Headers
+    headers: HeaderLines
     body: bytes
 
 
-def decode_attempt_id(headers: Headers) -> str:
+def decode_attempt_id(headers: HeaderLines) -> str:
     """Return the id of a caller's attempt, or an empty string."""
-    for name, value in reversed(headers):
-        if name.lower() == header_names.ATTEMPT_ID:
-            return value.decode("latin-1").strip()
-    return ""
+    value = headers.last(header_names.ATTEMPT_ID) or b""
+    return value.decode("latin-1").strip()
 
 
 def decode_call(
-    method: bytes, target: bytes, headers: Headers, body: bytes
+    method: bytes, target: bytes, headers: HeaderLines, body: bytes
 ) -> CallerCall:
     """Decode a caller's request.
 
@@ -47,8 +45,10 @@
         headers: All headers, as received.
         body: The complete body.
     """
-    value_by_name = {name.lower(): value for name, value in headers}
-    host = value_by_name.get(b"host", b"").decode("latin-1").strip().lower()
+    host = (headers.last(b"host") or b"").decode("latin-1").strip().lower()
+    dropped = (
+        leaf_protocol.connection_headers(headers) | leaf_protocol.NOT_FORWARDED
+    )
     path = target.partition(b"?")[0].decode("latin-1")
     return CallerCall(
         attempt_id=decode_attempt_id(headers),
@@ -56,15 +56,9 @@
         target=target,
         host=host.partition(":")[0],
         path=path,
-        headers=tuple(
-            (name, value)
-            for name, value in leaf_protocol.end_to_end_headers(headers)
-            if name.lower() not in leaf_protocol.NOT_FORWARDED
-        ),
+        headers=headers.without(dropped),
         body=body,
-        time_left_ms=_time_left_ms(
-            value_by_name.get(header_names.TIME_LEFT_MS)
-        ),
+        time_left_ms=_time_left_ms(headers.last(header_names.TIME_LEFT_MS)),
     )
 
 
@@ -82,22 +76,22 @@
     """Encode a reply as an HTTP response."""
     match reply:
         case RelayAnswer(answer):
-            headers = tuple(
-                (name, value)
-                for name, value in leaf_protocol.end_to_end_headers(
-                    answer.headers
-                )
-                if name.lower() != b"content-length"
+            dropped = leaf_protocol.connection_headers(answer.headers) | {
+                b"content-length"
+            }
+            return HttpReply(
+                answer.status, answer.headers.without(dropped), answer.body
             )
-            return HttpReply(answer.status, headers, answer.body)
         case AnswerGathered(body, signatures, missing):
             return HttpReply(
                 200,
-                (
-                    (b"Content-Type", b"application/octet-stream"),
-                    (b"Attempt-Id", attempt_id.encode("latin-1")),
-                    (b"Part-Seals", b", ".join(signatures)),
-                    (b"Missing-Parts", b"%d" % missing),
+                HeaderLines.of(
+                    (
+                        (b"Content-Type", b"application/octet-stream"),
+                        (b"Attempt-Id", attempt_id.encode("latin-1")),
+                        (b"Part-Seals", b", ".join(signatures)),
+                        (b"Missing-Parts", b"%d" % missing),
+                    )
                 ),
                 body,
             )
@@ -108,6 +102,7 @@
             if retry_after_ms is not None:
                 seconds = f"{retry_after_ms / MS_PER_S:.3f}"
                 fields.append((b"Retry-After", seconds.encode()))
-            return HttpReply(status, tuple(fields), f"{reason}\n".encode())
+            body = f"{reason}\n".encode()
+            return HttpReply(status, HeaderLines.of(fields), body)
         case _:
             assert_never(reply)
--- a/src/oriolegate/platform/leaf_protocol.py
+++ b/src/oriolegate/platform/leaf_protocol.py
@@ -3,9 +3,9 @@
 import attrs
 
 from oriolegate.exchange.messages import CallerCall
-from oriolegate.exchange.messages import Headers
 from oriolegate.exchange.messages import LeafAnswer
 from oriolegate.exchange.messages import SendOutcome
+from oriolegate.models.header_lines import HeaderLines
 from oriolegate.models.leaf_notice import LeafNotice
 from oriolegate.models.leaf_notice import NO_NOTICE
 from oriolegate.models.site import LeafEntry
@@ -83,11 +83,10 @@
 
     Both are the same each time that the call is sent to a leaf.
     """
-    lines = [call.method + b" " + call.target + b" HTTP/1.1"]
-    lines += [name + b": " + value for name, value in call.headers]
+    head = b"%b %b HTTP/1.1%b" % (call.method, call.target, call.headers.data)
     if call.body or call.method in BODY_METHODS:
-        lines.append(b"Content-Length: %d" % len(call.body))
-    return b"\r\n".join(lines)
+        head += b"\r\nContent-Length: %d" % len(call.body)
+    return head
 
 
 def request_bytes(
@@ -193,20 +192,14 @@
     )
 
 
-def end_to_end_headers(headers: Headers | list[tuple[bytes, bytes]]) -> Headers:
-    """Return the headers that are not limited to one connection."""
-    connection_options = {
+def connection_headers(headers: HeaderLines) -> frozenset[bytes]:
+    """Return the names of the headers that are limited to one connection."""
+    options = {
         token.strip().lower()
-        for name, value in headers
-        if name.lower() == b"connection"
+        for value in headers.values(b"connection")
         for token in value.split(b",")
     }
-    return tuple(
-        (name, value)
-        for name, value in headers
-        if name.lower() not in HOP_BY_HOP
-        and name.lower() not in connection_options
-    )
+    return HOP_BY_HOP | options
 
 
 def decode_response(response: HttpResponse) -> LeafAnswer | NoAnswer:
@@ -227,7 +220,7 @@
         return NoAnswer(SendOutcome.MAY_HAVE_RUN, "the signature is missing")
     return LeafAnswer(
         response.status,
-        tuple(response.headers),
+        response.headers,
         response.body,
         signature,
     )
--- a/src/oriolegate/runtime/exchange_runner.py
+++ b/src/oriolegate/runtime/exchange_runner.py
@@ -17,7 +17,6 @@
 from oriolegate.exchange.messages import AnswerGathered
 from oriolegate.exchange.messages import CallerCall
 from oriolegate.exchange.messages import Effect
-from oriolegate.exchange.messages import Headers
 from oriolegate.exchange.messages import LeafAnswer
 from oriolegate.exchange.messages import Refuse
 from oriolegate.exchange.messages import RelayAnswer
@@ -27,6 +26,7 @@
 from oriolegate.exchange.part_sender import ExchangeContext
 from oriolegate.forwarding.forwarded_call import ForwardFailed
 from oriolegate.forwarding.forwarded_call import ForwardState
+from oriolegate.models.header_lines import HeaderLines
 from oriolegate.models.site import CallerLimits
 from oriolegate.models.site import Route
 from oriolegate.network.caller_server import CallerHttpRequest
@@ -400,7 +400,9 @@
         """Log a connection that was closed due to the header timeout."""
         self.request_log.log_header_timeout(limit_ms)
 
-    def request_refused(self, headers: Headers, reason: RefusalReason) -> None:
+    def request_refused(
+        self, headers: HeaderLines, reason: RefusalReason
+    ) -> None:
         """Log a request that was refused before it was complete."""
         attempt_id = caller_protocol.decode_attempt_id(headers)
         status = STATUS_UNAVAILABLE
--- a/src/oriolegate/runtime/forward_server.py
+++ b/src/oriolegate/runtime/forward_server.py
@@ -10,10 +10,10 @@
 
 from oriolegate import structured_log
 from oriolegate.exceptions import PeerMessageError
-from oriolegate.exchange.messages import Headers
 from oriolegate.forwarding.forwarded_call import ForwardedCall
 from oriolegate.forwarding.forwarded_call import ForwardedReply
 from oriolegate.forwarding.forwarded_call import ForwardState
+from oriolegate.models.header_lines import HeaderLines
 from oriolegate.network import forward_wire
 from oriolegate.network.caller_server import InternalRequest
 from oriolegate.platform import leaf_protocol
@@ -50,7 +50,7 @@
     has_arrived: bool = False
     on_ended: Callable[[], None] = lambda: None
 
-    def reply(self, status: int, headers: Headers, body: bytes) -> None:
+    def reply(self, status: int, headers: HeaderLines, body: bytes) -> None:
         """Send what the caller shall get to the other VM."""
         may_have_run = status not in leaf_protocol.NOT_RUN_STATUSES
         state = ForwardState.ANSWERED
@@ -81,7 +81,7 @@
                 False,
                 self.version,
                 STATUS_UNAVAILABLE,
-                (),
+                HeaderLines(),
                 b"",
                 used_attempts=0,
                 has_arrived=False,
--- a/tests/network/test_forward_wire.py
+++ b/tests/network/test_forward_wire.py
@@ -11,11 +11,14 @@
 from oriolegate.forwarding.forwarded_call import ForwardedCall
 from oriolegate.forwarding.forwarded_call import ForwardedReply
 from oriolegate.forwarding.forwarded_call import ForwardState
+from oriolegate.models.header_lines import HeaderLines
 from oriolegate.network import forward_wire
 
 BYTES = strategies.binary(max_size=40)
-HEADERS = strategies.lists(strategies.tuples(BYTES, BYTES), max_size=4).map(
-    tuple
+NAMES = strategies.from_regex(rb"[!#$%&'*+.^_`|~0-9A-Za-z-]+", fullmatch=True)
+VALUES = BYTES.filter(lambda value: not {*value} & {*b"\r\n"})
+HEADERS = strategies.lists(strategies.tuples(NAMES, VALUES), max_size=4).map(
+    HeaderLines.of
 )
 CALLS = strategies.builds(
     CallerCall,
--- a/tests/network/test_http_connection.py
+++ b/tests/network/test_http_connection.py
@@ -14,6 +14,7 @@
 from oriolegate.network.http_connection import HttpConnection
 from oriolegate.network.http_connection import HttpFactory
 from oriolegate.network.http_pool import HttpPool
+from oriolegate.network.receive_limits import ReceiveBuffer
 
 RESET = failure.Failure(error.ConnectionLost())
 CLOSED = failure.Failure(error.ConnectionDone())
@@ -184,7 +185,7 @@
 
     def count_kept_bytes(self):
         reader = self.connection.reader
-        kept = [reader.current.body, *reader.chunks]
+        kept = [reader.current.body, reader.head, reader.body]
         kept += [response.body for response in reader.completed]
         return sum(map(len, kept))
 
@@ -199,6 +200,21 @@
         self.assertEqual(self.count_kept_bytes(), 0)
         self.assertIsNone(self.connection.reader.parser)
 
+    # What is abandoned in one turn of the event loop adds up until the next.
+    def test_an_abandoned_answer_is_freed_before_its_connection_is_lost(self):
+        buffer = ReceiveBuffer(len(ANSWER) // 2)
+        self.connection.buffer = buffer
+        self.connection.dataReceived(ANSWER[:-1])
+        self.assertIsInstance(self.owner.results[0], Broken)
+        self.assertEqual(buffer.total_bytes, 0)
+        self.assertEqual(self.count_kept_bytes(), 0)
+        self.assertIsNone(self.connection.reader.parser)
+
+    def test_a_malformed_answer_is_freed_before_its_connection_is_lost(self):
+        self.connection.dataReceived(ANSWER[:-1] + b"\r\nnonsense")
+        self.connection.dataReceived(b"nonsense")
+        self.assertEqual(self.count_kept_bytes(), 0)
+
     def test_a_factory_keeps_no_call_once_it_is_connected(self):
         call = HttpCall(b"GET", lambda result: None, lambda response: True)
         factory = HttpFactory(
--- a/tests/network/test_http_reader.py
+++ b/tests/network/test_http_reader.py
@@ -1,5 +1,7 @@
 """Tests of parsing HTTP responses."""
 
+import gc
+import tracemalloc
 import unittest
 
 from hypothesis import given
@@ -16,6 +18,53 @@
 WITHOUT_LENGTH = b"HTTP/1.1 200 OK\r\n\r\nabc"
 
 
+# Bytes that a reader may hold for each byte received: a buffer that grows
+# has room to spare, and is copied once.
+MAX_HELD_FACTOR = 3.0
+# What a reader needs without data.
+READER_BYTES = 4_000
+
+
+class HeldBytesTest(unittest.TestCase):
+    """Limits count the bytes received; what is held must be as much.
+
+    Endless heads of short lines took processes over their memory.
+    """
+
+    def held_bytes(self, data):
+        """Return how many bytes a reader holds once it has read some."""
+        reader = ResponseReader()
+        gc.collect()
+        tracemalloc.start()
+        try:
+            for start in range(0, len(data), 1_000):
+                reader.feed(data[start : start + 1_000])
+            held_bytes, peak_bytes = tracemalloc.get_traced_memory()
+        finally:
+            tracemalloc.stop()
+        self.assertLess(peak_bytes, MAX_HELD_FACTOR * len(data) + READER_BYTES)
+        reader.close()
+        return held_bytes
+
+    def check(self, data):
+        limit_bytes = MAX_HELD_FACTOR * len(data) + READER_BYTES
+        self.assertLess(self.held_bytes(data), limit_bytes)
+
+    def test_a_head_of_short_lines_is_held_as_bytes(self):
+        for line in (b"a:b\r\n", b"a:\r\n", b"ab:cd\r\n"):
+            with self.subTest(line=line):
+                self.check(b"HTTP/1.1 200 OK\r\n" + line * 8_000)
+
+    def test_a_body_of_short_chunks_is_held_as_bytes(self):
+        head = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+        self.check(head + b"1\r\na\r\n" * 20_000)
+
+    def test_trailers_are_not_held(self):
+        head = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+        data = head + b"1\r\na\r\n0\r\n" + b"a:b\r\n" * 8_000
+        self.assertLess(self.held_bytes(data), READER_BYTES)
+
+
 class ResponseReaderTest(unittest.TestCase):
     def setUp(self):
         self.reader = ResponseReader()
--- a/tests/network/test_leaf_client.py
+++ b/tests/network/test_leaf_client.py
@@ -6,6 +6,7 @@
 from twisted.internet import task
 
 from oriolegate.clock import FakeClock
+from oriolegate.models.header_lines import HeaderLines
 from oriolegate.network.http_connection import Answered
 from oriolegate.network.http_reader import HttpResponse
 from oriolegate.network.leaf_client import LeafClient
@@ -108,13 +109,13 @@
         call.done(Answered(self.response))
 
     def request(self, status, *headers):
-        self.response = HttpResponse(status, list(headers), b"")
+        self.response = HttpResponse(status, HeaderLines.of(headers), b"")
         self.client.send(
             build.leaf("a"), build.call(), b"", 9.0, lambda answer: None
         )
 
     def check_health(self, *headers):
-        self.response = HttpResponse(200, list(headers), b"")
+        self.response = HttpResponse(200, HeaderLines.of(headers), b"")
         self.client.check_health(
             build.leaf("a"), "/health", lambda report: None
         )
--- a/tests/network/test_store_client.py
+++ b/tests/network/test_store_client.py
@@ -4,6 +4,7 @@
 
 from oriolegate.clock import FakeClock
 from oriolegate.following.store_era import StoreEra
+from oriolegate.models.header_lines import HeaderLines
 from oriolegate.network.http_reader import HttpResponse
 from oriolegate.network.store_client import StoreClient
 from oriolegate.platform.store_calls import StoreCall
@@ -25,7 +26,9 @@
 
     def answer(self, era, status=200):
         headers = [] if era is None else [(b"store-era", era)]
-        self.open_calls.pop(0)(HttpResponse(status, headers, b""))
+        self.open_calls.pop(0)(
+            HttpResponse(status, HeaderLines.of(headers), b"")
+        )
 
 
 class StoreClientTest(unittest.TestCase):
--- a/tests/platform/test_caller_protocol.py
+++ b/tests/platform/test_caller_protocol.py
@@ -6,17 +6,20 @@
 from oriolegate.exchange.messages import LeafAnswer
 from oriolegate.exchange.messages import Refuse
 from oriolegate.exchange.messages import RelayAnswer
+from oriolegate.models.header_lines import HeaderLines
 from oriolegate.platform import caller_protocol
 
-HEADERS = (
-    (b"Host", b"H.example:8080"),
-    (b"Attempt-Id", b"a1"),
-    (b"Deadline-Ms", b"1500"),
-    (b"Connection", b"X-Hop"),
-    (b"X-Hop", b"1"),
-    (b"X-Kept", b"1"),
-    (b"Target-Instance", b"forged"),
-    (b"Content-Length", b"3"),
+HEADERS = HeaderLines.of(
+    (
+        (b"Host", b"H.example:8080"),
+        (b"Attempt-Id", b"a1"),
+        (b"Deadline-Ms", b"1500"),
+        (b"Connection", b"X-Hop"),
+        (b"X-Hop", b"1"),
+        (b"X-Kept", b"1"),
+        (b"Target-Instance", b"forged"),
+        (b"Content-Length", b"3"),
+    )
 )
 
 
@@ -41,21 +44,20 @@
 
     def test_an_invalid_deadline_is_ignored(self):
         for value in (b"soon", b"-4", b""):
-            call = caller_protocol.decode_call(
-                b"GET", b"/", ((b"Deadline-Ms", value),), b""
-            )
+            headers = HeaderLines.of([(b"Deadline-Ms", value)])
+            call = caller_protocol.decode_call(b"GET", b"/", headers, b"")
             self.assertIsNone(call.time_left_ms)
 
 
 class EncodeTest(unittest.TestCase):
     def test_a_leafs_answer_keeps_status_body_and_headers(self):
-        answer = LeafAnswer(
-            207, ((b"server-seal", b"x"), (b"content-length", b"9")), b"b", b"x"
-        )
+        seal = (b"server-seal", b"x")
+        headers = HeaderLines.of([seal, (b"content-length", b"9")])
+        answer = LeafAnswer(207, headers, b"b", b"x")
         response = caller_protocol.encode_reply(RelayAnswer(answer), "a1")
         self.assertEqual(
             response,
-            caller_protocol.HttpReply(207, ((b"server-seal", b"x"),), b"b"),
+            caller_protocol.HttpReply(207, HeaderLines.of([seal]), b"b"),
         )
 
     def test_a_gathered_answer_states_signatures_and_missing_parts(self):
--- a/tests/platform/test_gateway_stop.py
+++ b/tests/platform/test_gateway_stop.py
@@ -9,6 +9,7 @@
 
 from oriolegate.forwarding.forwarded_call import ForwardedCall
 from oriolegate.forwarding.forwarded_call import ForwardState
+from oriolegate.models.header_lines import HeaderLines
 from oriolegate.models.site import Bounds
 from oriolegate.network import forward_wire
 from oriolegate.platform import caller_protocol
@@ -146,10 +147,12 @@
         call = caller_protocol.decode_call(
             b"POST",
             b"/%s/x" % route.encode(),
-            (
-                (b"Host", b"h.example"),
-                (b"Attempt-Id", attempt.encode()),
-                (b"Deadline-Ms", b"%d" % DEADLINE_MS),
+            HeaderLines.of(
+                (
+                    (b"Host", b"h.example"),
+                    (b"Attempt-Id", attempt.encode()),
+                    (b"Deadline-Ms", b"%d" % DEADLINE_MS),
+                )
             ),
             b"",
         )
--- a/tests/platform/test_leaf_protocol.py
+++ b/tests/platform/test_leaf_protocol.py
@@ -6,6 +6,7 @@
 
 from oriolegate.exchange.messages import LeafAnswer
 from oriolegate.exchange.messages import SendOutcome
+from oriolegate.models.header_lines import HeaderLines
 from oriolegate.models.leaf_notice import NO_NOTICE
 from oriolegate.network.http_reader import HttpResponse
 from oriolegate.platform import leaf_protocol
@@ -15,7 +16,7 @@
 
 
 def response(status=200, headers=(), body=b"body"):
-    return HttpResponse(status, list(headers), body)
+    return HttpResponse(status, HeaderLines.of(headers), body)
 
 
 class RequestTest(unittest.TestCase):
@@ -47,7 +48,7 @@
     def test_a_signed_answer_keeps_its_headers(self):
         decoded = leaf_protocol.decode_response(response(headers=SIGNED))
         self.assertEqual(
-            decoded, LeafAnswer(200, tuple(SIGNED), b"body", b"x.1")
+            decoded, LeafAnswer(200, HeaderLines.of(SIGNED), b"body", b"x.1")
         )
 
     def test_hop_by_hop_headers_are_dropped(self):
@@ -58,8 +59,9 @@
             (b"keep-alive", b"timeout=5"),
             (b"transfer-encoding", b"chunked"),
         ]
-        headers_left = leaf_protocol.end_to_end_headers(headers)
-        self.assertEqual(headers_left, tuple(SIGNED))
+        lines = HeaderLines.of(headers)
+        dropped = leaf_protocol.connection_headers(lines)
+        self.assertEqual(list(lines.without(dropped)), SIGNED)
 
     def test_a_success_without_a_signature_is_no_answer(self):
         decoded = leaf_protocol.decode_response(response())
--- a/tests/runtime/test_crash_reporter.py
+++ b/tests/runtime/test_crash_reporter.py
@@ -11,6 +11,7 @@
 from oriolegate.crashes.crash_ledger import CrashLedger
 from oriolegate.crashes.crash_ledger import LostRequest
 from oriolegate.metrics import MetricsRegistry
+from oriolegate.models.header_lines import HeaderLines
 from oriolegate.models.site import CrashReport
 from oriolegate.models.site import CrashTrial
 from oriolegate.network.http_reader import HttpResponse
@@ -31,7 +32,9 @@
         self.calls.append(call.method)
         self.bodies.append(call.body)
         is_removal = call.method == "DELETE" and self.status == 201
-        done(HttpResponse(200 if is_removal else self.status, [], b""))
+        done(
+            HttpResponse(200 if is_removal else self.status, HeaderLines(), b"")
+        )
 
 
 class CrashReporterTest(unittest.TestCase):
--- a/tests/runtime/test_crash_trials.py
+++ b/tests/runtime/test_crash_trials.py
@@ -9,6 +9,7 @@
 from oriolegate.crashes import trial_schedule
 from oriolegate.crashes.crash_ledger import CrashLedger
 from oriolegate.metrics import MetricsRegistry
+from oriolegate.models.header_lines import HeaderLines
 from oriolegate.models.site import CrashReport
 from oriolegate.network.http_reader import HttpResponse
 from oriolegate.runtime import crash_trials
@@ -29,7 +30,9 @@
 
     def answer(self, status):
         _, done = self.open.pop(0)
-        done(HttpResponse(status, [], b"") if status else "no answer")
+        done(
+            HttpResponse(status, HeaderLines(), b"") if status else "no answer"
+        )
 
 
 class FakeChecker:
--- a/tests/runtime/test_member_registration.py
+++ b/tests/runtime/test_member_registration.py
@@ -6,6 +6,7 @@
 from twisted.internet import task
 
 from oriolegate.clock import FakeClock
+from oriolegate.models.header_lines import HeaderLines
 from oriolegate.models.site import Bounds
 from oriolegate.models.site import MemberEntry
 from oriolegate.models.site import NodeSettings
@@ -24,7 +25,7 @@
 
     def call(self, call, timeout_ms, done):
         self.calls.append((call.method, call.target.rpartition("/")[2]))
-        done(HttpResponse(200, [], b""))
+        done(HttpResponse(200, HeaderLines(), b""))
 
 
 class LostMembersTest(unittest.TestCase):
--- a/tests/runtime/test_peer_feed.py
+++ b/tests/runtime/test_peer_feed.py
@@ -11,6 +11,7 @@
 from oriolegate.following.source_choice import SourceChoice
 from oriolegate.following.store_era import StoreEra
 from oriolegate.following.view_cache import ViewCache
+from oriolegate.models.header_lines import HeaderLines
 from oriolegate.models.stored import Collection
 from oriolegate.network.http_reader import HttpResponse
 from oriolegate.runtime.peer_feed import PeerFeed
@@ -19,8 +20,8 @@
 PEER = Peer("above", "10.0.0.1", 1)
 DISTANT = Peer("distant", "10.0.9.9", 1)
 BELOW = Peer("below", "10.0.0.2", 1)
-NO_UPDATES = HttpResponse(200, [], b"{}")
-UNCONFIRMED = HttpResponse(503, [], b"")
+NO_UPDATES = HttpResponse(200, HeaderLines(), b"{}")
+UNCONFIRMED = HttpResponse(503, HeaderLines(), b"")
 
 
 class FakeClient:
@@ -104,7 +105,7 @@
 
     def test_a_view_is_no_newer_than_the_view_of_the_peer(self):
         ages = b'{"ages":{"LEAFS":1500}}'
-        self.client.outcome = HttpResponse(200, [], ages)
+        self.client.outcome = HttpResponse(200, HeaderLines(), ages)
         self.run_for(5.0)
         followers = self.feed.followers
         now_ms = self.clock.now_ms()
@@ -118,7 +119,7 @@
     def test_a_peer_whose_version_knows_no_ages_is_followed(self):
         def answer(data):
             if b"ages=1" in data:
-                return HttpResponse(400, [], b"")
+                return HttpResponse(400, HeaderLines(), b"")
             return NO_UPDATES
 
         self.client.outcome = answer
--- a/tests/runtime/test_store_probe.py
+++ b/tests/runtime/test_store_probe.py
@@ -4,14 +4,15 @@
 
 from twisted.internet import task
 
+from oriolegate.models.header_lines import HeaderLines
 from oriolegate.network.http_reader import HttpResponse
 from oriolegate.runtime import store_probe
 from oriolegate.runtime.store_probe import StoreProbe
 from tests.reactor_clock import ReactorClock
 
-FOUND = HttpResponse(200, [], b"{}")
-NOT_FOUND = HttpResponse(404, [], b"{}")
-REFUSED = HttpResponse(503, [], b"{}")
+FOUND = HttpResponse(200, HeaderLines(), b"{}")
+NOT_FOUND = HttpResponse(404, HeaderLines(), b"{}")
+REFUSED = HttpResponse(503, HeaderLines(), b"{}")
 INTERVAL_S = store_probe.PROBE_INTERVAL_MS / 1_000
 
 
--- a/tests/runtime/test_store_runner.py
+++ b/tests/runtime/test_store_runner.py
@@ -10,6 +10,7 @@
 from oriolegate.following import follower as follower_module
 from oriolegate.following.follower import Follower
 from oriolegate.following.store_era import StoreEra
+from oriolegate.models.header_lines import HeaderLines
 from oriolegate.models.stored import Collection
 from oriolegate.network.http_reader import HttpResponse
 from oriolegate.runtime import store_runner
@@ -67,7 +68,7 @@
         document = {"events": [], "as_of": 7}
     else:
         document = {"items": [], "has_more": False, "as_of": 7}
-    return HttpResponse(200, [], orjson.dumps(document))
+    return HttpResponse(200, HeaderLines(), orjson.dumps(document))
 
 
 class StoreRunnerTest(unittest.TestCase):
@@ -265,7 +266,7 @@
 
     def test_collections_are_listed_anew_after_a_malformed_answer(self):
         self.list_all()
-        self.store.answer_all(HttpResponse(200, [], b"{"))
+        self.store.answer_all(HttpResponse(200, HeaderLines(), b"{"))
         for _ in range(30):
             self.advance(0.1)
             self.store.answer_all(answer)
--- a/tests/site_builders.py
+++ b/tests/site_builders.py
@@ -7,6 +7,7 @@
 from oriolegate.exchange.messages import SendToLeaf
 from oriolegate.exchange.part_sender import ExchangeContext
 from oriolegate.exchange.planned_stop import PlannedStop
+from oriolegate.models.header_lines import HeaderLines
 from oriolegate.models.site import Bounds
 from oriolegate.models.site import LeafEntry
 from oriolegate.models.site import Repeatability
@@ -95,7 +96,9 @@
         target=b"/a/x",
         host="h.example",
         path="/a/x",
-        headers=((b"Host", b"h.example"), (b"Attempt-Id", b"a1")),
+        headers=HeaderLines.of(
+            ((b"Host", b"h.example"), (b"Attempt-Id", b"a1"))
+        ),
         body=b"",
         time_left_ms=time_left_ms,
     )
@@ -123,7 +126,7 @@
 
 
 def answer(body=b"x" * 16, status=200, signature=b"sig"):
-    return LeafAnswer(status, (), body, signature)
+    return LeafAnswer(status, HeaderLines(), body, signature)
 
 
 def sends(effects):
