Hold the heads of requests as bytes, and keep no name of a stranger

Requests of more than 500 header lines got 400.

Cause: the budget of connections counts the bytes received. The library parsed each cookie into a dictionary that nothing reads, kept a pair of objects for each line, and keeps up to 10,000 header names of any length, of clients' requests and of what leafs answer. A folded line was copied for each of its parts.

Change: the channel takes a head as a whole and parses it in one pass (`network/request_head.py`); its fields stay the bytes of their lines until they are sent to leafs. Cookies aren't parsed. Heads of responses to callers are written without the library's names. The limit on the number of lines goes: a head of many lines waits for its turn instead, like a chunked body, so that one turn of the event loop parses one.

--- a/src/oriolegate/network/bounded_channel.py
+++ b/src/oriolegate/network/bounded_channel.py
@@ -13,21 +13,29 @@
 from oriolegate.connections.work_queue import Account
 from oriolegate.connections.work_queue import STEP_BYTES
 from oriolegate.connections.work_queue import WorkKind
+from oriolegate.exceptions import CallerInputError
 from oriolegate.network import graceful_close
+from oriolegate.network import request_head
 from oriolegate.network.bounded_request import BoundedBody
 from oriolegate.network.bounded_request import BoundedRequest
 from oriolegate.network.server_connections import ServerConnections
 
 # Most bytes read at once; a channel that waits for its turn holds no more.
 READ_BYTES = 16 * 1024
-# Memory of a header beside its bytes.
-HEADER_OVERHEAD_BYTES = 192
+# Heads of more lines wait for their turn, like chunked bodies: a line costs as
+# much as hundreds of bytes.
+MAX_LINES_AT_ONCE = 64
+# Bytes of a head that its limit doesn't count: a line end for each field, which
+# has two bytes at least.
+MAX_RAW_HEAD_FACTOR = 2
 # Pieces of later requests that are kept before they are joined.
 MAX_PIECES = 32
 # Time after which a caller may come back to a process that was short of
 # memory. Connections without progress are closed within a second, so that
 # there is room again, and another VM may take the request at once.
 REFUSED_RETRY_S = 0.5
+# Fields that decide where a body ends, spelled as Twisted expects them.
+FRAMING_HEADERS = (b"Content-Length", b"Transfer-Encoding")
 TOO_LARGE_RESPONSE = (
     b"HTTP/1.1 413 Content Too Large\r\n"
     b"Content-Length: 0\r\nConnection: close\r\n\r\n"
@@ -52,9 +60,13 @@
         connection: What this connection holds.
         account: Work of this connection.
         undecoded: Bytes of a chunked body that wait to be decoded.
+        waiting_head: A head that waits to be parsed, or None.
         is_refused: Whether the connection is being closed.
     """
 
+    # Twisted's line receiver passes on a whole head as one line.
+    delimiter = request_head.END_OF_HEAD
+
     def __init__(
         self, server: ServerConnections, group: ConnectionGroup
     ) -> None:
@@ -63,8 +75,14 @@
         self.connection = Connection(group, self._refuse, server.clock.now_ms())
         self.account = Account(self)
         self.undecoded = bytearray()
+        self.waiting_head: bytes | None = None
         self.is_refused = False
 
+    @property
+    def MAX_LENGTH(self) -> int:  # noqa: N802 (Twisted's name)
+        """Most bytes of a head that are buffered."""
+        return MAX_RAW_HEAD_FACTOR * int(self.totalHeadersSize)
+
     # Connection
 
     def connectionMade(self) -> None:  # noqa: N802 (Twisted's name)
@@ -92,6 +110,7 @@
         return (
             not self.requests
             and not self._buffer
+            and self.waiting_head is None
             and not graceful_close.has_unread_bytes(self.transport)
         )
 
@@ -101,6 +120,7 @@
         self._dataBuffer: list[bytes] = []
         self._buffer = b""
         self.undecoded = bytearray()
+        self.waiting_head = None
 
     def _refuse(self, reason: RefusalReason) -> None:
         """Close the connection; the budget doesn't count it any more."""
@@ -154,9 +174,51 @@
         self.count_data()
 
     def lineReceived(self, line: bytes) -> None:  # noqa: N802
-        """Parse a line unless the connection is being closed."""
-        if not self.is_refused:
-            super().lineReceived(line)
+        """Take a whole head, unless the connection is being closed."""
+        # A blank line before a request is ignored (RFC 9112, section 2.2).
+        head = line.removeprefix(request_head.LINE_END)
+        if self.is_refused or not self.persistent or not head:
+            return
+        line_count = request_head.count_lines(head)
+        if len(head) - 2 * (line_count - 1) > self.totalHeadersSize:
+            self._respondToBadRequestAndDisconnect()
+        elif line_count <= MAX_LINES_AT_ONCE or self.server.work.use_now(
+            work_queue.decoding_cost(head)
+        ):
+            self._begin_request(head)
+        else:
+            self.waiting_head = head
+            self.paused = True
+            self._networkProducer.pauseProducing()
+            self._add_work(WorkKind.DECODE)
+
+    def lineLengthExceeded(self, line: bytes) -> None:  # noqa: N802
+        """Refuse a head that exceeds the limit."""
+        self._respondToBadRequestAndDisconnect()
+
+    def _begin_request(self, head: bytes) -> None:
+        """Parse a head, and read the body that it announces."""
+        request = self.requestFactory(self, len(self.requests))
+        self.requests.append(request)
+        try:
+            parsed = request_head.parse(head)
+        except CallerInputError:
+            self._respondToBadRequestAndDisconnect()
+            return
+        self._command = parsed.method
+        self._path = parsed.target
+        self._version = parsed.version
+        self._receivedHeaderSize = parsed.size_bytes
+        request.requestHeaders = request_head.ReceivedHeaders(parsed.headers)
+        for name in FRAMING_HEADERS:
+            for value in parsed.headers.values(name.lower()):
+                if not self._maybeChooseTransferDecoder(name, value):
+                    return
+        self.allHeadersReceived()
+        if self.length == 0:
+            self.allContentReceived()
+        else:
+            self.setRawMode()
 
     def rawDataReceived(self, data: bytes) -> None:  # noqa: N802
         """Take part of a body, or bytes of the next requests."""
@@ -223,13 +285,15 @@
         """Wait for the next step, or read on."""
         if self.is_refused or self.transport.disconnecting:
             return
-        if self.undecoded:
+        if self.undecoded or self.waiting_head is not None:
             self._add_work(WorkKind.DECODE)
         elif not self.paused and not self._waitingForTransport:
             self._networkProducer.resumeProducing()
         self.count_data()
 
     def _decode_step(self) -> int:
+        if self.waiting_head is not None:
+            return self._parse_waiting_head(self.waiting_head)
         data = bytes(self.undecoded[:STEP_BYTES])
         del self.undecoded[:STEP_BYTES]
         self.resetTimeout()
@@ -237,6 +301,15 @@
         self._decode(data)
         return work_queue.decoding_cost(data)
 
+    def _parse_waiting_head(self, head: bytes) -> int:
+        self.waiting_head = None
+        self.paused = False
+        self._begin_request(head)
+        if not self.is_refused:
+            # Go on with what was received after the head.
+            self.dataReceived(b"")
+        return work_queue.decoding_cost(head)
+
     def _begin_next_request(self) -> int:
         self.paused = False
         self._networkProducer.resumeProducing()
@@ -263,10 +336,11 @@
     def resumeProducing(self) -> None:  # noqa: N802 (Twisted's name)
         """Continue once the client has taken the responses."""
         super().resumeProducing()
-        if self.undecoded or self.paused:
+        must_decode = self.undecoded or self.waiting_head is not None
+        if must_decode or self.paused:
             self._networkProducer.pauseProducing()
             self._add_work(
-                WorkKind.NEXT_REQUEST if self.paused else WorkKind.DECODE
+                WorkKind.DECODE if must_decode else WorkKind.NEXT_REQUEST
             )
 
     # Memory
@@ -290,10 +364,10 @@
     def _count_input(self) -> int:
         count = len(self._buffer) + len(self.undecoded)
         count += sum(map(len, self._dataBuffer))
+        count += len(self.waiting_head or b"")
         if not self.requests or self._handlingRequest:
             return count
         count += self._receivedHeaderSize
-        count += HEADER_OVERHEAD_BYTES * self._receivedHeaderCount
         decoder = self._transferDecoder
         if isinstance(decoder, http._ChunkedTransferDecoder):
             count += len(decoder._buffer)
--- a/src/oriolegate/network/bounded_request.py
+++ b/src/oriolegate/network/bounded_request.py
@@ -31,6 +31,9 @@
     content: Any
     requestHeaders: Any  # noqa: N815 (Twisted's name)
 
+    def parseCookies(self) -> None:  # noqa: N802 (Twisted's name)
+        """Do nothing: nothing reads cookies, and an object each is too much."""
+
     @property
     def max_body_bytes(self) -> int:
         """Longest body; a server that takes bodies sets it."""
@@ -70,12 +73,9 @@
         return bytes(self.content.getvalue())
 
     def header_list(self) -> HeaderLines:
-        """Return all headers, grouped by name."""
-        return HeaderLines.of(
-            (name, value)
-            for name, values in self.requestHeaders.getAllRawHeaders()
-            for value in values
-        )
+        """Return all headers, as received."""
+        lines: HeaderLines = self.requestHeaders.lines
+        return lines
 
     def reserve_parts(self, parts: int) -> bool:
         """Reserve the memory that sending the request to leafs needs.
--- a/src/oriolegate/network/caller_server.py
+++ b/src/oriolegate/network/caller_server.py
@@ -8,10 +8,14 @@
 from typing import Any
 from typing import Protocol
 
+from twisted.web import http
+
 from oriolegate.connections.connection import RefusalReason
 from oriolegate.connections.machine_share import ConnectionGroup
+from oriolegate.models import header_lines
 from oriolegate.models.header_lines import HeaderLines
 from oriolegate.models.site import CallerLimits
+from oriolegate.network import request_head
 from oriolegate.network.bounded_channel import BoundedChannel
 from oriolegate.network.bounded_channel import BoundedFactory
 from oriolegate.network.bounded_request import BoundedBody
@@ -23,6 +27,7 @@
 # This server waits slightly longer than that time, so that the caller always
 # closes first.
 IDLE_TIMEOUT_FACTOR = 1.05
+UNKNOWN_STATUS = b"Unknown Status"
 # A request that was never read completely has not run, so the caller may retry
 # it.
 HEADER_TIMEOUT_RESPONSE = (
@@ -36,6 +41,10 @@
 INTERNAL_IDLE_TIMEOUT_S = 60
 
 
+def _capitalize(name: bytes) -> bytes:
+    return b"-".join(word.capitalize() for word in name.split(b"-"))
+
+
 class CallerHandler(Protocol):
     """Serves callers' requests.
 
@@ -99,19 +108,39 @@
         if not self.open:
             return
         self.open = False
-        self.setResponseCode(status)
-        for name, value in headers:
-            self.responseHeaders.addRawHeader(name, value)
-        self.responseHeaders.setRawHeaders(
-            b"content-length", [b"%d" % len(body)]
-        )
         if self.handler.closes_connections:
-            self.responseHeaders.setRawHeaders(b"connection", [b"close"])
             self.channel.persistent = False
-        if body:
-            self.write(body)
+        self._write_head(status, headers, len(body))
+        if body and self.method != b"HEAD" and status not in http.NO_BODY_CODES:
+            self.channel.write(body)
         self.finish()
 
+    def _write_head(
+        self, status: int, headers: HeaderLines, size_bytes: int
+    ) -> None:
+        """Write the head; Twisted would keep the names of leafs' headers."""
+        lines = [
+            b"%b %d %b"
+            % (
+                self.clientproto,
+                status,
+                http.RESPONSES.get(status, UNKNOWN_STATUS),
+            )
+        ]
+        lines += [
+            header_lines.encode_line(_capitalize(name), value)
+            for name, value in headers
+        ]
+        lines.append(
+            header_lines.encode_line(b"Content-Length", b"%d" % size_bytes)
+        )
+        if not self.channel.persistent:
+            lines.append(header_lines.encode_line(b"Connection", b"close"))
+        lines.append(request_head.END_OF_HEAD)
+        self.startedWriting = 1
+        self.code = status
+        self.channel.write(b"".join(lines))
+
 
 class CallerChannel(BoundedChannel):
     """One connection of a caller.
@@ -151,12 +180,8 @@
         # While requests wait here for their turn, the caller isn't late.
         if self.has_header or self.paused or self.is_refused:
             return False
-        # Twisted keeps the request line in `_command` until the body is
-        # complete. Bytes received while a request is open wait in the same
-        # buffer; the header timeout does not apply to these bytes.
-        return hasattr(self, "_command") or self._has_partial_line()
-
-    def _has_partial_line(self) -> bool:
+        # Bytes received while a request is open wait in the same buffer; the
+        # header timeout does not apply to these bytes.
         return bool(self._buffer) and not self.requests
 
     def allHeadersReceived(self) -> None:  # noqa: N802 (Twisted's name)
