Move the reading of whole heads to a module of its own

`HeadChannel` takes and parses heads; the other decides when, within the limits of the process. No behaviour changes; the tests of both are the same.

--- a/src/oriolegate/network/bounded_channel.py
+++ b/src/oriolegate/network/bounded_channel.py
@@ -13,11 +13,11 @@
 from oriolegate.connections.work_queue import Account
 from oriolegate.connections.work_queue import STEP_BYTES
 from oriolegate.connections.work_queue import WorkKind
-from oriolegate.exceptions import CallerInputError
 from oriolegate.network import graceful_close
 from oriolegate.network import request_head
 from oriolegate.network.bounded_request import BoundedBody
 from oriolegate.network.bounded_request import BoundedRequest
+from oriolegate.network.head_channel import HeadChannel
 from oriolegate.network.server_connections import ServerConnections
 
 # Most bytes read at once; a channel that waits for its turn holds no more.
@@ -25,17 +25,12 @@
 # Heads of more lines wait for their turn, like chunked bodies: a line costs as
 # much as hundreds of bytes.
 MAX_LINES_AT_ONCE = 64
-# Bytes of a head that its limit doesn't count: a line end for each field, which
-# has two bytes at least.
-MAX_RAW_HEAD_FACTOR = 2
 # Pieces of later requests that are kept before they are joined.
 MAX_PIECES = 32
 # Time after which a caller may come back to a process that was short of
 # memory. Connections without progress are closed within a second, so that
 # there is room again, and another VM may take the request at once.
 REFUSED_RETRY_S = 0.5
-# Fields that decide where a body ends, spelled as Twisted expects them.
-FRAMING_HEADERS = (b"Content-Length", b"Transfer-Encoding")
 TOO_LARGE_RESPONSE = (
     b"HTTP/1.1 413 Content Too Large\r\n"
     b"Content-Length: 0\r\nConnection: close\r\n\r\n"
@@ -52,7 +47,7 @@
     """Do nothing, as the connection is lost."""
 
 
-class BoundedChannel(http.HTTPChannel):
+class BoundedChannel(HeadChannel):
     """One connection of a client.
 
     Attributes:
@@ -64,9 +59,6 @@
         is_refused: Whether the connection is being closed.
     """
 
-    # Twisted's line receiver passes on a whole head as one line.
-    delimiter = request_head.END_OF_HEAD
-
     def __init__(
         self, server: ServerConnections, group: ConnectionGroup
     ) -> None:
@@ -78,11 +70,6 @@
         self.waiting_head: bytes | None = None
         self.is_refused = False
 
-    @property
-    def MAX_LENGTH(self) -> int:  # noqa: N802 (Twisted's name)
-        """Most bytes of a head that are buffered."""
-        return MAX_RAW_HEAD_FACTOR * int(self.totalHeadersSize)
-
     # Connection
 
     def connectionMade(self) -> None:  # noqa: N802 (Twisted's name)
@@ -173,52 +160,19 @@
             self.connection.moved_ms = self.server.clock.now_ms()
         self.count_data()
 
-    def lineReceived(self, line: bytes) -> None:  # noqa: N802
-        """Take a whole head, unless the connection is being closed."""
-        # A blank line before a request is ignored (RFC 9112, section 2.2).
-        head = line.removeprefix(request_head.LINE_END)
-        if self.is_refused or not self.persistent or not head:
+    def on_head(self, head: bytes) -> None:
+        """Parse a head now, or in its turn if it has many lines."""
+        if self.is_refused:
             return
         line_count = request_head.count_lines(head)
-        if len(head) - 2 * (line_count - 1) > self.totalHeadersSize:
-            self._respondToBadRequestAndDisconnect()
-        elif line_count <= MAX_LINES_AT_ONCE or self.server.work.use_now(
-            work_queue.decoding_cost(head)
-        ):
-            self._begin_request(head)
-        else:
-            self.waiting_head = head
-            self.paused = True
-            self._networkProducer.pauseProducing()
-            self._add_work(WorkKind.DECODE)
-
-    def lineLengthExceeded(self, line: bytes) -> None:  # noqa: N802
-        """Refuse a head that exceeds the limit."""
-        self._respondToBadRequestAndDisconnect()
-
-    def _begin_request(self, head: bytes) -> None:
-        """Parse a head, and read the body that it announces."""
-        request = self.requestFactory(self, len(self.requests))
-        self.requests.append(request)
-        try:
-            parsed = request_head.parse(head)
-        except CallerInputError:
-            self._respondToBadRequestAndDisconnect()
+        cost = work_queue.decoding_cost(head)
+        if line_count <= MAX_LINES_AT_ONCE or self.server.work.use_now(cost):
+            self.begin_request(head)
             return
-        self._command = parsed.method
-        self._path = parsed.target
-        self._version = parsed.version
-        self._receivedHeaderSize = parsed.size_bytes
-        request.requestHeaders = request_head.ReceivedHeaders(parsed.headers)
-        for name in FRAMING_HEADERS:
-            for value in parsed.headers.values(name.lower()):
-                if not self._maybeChooseTransferDecoder(name, value):
-                    return
-        self.allHeadersReceived()
-        if self.length == 0:
-            self.allContentReceived()
-        else:
-            self.setRawMode()
+        self.waiting_head = head
+        self.paused = True
+        self._networkProducer.pauseProducing()
+        self._add_work(WorkKind.DECODE)
 
     def rawDataReceived(self, data: bytes) -> None:  # noqa: N802
         """Take part of a body, or bytes of the next requests."""
@@ -304,7 +258,7 @@
     def _parse_waiting_head(self, head: bytes) -> int:
         self.waiting_head = None
         self.paused = False
-        self._begin_request(head)
+        self.begin_request(head)
         if not self.is_refused:
             # Go on with what was received after the head.
             self.dataReceived(b"")
