Play crowds of heads that cost more than their bytes

500 clients beside an ordinary caller, on a machine of 80 MB and 600 descriptors: heads of 2,900 cookies, or of as many short lines, with a body that stops short; header names that never repeat; paths of 15,000 slashes. The bounds are those of the other crowds.

--- a/tests/crowds/crowd_clients.py
+++ b/tests/crowds/crowd_clients.py
@@ -20,6 +20,9 @@
 # Twisted keeps a body below 100,000 bytes in memory, a longer one in a file.
 KEPT_IN_MEMORY_BYTES = 98_304
 PIECE_BYTES = 4_096
+# Most bytes of the costly part of a head; the limit is 16 KiB.
+HEAD_BYTES = 15_000
+HEAD_NAMES = 2_900
 FORWARDED_BYTES = 4 * 1024 * 1024
 # Clients that connect at the same time; more would fill the listen queue.
 CONNECTING_AT_ONCE = 64
@@ -144,6 +147,37 @@
     yield head("/one/a", *MANY_HEADERS)[:-2]
 
 
+def _numbers(separator: str) -> str:
+    return "".join(f"{n:x}{separator}" for n in range(HEAD_NAMES))
+
+
+COOKIES = "Cookie: " + _numbers("=;")
+SHORT_LINES = _numbers(":\r\n").split("\r\n")[:-1]
+
+
+def cookies() -> Iterator[bytes]:
+    """Send a head of many cookies, and a body but for its last byte."""
+    yield head("/one/a", COOKIES, "Content-Length: 9") + BODY[:8]
+
+
+def short_lines() -> Iterator[bytes]:
+    """Send a head of many short lines, and a body but for its last byte."""
+    yield head("/one/a", *SHORT_LINES, "Content-Length: 9") + BODY[:8]
+
+
+def long_names() -> Iterator[bytes]:
+    """Send complete requests with a header name of their own each."""
+    for _ in range(12):
+        name = f"{next(mixed_numbers):x}".rjust(HEAD_BYTES, "n")
+        yield head("/one/a", f"{name}: 1", method="GET")
+
+
+def slashes() -> Iterator[bytes]:
+    """Send complete requests with long paths of slashes."""
+    for _ in range(12):
+        yield head("/one/a" + "/" * HEAD_BYTES, method="GET")
+
+
 def few_bytes() -> Iterator[bytes]:
     """Send the beginning of a request line."""
     yield b"GET /one/a"
@@ -221,6 +255,10 @@
         long_trailer,
         short_trailers,
         many_headers,
+        cookies,
+        short_lines,
+        long_names,
+        slashes,
         few_bytes,
         nothing,
         forwarded,
--- a/tests/crowds/test_gateway_crowds.py
+++ b/tests/crowds/test_gateway_crowds.py
@@ -72,6 +72,23 @@
     async def test_many_headers_without_an_end(self):
         await self.play("many_headers", 570, memory_mb=SMALL_MEMORY_MB)
 
+    # Each costs far more than its bytes where objects are made of them.
+    @with_processes
+    async def test_many_cookies(self):
+        await self.play("cookies", 500)
+
+    @with_processes
+    async def test_many_short_header_lines(self):
+        await self.play("short_lines", 500)
+
+    @with_processes
+    async def test_long_header_names_that_never_repeat(self):
+        await self.play("long_names", 500)
+
+    @with_processes
+    async def test_long_paths_of_slashes(self):
+        await self.play("slashes", 500)
+
     @with_processes
     async def test_crowds_in_turn_with_trailers_that_are_too_long(self):
         await self.play(
