Start the gateways of all plays in one place

The plays of crashes and of popular requests started their gateways by code of their own, which stood in the frame of the other two as well.

--- a/tools/soak/config_play.py
+++ b/tools/soak/config_play.py
@@ -215,7 +215,9 @@
 ) -> list[str]:
     """Run one play; print its report and return the violations."""
     environment = ConfigEnvironment(reactor, random.Random(seed))
-    gateways = frame.start_gateways(environment, options, folder)
+    gateways = frame.start_gateways(
+        environment, folder, range(options.vms), options.source
+    )
     play = ConfigPlay(environment, gateways, random.Random(f"faults {seed}"))
     environment.change()
     await environment.sleep(START_S)
--- a/tools/soak/crash_play.py
+++ b/tools/soak/crash_play.py
@@ -18,7 +18,7 @@
 from tests.platform import stand_in_documents as documents
 from tests.platform.stand_in_leaf import LeafFactory
 from tests.platform.stand_in_leaf import LeafRequest
-from tools.soak import gateways as gateway_module
+from tools.soak import frame
 from tools.soak.crash_judge import Arrival
 from tools.soak.crash_judge import CrashJudge
 from tools.soak.crash_judge import Disturbance
@@ -350,21 +350,13 @@
     environment = SoakEnvironment(reactor, random.Random(seed))
     first = arguments.first_vm
     numbers = range(first, first + GATEWAY_COUNT)
-    hosts = [gateway_module.host_for(number) for number in numbers]
-    (internal_port,) = gateway_module.free_ports("0.0.0.0", 1)
-    gateways = [
-        GatewayProcess(
-            reactor,
-            number,
-            DATA_CENTRES[number % len(DATA_CENTRES)],
-            environment.store_address,
-            folder,
-            hosts[:3],
-            internal_port,
-            (arguments.mixed if number % 2 else None) or arguments.source,
-        )
-        for number in numbers
-    ]
+    gateways = frame.start_gateways(
+        environment,
+        folder,
+        numbers,
+        arguments.source,
+        odd_source=arguments.mixed,
+    )
     play = CrashPlay(environment, gateways, CrashJudge(), random.Random(seed))
     play.gap_s = arguments.gap or play.gap_s
     if arguments.once:
@@ -373,10 +365,6 @@
         play.take_over(soak_leaf)
     for data_centre in DATA_CENTRES[:MORE_LEAFS]:
         play.add_leaf(SHARDS[0], data_centre)
-    for process in gateways:
-        reactor.addSystemEventTrigger("before", "shutdown", process.close)
-        process.start()
-        process.restart_when_ended()
     await environment.sleep(START_S)
     callers = [
         defer.ensureDeferred(run_harmless_caller(environment, gateways))
--- a/tools/soak/frame.py
+++ b/tools/soak/frame.py
@@ -3,6 +3,7 @@
 import argparse
 from collections.abc import Callable
 from collections.abc import Coroutine
+from collections.abc import Sequence
 import pathlib
 import tempfile
 from typing import Any
@@ -19,13 +20,25 @@
 
 def start_gateways(
     environment: SoakEnvironment,
-    options: argparse.Namespace,
     folder: pathlib.Path,
+    numbers: Sequence[int],
+    source: pathlib.Path,
+    *,
+    odd_source: pathlib.Path | None = None,
     grace_s: float = gateway_module.GRACE_S,
 ) -> list[GatewayProcess]:
-    """Start gateways that are started again when they end."""
+    """Start gateways that are started again when they end.
+
+    Args:
+        environment: Store and leafs of the gateways.
+        folder: Folder of their settings and logs.
+        numbers: Numbers of the gateways, which decide their addresses.
+        source: Folder of the package to run.
+        odd_source: Folder of the package for those with odd numbers, or None.
+        grace_s: Time between SIGTERM and SIGKILL.
+    """
     reactor = environment.reactor
-    hosts = [gateway_module.host_for(number) for number in range(options.vms)]
+    hosts = [gateway_module.host_for(number) for number in numbers]
     (internal_port,) = gateway_module.free_ports("0.0.0.0", 1)
     gateways = [
         GatewayProcess(
@@ -36,10 +49,10 @@
             folder,
             hosts[:3],
             internal_port,
-            options.source,
+            (odd_source if number % 2 else None) or source,
             grace_s=grace_s,
         )
-        for number in range(options.vms)
+        for number in numbers
     ]
     for process in gateways:
         reactor.addSystemEventTrigger("before", "shutdown", process.close)
--- a/tools/soak/popular_play.py
+++ b/tools/soak/popular_play.py
@@ -17,8 +17,8 @@
 
 import attrs
 from tests.platform import stand_in_documents as documents
+from tools.soak import frame
 from tools.soak import gateways as gateway_module
-from tools.soak.environment import DATA_CENTRES
 from tools.soak.environment import SHARDS
 from tools.soak.environment import SoakEnvironment
 from tools.soak.environment import SoakLeaf
@@ -214,43 +214,17 @@
 }
 
 
-def _start_gateways(
-    environment: SoakEnvironment,
-    folder: pathlib.Path,
-    arguments: argparse.Namespace,
-) -> list[GatewayProcess]:
-    first = arguments.first_vm
-    numbers = range(first, first + GATEWAY_COUNT)
-    hosts = [gateway_module.host_for(number) for number in numbers]
-    (internal_port,) = gateway_module.free_ports("0.0.0.0", 1)
-    gateways = []
-    for number in numbers:
-        process = GatewayProcess(
-            reactor,
-            number,
-            DATA_CENTRES[number % len(DATA_CENTRES)],
-            environment.store_address,
-            folder,
-            hosts[:3],
-            internal_port,
-            arguments.source,
-        )
-        reactor.addSystemEventTrigger("before", "shutdown", process.close)
-        process.start()
-        process.restart_when_ended()
-        gateways.append(process)
-    return gateways
-
-
 async def run_play(
     name: str, seed: int, folder: pathlib.Path, arguments: argparse.Namespace
 ) -> tuple[float, float]:
     """Run one play; return the shares served before and after."""
     disturb, path_count, is_silent = PLAYS[name]
     environment = SoakEnvironment(reactor, random.Random(seed))
+    first = arguments.first_vm
+    numbers = range(first, first + GATEWAY_COUNT)
     play = PopularPlay(
         environment,
-        _start_gateways(environment, folder, arguments),
+        frame.start_gateways(environment, folder, numbers, arguments.source),
         random.Random(seed),
         [f"/one/popular-{number}" for number in range(path_count)],
         is_silent,
--- a/tools/soak/stop_play.py
+++ b/tools/soak/stop_play.py
@@ -174,7 +174,13 @@
 ) -> list[str]:
     """Run one play; print its report and return the violations."""
     environment = StopEnvironment(reactor, random.Random(seed))
-    gateways = frame.start_gateways(environment, options, folder, GRACE_S)
+    gateways = frame.start_gateways(
+        environment,
+        folder,
+        range(options.vms),
+        options.source,
+        grace_s=GRACE_S,
+    )
     play = StopPlay(environment, random.Random(f"stops {seed}"))
     await environment.sleep(START_S)
     kinds = [True] * KEPT_CALLERS + [False] * NEW_CALLERS
