Let no unexpected error keep a stopping gateway from its exit

Cause: the next step of the stop was scheduled after the effects of this one, so that an error in any of them ended the stop, and the process served until it was killed with all its open requests.

Change: the next step is scheduled first. The members' entry and the peers come after it too.

--- a/src/oriolegate/runtime/gateway.py
+++ b/src/oriolegate/runtime/gateway.py
@@ -278,10 +278,10 @@
         effects = self.parts.stop.begin(self.clock.now_ms(), grace_ms)
         if not effects:
             return
+        self._carry_out_stop(effects)
+        log.bind(open=len(self.parts.runner.running)).info("stopping")
         self.parts.members.leave()
         self.parts.views.on_view_changed()
-        log.bind(open=len(self.parts.runner.running)).info("stopping")
-        self._carry_out_stop(effects)
 
     def _continue_stop(self) -> None:
         open_connections = len(self.parts.connections.channels)
@@ -290,6 +290,11 @@
         )
 
     def _carry_out_stop(self, effects: list[StopEffect]) -> None:
+        # Before the rest, so that an unexpected error doesn't end the stop.
+        for effect in effects:
+            if isinstance(effect, planned_stop.WakeAt):
+                delay_ms = max(0.0, effect.at_ms - self.clock.now_ms())
+                self.reactor.callLater(delay_ms / MS_PER_S, self._continue_stop)
         for effect in effects:
             match effect:
                 case planned_stop.CloseIdle():
@@ -298,11 +303,6 @@
                     self._close_ports()
                 case planned_stop.AnswerOpen():
                     self._answer_open()
-                case planned_stop.WakeAt(at_ms):
-                    delay_ms = max(0.0, at_ms - self.clock.now_ms())
-                    self.reactor.callLater(
-                        delay_ms / MS_PER_S, self._continue_stop
-                    )
                 case planned_stop.Exit():
                     self._exit()
 
--- a/tests/platform/test_gateway_stop.py
+++ b/tests/platform/test_gateway_stop.py
@@ -1,7 +1,9 @@
 """Tests of the order of events in a planned stop, with a gateway on sockets."""
 
+import contextlib
 import time
 import unittest
+from unittest import mock
 
 import attrs
 from twisted.internet import defer
@@ -140,6 +142,24 @@
         self.assertEqual((await pending).status, 200)
         await exited
 
+    # Otherwise the process serves until it is killed, with all open requests.
+    @on_site
+    async def test_an_unexpected_error_does_not_keep_the_process(self, site):
+        exited = self.prepare(site)
+        parts = site.process.parts
+        for owner, name in (
+            (parts.members, "leave"),
+            (parts.connections, "close_idle"),
+            (parts.runner, "answer_all"),
+        ):
+            broken = mock.patch.object(owner, name, side_effect=ValueError)
+            self.addCleanup(broken.stop)
+            broken.start()
+        Caller(site.process.settings.caller_address)
+        with contextlib.suppress(ValueError):
+            site.process.plan_stop()
+        await exited
+
     async def forward(self, site, route, attempt):
         """Forward a request to the gateway, as another VM does."""
         settings = site.process.settings
