Let no unexpected error keep a stopping serve process from its exit

Cause: an error in an action of the stop left its event at the head of the queue, so that no later event was handled, and the next wake-up was set after the action that failed. The process served until it was killed.

Change: an event leaves the queue whatever happens, and the wake-up is set first.

Evidence: the test lets two actions raise; running requests were not answered and the process didn't exit (failed before).

--- a/src/oriolegate/runtime/stop_runner.py
+++ b/src/oriolegate/runtime/stop_runner.py
@@ -93,8 +93,11 @@
         if len(self.queue) > 1:
             return
         while self.queue:
-            self._step(self.queue[0])
-            self.queue.popleft()
+            try:
+                self._step(self.queue[0])
+            finally:
+                # An unexpected error must not hold up the events after it.
+                self.queue.popleft()
 
     def _step(self, event: stop.StopEvent) -> None:
         now_ms = self.clock.now_ms()
@@ -104,10 +107,14 @@
             name = self.sequence.phase.value
             self.events.record(now_ms, EventKind.STOPPING, "", name)
             log.info("Planned stop entered phase: {}.", name)
+        # Before the rest, so that an unexpected error doesn't end the stop.
         for effect in effects:
-            self._carry_out(now_ms, effect)
+            if isinstance(effect, stop.WakeAt):
+                self._wake_at(effect.at_ms - now_ms)
+        for effect in effects:
+            self._carry_out(effect)
 
-    def _carry_out(self, now_ms: float, effect: stop.StopEffect) -> None:
+    def _carry_out(self, effect: stop.StopEffect) -> None:
         match effect:
             case stop.SetNotReady():
                 self.actions.set_not_ready()
@@ -127,8 +134,6 @@
                 self.actions.answer_running()
             case stop.CloseConnections():
                 self.actions.close_connections()
-            case stop.WakeAt(at_ms):
-                self._wake_at(at_ms - now_ms)
             case stop.Exit():
                 self._exit(effect)
 
--- a/tests/runtime/test_stop_runner.py
+++ b/tests/runtime/test_stop_runner.py
@@ -1,5 +1,6 @@
 """Tests that the actions of the planned stop are called in order."""
 
+import contextlib
 import io
 import unittest
 
@@ -81,6 +82,21 @@
             phases, ["leaving balancer", "finishing", "closing", "stopped"]
         )
 
+    # Otherwise the process serves until it is killed, with all open requests.
+    def test_an_unexpected_error_does_not_keep_the_process(self):
+        def fail():
+            raise ValueError("unexpected")
+
+        self.actions.stop_accepting = fail
+        self.actions.close_idle_callers = fail
+        self.runner.receive(stop.RunningChanged(1))
+        self.runner.receive(stop.StopRequested())
+        for _ in range(100):
+            with contextlib.suppress(ValueError):
+                self.advance(100.0)
+        self.assertIn("answer_running", self.actions.names())
+        self.assertEqual(self.actions.calls[-1], ("exit", 1))
+
     def test_a_request_that_never_ends_is_aborted_only_at_the_limit(self):
         self.actions.events_by_action = [
             ("close_idle_callers", stop.CallersCounted(0)),
